The whole path, thin, as separate processes

Sets down the shape: many small files with one type each, and all shared state in sharded containers (internal/shard), each shard under its own lock. Decision packages import no encoding and no transport; test/shape checks both.

One path from end to end: an operator's configuration is generated from a questionnaire's answers, checked with line numbers, applied by compare-and-swap through the platform's store and in force on every entry (by watch and from peers); a caller's request reaches an upstream and comes back whole. Entries register under leases and exchange heartbeats over yamux with protobuf.

Not built yet: the ledger (requests with a key are refused), admission and slots, leaving upstreams, silent connections, waves, jobs.

--- /dev/null
+++ b/cmd/persimmonbay/config_generate.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"persimmonbay/internal/configfile"
+	"persimmonbay/internal/configuration"
+)
+
+func configGenerateCommand() command {
+	return command{name: "generate", args: "ANSWERS", summary: "print the configuration that follows from a questionnaire's answers", setup: func(*flag.FlagSet) runner {
+		return func(_ context.Context, c console, args []string) error {
+			name, data, err := readDocument(args)
+			if err != nil {
+				return err
+			}
+			questionnaire, err := configfile.ParseQuestionnaire(name, data)
+			if err != nil {
+				return err
+			}
+			rendered, err := configfile.Render(configuration.Generate(questionnaire))
+			if err != nil {
+				return err
+			}
+			_, err = c.out.Write(rendered)
+			return err
+		}
+	}}
+}
+
+// readDocument reads the one file that args name.
+func readDocument(args []string) (name string, data []byte, err error) {
+	if len(args) != 1 {
+		return "", nil, &usageError{"expected one file"}
+	}
+	data, err = os.ReadFile(args[0])
+	return args[0], data, err
+}
--- /dev/null
+++ b/cmd/persimmonbay/dev.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"context"
+	_ "embed"
+	"flag"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+
+	"persimmonbay/internal/configfile"
+	"persimmonbay/internal/configstore"
+	"persimmonbay/internal/configuration"
+	"persimmonbay/internal/entry"
+	"persimmonbay/internal/fleet"
+	"persimmonbay/internal/settings"
+	standinplatform "persimmonbay/internal/standin/platform"
+	standinupstream "persimmonbay/internal/standin/upstream"
+	"persimmonbay/internal/telemetry"
+)
+
+// devAnswers is the questionnaire of the embedded fleet.
+//
+//go:embed dev_answers.yaml
+var devAnswers []byte
+
+// What the embedded fleet is made of.
+const (
+	devRunnersPerService = 2
+	devZones             = 3
+	devToken             = "dev-operator-token"
+	devPeerKey           = "dev-peer-key-only-here"
+)
+
+func devCommand() command {
+	return command{name: "dev", summary: "run a whole small fleet in this process: stand-ins and one entry", setup: func(flags *flag.FlagSet) runner {
+		callers := flags.String("callers", "127.0.0.1:0", "callers' address HOST:PORT; port 0 picks a free one")
+		logLevel := flags.String("log", "warn", "debug, info, warn or error")
+		return func(ctx context.Context, c console, _ []string) error {
+			return runDev(ctx, c, *callers, *logLevel)
+		}
+	}}
+}
+
+func runDev(ctx context.Context, c console, callers, logLevel string) error {
+	group, ctx := errgroup.WithContext(ctx)
+	standinsCtx, stopStandins := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopStandins()
+	clock := clockwork.NewRealClock()
+	fleetPlatform := standinplatform.NewServer(clock)
+	configured, err := devConfiguration(ctx, fleetPlatform, clock)
+	if err != nil {
+		return err
+	}
+	platformListener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	group.Go(func() error { return serveHTTP(standinsCtx, platformListener, fleetPlatform.Handler()) })
+	for i := range configured.Services {
+		if err := startDevRunners(standinsCtx, group, fleetPlatform, &configured.Services[i], clock); err != nil {
+			return err
+		}
+	}
+	log, err := telemetry.NewLogger(c.err, logLevel)
+	if err != nil {
+		return err
+	}
+	e, err := entry.New(devSettings(callers, "http://"+platformListener.Addr().String(), logLevel), clock, log)
+	if err != nil {
+		return err
+	}
+	group.Go(func() error {
+		defer stopStandins() // after the entry, so that it can hand its lease back
+		return e.Run(ctx)
+	})
+	printDev(c, e.Addresses(), platformListener.Addr().String())
+	return group.Wait()
+}
+
+// devConfiguration applies the configuration of the embedded questionnaire.
+func devConfiguration(ctx context.Context, p *standinplatform.Server, clock clockwork.Clock) (*configuration.Configuration, error) {
+	answers, err := configfile.ParseQuestionnaire("dev_answers.yaml", devAnswers)
+	if err != nil {
+		return nil, err
+	}
+	generated := configuration.Generate(answers)
+	source, err := configfile.Render(generated)
+	if err != nil {
+		return nil, err
+	}
+	_, err = configstore.New(p.Store, clock).Apply(ctx, "dev", 0, source)
+	return generated, err
+}
+
+func startDevRunners(ctx context.Context, group *errgroup.Group, p *standinplatform.Server, service *configuration.Service, clock clockwork.Clock) error {
+	for i := range devRunnersPerService {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		instance := fleet.Instance{
+			ID:               fmt.Sprintf("%s-%d", service.Name, i+1),
+			Kind:             fleet.KindUpstream,
+			Service:          service.Name,
+			Address:          listener.Addr().String(),
+			AvailabilityZone: fmt.Sprintf("az-%d", i%devZones+1),
+			Rack:             fmt.Sprintf("rack-%d", i+1),
+			State:            fleet.Live,
+		}
+		p.Instances.Put(instance)
+		runner := standinupstream.NewServer(instance, service.Slots, clock)
+		group.Go(func() error { return runner.Serve(ctx, listener) })
+	}
+	return nil
+}
+
+func devSettings(callers, platformURL, logLevel string) settings.Entry {
+	s := settings.DefaultEntry()
+	s.ID = "entry-1"
+	s.AvailabilityZone = "az-1"
+	s.Listen.Callers = callers
+	s.Platform.Address = platformURL
+	s.LogLevel = logLevel
+	s.Limits.ShutdownNotice = 100 * time.Millisecond
+	s.Secrets = settings.Secrets{PeerKey: devPeerKey, OperatorToken: devToken}
+	return s
+}
+
+func printDev(c console, a entry.Addresses, platformAddress string) {
+	fmt.Fprintf(c.out, "callers    http://%s\noperators  http://%s (token %s)\nplatform   http://%s\n\n", a.Callers, a.Operators, devToken, platformAddress)
+	fmt.Fprintf(c.out, "try: curl -i -H 'Persimmonbay-Team: herders' http://%s/tags/8812\n", a.Callers)
+}
--- /dev/null
+++ b/cmd/persimmonbay/main.go
@@ -0,0 +1,29 @@
+// Command persimmonbay manages the capacity and maintenance of a shared fleet:
+// the entry daemon, its stand-ins for trials, and the operators' command line.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	os.Exit(run(ctx, commands(), os.Args[1:], console{out: os.Stdout, err: os.Stderr}))
+}
+
+// commands returns the tree of commands.
+func commands() []command {
+	return []command{
+		devCommand(),
+		entryCommand(),
+		standinCommand(),
+		configCommand(),
+		instanceCommand(),
+		statusCommand(),
+		versionCommand(),
+	}
+}
--- /dev/null
+++ b/cmd/persimmonbay/standin_platform.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"net"
+	"net/http"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/standin/platform"
+	"persimmonbay/internal/telemetry"
+)
+
+func standinPlatformCommand() command {
+	return command{name: "platform", summary: "run a stand-in of the platform's service; PUT /standin/faults throws its switches", setup: func(flags *flag.FlagSet) runner {
+		listen := flags.String("listen", "127.0.0.1:0", "address HOST:PORT; port 0 picks a free one")
+		var faults platform.Faults
+		flags.BoolVar(&faults.Outage, "outage", false, "start with every call failing")
+		flags.IntVar(&faults.SlowMillis, "slow", 0, "milliseconds that every call waits")
+		flags.Float64Var(&faults.LoseAnswers, "lose-answers", 0, "share of writes whose answer is lost after they took effect")
+		flags.BoolVar(&faults.Silent, "silent", false, "take calls and never answer")
+		flags.IntVar(&faults.LagMillis, "lag", 0, "milliseconds that the list of instances lags")
+		flags.Uint64Var(&faults.Seed, "seed", 1, "seed of the choice of lost answers")
+		return func(ctx context.Context, c console, _ []string) error {
+			log, err := telemetry.NewLogger(c.err, "info")
+			if err != nil {
+				return err
+			}
+			listener, err := net.Listen("tcp", *listen)
+			if err != nil {
+				return err
+			}
+			server := platform.NewServer(clockwork.NewRealClock())
+			server.SetFaults(faults)
+			log.Info("listening", zap.String("platform", listener.Addr().String()))
+			return serveHTTP(ctx, listener, server.Handler())
+		}
+	}}
+}
+
+// serveHTTP serves until ctx ends and then closes at once.
+func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err := server.Serve(listener)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/configstore/record.go
@@ -0,0 +1,16 @@
+package configstore
+
+import (
+	"time"
+
+	"persimmonbay/internal/configuration"
+)
+
+// record is the stored form of one accepted configuration.
+type record struct {
+	Operator string                `json:"operator"`
+	Applied  time.Time             `json:"applied"`
+	Base     configuration.Version `json:"base"`   // the version it replaced
+	Nonce    string                `json:"nonce"`  // tells one apply from another
+	Source   []byte                `json:"source"` // YAML
+}
--- /dev/null
+++ b/internal/configuration/pool.go
@@ -0,0 +1,7 @@
+package configuration
+
+// Pool is a named set of instances. An instance belongs to exactly one.
+type Pool struct {
+	Name  string `yaml:"name" validate:"required"`
+	Spare bool   `yaml:"spare"` // its instances replace those drained elsewhere
+}
--- /dev/null
+++ b/internal/configuration/questionnaire.go
@@ -0,0 +1,8 @@
+package configuration
+
+// Questionnaire holds the answers from which a configuration is generated.
+type Questionnaire struct {
+	Organisation string           `yaml:"organisation" validate:"required"`
+	Teams        []TeamAnswers    `yaml:"teams" validate:"required,dive"`
+	Services     []ServiceAnswers `yaml:"services" validate:"required,dive"`
+}
--- /dev/null
+++ b/internal/entry/members.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"encoding/json"
+	"strings"
+
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/membership"
+	"persimmonbay/internal/platform"
+	"persimmonbay/internal/platform/api"
+)
+
+// followMembers keeps the table of members up with the store.
+func (e *Entry) followMembers() *platform.Follower {
+	return &platform.Follower{
+		Store:   e.platform.For(platform.PurposeMembership),
+		Prefix:  membersPrefix,
+		Wait:    e.settings.Platform.WatchWait,
+		Clock:   e.clock,
+		Log:     e.log,
+		Listed:  e.membersListed,
+		Changed: e.memberChanged,
+		Reached: e.storeReached,
+	}
+}
+
+func (e *Entry) membersListed(listing api.Listing) {
+	registered := make(map[membership.EntryID]bool, len(listing.Items))
+	for _, kv := range listing.Items {
+		registered[membership.EntryID(strings.TrimPrefix(kv.Key, membersPrefix))] = true
+		e.register(kv.Value)
+	}
+	e.members.Retain(registered)
+}
+
+func (e *Entry) memberChanged(event api.Event) {
+	if event.Type == api.EventDelete {
+		e.members.Unregister(membership.EntryID(strings.TrimPrefix(event.Key, membersPrefix)))
+		return
+	}
+	e.register(event.Value)
+}
+
+func (e *Entry) register(value []byte) {
+	var r membership.Registration
+	if err := json.Unmarshal(value, &r); err != nil {
+		e.log.Error("registration cannot be read", zap.Error(err))
+		return
+	}
+	e.members.Register(r)
+}
+
+func (e *Entry) storeReached(reached bool) {
+	e.health.Update(func(h health) (health, bool) {
+		changed := h.storeReachable != reached
+		h.storeReachable = reached
+		return h, changed
+	})
+}
--- /dev/null
+++ b/internal/fleet/instance_kind.go
@@ -0,0 +1,11 @@
+package fleet
+
+// InstanceKind tells what an instance is for.
+type InstanceKind string
+
+const (
+	// KindUpstream is an instance that runs a service behind the entries.
+	KindUpstream InstanceKind = "upstream"
+	// KindWorker is an instance that runs jobs.
+	KindWorker InstanceKind = "worker"
+)
--- /dev/null
+++ b/internal/membership/entry_id.go
@@ -0,0 +1,4 @@
+package membership
+
+// EntryID names one entry process.
+type EntryID string
--- /dev/null
+++ b/internal/membership/member.go
@@ -0,0 +1,25 @@
+package membership
+
+import (
+	"time"
+
+	"persimmonbay/internal/configuration"
+)
+
+// Member is what this entry knows of another one.
+type Member struct {
+	ID                   EntryID               `json:"id"`
+	PeerAddress          string                `json:"peerAddress"`
+	OperatorAddress      string                `json:"operatorAddress"`
+	AvailabilityZone     string                `json:"availabilityZone"`
+	ConfigurationVersion configuration.Version `json:"configurationVersion"`
+	Leaving              bool                  `json:"leaving"`
+	StoreReachable       bool                  `json:"storeReachable"`
+	Registered           bool                  `json:"registered"` // its lease holds, as far as the store was seen
+	LastHeard            time.Time             `json:"lastHeard"`  // zero: never
+}
+
+// Alive reports whether the member was heard within silentFor before now.
+func (m Member) Alive(now time.Time, silentFor time.Duration) bool {
+	return !m.LastHeard.IsZero() && now.Sub(m.LastHeard) <= silentFor
+}
--- /dev/null
+++ b/internal/operator/message/configuration.go
@@ -0,0 +1,9 @@
+package message
+
+import "persimmonbay/internal/configuration"
+
+// Configuration is the configuration in force on the entry that was asked.
+type Configuration struct {
+	Version configuration.Version `json:"version"`
+	Source  []byte                `json:"source"` // YAML
+}
--- /dev/null
+++ b/internal/peer/handler.go
@@ -0,0 +1,13 @@
+package peer
+
+import (
+	"context"
+
+	"persimmonbay/internal/peer/wire"
+)
+
+// Handler serves the calls of other entries. It must be safe for concurrent
+// use.
+type Handler interface {
+	Handle(ctx context.Context, request *wire.Request) (*wire.Response, error)
+}
--- /dev/null
+++ b/internal/peer/wire/convert.go
@@ -0,0 +1,37 @@
+package wire
+
+import (
+	"persimmonbay/internal/configuration"
+	"persimmonbay/internal/membership"
+	"persimmonbay/internal/problem"
+)
+
+// FromHeartbeat converts a plain heartbeat to its message.
+func FromHeartbeat(h membership.Heartbeat) *Heartbeat {
+	return &Heartbeat{
+		Entry:                string(h.Entry),
+		ConfigurationVersion: uint64(h.ConfigurationVersion),
+		Leaving:              h.Leaving,
+		StoreReachable:       h.StoreReachable,
+	}
+}
+
+// ToHeartbeat converts a message to a plain heartbeat.
+func ToHeartbeat(m *Heartbeat) membership.Heartbeat {
+	return membership.Heartbeat{
+		Entry:                membership.EntryID(m.GetEntry()),
+		ConfigurationVersion: configuration.Version(m.GetConfigurationVersion()),
+		Leaving:              m.GetLeaving(),
+		StoreReachable:       m.GetStoreReachable(),
+	}
+}
+
+// FromError converts an error to the message that carries it.
+func FromError(err error) *Failure {
+	return &Failure{Kind: string(problem.KindOf(err)), Step: string(problem.StepPeerCall), Detail: err.Error()}
+}
+
+// ToError converts the failure that peer sent to an error.
+func ToError(peer string, m *Failure) error {
+	return problem.New(problem.Kind(m.GetKind()), problem.Step(m.GetStep()), peer, m.GetDetail())
+}
--- /dev/null
+++ b/internal/platform/api/doc.go
@@ -0,0 +1,3 @@
+// Package api holds the JSON messages of the platform's HTTP service, shared
+// by the client and the stand-in.
+package api
--- /dev/null
+++ b/internal/platform/api/lease_response.go
@@ -0,0 +1,6 @@
+package api
+
+// LeaseResponse names a granted lease.
+type LeaseResponse struct {
+	ID string `json:"id"`
+}
--- /dev/null
+++ b/internal/platform/call_count.go
@@ -0,0 +1,8 @@
+package platform
+
+// CallCount is the number of calls of one kind for one purpose.
+type CallCount struct {
+	Purpose Purpose `json:"purpose"`
+	Kind    string  `json:"kind"` // read, write or watch
+	Calls   uint64  `json:"calls"`
+}
--- /dev/null
+++ b/internal/platform/exchange.go
@@ -0,0 +1,117 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"persimmonbay/internal/platform/api"
+	"persimmonbay/internal/problem"
+)
+
+// exchange is one call: what to send and where to put the answer.
+type exchange struct {
+	kind   callKind
+	step   problem.Step
+	method string
+	path   string
+	in     any // JSON body; nil for none
+	out    any // where to decode the answer; nil to drop it
+	wait   time.Duration
+}
+
+func (c *Client) call(ctx context.Context, x exchange) error {
+	c.counts.add(c.purpose, x.kind)
+	timeout := c.timeout
+	if x.wait > 0 {
+		timeout = x.wait
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := c.newRequest(ctx, x)
+	if err != nil {
+		return problem.Wrap(problem.Internal, x.step, c.base, err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return problem.Wrap(transportKind(err), x.step, c.base, err)
+	}
+	defer response.Body.Close()
+	return c.decode(response, x)
+}
+
+func (c *Client) newRequest(ctx context.Context, x exchange) (*http.Request, error) {
+	var body io.Reader
+	if x.in != nil {
+		encoded, err := json.Marshal(x.in)
+		if err != nil {
+			return nil, err
+		}
+		body = bytes.NewReader(encoded)
+	}
+	request, err := http.NewRequestWithContext(ctx, x.method, c.base+x.path, body)
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+func (c *Client) decode(response *http.Response, x exchange) error {
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return problem.Wrap(problem.Interrupted, x.step, c.base, err)
+	}
+	if response.StatusCode/100 != 2 {
+		return c.refusal(response.StatusCode, body, x.step)
+	}
+	if x.out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, x.out); err != nil {
+		return problem.Wrap(problem.Interrupted, x.step, c.base, err)
+	}
+	return nil
+}
+
+func (c *Client) refusal(status int, body []byte, step problem.Step) error {
+	var refusal api.ErrorResponse
+	if err := json.Unmarshal(body, &refusal); err != nil {
+		refusal.Error = http.StatusText(status)
+	}
+	return problem.New(refusalKind(status), step, c.base, refusal.Error)
+}
+
+func refusalKind(status int) problem.Kind {
+	switch status {
+	case http.StatusNotFound:
+		return problem.NotFound
+	case http.StatusConflict:
+		return problem.Conflict
+	case http.StatusGone:
+		return problem.Compacted
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		return problem.Invalid
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return problem.Unavailable
+	}
+	return problem.Interrupted
+}
+
+// transportKind tells a call that never left (Unavailable) from one whose
+// effect nobody knows.
+func transportKind(err error) problem.Kind {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return problem.Unavailable
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return problem.Timeout
+	}
+	return problem.Interrupted
+}
--- /dev/null
+++ b/internal/platform/follower.go
@@ -0,0 +1,82 @@
+package platform
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/platform/api"
+	"persimmonbay/internal/problem"
+)
+
+// Bounds of the wait after a failed call.
+const (
+	followerFirstWait = 100 * time.Millisecond
+	followerMaxWait   = 2 * time.Second
+)
+
+// Follower keeps up with the keys under a prefix: it lists them once and then
+// watches, and lists again whenever the watch has fallen behind.
+type Follower struct {
+	Store   Store
+	Prefix  string
+	Wait    time.Duration // of one watch call
+	Clock   clockwork.Clock
+	Log     *zap.Logger
+	Listed  func(api.Listing)
+	Changed func(api.Event)
+	Reached func(bool) // told after every call whether the store answered
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = followerFirstWait, followerMaxWait
+	var revision uint64
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if listed {
+			revision, err = f.watch(ctx, revision)
+		} else {
+			revision, err = f.list(ctx)
+		}
+		listed = err == nil || listed && !problem.Is(err, problem.Compacted)
+		if ctx.Err() != nil {
+			return
+		}
+		f.Reached(err == nil || problem.Is(err, problem.Compacted))
+		if err == nil {
+			pause.Reset()
+			continue
+		}
+		f.Log.Warn("following the store failed", zap.String("step", string(problem.StepStoreWatch)), zap.String("prefix", f.Prefix), zap.Error(err))
+		select {
+		case <-f.Clock.After(pause.NextBackOff()):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (f *Follower) list(ctx context.Context) (uint64, error) {
+	listing, err := f.Store.List(ctx, f.Prefix)
+	if err != nil {
+		return 0, err
+	}
+	f.Listed(listing)
+	return listing.Revision, nil
+}
+
+func (f *Follower) watch(ctx context.Context, after uint64) (uint64, error) {
+	changes, err := f.Store.Watch(ctx, f.Prefix, after, f.Wait)
+	if err != nil {
+		return after, err
+	}
+	for _, e := range changes.Events {
+		f.Changed(e)
+	}
+	return changes.Revision, nil
+}
--- /dev/null
+++ b/internal/platform/lease_id.go
@@ -0,0 +1,4 @@
+package platform
+
+// LeaseID names a lease; empty means none.
+type LeaseID string
--- /dev/null
+++ b/internal/problem/error.go
@@ -0,0 +1,60 @@
+package problem
+
+import (
+	"errors"
+	"strings"
+)
+
+// Error is the error type of the whole program.
+type Error struct {
+	Kind   Kind
+	Step   Step
+	Peer   string // name or address of the other side; empty when there is none
+	Detail string // what happened and, for an operator, what to do next
+	Err    error  // the cause; may be nil
+}
+
+// New returns an Error without a cause.
+func New(kind Kind, step Step, peer, detail string) *Error {
+	return &Error{Kind: kind, Step: step, Peer: peer, Detail: detail}
+}
+
+// Wrap returns an Error caused by err.
+func Wrap(kind Kind, step Step, peer string, err error) *Error {
+	return &Error{Kind: kind, Step: step, Peer: peer, Err: err}
+}
+
+// Error prints step, peer, kind, detail and cause.
+func (e *Error) Error() string {
+	var b strings.Builder
+	b.WriteString(string(e.Step))
+	if e.Peer != "" {
+		b.WriteString(" " + e.Peer)
+	}
+	b.WriteString(": " + string(e.Kind))
+	if e.Detail != "" {
+		b.WriteString(": " + e.Detail)
+	}
+	if e.Err != nil {
+		b.WriteString(": " + e.Err.Error())
+	}
+	return b.String()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// KindOf returns the kind of the first Error in err's chain, or Internal.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return Internal
+}
+
+// Is reports whether err's chain holds an Error of the given kind.
+func Is(err error, kind Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == kind
+}
--- /dev/null
+++ b/internal/problem/finding.go
@@ -0,0 +1,16 @@
+package problem
+
+import "fmt"
+
+// Finding is one fault in a document that a person wrote.
+type Finding struct {
+	File     string // may be empty
+	Line     int    // 1-based; 0 when unknown
+	Path     string // the field, as in "services[0].pool"
+	Expected string // what should stand there
+}
+
+// String prints "file:line: path: expected".
+func (f Finding) String() string {
+	return fmt.Sprintf("%s:%d: %s: %s", f.File, f.Line, f.Path, f.Expected)
+}
--- /dev/null
+++ b/internal/request/field.go
@@ -0,0 +1,7 @@
+package request
+
+// Field is one header field of a request or answer.
+type Field struct {
+	Name  string // in canonical form
+	Value string
+}
--- /dev/null
+++ b/internal/settings/entry.go
@@ -0,0 +1,69 @@
+package settings
+
+import (
+	"os"
+	"time"
+
+	"persimmonbay/internal/problem"
+	"persimmonbay/internal/yamlfile"
+)
+
+// Defaults of an entry's settings.
+const (
+	DefaultPlatformTimeout = 2 * time.Second
+	DefaultWatchWait       = 20 * time.Second
+	DefaultLeaseTTL        = 5 * time.Second
+	DefaultHeartbeat       = time.Second
+	DefaultSilentFor       = 3 * time.Second
+	DefaultBodyBytes       = 16 << 20
+	DefaultWholeBytes      = 1 << 20
+	DefaultRequestTimeout  = 10 * time.Second
+	DefaultInstancesEvery  = time.Second
+	DefaultShutdownNotice  = 2 * time.Second
+	DefaultShutdownTimeout = 30 * time.Second
+)
+
+// Entry holds all settings of an entry process.
+type Entry struct {
+	ID               string     `yaml:"id" validate:"required"`
+	AvailabilityZone string     `yaml:"availabilityZone" validate:"required"`
+	Listen           Listen     `yaml:"listen"`
+	Platform         Platform   `yaml:"platform"`
+	Membership       Membership `yaml:"membership"`
+	Limits           Limits     `yaml:"limits"`
+	Secrets          Secrets    `yaml:"secrets"`
+	LogLevel         string     `yaml:"logLevel" validate:"oneof=debug info warn error"`
+}
+
+// DefaultEntry returns the settings that hold where a file is silent.
+func DefaultEntry() Entry {
+	return Entry{
+		Listen:     Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0"},
+		Platform:   Platform{Timeout: DefaultPlatformTimeout, WatchWait: DefaultWatchWait},
+		Membership: Membership{LeaseTTL: DefaultLeaseTTL, Heartbeat: DefaultHeartbeat, SilentFor: DefaultSilentFor},
+		Limits: Limits{
+			BodyBytes: DefaultBodyBytes, WholeBytes: DefaultWholeBytes,
+			RequestTimeout: DefaultRequestTimeout, InstancesEvery: DefaultInstancesEvery,
+			ShutdownNotice: DefaultShutdownNotice, ShutdownTimeout: DefaultShutdownTimeout,
+		},
+		LogLevel: "info",
+	}
+}
+
+// LoadEntry reads the settings in file. Faults are problem.Findings.
+func LoadEntry(file string) (Entry, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Entry{}, problem.Wrap(problem.NotFound, problem.StepSettings, "", err)
+	}
+	return ParseEntry(file, data)
+}
+
+// ParseEntry reads the settings in data, the content of the file called name.
+func ParseEntry(name string, data []byte) (Entry, error) {
+	entry := DefaultEntry()
+	if _, err := yamlfile.Decode(name, data, &entry); err != nil {
+		return Entry{}, err
+	}
+	return entry, nil
+}
--- /dev/null
+++ b/internal/settings/membership.go
@@ -0,0 +1,10 @@
+package settings
+
+import "time"
+
+// Membership holds the timing of leases and heartbeats among entries.
+type Membership struct {
+	LeaseTTL  time.Duration `yaml:"leaseTTL" validate:"gte=1s"`
+	Heartbeat time.Duration `yaml:"heartbeat" validate:"gte=10ms"`
+	SilentFor time.Duration `yaml:"silentFor" validate:"gt=0"` // a peer unheard for this long is suspected
+}
--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,197 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/jonboulle/clockwork"
+
+	"persimmonbay/internal/fleet"
+	"persimmonbay/internal/platform"
+	"persimmonbay/internal/platform/api"
+	"persimmonbay/internal/problem"
+	"persimmonbay/internal/shard"
+)
+
+// Server serves the platform's HTTP protocol over a Store and a list of
+// instances, and the stand-in's own switches below /standin/.
+type Server struct {
+	Store     *Store
+	Instances *Instances
+	faults    *shard.Cell[Faults]
+	injector  *injector
+}
+
+// NewServer returns a healthy platform without instances.
+func NewServer(clock clockwork.Clock) *Server {
+	faults := shard.NewCell(Faults{})
+	return &Server{Store: NewStore(clock), Instances: NewInstances(clock), faults: faults, injector: newInjector(faults, clock)}
+}
+
+// SetFaults throws the switches.
+func (s *Server) SetFaults(f Faults) {
+	s.faults.Update(func(Faults) (Faults, bool) { return f, true })
+}
+
+// Handler returns the HTTP face.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter().UseEncodedPath()
+	r.SkipClean(true)
+	v1 := r.PathPrefix("/v1").Subrouter()
+	v1.Use(s.injector.wrap)
+	v1.HandleFunc("/kv", s.list).Methods(http.MethodGet).Queries("prefix", "{prefix}")
+	v1.HandleFunc("/kv/{key:.+}", s.get).Methods(http.MethodGet)
+	v1.HandleFunc("/kv/{key:.+}", s.put).Methods(http.MethodPut)
+	v1.HandleFunc("/kv/{key:.+}", s.delete).Methods(http.MethodDelete)
+	v1.HandleFunc("/watch", s.watch).Methods(http.MethodGet)
+	v1.HandleFunc("/leases", s.grant).Methods(http.MethodPost)
+	v1.HandleFunc("/leases/{id}/renew", s.renew).Methods(http.MethodPost)
+	v1.HandleFunc("/leases/{id}", s.revoke).Methods(http.MethodDelete)
+	v1.HandleFunc("/instances", s.instances).Methods(http.MethodGet)
+	r.HandleFunc("/standin/faults", s.putFaults).Methods(http.MethodPut)
+	r.HandleFunc("/standin/instances/{id}", s.putInstance).Methods(http.MethodPut)
+	r.HandleFunc("/standin/instances/{id}", s.removeInstance).Methods(http.MethodDelete)
+	return r
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	kv, err := s.Store.Get(r.Context(), keyOf(r))
+	answer(w, kv, err)
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	listing, err := s.Store.List(r.Context(), r.URL.Query().Get("prefix"))
+	answer(w, listing, err)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	var request api.PutRequest
+	if !decode(w, r, &request) {
+		return
+	}
+	condition := platform.Any()
+	if request.IfVersion != nil {
+		condition = platform.IfVersion(*request.IfVersion)
+	}
+	version, err := s.Store.Put(r.Context(), keyOf(r), request.Value, condition, platform.LeaseID(request.Lease))
+	if problem.Is(err, problem.Conflict) {
+		write(w, http.StatusConflict, api.ErrorResponse{Error: err.Error(), Version: version})
+		return
+	}
+	answer(w, api.PutResponse{Version: version, Revision: version}, err)
+}
+
+func (s *Server) delete(w http.ResponseWriter, r *http.Request) {
+	condition := platform.Any()
+	if text := r.URL.Query().Get("ifVersion"); text != "" {
+		version, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			write(w, http.StatusBadRequest, api.ErrorResponse{Error: "ifVersion: " + err.Error()})
+			return
+		}
+		condition = platform.IfVersion(version)
+	}
+	answer(w, struct{}{}, s.Store.Delete(r.Context(), keyOf(r), condition))
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, errAfter := strconv.ParseUint(query.Get("after"), 10, 64)
+	wait, errWait := strconv.ParseInt(query.Get("waitMillis"), 10, 64)
+	if errAfter != nil || errWait != nil {
+		write(w, http.StatusBadRequest, api.ErrorResponse{Error: "after and waitMillis must be whole numbers"})
+		return
+	}
+	changes, err := s.Store.Watch(r.Context(), query.Get("prefix"), after, time.Duration(wait)*time.Millisecond)
+	answer(w, changes, err)
+}
+
+func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
+	var request api.LeaseRequest
+	if !decode(w, r, &request) {
+		return
+	}
+	id, err := s.Store.Grant(r.Context(), time.Duration(request.TTLMillis)*time.Millisecond)
+	answer(w, api.LeaseResponse{ID: string(id)}, err)
+}
+
+func (s *Server) renew(w http.ResponseWriter, r *http.Request) {
+	answer(w, struct{}{}, s.Store.Renew(r.Context(), platform.LeaseID(mux.Vars(r)["id"])))
+}
+
+func (s *Server) revoke(w http.ResponseWriter, r *http.Request) {
+	answer(w, struct{}{}, s.Store.Revoke(r.Context(), platform.LeaseID(mux.Vars(r)["id"])))
+}
+
+func (s *Server) instances(w http.ResponseWriter, _ *http.Request) {
+	answer(w, s.Instances.List(time.Duration(s.faults.Get().LagMillis)*time.Millisecond), nil)
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if decode(w, r, &f) {
+		s.SetFaults(f)
+		answer(w, f, nil)
+	}
+}
+
+func (s *Server) putInstance(w http.ResponseWriter, r *http.Request) {
+	var instance fleet.Instance
+	if !decode(w, r, &instance) {
+		return
+	}
+	instance.ID = mux.Vars(r)["id"]
+	s.Instances.Put(instance)
+	answer(w, instance, nil)
+}
+
+func (s *Server) removeInstance(w http.ResponseWriter, r *http.Request) {
+	s.Instances.Remove(mux.Vars(r)["id"])
+	answer(w, struct{}{}, nil)
+}
+
+// keyOf returns the key in the path, slashes as they are.
+func keyOf(r *http.Request) string { return r.URL.Path[len("/v1/kv/"):] }
+
+func decode(w http.ResponseWriter, r *http.Request, target any) bool {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 2*maxValueBytes))
+	if err == nil {
+		err = json.Unmarshal(body, target)
+	}
+	if err != nil {
+		write(w, http.StatusBadRequest, api.ErrorResponse{Error: err.Error()})
+	}
+	return err == nil
+}
+
+func answer(w http.ResponseWriter, body any, err error) {
+	if err == nil {
+		write(w, http.StatusOK, body)
+		return
+	}
+	write(w, statusOf(problem.KindOf(err)), api.ErrorResponse{Error: err.Error()})
+}
+
+func write(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // a lost caller sees a broken connection
+}
+
+func statusOf(kind problem.Kind) int {
+	switch kind {
+	case problem.NotFound:
+		return http.StatusNotFound
+	case problem.Conflict:
+		return http.StatusConflict
+	case problem.Compacted:
+		return http.StatusGone
+	case problem.Invalid:
+		return http.StatusBadRequest
+	}
+	return http.StatusInternalServerError
+}
--- /dev/null
+++ b/internal/standin/upstream/server.go
@@ -0,0 +1,196 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/jonboulle/clockwork"
+
+	"persimmonbay/internal/fleet"
+	"persimmonbay/internal/shard"
+)
+
+// Headers between entries and upstreams.
+const (
+	headerKey       = "Idempotency-Key"
+	headerRequestID = "Persimmonbay-Request-Id"
+	headerState     = "Persimmonbay-Upstream-State"
+)
+
+// maxEcho is how much of a request's body is repeated in the answer, in bytes.
+const maxEcho = 4 << 10
+
+// Server is one stand-in runner.
+type Server struct {
+	instance   fleet.Instance
+	slots      int
+	clock      clockwork.Clock
+	faults     *shard.Cell[Faults]
+	load       *shard.Cell[Load]
+	executions *shard.Map[string, int]
+	silencer   *silencer
+}
+
+// NewServer returns a healthy runner with this many slots.
+func NewServer(instance fleet.Instance, slots int, clock clockwork.Clock) *Server {
+	return &Server{
+		instance:   instance,
+		slots:      slots,
+		clock:      clock,
+		faults:     shard.NewCell(Faults{}),
+		load:       shard.NewCell(Load{}),
+		executions: shard.NewMap[string, int](),
+		silencer:   newSilencer(),
+	}
+}
+
+// SetFaults throws the switches.
+func (s *Server) SetFaults(f Faults) {
+	s.faults.Update(func(Faults) (Faults, bool) { return f, true })
+	if f.SilenceOpen {
+		s.silencer.silenceOpen()
+	}
+}
+
+// Load returns what the runner has seen of its limits.
+func (s *Server) Load() Load { return s.load.Get() }
+
+// Executions returns how often the work under key was done.
+func (s *Server) Executions(key string) int {
+	n, _ := s.executions.Get(key)
+	return n
+}
+
+// Serve answers on listener until ctx ends, then closes at once.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{Handler: s.Handler(), ConnState: s.countConnection}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err := server.Serve(s.silencer.listen(listener))
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// Handler returns the runner's HTTP face.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.SkipClean(true)
+	r.HandleFunc("/standin/faults", s.putFaults).Methods(http.MethodPut)
+	r.HandleFunc("/standin/executions", s.listExecutions).Methods(http.MethodGet)
+	r.HandleFunc("/standin/load", s.showLoad).Methods(http.MethodGet)
+	r.PathPrefix("/").HandlerFunc(s.work)
+	return r
+}
+
+func (s *Server) work(w http.ResponseWriter, r *http.Request) {
+	f := s.faults.Get()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	atWork := s.begin()
+	defer s.end()
+	if f.RefuseOverCap && atWork > s.slots {
+		http.Error(w, "no free slot", http.StatusServiceUnavailable)
+		return
+	}
+	reply := s.execute(r, body, f)
+	if f.SlowMillis > 0 {
+		<-s.clock.After(time.Duration(f.SlowMillis) * time.Millisecond)
+	}
+	s.reply(w, reply, f)
+}
+
+// execute does the work: it counts it under its key.
+func (s *Server) execute(r *http.Request, body []byte, f Faults) Reply {
+	key := r.Header.Get(headerKey)
+	reply := Reply{Instance: s.instance.ID, Service: s.instance.Service, Method: r.Method, Path: r.URL.Path, Key: key,
+		RequestID: r.Header.Get(headerRequestID), Body: string(body[:min(len(body), maxEcho)]), Padding: strings.Repeat("x", f.BodyBytes)}
+	if key != "" && !f.FailAll {
+		s.executions.Update(key, func(n int, _ bool) (int, bool) { reply.Execution = n + 1; return n + 1, true })
+	}
+	return reply
+}
+
+func (s *Server) reply(w http.ResponseWriter, reply Reply, f Faults) {
+	encoded, _ := json.Marshal(reply) // plain fields cannot fail
+	encoded = append(encoded, '\n')
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
+	if f.Leaving {
+		w.Header().Set(headerState, string(fleet.Leaving))
+	}
+	if f.FailAll {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	if !f.DieMidBody {
+		_, _ = w.Write(encoded) // a lost peer sees a broken connection
+		return
+	}
+	_, _ = w.Write(encoded[:len(encoded)/2])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+func (s *Server) begin() (atWork int) {
+	s.load.Update(func(l Load) (Load, bool) {
+		l.Requests++
+		l.AtWork++
+		l.MostAtWork = max(l.MostAtWork, l.AtWork)
+		atWork = l.AtWork
+		return l, true
+	})
+	return atWork
+}
+
+func (s *Server) end() {
+	s.load.Update(func(l Load) (Load, bool) { l.AtWork--; return l, true })
+}
+
+func (s *Server) countConnection(_ net.Conn, state http.ConnState) {
+	change := 0
+	switch state {
+	case http.StateNew:
+		change = 1
+	case http.StateClosed, http.StateHijacked:
+		change = -1
+	}
+	s.load.Update(func(l Load) (Load, bool) {
+		l.Connections += change
+		l.MostConnections = max(l.MostConnections, l.Connections)
+		return l, change != 0
+	})
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+func (s *Server) listExecutions(w http.ResponseWriter, _ *http.Request) {
+	all := []Execution{}
+	s.executions.Range(func(key string, n int) bool {
+		all = append(all, Execution{Key: key, Count: n})
+		return true
+	})
+	sort.Slice(all, func(i, j int) bool { return all[i].Key < all[j].Key })
+	_ = json.NewEncoder(w).Encode(all)
+}
+
+func (s *Server) showLoad(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(s.load.Get())
+}
--- /dev/null
+++ b/internal/upstream/doc.go
@@ -0,0 +1,3 @@
+// Package upstream holds the connections to upstream instances and sends
+// requests over them, each once.
+package upstream
--- /dev/null
+++ b/internal/yamlfile/document.go
@@ -0,0 +1,90 @@
+package yamlfile
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+
+	"persimmonbay/internal/problem"
+)
+
+// Document is one YAML document with the positions of its fields.
+type Document struct {
+	name string
+	file *ast.File
+}
+
+// Decode reads data, the content of the file called name, into target. Unknown
+// keys, duplicate keys and values of the wrong type are findings. Values that
+// target holds already are kept as defaults for absent keys.
+func Decode(name string, data []byte, target any) (*Document, error) {
+	file, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		return nil, problem.Findings{syntaxFinding(name, err)}
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict(), durations())
+	if err := decoder.Decode(target); err != nil && !errors.Is(err, io.EOF) {
+		return nil, problem.Findings{decodeFinding(name, file, err)}
+	}
+	d := &Document{name: name, file: file}
+	return d, d.Locate(validate(target)).Err()
+}
+
+// Locate fills in the file and line of each finding from its path.
+func (d *Document) Locate(findings problem.Findings) problem.Findings {
+	for i := range findings {
+		findings[i].File = d.name
+		findings[i].Line = d.line(findings[i].Path)
+	}
+	return findings
+}
+
+// line returns the line of the field at path, or of its nearest parent that
+// is present, or 1.
+func (d *Document) line(path string) int {
+	for path != "" {
+		if n := d.node(path); n != nil {
+			return n.GetToken().Position.Line
+		}
+		path = path[:max(strings.LastIndexAny(path, ".["), 0)]
+	}
+	return 1
+}
+
+func (d *Document) node(path string) ast.Node {
+	p, err := yaml.PathString("$." + path)
+	if err != nil {
+		return nil
+	}
+	n, err := p.FilterFile(d.file)
+	if err != nil || n == nil || n.GetToken() == nil {
+		return nil
+	}
+	return n
+}
+
+func decodeFinding(name string, file *ast.File, err error) problem.Finding {
+	var wrong *durationError
+	if errors.As(err, &wrong) {
+		return problem.Finding{File: name, Line: scalarLine(file, wrong.scalar), Path: wrong.scalar, Expected: wrong.Error()}
+	}
+	return syntaxFinding(name, err)
+}
+
+func syntaxFinding(name string, err error) problem.Finding {
+	finding := problem.Finding{File: name, Line: 1, Path: "document", Expected: err.Error()}
+	var positioned yaml.Error
+	if errors.As(err, &positioned) {
+		finding.Expected = positioned.GetMessage()
+		if token := positioned.GetToken(); token != nil {
+			finding.Line = token.Position.Line
+			finding.Path = token.Value
+		}
+	}
+	return finding
+}
--- /dev/null
+++ b/test/process_test.go
@@ -0,0 +1,64 @@
+package test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"os/exec"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+)
+
+// patience is how long a condition may take to come true on a busy machine.
+const patience = 60 * time.Second
+
+// process is one running persimmonbay process. It is ended with its spec.
+type process struct {
+	session *gexec.Session
+}
+
+func start(args ...string) *process {
+	GinkgoHelper()
+	session, err := gexec.Start(exec.Command(binary, args...), nil, nil)
+	Expect(err).NotTo(HaveOccurred())
+	p := &process{session: session}
+	DeferCleanup(p.kill)
+	return p
+}
+
+// listening waits for the "listening" log line and returns its address called
+// name.
+func (p *process) listening(name string) string {
+	GinkgoHelper()
+	var address string
+	Eventually(func() string {
+		address = p.logged("listening", name)
+		return address
+	}, patience).ShouldNot(BeEmpty(), func() string { return "log: " + string(p.session.Err.Contents()) })
+	return address
+}
+
+// logged returns a text field of the first log line with this message.
+func (p *process) logged(message, field string) string {
+	lines := bufio.NewScanner(bytes.NewReader(p.session.Err.Contents()))
+	for lines.Scan() {
+		var line map[string]any
+		if json.Unmarshal(lines.Bytes(), &line) == nil && line["msg"] == message {
+			text, _ := line[field].(string)
+			return text
+		}
+	}
+	return ""
+}
+
+func (p *process) kill() { p.session.Kill().Wait(patience) }
+
+// exits waits for the process to end and returns its exit code.
+func (p *process) exits() int {
+	GinkgoHelper()
+	Eventually(p.session, patience).Should(gexec.Exit())
+	return p.session.ExitCode()
+}
--- /dev/null
+++ b/test/shape/shape_test.go
@@ -0,0 +1,115 @@
+// Package shape checks that the source tree keeps to the shape of the code.
+package shape
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// root is the top of the repository.
+const root = "../.."
+
+// decisionPackages know no encoding and no transport.
+var decisionPackages = []string{
+	"admission", "configuration", "dispatch", "fleet", "ledger", "maintenance", "membership",
+	"placement", "problem", "request", "routing", "shard", "slots",
+}
+
+// forbiddenImports are the encodings and transports, by prefix.
+var forbiddenImports = []string{
+	"encoding/", "net", "google.golang.org/protobuf", "github.com/hashicorp/yamux", "github.com/gorilla/mux",
+	"github.com/goccy/go-yaml", "persimmonbay/internal/peer", "persimmonbay/internal/front", "persimmonbay/internal/operator",
+	"persimmonbay/internal/platform", "persimmonbay/internal/upstream", "persimmonbay/internal/configfile", "persimmonbay/internal/yamlfile",
+}
+
+func TestShape(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "shape")
+}
+
+var _ = Describe("the source tree", func() {
+	It("declares at most one type a file", func() {
+		for _, name := range sources(root) {
+			Expect(declaredTypes(name)).To(HaveLen(min(1, len(declaredTypes(name)))), name)
+		}
+	})
+
+	It("keeps decision packages apart from encodings and transports", func() {
+		for _, p := range decisionPackages {
+			for _, name := range sources(filepath.Join(root, "internal", p)) {
+				for _, path := range imports(name) {
+					Expect(forbidden(path)).To(BeFalse(), "%s imports %s", name, path)
+				}
+			}
+		}
+	})
+})
+
+// sources returns the hand-written Go files below dir that are no tests.
+func sources(dir string) []string {
+	var names []string
+	err := filepath.WalkDir(dir, func(name string, entry fs.DirEntry, err error) error {
+		if os.IsNotExist(err) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() && entry.Name() == ".git" {
+			return filepath.SkipDir
+		}
+		if strings.HasSuffix(name, ".go") && !strings.HasSuffix(name, "_test.go") && !strings.HasSuffix(name, ".pb.go") {
+			names = append(names, name)
+		}
+		return nil
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return names
+}
+
+func parse(name string) *ast.File {
+	file, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.SkipObjectResolution)
+	Expect(err).NotTo(HaveOccurred())
+	return file
+}
+
+func declaredTypes(name string) []string {
+	var types []string
+	for _, d := range parse(name).Decls {
+		if g, ok := d.(*ast.GenDecl); ok && g.Tok == token.TYPE {
+			for _, s := range g.Specs {
+				types = append(types, s.(*ast.TypeSpec).Name.Name)
+			}
+		}
+	}
+	return types
+}
+
+func imports(name string) []string {
+	var paths []string
+	for _, i := range parse(name).Imports {
+		path, err := strconv.Unquote(i.Path.Value)
+		Expect(err).NotTo(HaveOccurred())
+		paths = append(paths, path)
+	}
+	return paths
+}
+
+func forbidden(path string) bool {
+	for _, f := range forbiddenImports {
+		if path == f || strings.HasPrefix(path, strings.TrimSuffix(f, "/")+"/") {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/test/suite_test.go
@@ -0,0 +1,25 @@
+// Package test runs the built binary as separate processes.
+package test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gexec"
+)
+
+// binary is the path of the program built for this run.
+var binary string
+
+func TestProcesses(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "separate processes")
+}
+
+var _ = BeforeSuite(func() {
+	var err error
+	binary, err = gexec.Build("persimmonbay/cmd/persimmonbay")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(gexec.CleanupBuildArtifacts)
+})
