Admission by share and slots lent among entries

Cause: the dispatcher placed every request at once, without limits: a flood took all, and all entries together went over the 8 slots of an upstream. Ruled out: short leases per slot that a new home waits out (each loss of a home stops its upstreams); adopting what holders claim and renewing it at once (two homes with different views both lend). Its first whole runs also found three real faults, mended here: a late report of an earlier run put its successor among the gone; a fleet restarted whole counted as new; a home vouched for its own slots when cut off from the store. Conclusion: slots stay with a holder until it hands them back or is surely gone; homes move by handover or by all members' acknowledgement.

--- /dev/null
+++ b/internal/dispatch/borrow.go
@@ -0,0 +1,150 @@
+package dispatch
+
+import (
+	"time"
+
+	"persimmonbay/internal/membership"
+	"persimmonbay/internal/slots"
+)
+
+// Borrow returns the batches that other entries must get now, and settles what
+// this entry owes itself. routine is set once in a while to tell homes also of
+// less demand.
+func (p *Placer) Borrow(now time.Time, routine bool) []Outgoing {
+	view := p.view.Get()
+	if view == nil {
+		return nil
+	}
+	batches := make(map[membership.EntryID]*Outgoing)
+	p.services.Range(func(name string, at *serviceShard) bool {
+		p.report(name, at, view, batches, now, routine)
+		return true
+	})
+	p.recall(view, batches, now)
+	if own, ok := batches[p.self.Entry]; ok {
+		delete(batches, p.self.Entry)
+		loans, _ := p.Serve(own.Batch, now)
+		p.Answered(*own, loans, now)
+	}
+	outgoing := make([]Outgoing, 0, len(batches))
+	for _, m := range view.Members {
+		if b, ok := batches[m]; ok {
+			outgoing = append(outgoing, *b)
+		}
+	}
+	return outgoing
+}
+
+// report adds what is due for one service. A handover is taken from this
+// entry's own lender before the holding moves, and so before the new home
+// hears of it.
+func (p *Placer) report(name string, at *serviceShard, view *slots.View, batches map[membership.EntryID]*Outgoing, now time.Time, routine bool) {
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	for _, u := range at.service.upstreams {
+		id := u.instance.ID
+		if home := view.Home(id); home != u.holding.Home() {
+			var handover *slots.Handover
+			if u.holding.Home() == p.self.Entry {
+				handover = p.lenders.Drop(id, now)
+			}
+			u.holding.Move(home, handover)
+		}
+		wanted := at.service.wanted()
+		if !u.listed || u.health.Ejected(now) {
+			wanted = 0
+		}
+		item, due := u.holding.Due(id, wanted, routine)
+		if !due {
+			continue
+		}
+		b := p.batch(batches, view, u.holding.Home(), now)
+		u.holding.Sent(b.Batch.Seq)
+		b.Batch.Items = append(b.Batch.Items, item)
+		b.services = append(b.services, name)
+	}
+}
+
+func (p *Placer) recall(view *slots.View, batches map[membership.EntryID]*Outgoing, now time.Time) {
+	for holder, recalls := range p.lenders.Recalls() {
+		if view.Has(holder.Entry) {
+			b := p.batch(batches, view, holder.Entry, now)
+			b.Batch.Recalls = append(b.Batch.Recalls, recalls...)
+		}
+	}
+}
+
+func (p *Placer) batch(batches map[membership.EntryID]*Outgoing, view *slots.View, to membership.EntryID, now time.Time) *Outgoing {
+	if b, ok := batches[to]; ok {
+		return b
+	}
+	var seq uint64
+	p.seq.Update(func(n uint64) (uint64, bool) { seq = n + 1; return seq, true })
+	b := &Outgoing{To: to, At: now, Batch: slots.Batch{From: p.self, Age: now.Sub(p.born), Clean: view.Clean, Seq: seq}}
+	batches[to] = b
+	return b
+}
+
+// Leave hands back every idle slot; Borrow then tells the homes.
+func (p *Placer) Leave() {
+	p.services.Range(func(_ string, at *serviceShard) bool {
+		at.mu.Lock()
+		defer at.mu.Unlock()
+		for _, u := range at.service.upstreams {
+			u.holding.Leave()
+		}
+		return true
+	})
+}
+
+// Serve answers another entry's batch. It reports whether a recall freed slots
+// that their homes should hear of.
+func (p *Placer) Serve(b slots.Batch, now time.Time) (loans []slots.Loan, freed bool) {
+	for _, r := range b.Recalls {
+		known, ok := p.known.Get(r.Upstream)
+		if !ok {
+			continue
+		}
+		p.onUpstream(known.service, r.Upstream, func(s *service, u *upstream) {
+			before := u.holding.Held
+			u.holding.Recall(b.From.Entry, r.Target)
+			freed = freed || u.holding.Held < before
+		})
+	}
+	return p.lenders.Answer(b, now), freed
+}
+
+// Answered takes in the loans that answer a batch.
+func (p *Placer) Answered(o Outgoing, loans []slots.Loan, now time.Time) {
+	if len(loans) != len(o.Batch.Items) {
+		p.Lost(o)
+		return
+	}
+	for i, item := range o.Batch.Items {
+		p.onUpstream(o.services[i], item.Upstream, func(s *service, u *upstream) {
+			u.holding.Answered(o.To, o.Batch.Seq, item, loans[i], o.At, o.To == p.self.Entry)
+			if loans[i].Granted > 0 {
+				s.pump(now)
+			}
+		})
+	}
+}
+
+// Lost gives up a batch whose answer has not come.
+func (p *Placer) Lost(o Outgoing) {
+	for i, item := range o.Batch.Items {
+		p.onUpstream(o.services[i], item.Upstream, func(_ *service, u *upstream) { u.holding.Lost(o.Batch.Seq) })
+	}
+}
+
+func (p *Placer) onUpstream(name, id string, do func(*service, *upstream)) {
+	at, ok := p.services.Get(name)
+	if !ok {
+		return
+	}
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	if u := at.service.upstream(id); u != nil {
+		do(&at.service, u)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/overcommit_test.go
@@ -0,0 +1,105 @@
+package dispatch_test
+
+import (
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// faultRuns is how many seeds the state machine is run with.
+const faultRuns = 250
+
+var _ = Describe("slots shared among entries", func() {
+	It("never over-commits an upstream through losses, cuts, restarts and lapses", func() {
+		Expect(setChecks(faultRuns)).To(Succeed())
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			f := newTestFleet(4, rapid.Uint64().Draw(t, "seed"))
+			f.lateness = true
+			f.advance(time.Second)
+			entry := rapid.IntRange(0, len(f.nodes)-1)
+			t.Repeat(map[string]func(*rapid.T){
+				"load": func(t *rapid.T) {
+					n := f.nodes[entry.Draw(t, "entry")]
+					f.note("load %s", n.id)
+					for range rapid.IntRange(1, 30).Draw(t, "requests") {
+						if !n.dead && !n.leaving {
+							n.offer(time.Duration(rapid.IntRange(10, 2000).Draw(t, "millis")) * time.Millisecond)
+						}
+					}
+				},
+				"wait": func(t *rapid.T) {
+					f.advance(time.Duration(rapid.IntRange(25, 1500).Draw(t, "millis")) * time.Millisecond)
+				},
+				"wait on": func(t *rapid.T) { f.advance(time.Duration(rapid.IntRange(2, 12).Draw(t, "seconds")) * time.Second) },
+				"crash":   func(t *rapid.T) { f.crash(entry.Draw(t, "entry")) },
+				"restart": func(t *rapid.T) { f.restart(entry.Draw(t, "entry")) },
+				"cut": func(t *rapid.T) {
+					a, b := f.nodes[entry.Draw(t, "a")].id, f.nodes[entry.Draw(t, "b")].id
+					f.cuts[[2]membershipID{a, b}] = a != b
+					f.note("cut %s %s", a, b)
+				},
+				"heal": func(*rapid.T) { clear(f.cuts); f.note("heal") },
+				"cut store": func(t *rapid.T) {
+					n := f.nodes[entry.Draw(t, "entry")]
+					n.cutStore = true
+					f.note("cut store %s", n.id)
+				},
+				"heal store": func(*rapid.T) {
+					for _, n := range f.nodes {
+						n.cutStore = false
+					}
+					f.note("heal store")
+				},
+				"": func(t *rapid.T) {
+					if f.most > testSlots {
+						t.Fatalf("%d at work on one upstream:\n%s", f.most, strings.Join(f.history, "\n"))
+					}
+				},
+			})
+		})
+	})
+
+	It("lends one busy entry what the others leave idle, and gives it back", func() {
+		f := newTestFleet(3, 1)
+		f.advance(time.Second)
+		Expect(f.mostRunning(f.nodes[0], testSlots*testUpstreams)).To(Equal(testSlots * testUpstreams))
+		f.advance(testTimeout)
+		Expect(f.mostRunning(f.nodes[1], testSlots*testUpstreams)).To(Equal(testSlots * testUpstreams))
+		Expect(f.most).To(Equal(testSlots))
+	})
+
+	It("keeps serving while the home of every upstream is lost", func() {
+		f := newTestFleet(3, 2)
+		f.advance(time.Second)
+		f.crash(0)
+		f.advance(100 * time.Millisecond)
+		before := f.started
+		for range 40 {
+			f.nodes[1].offer(50 * time.Millisecond)
+			f.nodes[2].offer(50 * time.Millisecond)
+			f.advance(100 * time.Millisecond)
+		}
+		Expect(f.started - before).To(Equal(80))
+		Expect(f.most).To(BeNumerically("<=", testSlots))
+	})
+
+	It("moves everything over in a rolling restart", func() {
+		f := newTestFleet(3, 3)
+		f.advance(20 * time.Second)
+		for i := range f.nodes {
+			f.leave(i)
+			f.restart(i)
+			before := f.started
+			f.advance(time.Second)
+			for range testSlots * testUpstreams {
+				f.nodes[i].offer(100 * time.Millisecond)
+			}
+			f.advance(testTimeout)
+			Expect(f.started-before).To(Equal(testSlots*testUpstreams), "entry %d", i+1)
+		}
+		Expect(f.most).To(BeNumerically("<=", testSlots))
+	})
+})
--- /dev/null
+++ b/internal/dispatch/upstream.go
@@ -0,0 +1,45 @@
+package dispatch
+
+import (
+	"time"
+
+	"persimmonbay/internal/fleet"
+	"persimmonbay/internal/routing"
+	"persimmonbay/internal/slots"
+)
+
+// upstream is one instance of a service as this entry uses it.
+type upstream struct {
+	instance fleet.Instance
+	listed   bool // may receive new work
+	holding  slots.Holding
+	health   routing.Health
+	unsure   []time.Time // when slots whose request broke off may be used again
+}
+
+// free returns how many requests may start now. trusted says that the store
+// confirms this entry; else only a home that heard it lately vouches for the
+// slots.
+func (u *upstream) free(now time.Time, trusted bool) int {
+	if !u.listed || !trusted && now.Sub(u.holding.Acked()) > vouchedFor {
+		return 0
+	}
+	return min(u.holding.Free(), u.health.Bound(now, u.holding.Held)-u.holding.InUse)
+}
+
+// vouchedFor is how long a home's acknowledgement lets an entry use its slots
+// when the store does not confirm its registration.
+const vouchedFor = 3 * time.Second
+
+// settle frees the slots of requests that are surely over by now.
+func (u *upstream) settle(now time.Time) {
+	kept := u.unsure[:0]
+	for _, at := range u.unsure {
+		if now.Before(at) {
+			kept = append(kept, at)
+			continue
+		}
+		u.holding.Release()
+	}
+	u.unsure = kept
+}
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -16,6 +16,8 @@
 	case *wire.Request_Configuration:
 		v := e.inForce.Get()
 		return &wire.Response{Body: &wire.Response_Configuration{Configuration: &wire.Configuration{Version: uint64(v.Version), Source: v.Source}}}, nil
+	case *wire.Request_Slots:
+		return e.handleSlots(request.GetFrom(), body.Slots), nil
 	}
 	return nil, problem.New(problem.Invalid, problem.StepPeerCall, request.GetFrom(), "unknown request")
 }
--- /dev/null
+++ b/internal/entry/recorder.go
@@ -0,0 +1,29 @@
+package entry
+
+import (
+	"time"
+
+	"persimmonbay/internal/fleet"
+	"persimmonbay/internal/telemetry"
+)
+
+// recorder writes what the dispatcher measures into the histograms.
+type recorder struct{ metrics *telemetry.Metrics }
+
+// Waited implements dispatch.Recorder.
+func (r recorder) Waited(team string, class fleet.Class, started bool, d time.Duration) {
+	outcome := fleet.Completed
+	if !started {
+		outcome = fleet.NotRun
+	}
+	r.metrics.Record(team, class, outcome, telemetry.MeasureWaiting, d)
+}
+
+// Served implements dispatch.Recorder.
+func (r recorder) Served(team string, class fleet.Class, answered bool, d time.Duration) {
+	outcome := fleet.Completed
+	if !answered {
+		outcome = fleet.Unknown
+	}
+	r.metrics.Record(team, class, outcome, telemetry.MeasureService, d)
+}
--- a/internal/entry/registrar.go
+++ b/internal/entry/registrar.go
@@ -30,6 +30,7 @@
 	clock        clockwork.Clock
 	log          *zap.Logger
 	lease        platform.LeaseID
+	kept         func(first bool) // called when the registration is confirmed; first: the key was free
 }
 
 func (e *Entry) newRegistrar() *registrar {
@@ -47,6 +48,7 @@
 		ttl:   e.settings.Membership.LeaseTTL,
 		clock: e.clock,
 		log:   e.log,
+		kept:  e.slots.confirm,
 	}
 }
 
@@ -69,6 +71,9 @@
 	if r.lease != "" {
 		err := r.lessor.Renew(ctx, r.lease)
 		if !problem.Is(err, problem.NotFound) {
+			if err == nil {
+				r.kept(false)
+			}
 			return err
 		}
 		r.lease = ""
@@ -81,10 +86,17 @@
 	if err != nil {
 		return err
 	}
-	if _, err := r.store.Put(ctx, membersPrefix+string(r.registration.ID), value, platform.Any(), lease); err != nil {
+	key := membersPrefix + string(r.registration.ID)
+	_, err = r.store.Put(ctx, key, value, platform.MustNotExist(), lease)
+	first := err == nil
+	if problem.Is(err, problem.Conflict) { // an earlier run's key
+		_, err = r.store.Put(ctx, key, value, platform.Any(), lease)
+	}
+	if err != nil {
 		return err
 	}
 	r.lease = lease
+	r.kept(first)
 	return nil
 }
 
--- /dev/null
+++ b/internal/peer/wire/slots.go
@@ -0,0 +1,93 @@
+package wire
+
+import (
+	"time"
+
+	"persimmonbay/internal/membership"
+	"persimmonbay/internal/slots"
+)
+
+// FromSlotBatch converts a plain batch to its message.
+func FromSlotBatch(b slots.Batch) *SlotBatch {
+	m := &SlotBatch{Incarnation: b.From.Incarnation, AgeMillis: uint64(b.Age.Milliseconds()), Clean: b.Clean, Seq: b.Seq}
+	for _, i := range b.Items {
+		m.Items = append(m.Items, &SlotItem{Upstream: i.Upstream, Term: i.Term, Held: uint32(i.Held), Demand: uint32(i.Demand), Handover: fromHandover(i.Handover)})
+	}
+	for _, r := range b.Recalls {
+		m.Recalls = append(m.Recalls, &SlotRecall{Upstream: r.Upstream, Target: uint32(r.Target)})
+	}
+	return m
+}
+
+// ToSlotBatch converts the message that the entry called from sent.
+func ToSlotBatch(from string, m *SlotBatch) slots.Batch {
+	b := slots.Batch{
+		From:  slots.Holder{Entry: membership.EntryID(from), Incarnation: m.GetIncarnation()},
+		Age:   time.Duration(m.GetAgeMillis()) * time.Millisecond,
+		Clean: m.GetClean(),
+		Seq:   m.GetSeq(),
+	}
+	for _, i := range m.GetItems() {
+		b.Items = append(b.Items, slots.Item{Upstream: i.GetUpstream(), Term: i.GetTerm(), Held: int(i.GetHeld()), Demand: int(i.GetDemand()), Handover: toHandover(i.GetHandover())})
+	}
+	for _, r := range m.GetRecalls() {
+		b.Recalls = append(b.Recalls, slots.Recall{Upstream: r.GetUpstream(), Target: int(r.GetTarget())})
+	}
+	return b
+}
+
+func fromHandover(h *slots.Handover) *SlotHandover {
+	if h == nil {
+		return nil
+	}
+	m := &SlotHandover{}
+	for _, b := range h.Accounts {
+		m.Accounts = append(m.Accounts, &SlotBalance{Entry: string(b.Holder.Entry), Incarnation: b.Holder.Incarnation, Held: uint32(b.Held), GoneMillis: goneMillis(b.Gone)})
+	}
+	return m
+}
+
+// goneMillis keeps a holder that has just gone apart from one that lives.
+func goneMillis(gone time.Duration) uint64 {
+	if gone <= 0 {
+		return 0
+	}
+	return uint64(max(gone.Milliseconds(), 1))
+}
+
+func toHandover(m *SlotHandover) *slots.Handover {
+	if m == nil {
+		return nil
+	}
+	h := &slots.Handover{}
+	for _, b := range m.GetAccounts() {
+		h.Accounts = append(h.Accounts, slots.Balance{
+			Holder: slots.Holder{Entry: membership.EntryID(b.GetEntry()), Incarnation: b.GetIncarnation()},
+			Held:   int(b.GetHeld()),
+			Gone:   time.Duration(b.GetGoneMillis()) * time.Millisecond,
+		})
+	}
+	return h
+}
+
+// FromSlotLoans converts loans to the message that answers a batch.
+func FromSlotLoans(loans []slots.Loan) *SlotLoans {
+	m := &SlotLoans{}
+	for _, l := range loans {
+		m.Loans = append(m.Loans, &SlotLoan{Home: l.Home, Term: l.Term, Granted: uint32(l.Granted), Settled: l.Settled})
+	}
+	return m
+}
+
+// ToSlotLoans converts the answer to a batch with these items. It returns nil
+// when it does not answer all of them.
+func ToSlotLoans(items []slots.Item, m *SlotLoans) []slots.Loan {
+	if len(m.GetLoans()) != len(items) {
+		return nil
+	}
+	loans := make([]slots.Loan, len(items))
+	for i, l := range m.GetLoans() {
+		loans[i] = slots.Loan{Upstream: items[i].Upstream, Home: l.GetHome(), Term: l.GetTerm(), Granted: int(l.GetGranted()), Settled: l.GetSettled()}
+	}
+	return loans
+}
--- a/internal/request/server.go
+++ b/internal/request/server.go
@@ -128,9 +128,11 @@
 	start := s.Clock.Now()
 	answer, err := s.Sender.Send(ctx, p.Instance, service, r)
 	p.Release(Feedback{
-		Sent:   !problem.Is(err, problem.Unavailable),
-		Failed: err != nil || answer.Status >= serverErrorStatus,
-		Took:   max(s.Clock.Now().Sub(start), time.Nanosecond),
+		Sent:     !problem.Is(err, problem.Unavailable),
+		Failed:   err != nil || answer.Status >= serverErrorStatus,
+		Answered: err == nil,
+		Canceled: ctx.Err() != nil,
+		Took:     max(s.Clock.Now().Sub(start), time.Nanosecond),
 	})
 	return answer, err
 }
--- /dev/null
+++ b/internal/slots/holder.go
@@ -0,0 +1,10 @@
+package slots
+
+import "persimmonbay/internal/membership"
+
+// Holder is one run of an entry process. A restarted entry is another holder,
+// with a higher incarnation.
+type Holder struct {
+	Entry       membership.EntryID
+	Incarnation uint64
+}
--- /dev/null
+++ b/internal/slots/item.go
@@ -0,0 +1,10 @@
+package slots
+
+// Item is what a holder tells the home of one upstream.
+type Item struct {
+	Upstream string
+	Term     uint64 // the home's term as the holder knows it; 0: not yet
+	Held     int    // slots the holder has, in use or not
+	Demand   int    // slots it could use
+	Handover *Handover
+}
--- /dev/null
+++ b/internal/slots/lenders.go
@@ -0,0 +1,91 @@
+package slots
+
+import (
+	"time"
+
+	"persimmonbay/internal/shard"
+)
+
+// Lenders holds the lenders of the upstreams whose home this entry is, in
+// shards by upstream. Each lender is only touched under its shard's lock.
+type Lenders struct {
+	self    Holder
+	view    *shard.Cell[*View]
+	terms   func(upstream string) (Terms, bool)
+	lenders *shard.Map[string, *Lender]
+	next    *shard.Cell[uint64] // number of the next term
+}
+
+// NewLenders returns no lenders. terms tells the bounds of an upstream that is
+// known; it is called under a shard's lock.
+func NewLenders(self Holder, view *shard.Cell[*View], terms func(upstream string) (Terms, bool)) *Lenders {
+	return &Lenders{self: self, view: view, terms: terms, lenders: shard.NewMap[string, *Lender](), next: shard.NewCell(self.Incarnation)}
+}
+
+// Answer answers the reports of a batch.
+func (l *Lenders) Answer(b Batch, now time.Time) []Loan {
+	loans := make([]Loan, len(b.Items))
+	for i, item := range b.Items {
+		loans[i] = l.answer(b, item, now)
+	}
+	return loans
+}
+
+// answer reads the view under the shard's lock, so that no lender lends after
+// Drop under a newer view.
+func (l *Lenders) answer(b Batch, item Item, now time.Time) Loan {
+	loan := Loan{Upstream: item.Upstream}
+	terms, known := l.terms(item.Upstream)
+	if !known {
+		return loan
+	}
+	l.lenders.Update(item.Upstream, func(lender *Lender, ok bool) (*Lender, bool) {
+		view := l.view.Get()
+		if view == nil || view.Home(item.Upstream) != l.self.Entry {
+			return lender, ok
+		}
+		if !ok {
+			lender = NewLender(l.term())
+		}
+		loan = lender.Report(&b, item, view, terms, now)
+		return lender, true
+	})
+	return loan
+}
+
+// term returns a number that no other lender of this or another process has.
+func (l *Lenders) term() (term uint64) {
+	l.next.Update(func(n uint64) (uint64, bool) { term = mix(n) | 1; return n + 1, true })
+	return term
+}
+
+// Drop ends the lender of an upstream whose home has moved and returns what
+// the new home must know; nil when that is not known.
+func (l *Lenders) Drop(upstream string, now time.Time) *Handover {
+	lender, ok := l.lenders.Delete(upstream)
+	if !ok {
+		return nil
+	}
+	return lender.Handover(now)
+}
+
+// Recalls returns what to ask back, by holder.
+func (l *Lenders) Recalls() map[Holder][]Recall {
+	recalls := make(map[Holder][]Recall)
+	var upstreams []string
+	l.lenders.Range(func(upstream string, _ *Lender) bool {
+		upstreams = append(upstreams, upstream)
+		return true
+	})
+	for _, u := range upstreams {
+		l.lenders.Update(u, func(lender *Lender, ok bool) (*Lender, bool) {
+			if ok {
+				for h, target := range lender.Recalls() {
+					recalls[h] = append(recalls[h], Recall{Upstream: u, Target: target})
+				}
+			}
+			return lender, ok
+		})
+	}
+	return recalls
+}
