--- a/test/bench/entry_test.go
+++ b/test/bench/entry_test.go
@@ -44,8 +44,8 @@
 	for range b.N {
 		ctx, stop := context.WithCancel(context.Background())
 		upstream, entryAddress := startOne(ctx, b)
-		direct := measureFull(ctx, "http://"+upstream+"/8812")
-		through := measureFull(ctx, "http://"+entryAddress+"/tags/8812")
+		direct := measure(ctx, "http://"+upstream+"/8812", fullRequests)
+		through := measure(ctx, "http://"+entryAddress+"/tags/8812", fullRequests)
 		rate := through.result.Throughput() / 2
 		directHalf := measureHalf(ctx, "http://"+upstream+"/8812", rate)
 		throughHalf := measureHalf(ctx, "http://"+entryAddress+"/tags/8812", rate)
@@ -61,11 +61,12 @@
 	}
 }
 
-func measureFull(ctx context.Context, url string) phase {
-	p := plan(url, fullWorkers, fullRequests, 0)
+// measure offers count requests at full load and tells what they cost.
+func measure(ctx context.Context, url string, count int) phase {
+	p := plan(url, fullWorkers, count, 0)
 	p.Count /= 10
 	load.Run(ctx, p) // warms connections up
-	p.Count = fullRequests
+	p.Count = count
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	cpu := cpuTime()
@@ -110,6 +111,11 @@
 // startOne starts a platform, one upstream and one entry in this process and
 // returns the addresses of the upstream and of the entry's callers.
 func startOne(ctx context.Context, b *testing.B) (upstream, callers string) {
+	return startOneWith(ctx, b, 0)
+}
+
+// startOneWith is startOne with answers padded by this many bytes.
+func startOneWith(ctx context.Context, b *testing.B, padding int) (upstream, callers string) {
 	clock := clockwork.NewRealClock()
 	platform := standinplatform.NewServer(clock)
 	platformListener := listen(b)
@@ -117,7 +123,9 @@
 	upstreamListener := listen(b)
 	instance := fleet.Instance{ID: "tags-1", Kind: fleet.KindUpstream, Service: "tags", Address: upstreamListener.Addr().String(), AvailabilityZone: "az-1", Rack: "rack-1", State: fleet.Live}
 	platform.Instances.Put(instance)
-	go func() { _ = standinupstream.NewServer(instance, fullWorkers, clock).Serve(ctx, upstreamListener) }()
+	runner := standinupstream.NewServer(instance, fullWorkers, clock)
+	runner.SetFaults(standinupstream.Faults{BodyBytes: padding})
+	go func() { _ = runner.Serve(ctx, upstreamListener) }()
 	apply(ctx, b, platform, clock)
 	s := settings.DefaultEntry()
 	s.ID, s.AvailabilityZone, s.Platform.Address = "entry-1", "az-1", "http://"+platformListener.Addr().String()
