One entry at a time reads the platform's list of instances

Cause: every entry read the list every second.

Now one entry reads, in turns of a minute by rendezvous hashing over the live entries; the others learn generation, digest and age by heartbeat and fetch the list from a peer when it has changed. A change is told at once by an extra heartbeat. When nobody seems to read (age above one read and one and a half heartbeats) any entry does.

Ruled out: reading less often (60 s would meet 3 kB/s but an upstream that leaves must get no new work after 3 s); an elected reader under a lease (costs writes, and its loss costs a lease's time).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,8 +12,8 @@
 	"persimmonbay/internal/configstore"
 	"persimmonbay/internal/configuration"
 	"persimmonbay/internal/dispatch"
-	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/front"
+	"persimmonbay/internal/inventory"
 	"persimmonbay/internal/ledger"
 	"persimmonbay/internal/membership"
 	"persimmonbay/internal/operator"
@@ -46,7 +46,8 @@
 	inForce   *configuration.InForce
 	members   *membership.Table
 	routes    *routing.Table
-	instances *shard.Cell[[]fleet.Instance]
+	inventory *inventory.Inventory
+	changed   *shard.Cell[uint64] // rises when peers should hear of a change at once
 	health    *shard.Cell[health]
 	peers     *peer.Client
 	sender    *upstream.Sender
@@ -70,7 +71,8 @@
 		inForce:   configuration.NewInForce(),
 		members:   membership.NewTable(membership.EntryID(s.ID)),
 		routes:    routing.NewTable(),
-		instances: shard.NewCell[[]fleet.Instance](nil),
+		inventory: inventory.New(),
+		changed:   shard.NewCell[uint64](0),
 		health:    shard.NewCell(health{}),
 		peers:     peer.NewClient(s.ID, []byte(s.Secrets.PeerKey), peerTimeout),
 		sender:    upstream.NewSender(s.Limits.WholeBytes),
@@ -142,6 +144,7 @@
 		e.followConfiguration().Run,
 		e.heartbeat,
 		e.pollInstances,
+		e.followInstances,
 	}
 }
 
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -12,7 +12,12 @@
 	switch body := request.GetBody().(type) {
 	case *wire.Request_Heartbeat:
 		e.members.Heard(wire.ToHeartbeat(body.Heartbeat), e.clock.Now())
-		return &wire.Response{Body: &wire.Response_Heartbeat{Heartbeat: wire.FromHeartbeat(e.ownHeartbeat())}}, nil
+		if e.inventory.Heard(wire.ToStamp(body.Heartbeat.GetInstances(), e.clock.Now())) {
+			e.tellPeers() // their answers bring the newer list
+		}
+		return &wire.Response{Body: &wire.Response_Heartbeat{Heartbeat: e.heartbeatMessage()}}, nil
+	case *wire.Request_Instances:
+		return &wire.Response{Body: &wire.Response_Instances{Instances: wire.FromInstances(e.inventory.Get(), e.clock.Now())}}, nil
 	case *wire.Request_Configuration:
 		v := e.inForce.Get()
 		return &wire.Response{Body: &wire.Response_Configuration{Configuration: &wire.Configuration{Version: uint64(v.Version), Source: v.Source}}}, nil
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -13,8 +13,10 @@
 // heartbeat exchanges heartbeats with every member until ctx ends.
 func (e *Entry) heartbeat(ctx context.Context) {
 	for {
+		_, changed := e.changed.Watch()
 		e.heartbeatOnce(ctx)
 		select {
+		case <-changed:
 		case <-e.clock.After(e.settings.Membership.Heartbeat):
 		case <-ctx.Done():
 			return
@@ -22,6 +24,11 @@
 	}
 }
 
+// tellPeers has the next heartbeats sent at once.
+func (e *Entry) tellPeers() {
+	e.changed.Update(func(n uint64) (uint64, bool) { return n + 1, true })
+}
+
 func (e *Entry) heartbeatOnce(ctx context.Context) {
 	reached := shard.NewCell(false)
 	var calls sync.WaitGroup
@@ -40,7 +47,7 @@
 // exchangeHeartbeat reports whether m answered, and takes over what it has
 // newer.
 func (e *Entry) exchangeHeartbeat(ctx context.Context, m membership.Member) bool {
-	response, err := e.peers.Call(ctx, m.PeerAddress, &wire.Request{Body: &wire.Request_Heartbeat{Heartbeat: wire.FromHeartbeat(e.ownHeartbeat())}})
+	response, err := e.peers.Call(ctx, m.PeerAddress, &wire.Request{Body: &wire.Request_Heartbeat{Heartbeat: e.heartbeatMessage()}})
 	if err != nil {
 		e.log.Debug("heartbeat failed", telemetry.ProblemFields(err)...)
 		return false
@@ -50,12 +57,23 @@
 		return false // another entry lives at that address now
 	}
 	e.members.Heard(theirs, e.clock.Now())
+	if e.inventory.Heard(wire.ToStamp(response.GetHeartbeat().GetInstances(), e.clock.Now())) {
+		e.fetchInstances(ctx, m)
+	}
 	if theirs.ConfigurationVersion > e.inForce.Get().Version {
 		e.fetchConfiguration(ctx, m)
 	}
 	return true
 }
 
+// heartbeatMessage is this entry's heartbeat with the stamp of its list of
+// instances.
+func (e *Entry) heartbeatMessage() *wire.Heartbeat {
+	m := wire.FromHeartbeat(e.ownHeartbeat())
+	m.Instances = wire.FromStamp(e.inventory.Get().Stamp, e.clock.Now())
+	return m
+}
+
 func (e *Entry) ownHeartbeat() membership.Heartbeat {
 	h := e.health.Get()
 	return membership.Heartbeat{
--- a/internal/entry/instances.go
+++ b/internal/entry/instances.go
@@ -3,27 +3,90 @@
 import (
 	"context"
 
-	"persimmonbay/internal/fleet"
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/inventory"
+	"persimmonbay/internal/membership"
+	"persimmonbay/internal/peer/wire"
 	"persimmonbay/internal/platform"
+	"persimmonbay/internal/problem"
 	"persimmonbay/internal/telemetry"
 )
 
-// pollInstances reads the platform's list until ctx ends. When the platform
-// does not answer, the latest list stays in use.
+// pollInstances reads the platform's list whenever it is this entry's turn,
+// until ctx ends. When the platform does not answer, the latest list stays in
+// use.
 func (e *Entry) pollInstances(ctx context.Context) {
 	client := e.platform.For(platform.PurposeInstances)
+	every := e.settings.Limits.InstancesEvery
+	staleAfter := inventory.StaleAfter(every, e.settings.Membership.Heartbeat)
 	for {
-		list, err := client.Instances(ctx)
-		if err == nil {
-			e.instances.Update(func([]fleet.Instance) ([]fleet.Instance, bool) { return list, true })
-			e.routes.Replace(list)
-		} else if ctx.Err() == nil {
+		now := e.clock.Now()
+		age := now.Sub(e.inventory.Get().Stamp.ReadAt)
+		if inventory.Due(e.settings.ID, e.aliveMembers(), now, age, staleAfter) {
+			e.readInstances(ctx, client)
+		}
+		select {
+		case <-e.clock.After(every):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (e *Entry) readInstances(ctx context.Context, client platform.InstanceLister) {
+	list, err := client.Instances(ctx)
+	if err != nil {
+		if ctx.Err() == nil {
 			e.log.Warn("list of instances not read", telemetry.ProblemFields(err)...)
 		}
+		return
+	}
+	if e.inventory.Read(list, e.clock.Now()) {
+		e.tellPeers()
+	}
+}
+
+// followInstances acts on each new list until ctx ends. It alone does, so that
+// an older list never overtakes a newer one.
+func (e *Entry) followInstances(ctx context.Context) {
+	var used inventory.Stamp
+	for {
+		list, changed := e.inventory.Watch()
+		if !list.Stamp.Same(used) {
+			e.routes.Replace(list.Instances)
+			used = list.Stamp
+		}
 		select {
-		case <-e.clock.After(e.settings.Limits.InstancesEvery):
+		case <-changed:
 		case <-ctx.Done():
 			return
 		}
 	}
 }
+
+// fetchInstances takes a newer list over from a peer.
+func (e *Entry) fetchInstances(ctx context.Context, m membership.Member) {
+	response, err := e.peers.Call(ctx, m.PeerAddress, &wire.Request{Body: &wire.Request_Instances{Instances: &wire.InstancesRequest{}}})
+	if err != nil {
+		e.log.Warn("list of instances not fetched", telemetry.ProblemFields(err)...)
+		return
+	}
+	if response.GetInstances() == nil {
+		e.log.Error("peer answered without instances", zap.String("step", string(problem.StepInstances)), zap.String("peer", string(m.ID)))
+		return
+	}
+	e.inventory.Learn(wire.ToInstances(response.GetInstances(), e.clock.Now()))
+}
+
+// aliveMembers returns the IDs of the other entries that are heard.
+func (e *Entry) aliveMembers() []string {
+	var alive []string
+	now := e.clock.Now()
+	for _, m := range e.members.Members() {
+		if m.Alive(now, e.settings.Membership.SilentFor) {
+			alive = append(alive, string(m.ID))
+		}
+	}
+	return alive
+}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -34,7 +34,7 @@
 		Asked:                e.settings.ID,
 		ConfigurationVersion: e.inForce.Get().Version,
 		Entries:              []message.EntryStatus{e.ownStatus()},
-		Instances:            len(e.instances.Get()),
+		Instances:            len(e.inventory.Get().Instances),
 	}
 	now := e.clock.Now()
 	for _, m := range e.members.Members() {
@@ -70,7 +70,7 @@
 func (e *Entry) InForce() configuration.Versioned { return e.inForce.Get() }
 
 // Instances implements operator.Backend.
-func (e *Entry) Instances() []fleet.Instance { return e.instances.Get() }
+func (e *Entry) Instances() []fleet.Instance { return e.inventory.Get().Instances }
 
 // Apply implements operator.Backend.
 func (e *Entry) Apply(ctx context.Context, who string, base configuration.Version, source []byte) (configuration.Version, error) {
--- /dev/null
+++ b/internal/inventory/inventory_test.go
@@ -0,0 +1,101 @@
+package inventory
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/fleet"
+)
+
+var (
+	start = time.Unix(1_800_000_000, 0)
+	live  = []fleet.Instance{{ID: "a", State: fleet.Live}}
+	gone  = []fleet.Instance{{ID: "a", State: fleet.Leaving}}
+)
+
+var _ = Describe("Inventory", func() {
+	It("counts a generation for each change, not for each read", func() {
+		v := New()
+		Expect(v.Read(live, start)).To(BeTrue())
+		Expect(v.Read(live, start.Add(time.Second))).To(BeFalse())
+		Expect(v.Get().Stamp.Generation).To(BeEquivalentTo(1))
+		Expect(v.Get().Stamp.ReadAt).To(Equal(start.Add(time.Second)))
+		Expect(v.Read(gone, start.Add(2*time.Second))).To(BeTrue())
+		Expect(v.Get().Stamp.Generation).To(BeEquivalentTo(2))
+	})
+
+	It("takes a peer's newer list and never an older one", func() {
+		reader, other := New(), New()
+		reader.Read(live, start)
+		old := reader.Get()
+		Expect(other.Learn(old)).To(BeTrue())
+		reader.Read(gone, start.Add(time.Second))
+		Expect(other.Heard(reader.Get().Stamp)).To(BeTrue())
+		Expect(other.Learn(reader.Get())).To(BeTrue())
+		Expect(other.Learn(old)).To(BeFalse())
+		Expect(other.Get().Instances).To(Equal(gone))
+	})
+
+	It("ends with one list when two entries read different ones at once", func() {
+		a, b := New(), New()
+		a.Read(live, start)
+		b.Read(gone, start)
+		first, second := a.Get(), b.Get()
+		a.Learn(second)
+		b.Learn(first)
+		Expect(a.Get().Stamp.Same(b.Get().Stamp)).To(BeTrue())
+	})
+
+	It("learns from a peer's stamp that its own list is still current", func() {
+		v := New()
+		v.Read(live, start)
+		stamp := v.Get().Stamp
+		stamp.ReadAt = start.Add(5 * time.Second)
+		Expect(v.Heard(stamp)).To(BeFalse())
+		Expect(v.Get().Stamp.ReadAt).To(Equal(start.Add(5 * time.Second)))
+	})
+})
+
+var _ = Describe("Due", func() {
+	entries := []string{"entry-1", "entry-2", "entry-3"}
+	others := func(self string) []string {
+		var alive []string
+		for _, id := range entries {
+			if id != self {
+				alive = append(alive, id)
+			}
+		}
+		return alive
+	}
+
+	It("has exactly one entry read while all are heard", func() {
+		for minute := range 50 {
+			now := start.Add(time.Duration(minute) * time.Minute)
+			readers := 0
+			for _, self := range entries {
+				if Due(self, others(self), now, time.Second, StaleAfter(time.Second, time.Second)) {
+					readers++
+				}
+			}
+			Expect(readers).To(Equal(1))
+		}
+	})
+
+	It("has everyone take turns", func() {
+		turns := map[string]int{}
+		for minute := range 300 {
+			turns[reader("entry-1", others("entry-1"), start.Add(time.Duration(minute)*time.Minute))]++
+		}
+		for _, id := range entries {
+			Expect(turns[id]).To(BeNumerically(">", 50), id)
+		}
+	})
+
+	It("has anyone read when nobody seems to", func() {
+		for _, self := range entries {
+			Expect(Due(self, others(self), start, 2500*time.Millisecond, StaleAfter(time.Second, time.Second))).To(BeTrue())
+		}
+	})
+})
--- /dev/null
+++ b/internal/inventory/list.go
@@ -0,0 +1,10 @@
+package inventory
+
+import "persimmonbay/internal/fleet"
+
+// List is the platform's list of instances as this entry knows it. Instances
+// must not be changed.
+type List struct {
+	Stamp     Stamp
+	Instances []fleet.Instance
+}
--- /dev/null
+++ b/internal/peer/wire/instances.go
@@ -0,0 +1,47 @@
+package wire
+
+import (
+	"time"
+
+	"persimmonbay/internal/fleet"
+	"persimmonbay/internal/inventory"
+)
+
+// FromStamp converts a stamp to its message. A time is sent as an age, so that
+// the clocks of two entries need not agree.
+func FromStamp(s inventory.Stamp, now time.Time) *InstancesStamp {
+	return &InstancesStamp{Generation: s.Generation, Digest: s.Digest, AgeMillis: uint64(max(now.Sub(s.ReadAt).Milliseconds(), 0))}
+}
+
+// ToStamp converts a message to a stamp.
+func ToStamp(m *InstancesStamp, now time.Time) inventory.Stamp {
+	return inventory.Stamp{
+		Generation: m.GetGeneration(),
+		Digest:     m.GetDigest(),
+		ReadAt:     now.Add(-time.Duration(m.GetAgeMillis()) * time.Millisecond),
+	}
+}
+
+// FromInstances converts a list of instances to its message.
+func FromInstances(l inventory.List, now time.Time) *Instances {
+	m := &Instances{Stamp: FromStamp(l.Stamp, now), Instances: make([]*Instance, len(l.Instances))}
+	for i, in := range l.Instances {
+		m.Instances[i] = &Instance{
+			Id: in.ID, Kind: string(in.Kind), Service: in.Service, Address: in.Address,
+			AvailabilityZone: in.AvailabilityZone, Rack: in.Rack, State: string(in.State),
+		}
+	}
+	return m
+}
+
+// ToInstances converts a message to a list of instances.
+func ToInstances(m *Instances, now time.Time) inventory.List {
+	l := inventory.List{Stamp: ToStamp(m.GetStamp(), now), Instances: make([]fleet.Instance, len(m.GetInstances()))}
+	for i, in := range m.GetInstances() {
+		l.Instances[i] = fleet.Instance{
+			ID: in.GetId(), Kind: fleet.InstanceKind(in.GetKind()), Service: in.GetService(), Address: in.GetAddress(),
+			AvailabilityZone: in.GetAvailabilityZone(), Rack: in.GetRack(), State: fleet.InstanceState(in.GetState()),
+		}
+	}
+	return l
+}
--- a/test/shape/shape_test.go
+++ b/test/shape/shape_test.go
@@ -21,7 +21,7 @@
 
 // decisionPackages know no encoding and no transport.
 var decisionPackages = []string{
-	"admission", "configuration", "dispatch", "fleet", "ledger", "maintenance", "membership",
+	"admission", "configuration", "dispatch", "fleet", "inventory", "ledger", "maintenance", "membership",
 	"placement", "problem", "request", "routing", "shard", "slots",
 }
 
