--- a/test/process_test.go
+++ b/test/process_test.go
@@ -54,7 +54,13 @@
 	return ""
 }
 
-func (p *process) kill() { p.session.Kill().Wait(patience) }
+// kill ends the process at once. One built with the race detector must not
+// have reported a race.
+func (p *process) kill() {
+	GinkgoHelper()
+	p.session.Kill().Wait(patience)
+	Expect(string(p.session.Err.Contents())).NotTo(ContainSubstring("WARNING: DATA RACE"))
+}
 
 // exits waits for the process to end and returns its exit code.
 func (p *process) exits() int {
--- a/test/suite_test.go
+++ b/test/suite_test.go
@@ -19,7 +19,7 @@
 
 var _ = BeforeSuite(func() {
 	var err error
-	binary, err = gexec.Build("persimmonbay/cmd/persimmonbay")
+	binary, err = gexec.Build("persimmonbay/cmd/persimmonbay", buildFlags...)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(gexec.CleanupBuildArtifacts)
 })
