--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -127,8 +127,8 @@
 	answer(w, struct{}{}, s.Store.Revoke(r.Context(), platform.LeaseID(mux.Vars(r)["id"])))
 }
 
-func (s *Server) instances(w http.ResponseWriter, _ *http.Request) {
-	answer(w, s.Instances.List(time.Duration(s.faults.Get().LagMillis)*time.Millisecond), nil)
+func (s *Server) instances(w http.ResponseWriter, r *http.Request) {
+	writeCompressed(w, r, s.Instances.List(time.Duration(s.faults.Get().LagMillis)*time.Millisecond))
 }
 
 func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
--- a/test/bench/slopes_test.go
+++ b/test/bench/slopes_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
+	"github.com/jonboulle/clockwork"
+
 	"persimmonbay/internal/fleet"
+	standinplatform "persimmonbay/internal/standin/platform"
 )
 
 // BenchmarkInstanceListBytes prints the size of the platform's list of
@@ -14,21 +19,34 @@
 func BenchmarkInstanceListBytes(b *testing.B) {
 	for _, n := range []int{50, 300, 910} {
 		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
-			var encoded []byte
+			server := standinplatform.NewServer(clockwork.NewRealClock())
+			for _, i := range instanceList(n) {
+				server.Instances.Put(i)
+			}
 			for range b.N {
-				encoded, _ = json.Marshal(instanceList(n))
+				b.ReportMetric(float64(listBytes(server, "")), "plain-bytes")
+				b.ReportMetric(float64(listBytes(server, "gzip")), "gzip-bytes")
 			}
-			b.ReportMetric(float64(len(encoded)), "bytes")
 		})
 	}
 }
 
+// listBytes returns the size of the body with which the platform answers.
+func listBytes(server *standinplatform.Server, encoding string) int {
+	request := httptest.NewRequest(http.MethodGet, "/v1/instances", nil)
+	request.Header.Set("Accept-Encoding", encoding)
+	answer := httptest.NewRecorder()
+	server.Handler().ServeHTTP(answer, request)
+	return answer.Body.Len()
+}
+
 func instanceList(n int) []fleet.Instance {
+	random := rand.New(rand.NewPCG(1, 1)) // IDs as random as a platform's
 	list := make([]fleet.Instance, n)
 	for i := range list {
 		list[i] = fleet.Instance{
-			ID: fmt.Sprintf("instance-%04d", i), Kind: fleet.KindUpstream, Service: fmt.Sprintf("service-%02d", i%50),
-			Address: fmt.Sprintf("10.%d.%d.%d:8080", i%8, i/256, i%256), AvailabilityZone: fmt.Sprintf("az-%d", i%8+1),
+			ID: fmt.Sprintf("i-%016x", random.Uint64()), Kind: fleet.KindUpstream, Service: fmt.Sprintf("service-%02d", i%50),
+			Address: fmt.Sprintf("10.%d.%d.%d:8080", i%8, random.IntN(256), random.IntN(256)), AvailabilityZone: fmt.Sprintf("az-%d", i%8+1),
 			Rack: fmt.Sprintf("rack-%03d", i/4), State: fleet.Live,
 		}
 	}
