--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -57,7 +57,7 @@
 	return message.EntryStatus{
 		ID:                   e.settings.ID,
 		AvailabilityZone:     e.settings.AvailabilityZone,
-		OperatorAddress:      e.Addresses().Operators,
+		OperatorAddress:      e.advertised().Operators,
 		ConfigurationVersion: e.inForce.Get().Version,
 		Alive:                true,
 		Leaving:              h.leaving,
--- a/internal/entry/registrar.go
+++ b/internal/entry/registrar.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"time"
@@ -34,14 +35,14 @@
 
 func (e *Entry) newRegistrar() *registrar {
 	client := e.platform.For(platform.PurposeMembership)
-	addresses := e.Addresses()
+	advertised := e.advertised()
 	return &registrar{
 		lessor: client,
 		store:  client,
 		registration: membership.Registration{
 			ID:               membership.EntryID(e.settings.ID),
-			PeerAddress:      addresses.Peers,
-			OperatorAddress:  addresses.Operators,
+			PeerAddress:      advertised.Peers,
+			OperatorAddress:  advertised.Operators,
 			AvailabilityZone: e.settings.AvailabilityZone,
 		},
 		ttl:   e.settings.Membership.LeaseTTL,
@@ -50,6 +51,14 @@
 	}
 }
 
+// advertised returns the addresses that others are told.
+func (e *Entry) advertised() Addresses {
+	a := e.Addresses()
+	a.Operators = cmp.Or(e.settings.Advertise.Operators, a.Operators)
+	a.Peers = cmp.Or(e.settings.Advertise.Peers, a.Peers)
+	return a
+}
+
 // run registers and renews until ctx ends, then hands the lease back.
 func (r *registrar) run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -28,6 +28,7 @@
 	ID               string     `yaml:"id" validate:"required"`
 	AvailabilityZone string     `yaml:"availabilityZone" validate:"required"`
 	Listen           Listen     `yaml:"listen"`
+	Advertise        Advertise  `yaml:"advertise"`
 	Platform         Platform   `yaml:"platform"`
 	Membership       Membership `yaml:"membership"`
 	Limits           Limits     `yaml:"limits"`
