--- a/internal/entry/config_follow.go
+++ b/internal/entry/config_follow.go
@@ -7,10 +7,10 @@
 
 	"persimmonbay/internal/configstore"
 	"persimmonbay/internal/configuration"
-	"persimmonbay/internal/membership"
 	"persimmonbay/internal/peer/wire"
 	"persimmonbay/internal/platform"
 	"persimmonbay/internal/platform/api"
+	"persimmonbay/internal/problem"
 	"persimmonbay/internal/telemetry"
 )
 
@@ -32,7 +32,7 @@
 				e.configurationStored(api.KeyValue{Key: event.Key, Value: event.Value, Version: event.Version})
 			}
 		},
-		Reached: e.storeReached,
+		Reached: e.configurationReached,
 	}
 }
 
@@ -52,18 +52,28 @@
 	}
 }
 
-// fetchConfiguration takes a newer configuration over from a peer.
-func (e *Entry) fetchConfiguration(ctx context.Context, m membership.Member) {
-	response, err := e.peers.Call(ctx, m.PeerAddress, &wire.Request{Body: &wire.Request_Configuration{Configuration: &wire.ConfigurationRequest{}}})
+// configurationReached notes whether the latest look at the store's
+// configuration succeeded.
+func (e *Entry) configurationReached(reached bool) {
+	e.storeReached(reached)
+	e.health.Update(func(h health) (health, bool) {
+		changed := h.currentByStore != reached
+		h.currentByStore = reached
+		return h, changed
+	})
+}
+
+// fetchConfiguration takes the configuration over from the peer at address.
+func (e *Entry) fetchConfiguration(ctx context.Context, address string) error {
+	response, err := e.peers.Call(ctx, address, &wire.Request{Body: &wire.Request_Configuration{Configuration: &wire.ConfigurationRequest{}}})
 	if err != nil {
-		e.log.Warn("configuration not fetched", telemetry.ProblemFields(err)...)
-		return
+		return err
 	}
 	c := response.GetConfiguration()
 	v, err := configstore.Parse(configuration.Version(c.GetVersion()), c.GetSource())
 	if err != nil {
-		e.log.Error("peer's configuration cannot be read; what is in force stays", zap.String("peer", string(m.ID)), zap.Error(err))
-		return
+		return problem.Wrap(problem.Invalid, problem.StepConfiguration, address, err)
 	}
 	e.offer(v)
+	return nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,9 +48,13 @@
 	routes    *routing.Table
 	instances *shard.Cell[[]fleet.Instance]
 	health    *shard.Cell[health]
-	peers     *peer.Client
-	sender    *upstream.Sender
-	metrics   *telemetry.Metrics
+	sighted   *shard.Cell[sighting] // the newest version that a peer told of
+
+	incarnation uint64 // rises with every start of this entry
+
+	peers   *peer.Client
+	sender  *upstream.Sender
+	metrics *telemetry.Metrics
 }
 
 // New opens the listeners of an entry. Run must follow.
@@ -72,9 +76,13 @@
 		routes:    routing.NewTable(),
 		instances: shard.NewCell[[]fleet.Instance](nil),
 		health:    shard.NewCell(health{}),
-		peers:     peer.NewClient(s.ID, []byte(s.Secrets.PeerKey), peerTimeout),
-		sender:    upstream.NewSender(s.Limits.WholeBytes),
-		metrics:   telemetry.NewMetrics(),
+		sighted:   shard.NewCell(sighting{}),
+
+		incarnation: uint64(clock.Now().UnixNano()),
+
+		peers:   peer.NewClient(s.ID, []byte(s.Secrets.PeerKey), peerTimeout),
+		sender:  upstream.NewSender(s.Limits.WholeBytes),
+		metrics: telemetry.NewMetrics(),
 	}
 	e.metrics.Publish("platformCalls", func() any { return client.Counts().Snapshot() })
 	e.metrics.Publish("configurationVersion", func() any { return e.inForce.Get().Version })
@@ -141,6 +149,8 @@
 		e.followMembers().Run,
 		e.followConfiguration().Run,
 		e.heartbeat,
+		e.announce,
+		e.chase,
 		e.pollInstances,
 	}
 }
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -11,8 +11,9 @@
 func (e *Entry) Handle(_ context.Context, request *wire.Request) (*wire.Response, error) {
 	switch body := request.GetBody().(type) {
 	case *wire.Request_Heartbeat:
-		e.members.Heard(wire.ToHeartbeat(body.Heartbeat), e.clock.Now())
-		return &wire.Response{Body: &wire.Response_Heartbeat{Heartbeat: wire.FromHeartbeat(e.ownHeartbeat())}}, nil
+		return e.heartbeatReceived(wire.ToHeartbeat(body.Heartbeat)), nil
+	case *wire.Request_Members:
+		return e.knownMembers(), nil
 	case *wire.Request_Configuration:
 		v := e.inForce.Get()
 		return &wire.Response{Body: &wire.Response_Configuration{Configuration: &wire.Configuration{Version: uint64(v.Version), Source: v.Source}}}, nil
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -13,7 +13,7 @@
 // heartbeat exchanges heartbeats with every member until ctx ends.
 func (e *Entry) heartbeat(ctx context.Context) {
 	for {
-		e.heartbeatOnce(ctx)
+		e.heartbeatRound(ctx)
 		select {
 		case <-e.clock.After(e.settings.Membership.Heartbeat):
 		case <-ctx.Done():
@@ -22,46 +22,91 @@
 	}
 }
 
-func (e *Entry) heartbeatOnce(ctx context.Context) {
-	reached := shard.NewCell(false)
+// heartbeatRound asks every member once. An entry with nothing in force takes
+// the newest of all answers, never that of whoever answers first.
+func (e *Entry) heartbeatRound(ctx context.Context) {
+	e.askSeeds(ctx)
+	newest, reached := e.exchangeHeartbeats(ctx)
+	current := reached && e.catchUp(ctx, newest)
+	e.health.Update(func(h health) (health, bool) {
+		changed := h.currentByPeers != current
+		h.currentByPeers = current
+		return h, changed
+	})
+	e.members.Forget(e.clock.Now())
+}
+
+// exchangeHeartbeats returns the newest version among the members that
+// answered, and whether any did.
+func (e *Entry) exchangeHeartbeats(ctx context.Context) (newest sighting, reached bool) {
+	best := shard.NewCell(sighting{})
+	answered := shard.NewCell(false)
 	var calls sync.WaitGroup
 	for _, m := range e.members.Members() {
 		calls.Go(func() {
-			if e.exchangeHeartbeat(ctx, m) {
-				reached.Update(func(bool) (bool, bool) { return true, true })
+			theirs, ok := e.exchangeHeartbeat(ctx, m)
+			if !ok {
+				return
 			}
+			answered.Update(func(bool) (bool, bool) { return true, true })
+			seen := sighting{version: theirs.ConfigurationVersion, address: m.PeerAddress}
+			best.Update(func(old sighting) (sighting, bool) { return seen, seen.version > old.version })
 		})
 	}
 	calls.Wait()
-	e.health.Update(func(h health) (health, bool) { h.peerReachable = reached.Get(); return h, true })
-	e.members.Forget(e.clock.Now())
+	return best.Get(), answered.Get()
 }
 
-// exchangeHeartbeat reports whether m answered, and takes over what it has
-// newer.
-func (e *Entry) exchangeHeartbeat(ctx context.Context, m membership.Member) bool {
-	response, err := e.peers.Call(ctx, m.PeerAddress, &wire.Request{Body: &wire.Request_Heartbeat{Heartbeat: wire.FromHeartbeat(e.ownHeartbeat())}})
+// exchangeHeartbeat returns the answer of m and whether there was one.
+func (e *Entry) exchangeHeartbeat(ctx context.Context, m membership.Member) (membership.Heartbeat, bool) {
+	theirs, err := e.sendHeartbeat(ctx, m, e.ownHeartbeat())
+	if err == nil && theirs.Stranger {
+		introduction := e.ownHeartbeat()
+		introduction.Registration = e.ownRegistration()
+		theirs, err = e.sendHeartbeat(ctx, m, introduction)
+	}
 	if err != nil {
 		e.log.Debug("heartbeat failed", telemetry.ProblemFields(err)...)
-		return false
+		return theirs, false
 	}
-	theirs := wire.ToHeartbeat(response.GetHeartbeat())
 	if theirs.Entry != m.ID {
-		return false // another entry lives at that address now
+		return theirs, false // another entry lives at that address now
 	}
 	e.members.Heard(theirs, e.clock.Now())
-	if theirs.ConfigurationVersion > e.inForce.Get().Version {
-		e.fetchConfiguration(ctx, m)
+	return theirs, true
+}
+
+func (e *Entry) sendHeartbeat(ctx context.Context, m membership.Member, own membership.Heartbeat) (membership.Heartbeat, error) {
+	response, err := e.peers.Call(ctx, m.PeerAddress, &wire.Request{Body: &wire.Request_Heartbeat{Heartbeat: wire.FromHeartbeat(own)}})
+	if err != nil {
+		return membership.Heartbeat{}, err
 	}
-	return true
+	return wire.ToHeartbeat(response.GetHeartbeat()), nil
 }
 
+// ownHeartbeat carries this entry's registration while the store cannot show
+// it to the others.
 func (e *Entry) ownHeartbeat() membership.Heartbeat {
 	h := e.health.Get()
-	return membership.Heartbeat{
+	own := membership.Heartbeat{
 		Entry:                membership.EntryID(e.settings.ID),
 		ConfigurationVersion: e.inForce.Get().Version,
 		Leaving:              h.leaving,
 		StoreReachable:       h.storeReachable,
+		Incarnation:          e.incarnation,
+	}
+	if !h.storeReachable {
+		own.Registration = e.ownRegistration()
+	}
+	return own
+}
+
+func (e *Entry) ownRegistration() *membership.Registration {
+	addresses := e.Addresses()
+	return &membership.Registration{
+		ID:               membership.EntryID(e.settings.ID),
+		PeerAddress:      addresses.Peers,
+		OperatorAddress:  addresses.Operators,
+		AvailabilityZone: e.settings.AvailabilityZone,
 	}
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -51,10 +51,13 @@
 	e.members.Register(r)
 }
 
+// storeReached notes whether the latest call to the store succeeded. While
+// none does, what is in force may not be the store's any more.
 func (e *Entry) storeReached(reached bool) {
 	e.health.Update(func(h health) (health, bool) {
-		changed := h.storeReachable != reached
+		old := h
 		h.storeReachable = reached
-		return h, changed
+		h.currentByStore = h.currentByStore && reached
+		return h, h != old
 	})
 }
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"persimmonbay/internal/configstore"
 	"persimmonbay/internal/configuration"
@@ -11,6 +12,9 @@
 	"persimmonbay/internal/problem"
 )
 
+// applyTimeout bounds one change of the configuration with all its retries.
+const applyTimeout = 20 * time.Second
+
 var _ operator.Backend = (*Entry)(nil)
 
 // Ready implements operator.Backend. An entry that can reach neither the store
@@ -20,10 +24,12 @@
 	switch {
 	case h.leaving:
 		return problem.New(problem.Unavailable, problem.StepShutdown, "", "this entry is leaving")
+	case e.inForce.Get().Configuration == nil && !h.current():
+		return problem.New(problem.Unavailable, problem.StepConfiguration, "", "no configuration is in force yet, and neither the platform nor a peer can be reached; peers.seeds in the settings lets an entry start without the platform")
 	case e.inForce.Get().Configuration == nil:
 		return problem.New(problem.Unavailable, problem.StepConfiguration, "", "no configuration is in force yet; apply one with 'persimmonbay config apply'")
-	case !h.storeReachable && !h.peerReachable:
-		return problem.New(problem.Unavailable, problem.StepConfiguration, "", "neither the platform nor a peer can be reached")
+	case !h.current():
+		return problem.New(problem.Unavailable, problem.StepConfiguration, "", "neither the platform nor a peer can be reached; look at the network of this entry and at the platform's store")
 	}
 	return nil
 }
@@ -72,8 +78,11 @@
 // Instances implements operator.Backend.
 func (e *Entry) Instances() []fleet.Instance { return e.instances.Get() }
 
-// Apply implements operator.Backend.
+// Apply implements operator.Backend. It goes on when the operator is gone,
+// since the store may have accepted already.
 func (e *Entry) Apply(ctx context.Context, who string, base configuration.Version, source []byte) (configuration.Version, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), applyTimeout)
+	defer cancel()
 	version, err := e.configs.Apply(ctx, who, base, source)
 	if err != nil {
 		return 0, err
--- a/internal/entry/registrar.go
+++ b/internal/entry/registrar.go
@@ -20,6 +20,10 @@
 // renewalsPerTTL is how often a lease is renewed within its time to live.
 const renewalsPerTTL = 3
 
+// failuresToOutage is how many failures in a row mean that the store is out of
+// reach.
+const failuresToOutage = 2
+
 // registrar keeps this entry's registration in the platform's store, bound to
 // a lease. Only its own goroutine touches its fields.
 type registrar struct {
@@ -30,30 +34,32 @@
 	clock        clockwork.Clock
 	log          *zap.Logger
 	lease        platform.LeaseID
+	failures     int        // in a row
+	reached      func(bool) // told after every try whether the store is in reach
 }
 
 func (e *Entry) newRegistrar() *registrar {
 	client := e.platform.For(platform.PurposeMembership)
-	addresses := e.Addresses()
 	return &registrar{
-		lessor: client,
-		store:  client,
-		registration: membership.Registration{
-			ID:               membership.EntryID(e.settings.ID),
-			PeerAddress:      addresses.Peers,
-			OperatorAddress:  addresses.Operators,
-			AvailabilityZone: e.settings.AvailabilityZone,
-		},
-		ttl:   e.settings.Membership.LeaseTTL,
-		clock: e.clock,
-		log:   e.log,
+		lessor:       client,
+		store:        client,
+		registration: *e.ownRegistration(),
+		ttl:          e.settings.Membership.LeaseTTL,
+		clock:        e.clock,
+		log:          e.log,
+		reached:      e.storeReached,
 	}
 }
 
 // run registers and renews until ctx ends, then hands the lease back.
 func (r *registrar) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := r.keep(ctx); err != nil && ctx.Err() == nil {
+		err := r.keep(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		r.judge(err)
+		if err != nil {
 			r.log.Warn("registration failed", telemetry.ProblemFields(err)...)
 		}
 		select {
@@ -64,6 +70,16 @@
 	r.handBack()
 }
 
+// judge counts failures: a single one may be a lost answer.
+func (r *registrar) judge(err error) {
+	if err == nil {
+		r.failures = 0
+	} else {
+		r.failures++
+	}
+	r.reached(r.failures < failuresToOutage)
+}
+
 // keep renews the lease, or makes a new one when there is none or it lapsed.
 func (r *registrar) keep(ctx context.Context) error {
 	if r.lease != "" {
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -8,4 +8,7 @@
 	ConfigurationVersion configuration.Version
 	Leaving              bool
 	StoreReachable       bool
+	Registration         *Registration // of the sender; nil when the receiver knows it
+	Stranger             bool          // in an answer: the receiver does not know the sender
+	Incarnation          uint64        // rises with every start of the sender
 }
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -15,8 +15,10 @@
 	ConfigurationVersion configuration.Version `json:"configurationVersion"`
 	Leaving              bool                  `json:"leaving"`
 	StoreReachable       bool                  `json:"storeReachable"`
-	Registered           bool                  `json:"registered"` // its lease holds, as far as the store was seen
-	LastHeard            time.Time             `json:"lastHeard"`  // zero: never
+	Registered           bool                  `json:"registered"`  // its lease holds, as far as the store was seen
+	LastHeard            time.Time             `json:"lastHeard"`   // zero: never
+	Incarnation          uint64                `json:"incarnation"` // of the latest start it was heard of
+	Introduced           time.Time             `json:"introduced"`  // when a peer told of it; zero: never
 }
 
 // Alive reports whether the member was heard within silentFor before now.
--- a/internal/membership/registration.go
+++ b/internal/membership/registration.go
@@ -1,7 +1,7 @@
 package membership
 
 // Registration is what an entry writes of itself into the platform's store,
-// bound to its lease.
+// bound to its lease, and tells peers that do not know it.
 type Registration struct {
 	ID               EntryID `json:"id"`
 	PeerAddress      string  `json:"peerAddress"`
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -29,8 +29,8 @@
 		return
 	}
 	t.members.Update(r.ID, func(m Member, _ bool) (Member, bool) {
-		m.ID, m.PeerAddress, m.OperatorAddress = r.ID, r.PeerAddress, r.OperatorAddress
-		m.AvailabilityZone, m.Registered = r.AvailabilityZone, true
+		m = relocated(m, r)
+		m.Registered = true
 		return m, true
 	})
 }
@@ -53,21 +53,66 @@
 	})
 }
 
-// Heard notes a heartbeat at time now. Heartbeats of strangers are dropped:
-// only the store makes members.
-func (t *Table) Heard(h Heartbeat, now time.Time) {
+// Introduce adds a member of which a peer told. It is not Registered, so it
+// goes when it is unheard for long. A known member stays as it is.
+func (t *Table) Introduce(r Registration, now time.Time) {
+	t.admit(r, func(m Member, ok bool) Member {
+		if !ok {
+			m = relocated(m, r)
+		}
+		m.Introduced = now
+		return m
+	})
+}
+
+// Announced notes what an entry told of itself: it is where it says, even if
+// the store's list shows an address from before its restart.
+func (t *Table) Announced(r Registration, now time.Time) {
+	t.admit(r, func(m Member, _ bool) Member {
+		m = relocated(m, r)
+		m.Introduced = now
+		return m
+	})
+}
+
+func (t *Table) admit(r Registration, change func(m Member, ok bool) Member) {
+	if r.ID == t.self || r.ID == "" || r.PeerAddress == "" {
+		return
+	}
+	t.members.Update(r.ID, func(m Member, ok bool) (Member, bool) { return change(m, ok), true })
+}
+
+func relocated(m Member, r Registration) Member {
+	m.ID, m.PeerAddress, m.OperatorAddress = r.ID, r.PeerAddress, r.OperatorAddress
+	m.AvailabilityZone = r.AvailabilityZone
+	return m
+}
+
+// Heard notes a heartbeat at time now and reports whether its sender is known.
+// Within one incarnation the version never goes back, so that heartbeats may
+// overtake each other; a restarted entry has what it says.
+func (t *Table) Heard(h Heartbeat, now time.Time) bool {
+	known := false
 	t.members.Update(h.Entry, func(m Member, ok bool) (Member, bool) {
-		m.ConfigurationVersion = max(m.ConfigurationVersion, h.ConfigurationVersion)
+		known = ok
+		if !ok || h.Incarnation < m.Incarnation {
+			return m, ok
+		}
+		if h.Incarnation == m.Incarnation {
+			h.ConfigurationVersion = max(h.ConfigurationVersion, m.ConfigurationVersion)
+		}
+		m.Incarnation, m.ConfigurationVersion = h.Incarnation, h.ConfigurationVersion
 		m.Leaving, m.StoreReachable, m.LastHeard = h.Leaving, h.StoreReachable, now
-		return m, ok
+		return m, true
 	})
+	return known
 }
 
 // Forget drops members that are neither registered nor heard for long.
 func (t *Table) Forget(now time.Time) {
 	t.members.Range(func(id EntryID, _ Member) bool {
 		t.members.Update(id, func(m Member, ok bool) (Member, bool) {
-			return m, ok && (m.Registered || m.Alive(now, forgetAfter))
+			return m, ok && (m.Registered || m.Alive(now, forgetAfter) || now.Sub(m.Introduced) <= forgetAfter)
 		})
 		return true
 	})
@@ -84,5 +129,15 @@
 	return members
 }
 
+// Registrations returns where the known members listen, ordered by ID.
+func (t *Table) Registrations() []Registration {
+	members := t.Members()
+	registrations := make([]Registration, len(members))
+	for i, m := range members {
+		registrations[i] = Registration{ID: m.ID, PeerAddress: m.PeerAddress, OperatorAddress: m.OperatorAddress, AvailabilityZone: m.AvailabilityZone}
+	}
+	return registrations
+}
+
 // Member returns what is known of one member.
 func (t *Table) Member(id EntryID) (Member, bool) { return t.members.Get(id) }
--- a/internal/peer/wire/convert.go
+++ b/internal/peer/wire/convert.go
@@ -13,6 +13,9 @@
 		ConfigurationVersion: uint64(h.ConfigurationVersion),
 		Leaving:              h.Leaving,
 		StoreReachable:       h.StoreReachable,
+		Registration:         fromOptionalRegistration(h.Registration),
+		Stranger:             h.Stranger,
+		Incarnation:          h.Incarnation,
 	}
 }
 
@@ -23,6 +26,9 @@
 		ConfigurationVersion: configuration.Version(m.GetConfigurationVersion()),
 		Leaving:              m.GetLeaving(),
 		StoreReachable:       m.GetStoreReachable(),
+		Registration:         toOptionalRegistration(m.GetRegistration()),
+		Stranger:             m.GetStranger(),
+		Incarnation:          m.GetIncarnation(),
 	}
 }
 
--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -14,6 +14,9 @@
 	"persimmonbay/internal/problem"
 )
 
+// maxAnswerBytes bounds one answer: a listing of many values in base64.
+const maxAnswerBytes = 256 << 20
+
 // exchange is one call: what to send and where to put the answer.
 type exchange struct {
 	kind   callKind
@@ -39,12 +42,22 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
+		c.distrust(err)
 		return problem.Wrap(transportKind(err), x.step, c.base, err)
 	}
 	defer response.Body.Close()
 	return c.decode(response, x)
 }
 
+// distrust drops all idle connections after a timeout. The one that timed out
+// is closed already; what silenced it may have silenced the others too, and
+// each would cost a timeout of its own.
+func (c *Client) distrust(err error) {
+	if errors.Is(err, context.DeadlineExceeded) {
+		c.http.CloseIdleConnections()
+	}
+}
+
 func (c *Client) newRequest(ctx context.Context, x exchange) (*http.Request, error) {
 	var body io.Reader
 	if x.in != nil {
@@ -63,9 +76,13 @@
 }
 
 func (c *Client) decode(response *http.Response, x exchange) error {
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
-		return problem.Wrap(problem.Interrupted, x.step, c.base, err)
+		c.distrust(err)
+		return problem.Wrap(transportKind(err), x.step, c.base, err)
+	}
+	if len(body) > maxAnswerBytes {
+		return problem.New(problem.Interrupted, x.step, c.base, "the answer is larger than any that the platform gives")
 	}
 	if response.StatusCode/100 != 2 {
 		return c.refusal(response.StatusCode, body, x.step)
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -11,7 +11,7 @@
 // Defaults of an entry's settings.
 const (
 	DefaultPlatformTimeout = 2 * time.Second
-	DefaultWatchWait       = 20 * time.Second
+	DefaultWatchWait       = 5 * time.Second
 	DefaultLeaseTTL        = 5 * time.Second
 	DefaultHeartbeat       = time.Second
 	DefaultSilentFor       = 3 * time.Second
@@ -28,6 +28,7 @@
 	ID               string     `yaml:"id" validate:"required"`
 	AvailabilityZone string     `yaml:"availabilityZone" validate:"required"`
 	Listen           Listen     `yaml:"listen"`
+	Peers            Peers      `yaml:"peers"`
 	Platform         Platform   `yaml:"platform"`
 	Membership       Membership `yaml:"membership"`
 	Limits           Limits     `yaml:"limits"`
