--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -49,9 +49,13 @@
 	inventory *inventory.Inventory
 	changed   *shard.Cell[uint64] // rises when peers should hear of a change at once
 	health    *shard.Cell[health]
-	peers     *peer.Client
-	sender    *upstream.Sender
-	metrics   *telemetry.Metrics
+	sighted   *shard.Cell[sighting] // the newest version that a peer told of
+
+	incarnation uint64 // rises with every start of this entry
+
+	peers   *peer.Client
+	sender  *upstream.Sender
+	metrics *telemetry.Metrics
 }
 
 // New opens the listeners of an entry. Run must follow.
@@ -74,9 +78,13 @@
 		inventory: inventory.New(),
 		changed:   shard.NewCell[uint64](0),
 		health:    shard.NewCell(health{}),
-		peers:     peer.NewClient(s.ID, []byte(s.Secrets.PeerKey), peerTimeout),
-		sender:    upstream.NewSender(s.Limits.WholeBytes),
-		metrics:   telemetry.NewMetrics(),
+		sighted:   shard.NewCell(sighting{}),
+
+		incarnation: uint64(clock.Now().UnixNano()),
+
+		peers:   peer.NewClient(s.ID, []byte(s.Secrets.PeerKey), peerTimeout),
+		sender:  upstream.NewSender(s.Limits.WholeBytes),
+		metrics: telemetry.NewMetrics(),
 	}
 	e.metrics.Publish("platformCalls", func() any { return client.Counts().Snapshot() })
 	e.metrics.Publish("configurationVersion", func() any { return e.inForce.Get().Version })
@@ -143,6 +151,8 @@
 		e.followMembers().Run,
 		e.followConfiguration().Run,
 		e.heartbeat,
+		e.announce,
+		e.chase,
 		e.pollInstances,
 		e.followInstances,
 	}
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -1,6 +1,9 @@
 package membership
 
-import "persimmonbay/internal/configuration"
+import (
+	"persimmonbay/internal/configuration"
+	"persimmonbay/internal/inventory"
+)
 
 // Heartbeat tells that an entry is alive and what it has in force.
 type Heartbeat struct {
@@ -8,4 +11,8 @@
 	ConfigurationVersion configuration.Version
 	Leaving              bool
 	StoreReachable       bool
+	Registration         *Registration // of the sender; nil when the receiver knows it
+	Stranger             bool          // in an answer: the receiver does not know the sender
+	Incarnation          uint64        // rises with every start of the sender
+	Instances            inventory.Stamp
 }
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -11,7 +11,7 @@
 // Defaults of an entry's settings.
 const (
 	DefaultPlatformTimeout = 2 * time.Second
-	DefaultWatchWait       = 20 * time.Second
+	DefaultWatchWait       = 5 * time.Second
 	DefaultLeaseTTL        = 5 * time.Second
 	DefaultHeartbeat       = time.Second
 	DefaultSilentFor       = 3 * time.Second
@@ -29,6 +29,7 @@
 	AvailabilityZone string     `yaml:"availabilityZone" validate:"required"`
 	Listen           Listen     `yaml:"listen"`
 	Advertise        Advertise  `yaml:"advertise"`
+	Peers            Peers      `yaml:"peers"`
 	Platform         Platform   `yaml:"platform"`
 	Membership       Membership `yaml:"membership"`
 	Limits           Limits     `yaml:"limits"`
