Whole answers, one sending, retries within a budget, hedges on silence

Cause: a large answer's remainder broke as soon as Serve returned, because its exchange hung on the request's context; an answer that ends with its connection passed for whole; a broken large answer ended in an orderly close, which a caller of HTTP/1.0 takes for a whole body; net/http sent an unkeyed request without a body again on its own; retries were a count per request.

Ruled out: buffering whole answers of any size (memory); killing a request that is merely slow when its connection is suspected (the first whole answer counts instead); a hijacked close without a reset (the caller cannot tell).

Conclusion: retries are bounded by a token bucket a service, a keyed request is sent over a connection of its own, and the leaving word of an upstream is marked, spread by heartbeats and bounded in time.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -73,9 +73,9 @@
 		instances: shard.NewCell[[]fleet.Instance](nil),
 		health:    shard.NewCell(health{}),
 		peers:     peer.NewClient(s.ID, []byte(s.Secrets.PeerKey), peerTimeout),
-		sender:    upstream.NewSender(s.Limits.WholeBytes),
 		metrics:   telemetry.NewMetrics(),
 	}
+	e.sender = upstream.NewSender(s.Limits.WholeBytes, clock, e.upstreamLeaving)
 	e.metrics.Publish("platformCalls", func() any { return client.Counts().Snapshot() })
 	e.metrics.Publish("configurationVersion", func() any { return e.inForce.Get().Version })
 	return e, nil
@@ -129,6 +129,7 @@
 		Dispatcher: dispatch.New(e.routes),
 		Sender:     e.sender,
 		Ledger:     ledger.Closed{},
+		Retries:    request.NewRetryBudget(request.RetryShare),
 		Clock:      e.clock,
 	}
 	return front.NewServer(requests, e.metrics, e.clock, e.settings.Limits.BodyBytes, e.log).Handler()
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -11,7 +11,7 @@
 func (e *Entry) Handle(_ context.Context, request *wire.Request) (*wire.Response, error) {
 	switch body := request.GetBody().(type) {
 	case *wire.Request_Heartbeat:
-		e.members.Heard(wire.ToHeartbeat(body.Heartbeat), e.clock.Now())
+		e.heard(wire.ToHeartbeat(body.Heartbeat))
 		return &wire.Response{Body: &wire.Response_Heartbeat{Heartbeat: wire.FromHeartbeat(e.ownHeartbeat())}}, nil
 	case *wire.Request_Configuration:
 		v := e.inForce.Get()
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -35,6 +35,7 @@
 	calls.Wait()
 	e.health.Update(func(h health) (health, bool) { h.peerReachable = reached.Get(); return h, true })
 	e.members.Forget(e.clock.Now())
+	e.routes.Refresh(e.clock.Now())
 }
 
 // exchangeHeartbeat reports whether m answered, and takes over what it has
@@ -49,7 +50,7 @@
 	if theirs.Entry != m.ID {
 		return false // another entry lives at that address now
 	}
-	e.members.Heard(theirs, e.clock.Now())
+	e.heard(theirs)
 	if theirs.ConfigurationVersion > e.inForce.Get().Version {
 		e.fetchConfiguration(ctx, m)
 	}
@@ -63,5 +64,6 @@
 		ConfigurationVersion: e.inForce.Get().Version,
 		Leaving:              h.leaving,
 		StoreReachable:       h.storeReachable,
+		LeavingUpstreams:     e.routes.Marks(e.clock.Now()),
 	}
 }
--- /dev/null
+++ b/internal/entry/leaving.go
@@ -0,0 +1,27 @@
+package entry
+
+import (
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/membership"
+	"persimmonbay/internal/routing"
+)
+
+// upstreamLeaving takes an instance at its own word that it is leaving.
+func (e *Entry) upstreamLeaving(instance string) {
+	e.markLeaving(routing.LeavingMark{Instance: instance, Heard: e.clock.Now()}, e.settings.ID)
+}
+
+// heard takes over what a member's heartbeat tells.
+func (e *Entry) heard(h membership.Heartbeat) {
+	e.members.Heard(h, e.clock.Now())
+	for _, m := range h.LeavingUpstreams {
+		e.markLeaving(m, string(h.Entry))
+	}
+}
+
+func (e *Entry) markLeaving(m routing.LeavingMark, from string) {
+	if e.routes.Mark(m, e.clock.Now()) {
+		e.log.Info("upstream leaving by its own word", zap.String("instance", m.Instance), zap.String("heardFrom", from))
+	}
+}
--- a/internal/front/write.go
+++ b/internal/front/write.go
@@ -4,8 +4,10 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"time"
 
 	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/problem"
@@ -33,6 +35,13 @@
 	problem.Interrupted:  http.StatusBadGateway,
 }
 
+// callerSilence is how long a caller may take to accept the next part of a
+// large answer.
+const callerSilence = 30 * time.Second
+
+// copyBytes is the size of the parts in which large answers are passed on.
+const copyBytes = 32 << 10
+
 // write sends a result with an answer. A body that cannot be sent whole ends
 // in a broken connection, never in one that looks whole.
 func write(w http.ResponseWriter, result request.Result) {
@@ -45,22 +54,64 @@
 	if result.Replayed {
 		header.Set(headerReplayed, "true")
 	}
-	if answer.Length >= 0 && header.Get("Content-Length") == "" {
+	header.Del("Content-Length")
+	if answer.Length >= 0 && hasLength(answer.Status) {
 		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
 	w.WriteHeader(answer.Status)
 	_, err := w.Write(answer.Body)
-	if answer.Rest != nil {
-		defer answer.Rest.Close()
-		if err == nil {
-			_, err = io.Copy(w, answer.Rest)
+	if answer.Rest == nil {
+		return
+	}
+	if err == nil {
+		err = passOn(w, answer.Rest)
+	}
+	_ = answer.Rest.Close()
+	if err != nil {
+		breakOff(w)
+	}
+}
+
+// hasLength reports whether an answer of this status may name a length.
+func hasLength(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// passOn copies the remainder of an answer to a caller who takes part after
+// part.
+func passOn(w http.ResponseWriter, rest io.Reader) error {
+	control := http.NewResponseController(w)
+	part := make([]byte, copyBytes)
+	for {
+		n, err := rest.Read(part)
+		if n > 0 {
+			_ = control.SetWriteDeadline(time.Now().Add(callerSilence)) // none for a recorder
+			if _, err := w.Write(part[:n]); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return control.SetWriteDeadline(time.Time{})
 		}
 		if err != nil {
-			panic(http.ErrAbortHandler)
+			return err
 		}
 	}
 }
 
+// breakOff resets the caller's connection. An orderly close would make the
+// short body look whole to a caller of HTTP/1.0.
+func breakOff(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // writeProblem sends a refusal.
 func writeProblem(w http.ResponseWriter, outcome fleet.Outcome, err error) {
 	document := describe(err)
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -1,6 +1,9 @@
 package membership
 
-import "persimmonbay/internal/configuration"
+import (
+	"persimmonbay/internal/configuration"
+	"persimmonbay/internal/routing"
+)
 
 // Heartbeat tells that an entry is alive and what it has in force.
 type Heartbeat struct {
@@ -8,4 +11,5 @@
 	ConfigurationVersion configuration.Version
 	Leaving              bool
 	StoreReachable       bool
+	LeavingUpstreams     []routing.LeavingMark // instances that said themselves that they are leaving
 }
--- /dev/null
+++ b/internal/peer/wire/convert_leaving.go
@@ -0,0 +1,26 @@
+package wire
+
+import (
+	"time"
+
+	"persimmonbay/internal/routing"
+)
+
+// maxLeavingUpstreams bounds the instances that one heartbeat names.
+const maxLeavingUpstreams = 4096
+
+func fromLeavingMarks(marks []routing.LeavingMark) []*LeavingUpstream {
+	messages := make([]*LeavingUpstream, 0, len(marks))
+	for _, m := range marks[:min(len(marks), maxLeavingUpstreams)] {
+		messages = append(messages, &LeavingUpstream{Instance: m.Instance, HeardMillis: m.Heard.UnixMilli()})
+	}
+	return messages
+}
+
+func toLeavingMarks(messages []*LeavingUpstream) []routing.LeavingMark {
+	var marks []routing.LeavingMark
+	for _, m := range messages[:min(len(messages), maxLeavingUpstreams)] {
+		marks = append(marks, routing.LeavingMark{Instance: m.GetInstance(), Heard: time.UnixMilli(m.GetHeardMillis())})
+	}
+	return marks
+}
--- /dev/null
+++ b/internal/request/granting_ledger_test.go
@@ -0,0 +1,12 @@
+package request
+
+import "context"
+
+// grantingLedger grants every claim and keeps every result.
+type grantingLedger struct{}
+
+// Claim implements Ledger.
+func (grantingLedger) Claim(context.Context, *Request) (Claim, error) { return Claim{}, nil }
+
+// Complete implements Ledger.
+func (grantingLedger) Complete(_ context.Context, _ *Request, result Result) Result { return result }
--- a/internal/request/server.go
+++ b/internal/request/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -11,9 +12,6 @@
 	"persimmonbay/internal/problem"
 )
 
-// maxAttempts bounds how many instances one request is tried on.
-const maxAttempts = 3
-
 // Server serves requests by the configuration in force. It holds no state of
 // its own.
 type Server struct {
@@ -21,6 +19,7 @@
 	Dispatcher Dispatcher
 	Sender     Sender
 	Ledger     Ledger
+	Retries    *RetryBudget
 	Clock      clockwork.Clock
 }
 
@@ -33,6 +32,9 @@
 	if r.Deadline.IsZero() {
 		r.Deadline = s.Clock.Now().Add(service.Timeout)
 	}
+	if r.Key != "" {
+		ctx = context.WithoutCancel(ctx) // a claimed request ends in an outcome, also when its caller has gone
+	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	if r.Key != "" {
@@ -99,39 +101,27 @@
 	return Result{Outcome: fleet.Unknown, Err: problem.New(problem.Conflict, problem.StepClaim, "", "an earlier attempt is in progress")}
 }
 
-// attempt sends r until it has an answer, may not be repeated, or time or
-// attempts run out.
+// attempt sends r until it has an answer, may not be repeated, or time,
+// attempts or the budget of retries run out.
 func (s *Server) attempt(ctx context.Context, r *Request, service *configuration.Service) Result {
-	var tried []string
-	outcome := fleet.NotRun
-	for {
-		placement, err := s.Dispatcher.Acquire(ctx, r, service, tried)
-		if err != nil {
-			return Result{Outcome: outcome, Err: err}
-		}
-		answer, err := s.send(ctx, placement, r, service)
-		if err == nil {
-			return Result{Outcome: fleet.Completed, Answer: answer}
-		}
-		sent := !problem.Is(err, problem.Unavailable)
-		if sent {
-			outcome = fleet.Unknown
-		}
-		tried = append(tried, placement.Instance.ID)
-		if len(tried) == maxAttempts || ctx.Err() != nil || sent && r.Key != "" {
-			return Result{Outcome: outcome, Err: err}
-		}
-	}
+	return s.newAttempts(r, service).run(ctx)
 }
 
+// send sends r to the placement's instance and releases the placement once the
+// whole answer has been read.
 func (s *Server) send(ctx context.Context, p Placement, r *Request, service *configuration.Service) (Answer, error) {
 	start := s.Clock.Now()
 	answer, err := s.Sender.Send(ctx, p.Instance, service, r)
-	p.Release(Feedback{
+	feedback := Feedback{
 		Sent:   !problem.Is(err, problem.Unavailable),
-		Failed: err != nil || answer.Status >= serverErrorStatus,
+		Failed: err != nil && !errors.Is(ctx.Err(), context.Canceled) || answer.Status >= serverErrorStatus,
 		Took:   max(s.Clock.Now().Sub(start), time.Nanosecond),
-	})
+	}
+	if answer.Rest == nil {
+		p.Release(feedback)
+		return answer, err
+	}
+	answer.Rest = &releasedBody{ReadCloser: answer.Rest, release: func() { p.Release(feedback) }}
 	return answer, err
 }
 
--- /dev/null
+++ b/internal/upstream/answer_test.go
@@ -0,0 +1,144 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/configuration"
+	"persimmonbay/internal/fleet"
+	"persimmonbay/internal/problem"
+	"persimmonbay/internal/request"
+)
+
+// wholeBytes is the size up to which the answers in these tests are checked
+// whole.
+const wholeBytes = 64
+
+// patience is how long a condition may take to come true on a busy machine.
+const patience = 30 * time.Second
+
+var service = &configuration.Service{Name: "tags", Timeout: patience, SilenceLimit: patience}
+
+func newSender() *Sender {
+	s := NewSender(wholeBytes, clockwork.NewRealClock(), func(string) {})
+	DeferCleanup(s.Close)
+	return s
+}
+
+func instanceAt(address string) fleet.Instance {
+	return fleet.Instance{ID: "tags-1", Kind: fleet.KindUpstream, Service: "tags", Address: address, State: fleet.Live}
+}
+
+func ask(id string) *request.Request {
+	return &request.Request{ID: id, Method: http.MethodGet, Path: "/8812"}
+}
+
+var _ = Describe("answers", func() {
+	DescribeTable("are returned whole with their length",
+		func(method, text, body string, length int) {
+			u := startRaw(says(text, true))
+			answer, err := newSender().Send(context.Background(), instanceAt(u.address()), service, &request.Request{ID: "r", Method: method, Path: "/"})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(answer.Rest).To(BeNil())
+			Expect(string(answer.Body)).To(Equal(body))
+			Expect(answer.Length).To(BeEquivalentTo(length))
+			for _, f := range answer.Fields {
+				Expect(f.Name).NotTo(BeElementOf("Content-Length", "Transfer-Encoding", "Trailer"))
+			}
+		},
+		Entry("with a length", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour", "four", 4),
+		Entry("in chunks", "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n", "four", 4),
+		Entry("in chunks with a trailer, which is dropped", "GET", "HTTP/1.1 200 OK\r\nTrailer: Sum\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\nSum: 9\r\n\r\n", "four", 4),
+		Entry("to HEAD", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n", "", 4000),
+		Entry("to HEAD without a length", "HEAD", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "", -1),
+		Entry("204", "GET", "HTTP/1.1 204 No Content\r\n\r\n", "", -1),
+		Entry("304", "GET", "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n", "", -1),
+		Entry("after an early hint", "GET", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfour", "four", 4),
+	)
+
+	DescribeTable("are refused when they are not known to be whole",
+		func(text string) {
+			u := startRaw(says(text, false))
+			_, err := newSender().Send(context.Background(), instanceAt(u.address()), service, ask("r"))
+			Expect(problem.KindOf(err)).To(Equal(problem.Interrupted))
+		},
+		Entry("shorter than their length", "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nfour"),
+		Entry("without the last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n"),
+		Entry("ended by the connection alone", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nfour"),
+		Entry("of HTTP/1.0 without a length", "HTTP/1.0 200 OK\r\n\r\nfour"),
+		Entry("with two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nfours"),
+		Entry("broken in the header", "HTTP/1.1 200 OK\r\nContent-Le"),
+	)
+
+	It("drop the fields of the connection and those only an entry may set", func() {
+		u := startRaw(says("HTTP/1.1 200 OK\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-End: 2\r\nPersimmonbay-Replayed: true\r\nPersimmonbay-Outcome: not-run\r\nContent-Length: 0\r\n\r\n", true))
+		answer, err := newSender().Send(context.Background(), instanceAt(u.address()), service, ask("r"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Fields).To(Equal([]request.Field{{Name: "X-End", Value: "2"}}))
+	})
+
+	It("stream on after the request's context has ended when they are large", func() {
+		body := strings.Repeat("x", 4<<20)
+		u := startRaw(says(fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body), true))
+		ctx, cancel := context.WithCancel(context.Background())
+		answer, err := newSender().Send(ctx, instanceAt(u.address()), service, ask("r"))
+		Expect(err).NotTo(HaveOccurred())
+		cancel()
+		rest, err := io.ReadAll(answer.Rest)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Rest.Close()).To(Succeed())
+		Expect(len(answer.Body) + len(rest)).To(Equal(len(body)))
+	})
+
+	It("end in an error when a large one breaks off", func() {
+		u := startRaw(says("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n"+strings.Repeat("x", 500), false))
+		answer, err := newSender().Send(context.Background(), instanceAt(u.address()), service, ask("r"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answer.Length).To(BeEquivalentTo(1000))
+		_, err = io.ReadAll(answer.Rest)
+		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+		_ = answer.Rest.Close()
+	})
+
+	It("stay with their own request when they are late", func() {
+		late := make(chan struct{})
+		u := startRaw(func(c net.Conn, _ int, r *http.Request) bool {
+			if r.Header.Get(headerRequestID) == "late" {
+				<-late
+			}
+			id := r.Header.Get(headerRequestID)
+			_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
+			return err == nil
+		})
+		s := newSender()
+		for i := range 20 {
+			if i%5 == 0 {
+				ctx, cancel := context.WithCancel(context.Background())
+				given := make(chan error, 1)
+				go func() {
+					_, err := s.Send(ctx, instanceAt(u.address()), service, ask("late"))
+					given <- err
+				}()
+				Eventually(u.requests, patience).Should(ContainElement("late"))
+				cancel()
+				Expect(<-given).To(HaveOccurred())
+			}
+			if i == 10 {
+				close(late)
+			}
+			id := fmt.Sprintf("r%d", i)
+			answer, err := s.Send(context.Background(), instanceAt(u.address()), service, ask(id))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(answer.Body)).To(Equal(id))
+		}
+	})
+})
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -2,8 +2,9 @@
 
 import "bytes"
 
-// body is a request body that the transport cannot rewind, so that it never
-// sends a request twice on its own.
+// body is a request body that the transport cannot rewind. Every request has
+// one, also when it is empty: the transport sends a request without a body
+// again on its own when a kept connection breaks.
 type body struct{ reader *bytes.Reader }
 
 func newBody(content []byte) body { return body{reader: bytes.NewReader(content)} }
--- a/internal/upstream/departure.go
+++ b/internal/upstream/departure.go
@@ -3,15 +3,22 @@
 import (
 	"net/http/httptrace"
 	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
 )
 
-// departure watches whether a byte of one request left. mu guards the fields;
-// the transport calls back from its own goroutines.
+// departure watches whether a byte of one request left, and over which
+// connection. mu guards the fields below it; the transport calls back from its
+// own goroutines.
 type departure struct {
-	mu    sync.Mutex
-	conn  *countedConn
-	start int64
-	left  bool
+	clock  clockwork.Clock
+	mu     sync.Mutex
+	conn   *countedConn
+	start  int64 // bytes that conn had written before
+	got    time.Time
+	reused bool
+	left   bool
 }
 
 func (d *departure) trace() *httptrace.ClientTrace {
@@ -23,6 +30,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.settle()
+	d.got, d.reused = d.clock.Now(), info.Reused
 	if c, ok := info.Conn.(*countedConn); ok {
 		d.conn, d.start = c, c.written.Load()
 		return
@@ -43,3 +51,24 @@
 	d.settle()
 	return d.left
 }
+
+// onReused reports whether the latest connection was a kept one.
+func (d *departure) onReused() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.reused
+}
+
+// progress returns when the request's connection last made progress: it was
+// taken, or a byte came. It is zero while there is no connection.
+func (d *departure) progress() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.conn == nil {
+		return time.Time{}
+	}
+	if read := time.Unix(0, d.conn.lastRead.Load()); read.After(d.got) {
+		return read
+	}
+	return d.got
+}
--- a/internal/upstream/sender.go
+++ b/internal/upstream/sender.go
@@ -6,6 +6,10 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
 
 	"persimmonbay/internal/configuration"
 	"persimmonbay/internal/fleet"
@@ -14,44 +18,97 @@
 	"persimmonbay/internal/shard"
 )
 
-// Headers added towards upstreams.
-const (
-	headerKey       = "Idempotency-Key"
-	headerRequestID = "Persimmonbay-Request-Id"
-)
+// suspectShare is the part of a service's silence limit after which a
+// connection without a byte is suspected; the rest is left to the probe.
+const suspectShare = 2
 
-// hopFields are the header fields that belong to one connection.
-var hopFields = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-}
+// maxSuspectAfter bounds the time to the first suspicion.
+const maxSuspectAfter = time.Second
 
-// Sender sends requests to upstream instances over kept connections.
+// Sender sends requests to upstream instances over kept connections. A keyed
+// request and a retry go over fresh ones, which cannot have gone silent.
 type Sender struct {
 	wholeBytes int64
+	clock      clockwork.Clock
+	leaving    func(instance string)
 	endpoints  *shard.Map[string, *endpoint] // by address
+	probesCtx  context.Context               // ends with Close
+	stopProbes context.CancelFunc
+	probes     sync.WaitGroup
 }
 
 var _ request.Sender = (*Sender)(nil)
 
 // NewSender returns a sender without connections. Answers of up to wholeBytes
-// are read whole before they are returned.
-func NewSender(wholeBytes int64) *Sender {
-	return &Sender{wholeBytes: wholeBytes, endpoints: shard.NewMap[string, *endpoint]()}
+// are read whole before they are returned. leaving is told the ID of each
+// instance that says on an answer that it is leaving.
+func NewSender(wholeBytes int64, clock clockwork.Clock, leaving func(instance string)) *Sender {
+	ctx, stop := context.WithCancel(context.Background())
+	return &Sender{wholeBytes: wholeBytes, clock: clock, leaving: leaving,
+		endpoints: shard.NewMap[string, *endpoint](), probesCtx: ctx, stopProbes: stop}
 }
 
 // Send implements request.Sender.
-func (s *Sender) Send(ctx context.Context, instance fleet.Instance, _ *configuration.Service, r *request.Request) (request.Answer, error) {
-	watched := &departure{}
+func (s *Sender) Send(ctx context.Context, instance fleet.Instance, service *configuration.Service, r *request.Request) (request.Answer, error) {
+	e := s.endpoints.GetOrCreate(instance.Address, func() *endpoint { return newEndpoint(instance.Address, s.clock) })
+	transport := e.kept
+	if r.Key != "" || request.FreshConnectionDemanded(ctx) {
+		transport = e.fresh
+	}
+	answer, reused, err := s.sendOver(ctx, e, transport, instance, service, r)
+	if reused && problem.Is(err, problem.Unavailable) && ctx.Err() == nil {
+		answer, _, err = s.sendOver(ctx, e, e.fresh, instance, service, r)
+	}
+	return answer, err
+}
+
+// sendOver sends r once. Its exchange ends with ctx until the answer is
+// returned; the remainder of a large answer then lasts until it is closed.
+func (s *Sender) sendOver(ctx context.Context, e *endpoint, transport *http.Transport, instance fleet.Instance, service *configuration.Service, r *request.Request) (_ request.Answer, reused bool, _ error) {
+	watched := &departure{clock: s.clock}
+	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, cancel)
+	silence := s.watch(e, service, watched)
+	defer silence.end()
+	answer, err := s.exchange(own, cancel, transport, instance, r, watched)
+	if !stop() && err == nil && answer.Rest != nil {
+		_ = answer.Rest.Close()
+		err = context.Cause(ctx)
+	}
+	if err == nil && answer.Rest != nil {
+		return answer, false, nil
+	}
+	cancel()
+	if err != nil {
+		return request.Answer{}, watched.onReused(), sendError(ctx, instance.ID, watched, err)
+	}
+	return answer, false, nil
+}
+
+func (s *Sender) watch(e *endpoint, service *configuration.Service, watched *departure) *silenceWatch {
+	limit := maxSuspectAfter
+	if service.SilenceLimit > 0 {
+		limit = min(limit, service.SilenceLimit/suspectShare)
+	}
+	w := &silenceWatch{clock: s.clock, limit: limit, progress: watched.progress,
+		suspect: func() { e.suspect(s.probesCtx, &s.probes, limit) }}
+	w.begin()
+	return w
+}
+
+func (s *Sender) exchange(ctx context.Context, cancel context.CancelFunc, transport *http.Transport, instance fleet.Instance, r *request.Request, watched *departure) (request.Answer, error) {
 	out, err := newRequest(httptrace.WithClientTrace(ctx, watched.trace()), instance, r)
 	if err != nil {
-		return request.Answer{}, problem.Wrap(problem.Unavailable, problem.StepSend, instance.ID, err)
+		return request.Answer{}, err
 	}
-	response, err := s.endpoints.GetOrCreate(instance.Address, newEndpoint).transport.RoundTrip(out)
+	response, err := transport.RoundTrip(out)
 	if err != nil {
-		return request.Answer{}, sendError(instance.ID, watched, err)
+		return request.Answer{}, err
+	}
+	if response.Header.Get(headerState) == string(fleet.Leaving) {
+		s.leaving(instance.ID)
 	}
-	return s.read(instance.ID, response)
+	return s.read(response, r.Method, cancel)
 }
 
 func newRequest(ctx context.Context, instance fleet.Instance, r *request.Request) (*http.Request, error) {
@@ -59,15 +116,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(r.Body) > 0 || r.Key != "" {
-		out.Body = newBody(r.Body)
-		out.ContentLength = int64(len(r.Body))
-	}
-	for _, f := range r.Fields {
-		if !hopFields[f.Name] {
-			out.Header.Add(f.Name, f.Value)
-		}
-	}
+	out.Body = newBody(r.Body)
+	out.ContentLength = int64(len(r.Body))
+	setFields(out.Header, r.Fields)
 	if r.Key != "" {
 		out.Header.Set(headerKey, string(r.Key))
 	}
@@ -75,50 +126,59 @@
 	return out, nil
 }
 
-func sendError(peer string, watched *departure, err error) error {
+func sendError(ctx context.Context, peer string, watched *departure, err error) error {
 	if !watched.happened() {
 		return problem.Wrap(problem.Unavailable, problem.StepConnect, peer, err)
 	}
-	if errors.Is(err, context.DeadlineExceeded) {
-		return problem.Wrap(problem.Timeout, problem.StepReceive, peer, err)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return problem.Wrap(problem.Timeout, problem.StepReceive, peer, context.DeadlineExceeded)
 	}
 	return problem.Wrap(problem.Interrupted, problem.StepReceive, peer, err)
 }
 
 // read returns the answer once it is known to be whole, or its beginning when
 // it is larger than wholeBytes.
-func (s *Sender) read(peer string, response *http.Response) (request.Answer, error) {
-	answer := request.Answer{Status: response.StatusCode, Fields: fields(response.Header), Length: response.ContentLength}
+func (s *Sender) read(response *http.Response, method string, cancel context.CancelFunc) (request.Answer, error) {
+	answer := request.Answer{Status: response.StatusCode, Fields: answerFields(response.Header), Length: response.ContentLength}
+	if bodyless(method, response.StatusCode) {
+		if method != http.MethodHead {
+			answer.Length = unknownLength
+		}
+		return answer, response.Body.Close()
+	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		_ = response.Body.Close()
+		return request.Answer{}, errNoEnd
+	}
 	head, err := io.ReadAll(io.LimitReader(response.Body, s.wholeBytes+1))
 	if err != nil {
 		_ = response.Body.Close()
-		return request.Answer{}, problem.Wrap(problem.Interrupted, problem.StepReceive, peer, err)
+		return request.Answer{}, err
 	}
 	answer.Body = head
 	if int64(len(head)) <= s.wholeBytes {
-		_ = response.Body.Close()
 		answer.Length = int64(len(head))
-		return answer, nil
+		return answer, response.Body.Close()
 	}
-	answer.Rest = response.Body
+	answer.Rest = newRest(response.Body, cancel, s.clock)
 	return answer, nil
 }
 
-func fields(header http.Header) []request.Field {
-	all := make([]request.Field, 0, len(header))
-	for name, values := range header {
-		if hopFields[name] {
-			continue
-		}
-		for _, v := range values {
-			all = append(all, request.Field{Name: name, Value: v})
-		}
-	}
-	return all
+// unknownLength is the Length of an answer that names none.
+const unknownLength = -1
+
+// errNoEnd is the fault of an answer that ends with its connection: nobody
+// could tell a whole body from a short one.
+var errNoEnd = errors.New("the answer has neither a length nor chunks and cannot be known to be whole")
+
+func bodyless(method string, status int) bool {
+	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
 }
 
-// Close drops the idle connections.
+// Close ends the probes and drops the idle connections.
 func (s *Sender) Close() {
+	s.stopProbes()
+	s.probes.Wait()
 	s.endpoints.Range(func(_ string, e *endpoint) bool {
 		e.close()
 		return true
