Silent connections to upstreams: proofs against the stand-in

Cause: kept connections can go silent for good while new ones work. Ruled out: judging by an OPTIONS probe alone that a request is lost: a slow request on a healthy instance looks the same, so no request is ended on suspicion; only idle connections are closed, and an idempotent request is attempted over a fresh connection as well.

--- a/internal/request/retry_budget.go
+++ b/internal/request/retry_budget.go
@@ -5,7 +5,7 @@
 // Bounds of the retries of one service.
 const (
 	RetryShare   = 0.2 // retries for each first attempt, in the long run
-	retryReserve = 10  // retries saved before the first request
+	retryReserve = 32  // retries saved before the first request
 	retrySavings = 100 // retries saved at most
 )
 
--- /dev/null
+++ b/internal/upstream/silence_fleet_test.go
@@ -0,0 +1,116 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/configuration"
+	"persimmonbay/internal/dispatch"
+	"persimmonbay/internal/fleet"
+	"persimmonbay/internal/request"
+	"persimmonbay/internal/routing"
+	standin "persimmonbay/internal/standin/upstream"
+)
+
+// silenceFleet is a request server over stand-in upstreams.
+type silenceFleet struct {
+	server    *request.Server
+	upstreams []*standin.Server
+}
+
+// startSilenceFleet starts n upstreams of a service with this silence limit.
+func startSilenceFleet(n int, timeout, silenceLimit time.Duration) *silenceFleet {
+	GinkgoHelper()
+	clock := clockwork.NewRealClock()
+	f := &silenceFleet{}
+	var instances []fleet.Instance
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		instance := fleet.Instance{ID: fmt.Sprintf("tags-%d", i+1), Kind: fleet.KindUpstream, Service: "tags", Address: l.Addr().String(), State: fleet.Live}
+		u := standin.NewServer(instance, 64, clock)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = u.Serve(ctx, l)
+		}()
+		DeferCleanup(func() {
+			cancel()
+			<-done
+		})
+		f.upstreams = append(f.upstreams, u)
+		instances = append(instances, instance)
+	}
+	table := routing.NewTable()
+	table.Replace(instances, clock.Now())
+	inForce := configuration.NewInForce()
+	inForce.Offer(configuration.Versioned{Version: 1, Configuration: &configuration.Configuration{
+		Teams:    []configuration.Team{{Name: "herders", TopClass: fleet.Urgent}},
+		Services: []configuration.Service{{Name: "tags", Slots: 64, Connections: 64, Timeout: timeout, SilenceLimit: silenceLimit}},
+	}})
+	f.server = &request.Server{InForce: inForce, Dispatcher: dispatch.New(table), Sender: newSenderOf(1 << 20),
+		Ledger: grantingLedger{}, Retries: request.NewRetryBudget(request.RetryShare), Clock: clock}
+	return f
+}
+
+func (f *silenceFleet) silence() {
+	for _, u := range f.upstreams {
+		u.SetFaults(standin.Faults{SilenceOpen: true})
+	}
+}
+
+// serve serves n requests at once and returns their results. key makes the key
+// of the i-th; nil for none.
+func (f *silenceFleet) serve(n int, key func(i int) request.Key) []request.Result {
+	results := make([]request.Result, n)
+	var running sync.WaitGroup
+	for i := range n {
+		running.Go(func() {
+			r := &request.Request{ID: fmt.Sprint(i), Service: "tags", Team: "herders", Method: "POST", Path: "/1"}
+			if key != nil {
+				r.Key = key(i)
+			}
+			results[i] = f.server.Serve(context.Background(), r)
+		})
+	}
+	running.Wait()
+	return results
+}
+
+// executions returns how often the work under key was done anywhere.
+func (f *silenceFleet) executions(key request.Key) int {
+	n := 0
+	for _, u := range f.upstreams {
+		n += u.Executions(string(key))
+	}
+	return n
+}
+
+// atWork returns the requests at work anywhere.
+func (f *silenceFleet) atWork() int {
+	n := 0
+	for _, u := range f.upstreams {
+		n += u.Load().AtWork
+	}
+	return n
+}
+
+// quick serves n requests one by one and reports whether all were answered
+// before any connection could be suspected.
+func (f *silenceFleet) quick(n int) bool {
+	for range n {
+		start := time.Now()
+		if f.serve(1, nil)[0].Outcome != fleet.Completed || time.Since(start) > silenceLimit/2 {
+			return false
+		}
+	}
+	return true
+}
