--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -41,6 +41,7 @@
 		return h, changed
 	})
 	e.members.Forget(e.clock.Now())
+	e.routes.Refresh(e.clock.Now())
 }
 
 // exchangeHeartbeats returns the newest version among the members that
@@ -79,7 +80,7 @@
 	if theirs.Entry != m.ID {
 		return theirs, false // another entry lives at that address now
 	}
-	e.members.Heard(theirs, e.clock.Now())
+	e.heard(theirs)
 	if e.inventory.Heard(theirs.Instances) {
 		e.fetchInstances(ctx, m)
 	}
@@ -104,6 +105,7 @@
 		Leaving:              h.leaving,
 		StoreReachable:       h.storeReachable,
 		Incarnation:          e.incarnation,
+		LeavingUpstreams:     e.routes.Marks(e.clock.Now()),
 		Instances:            e.inventory.Get().Stamp,
 	}
 	if !h.storeReachable {
--- a/internal/entry/instances.go
+++ b/internal/entry/instances.go
@@ -47,15 +47,13 @@
 	}
 }
 
-// followInstances acts on each new list until ctx ends. It alone does, so that
-// an older list never overtakes a newer one.
+// followInstances acts on the list whenever it is new or fresher, until ctx
+// ends. It alone does, so that an older list never overtakes a newer one.
 func (e *Entry) followInstances(ctx context.Context) {
-	var used inventory.Stamp
 	for {
 		list, changed := e.inventory.Watch()
-		if !list.Stamp.Same(used) {
-			e.routes.Replace(list.Instances)
-			used = list.Stamp
+		if list.Stamp.Generation > 0 {
+			e.routes.Replace(list.Instances, e.clock.Now())
 		}
 		select {
 		case <-changed:
--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -72,7 +72,7 @@
 	}
 	own := e.ownHeartbeat()
 	own.Registration = nil // the asking entry knows where it asked
-	own.Stranger = !e.members.Heard(theirs, now)
+	own.Stranger = !e.heard(theirs)
 	if e.inventory.Heard(theirs.Instances) {
 		e.tellPeers() // their answers bring the newer list
 	}
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"persimmonbay/internal/configuration"
 	"persimmonbay/internal/inventory"
+	"persimmonbay/internal/routing"
 )
 
 // Heartbeat tells that an entry is alive and what it has in force.
@@ -15,4 +16,5 @@
 	Stranger             bool          // in an answer: the receiver does not know the sender
 	Incarnation          uint64        // rises with every start of the sender
 	Instances            inventory.Stamp
+	LeavingUpstreams     []routing.LeavingMark // instances that said themselves that they are leaving
 }
--- a/internal/peer/wire/convert.go
+++ b/internal/peer/wire/convert.go
@@ -19,6 +19,7 @@
 		Stranger:             h.Stranger,
 		Incarnation:          h.Incarnation,
 		Instances:            FromStamp(h.Instances, now),
+		LeavingUpstreams:     fromLeavingMarks(h.LeavingUpstreams),
 	}
 }
 
@@ -33,6 +34,7 @@
 		Stranger:             m.GetStranger(),
 		Incarnation:          m.GetIncarnation(),
 		Instances:            ToStamp(m.GetInstances(), now),
+		LeavingUpstreams:     toLeavingMarks(m.GetLeavingUpstreams()),
 	}
 }
 
