Ledger: a log in rings of the platform's store, extended by compare and swap

Cause: requests with an Idempotency-Key did not run at all. Ruled out: batch keys made with must-not-exist and deleted after folding, since a writer paused before its write could make a deleted key anew and take it for a grant; a slot that is overwritten at its version never takes a writer from the past.

--- a/cmd/persimmonbay/main.go
+++ b/cmd/persimmonbay/main.go
@@ -23,6 +23,7 @@
 		standinCommand(),
 		configCommand(),
 		instanceCommand(),
+		requestCommand(),
 		statusCommand(),
 		versionCommand(),
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -51,6 +51,7 @@
 	peers     *peer.Client
 	sender    *upstream.Sender
 	metrics   *telemetry.Metrics
+	ledger    *ledger.Ledger
 }
 
 // New opens the listeners of an entry. Run must follow.
@@ -78,6 +79,7 @@
 	}
 	e.metrics.Publish("platformCalls", func() any { return client.Counts().Snapshot() })
 	e.metrics.Publish("configurationVersion", func() any { return e.inForce.Get().Version })
+	e.ledger = e.newLedger()
 	return e, nil
 }
 
@@ -113,6 +115,7 @@
 		err = e.drain(callers)
 	}
 	_ = callers.Close()
+	e.closeLedger()
 	_ = operators.Close()
 	stopLoops()
 	loops.Wait()
@@ -128,7 +131,7 @@
 		InForce:    e.inForce,
 		Dispatcher: dispatch.New(e.routes),
 		Sender:     e.sender,
-		Ledger:     ledger.Closed{},
+		Ledger:     e.ledger,
 		Clock:      e.clock,
 	}
 	return front.NewServer(requests, e.metrics, e.clock, e.settings.Limits.BodyBytes, e.log).Handler()
@@ -142,6 +145,7 @@
 		e.followConfiguration().Run,
 		e.heartbeat,
 		e.pollInstances,
+		e.forgetIdleLedger,
 	}
 }
 
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -8,7 +8,7 @@
 )
 
 // Handle implements peer.Handler.
-func (e *Entry) Handle(_ context.Context, request *wire.Request) (*wire.Response, error) {
+func (e *Entry) Handle(ctx context.Context, request *wire.Request) (*wire.Response, error) {
 	switch body := request.GetBody().(type) {
 	case *wire.Request_Heartbeat:
 		e.members.Heard(wire.ToHeartbeat(body.Heartbeat), e.clock.Now())
@@ -16,6 +16,8 @@
 	case *wire.Request_Configuration:
 		v := e.inForce.Get()
 		return &wire.Response{Body: &wire.Response_Configuration{Configuration: &wire.Configuration{Version: uint64(v.Version), Source: v.Source}}}, nil
+	case *wire.Request_Ledger:
+		return e.serveLedger(ctx, body.Ledger)
 	}
 	return nil, problem.New(problem.Invalid, problem.StepPeerCall, request.GetFrom(), "unknown request")
 }
--- /dev/null
+++ b/internal/entry/ledger.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/ledger"
+	"persimmonbay/internal/ledgerstore"
+	"persimmonbay/internal/peer/wire"
+	"persimmonbay/internal/platform"
+)
+
+// forgetEvery is the time between two looks for idle shards of the ledger.
+const forgetEvery = time.Minute
+
+// ledgerCloseTimeout bounds the wait for outcomes at shutdown.
+const ledgerCloseTimeout = 5 * time.Second
+
+func (e *Entry) newLedger() *ledger.Ledger {
+	log := ledgerstore.New(e.platform.For(platform.PurposeLedger))
+	l := ledger.New(log, &ledgerPeers{entry: e}, e.clock, ledger.DefaultOptions(e.settings.ID))
+	e.metrics.Publish("ledger", func() any { return l.Counters().Snapshot() })
+	return l
+}
+
+// serveLedger carries out an operation that another entry forwarded.
+func (e *Entry) serveLedger(ctx context.Context, m *wire.LedgerRecord) (*wire.Response, error) {
+	operation, err := wire.ToLedgerRecord(m)
+	if err != nil {
+		return nil, err
+	}
+	verdict, err := e.ledger.Serve(ctx, operation)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.Response{Body: &wire.Response_Ledger{Ledger: wire.FromLedgerVerdict(verdict)}}, nil
+}
+
+// forgetIdleLedger drops the state of idle shards until ctx ends.
+func (e *Entry) forgetIdleLedger(ctx context.Context) {
+	for {
+		select {
+		case <-e.clock.After(forgetEvery):
+			e.ledger.Forget()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// closeLedger waits for outcomes that are still to be kept.
+func (e *Entry) closeLedger() {
+	ctx, cancel := context.WithTimeout(context.Background(), ledgerCloseTimeout)
+	defer cancel()
+	if err := e.ledger.Close(ctx); err != nil {
+		e.log.Warn("outcomes were not kept; their keys stay in doubt", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/entry/ledger_peers.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"context"
+
+	"persimmonbay/internal/ledger"
+	"persimmonbay/internal/membership"
+	"persimmonbay/internal/peer/wire"
+	"persimmonbay/internal/problem"
+)
+
+// ledgerPeers reaches the other entries' ledgers. It has no state of its own.
+type ledgerPeers struct {
+	entry *Entry
+}
+
+var _ ledger.Peers = (*ledgerPeers)(nil)
+
+// Live implements ledger.Peers. Entries that are leaving own nothing.
+func (p *ledgerPeers) Live() []string {
+	e := p.entry
+	var live []string
+	now := e.clock.Now()
+	for _, m := range e.members.Members() {
+		if !m.Leaving && m.Alive(now, e.settings.Membership.SilentFor) {
+			live = append(live, string(m.ID))
+		}
+	}
+	if len(live) == 0 || !e.health.Get().leaving {
+		live = append(live, e.settings.ID)
+	}
+	return live
+}
+
+// Forward implements ledger.Peers.
+func (p *ledgerPeers) Forward(ctx context.Context, peer string, operation ledger.Record) (ledger.Verdict, error) {
+	m, ok := p.entry.members.Member(membership.EntryID(peer))
+	if !ok {
+		return ledger.Verdict{}, problem.New(problem.Unavailable, problem.StepPeerCall, peer, "no such member")
+	}
+	request := &wire.Request{Body: &wire.Request_Ledger{Ledger: wire.FromLedgerRecord(operation)}}
+	response, err := p.entry.peers.Call(ctx, m.PeerAddress, request)
+	if err != nil {
+		return ledger.Verdict{}, err
+	}
+	return wire.ToLedgerVerdict(response.GetLedger())
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -10,6 +10,7 @@
 
 	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/problem"
+	"persimmonbay/internal/request"
 	"persimmonbay/internal/telemetry"
 )
 
@@ -57,12 +58,11 @@
 }
 
 // parseOutcome is the outcome of a request that cannot be read. A key that is
-// well formed may be running elsewhere; one that is not has never run.
+// well formed may have run or may yet run, also when it has expired or is of
+// the future; one that is not is refused always and everywhere.
 func parseOutcome(r *http.Request) fleet.Outcome {
-	if r.Header.Get(headerKey) != "" {
-		if _, err := uuid.Parse(r.Header.Get(headerKey)); err == nil {
-			return fleet.Unknown
-		}
+	if request.WellFormedKey(r.Header.Get(headerKey)) {
+		return fleet.Unknown
 	}
 	return fleet.NotRun
 }
--- /dev/null
+++ b/internal/ledger/digest.go
@@ -0,0 +1,24 @@
+package ledger
+
+import (
+	"crypto/sha256"
+	"strconv"
+
+	"persimmonbay/internal/request"
+)
+
+// digestBytes is the size of a Digest.
+const digestBytes = 16
+
+// Digest tells two requests under the same key apart.
+type Digest [digestBytes]byte
+
+// DigestOf covers service, team, method, path and body of r.
+func DigestOf(r *request.Request) Digest {
+	hash := sha256.New()
+	for _, part := range []string{r.Service, r.Team, r.Method, r.Path} {
+		hash.Write([]byte(strconv.Itoa(len(part)) + ":" + part))
+	}
+	hash.Write(r.Body)
+	return Digest(hash.Sum(nil)[:digestBytes])
+}
--- /dev/null
+++ b/internal/ledger/in_doubt.go
@@ -0,0 +1,62 @@
+package ledger
+
+import (
+	"context"
+
+	"github.com/google/uuid"
+)
+
+// Look returns what the log says of key; PhaseNone stands for nothing.
+func (l *Ledger) Look(ctx context.Context, key uuid.UUID) (Verdict, error) {
+	return l.submit(ctx, Record{Key: key, Phase: PhaseNone})
+}
+
+// InDoubt returns the keys within the retention of which nobody can know
+// whether their work was done. It reads the whole log, a segment at a time.
+func (l *Ledger) InDoubt(ctx context.Context) ([]Record, error) {
+	var all []Record
+	for _, s := range l.shards {
+		open, err := s.unfinished(ctx)
+		if err != nil {
+			return nil, err
+		}
+		now := l.clock.Now()
+		for _, r := range open {
+			if r.InDoubt(now) {
+				all = append(all, r)
+			}
+		}
+	}
+	return all, nil
+}
+
+// unfinished returns the keys without a known end. It reads the store only and
+// shares nothing with the committer.
+func (s *Shard) unfinished(ctx context.Context) (map[uuid.UUID]Record, error) {
+	snapshot, err := s.store.Load(ctx, s.number)
+	if err != nil {
+		return nil, err
+	}
+	open := make(map[uuid.UUID]Record)
+	note := func(records []Record) {
+		for _, r := range records {
+			if r.Phase == PhaseClaimed || r.Phase == PhaseInDoubt {
+				open[r.Key] = r
+				continue
+			}
+			delete(open, r.Key)
+		}
+	}
+	state := NewState(snapshot)
+	for _, number := range state.Segments() {
+		segment, err := s.store.ReadSegment(ctx, s.number, number)
+		if err != nil {
+			return nil, err
+		}
+		note(segment.Records)
+	}
+	for seq := state.folded + 1; seq <= state.top; seq++ {
+		note(state.ring[seq%RingSlots].Records)
+	}
+	return open, nil
+}
--- /dev/null
+++ b/internal/ledger/stored_batch.go
@@ -0,0 +1,7 @@
+package ledger
+
+// StoredBatch is a batch with the version that the store gave it.
+type StoredBatch struct {
+	Batch
+	Version uint64
+}
--- /dev/null
+++ b/internal/ledgerstore/keys.go
@@ -0,0 +1,20 @@
+package ledgerstore
+
+import "fmt"
+
+// logPrefix holds a shard's slots and indexes: all that a new owner loads.
+func logPrefix(shard int) string { return fmt.Sprintf("persimmonbay/ledger/%03d/log/", shard) }
+
+func slotPrefix(shard int) string { return logPrefix(shard) + "slot-" }
+
+func slotKey(shard int, slot uint64) string { return fmt.Sprintf("%s%03d", slotPrefix(shard), slot) }
+
+func indexPrefix(shard int) string { return logPrefix(shard) + "index-" }
+
+func indexKey(shard int, number uint64) string {
+	return fmt.Sprintf("%s%016x", indexPrefix(shard), number)
+}
+
+func segmentKey(shard int, number uint64) string {
+	return fmt.Sprintf("persimmonbay/ledger/%03d/segment/%016x", shard, number)
+}
--- a/internal/operator/backend.go
+++ b/internal/operator/backend.go
@@ -11,6 +11,7 @@
 
 // Backend is what the operators' face needs of an entry.
 type Backend interface {
+	LedgerBackend
 	// Ready returns nil when the entry may receive requests, or why not.
 	Ready() error
 	Status() message.Status
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -47,6 +47,7 @@
 	r.HandleFunc("/v1/configuration", s.configuration).Methods(http.MethodGet)
 	r.HandleFunc("/v1/configuration", s.apply).Methods(http.MethodPut)
 	r.HandleFunc("/v1/configuration/history", s.history).Methods(http.MethodGet)
+	s.routeLedger(r)
 	return r
 }
 
--- a/internal/request/key.go
+++ b/internal/request/key.go
@@ -14,7 +14,7 @@
 
 // Window of times in which a key must have been made.
 const (
-	KeyRetention = 24 * time.Hour   // outcomes are kept for this long
+	KeyRetention = 15 * time.Minute // outcomes are kept for this long
 	KeySkew      = 30 * time.Second // how far a caller's clock may be ahead
 )
 
@@ -23,8 +23,8 @@
 
 // ParseKey checks that text is a UUIDv7 made within the window before now.
 func ParseKey(text string, now time.Time) (Key, error) {
-	id, err := uuid.Parse(text)
-	if err != nil || id.Version() != uuidVersionTime || id.Variant() != uuid.RFC4122 {
+	id, ok := parseUUIDv7(text)
+	if !ok {
 		return "", badKey("expected a UUIDv7")
 	}
 	made := keyTime(id)
@@ -37,6 +37,18 @@
 	return Key(id.String()), nil
 }
 
+// WellFormedKey reports whether text is a UUIDv7 of any time. One that is not
+// is refused wherever and whenever it comes, so its request never runs.
+func WellFormedKey(text string) bool {
+	_, ok := parseUUIDv7(text)
+	return ok
+}
+
+func parseUUIDv7(text string) (uuid.UUID, bool) {
+	id, err := uuid.Parse(text)
+	return id, err == nil && id.Version() == uuidVersionTime && id.Variant() == uuid.RFC4122
+}
+
 // Made returns the time that the key carries, to the millisecond.
 func (k Key) Made() time.Time {
 	id, err := uuid.Parse(string(k))
