--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -56,6 +56,7 @@
 	peers   *peer.Client
 	sender  *upstream.Sender
 	metrics *telemetry.Metrics
+	ledger  *ledger.Ledger
 }
 
 // New opens the listeners of an entry. Run must follow.
@@ -88,6 +89,7 @@
 	e.sender = upstream.NewSender(s.Limits.WholeBytes, clock, e.upstreamLeaving)
 	e.metrics.Publish("platformCalls", func() any { return client.Counts().Snapshot() })
 	e.metrics.Publish("configurationVersion", func() any { return e.inForce.Get().Version })
+	e.ledger = e.newLedger()
 	return e, nil
 }
 
@@ -123,6 +125,7 @@
 		err = e.drain(callers)
 	}
 	_ = callers.Close()
+	e.closeLedger()
 	_ = operators.Close()
 	stopLoops()
 	loops.Wait()
@@ -138,7 +141,7 @@
 		InForce:    e.inForce,
 		Dispatcher: dispatch.New(e.routes),
 		Sender:     e.sender,
-		Ledger:     ledger.Closed{},
+		Ledger:     e.ledger,
 		Retries:    request.NewRetryBudget(request.RetryShare),
 		Clock:      e.clock,
 	}
@@ -156,6 +159,7 @@
 		e.chase,
 		e.pollInstances,
 		e.followInstances,
+		e.forgetIdleLedger,
 	}
 }
 
