Pools, moves, drains and maintenance waves, first whole version

Cause: an instance's pool was whatever the platform's list said, and nothing could be moved, drained or rebooted within a service's availability budget.

Whoever holds the control lease carries them out. Entries acknowledge records with their heartbeats once no older work is left on what leaves, and fence themselves when cut off from the store.

Shown: go test ./test (48 s): a wave over 7 runners with three entries under requests, the holder of the control lease killed in mid-wave; a move between pools.

Ruled out: acknowledgements as writes to the store (7 entries times every step); pool in group records (conflicts between unrelated moves).

--- a/cmd/persimmonbay/instance.go
+++ b/cmd/persimmonbay/instance.go
@@ -4,34 +4,46 @@
 	"context"
 	"flag"
 
-	"persimmonbay/internal/fleet"
+	"persimmonbay/internal/operator/message"
 )
 
 func instanceCommand() command {
-	return command{name: "instance", summary: "list instances", children: []command{instanceListCommand()}}
+	return command{name: "instance", summary: "list, show, move, drain and undrain instances", children: []command{
+		instanceListCommand(),
+		instanceShowCommand(),
+		instanceMoveCommand(),
+		instanceChangeCommand("drain", "send the instance no more work, until it is undrained"),
+		instanceChangeCommand("undrain", "put a drained instance to work again"),
+	}}
 }
 
 func instanceListCommand() command {
-	return command{name: "list", summary: "list the instances as the platform shows them", setup: func(flags *flag.FlagSet) runner {
+	return command{name: "list", summary: "list the instances with their pools", setup: func(flags *flag.FlagSet) runner {
 		f := declareOperatorFlags(flags)
 		return func(ctx context.Context, c console, _ []string) error {
-			client, err := f.client()
+			instances, err := f.instances(ctx)
 			if err != nil {
 				return err
 			}
-			var instances []fleet.Instance
-			if err := client.Get(ctx, "/v1/instances", &instances); err != nil {
-				return err
-			}
-			return f.show(c, instances, row("INSTANCE", "KIND", "SERVICE", "ADDRESS", "ZONE", "RACK", "STATE"), instanceRows(instances))
+			return f.showInstances(c, instances, instances)
 		}
 	}}
 }
 
-func instanceRows(instances []fleet.Instance) []string {
+func (f *operatorFlags) instances(ctx context.Context) ([]message.InstanceStatus, error) {
+	client, err := f.client()
+	if err != nil {
+		return nil, err
+	}
+	var instances []message.InstanceStatus
+	return instances, client.Get(ctx, "/v1/instances", &instances)
+}
+
+// showInstances prints value as JSON or the instances as a table.
+func (f *operatorFlags) showInstances(c console, value any, instances []message.InstanceStatus) error {
 	var rows []string
 	for _, i := range instances {
-		rows = append(rows, row(i.ID, i.Kind, i.Service, i.Address, i.AvailabilityZone, i.Rack, i.State))
+		rows = append(rows, row(i.ID, i.Pool, i.Phase, i.State, i.ReservedFor, i.ReservedBy, i.Target, i.AvailabilityZone, i.Rack, i.Address))
 	}
-	return rows
+	return f.show(c, value, row("INSTANCE", "POOL", "PHASE", "STATE", "RESERVED", "BY", "TARGET", "ZONE", "RACK", "ADDRESS"), rows)
 }
--- a/cmd/persimmonbay/main.go
+++ b/cmd/persimmonbay/main.go
@@ -22,7 +22,11 @@
 		entryCommand(),
 		standinCommand(),
 		configCommand(),
+		poolCommand(),
 		instanceCommand(),
+		serviceCommand(),
+		teamCommand(),
+		waveCommand(),
 		statusCommand(),
 		versionCommand(),
 	}
--- a/cmd/persimmonbay/standin_platform.go
+++ b/cmd/persimmonbay/standin_platform.go
@@ -22,6 +22,7 @@
 		flags.Float64Var(&faults.LoseAnswers, "lose-answers", 0, "share of writes whose answer is lost after they took effect")
 		flags.BoolVar(&faults.Silent, "silent", false, "take calls and never answer")
 		flags.IntVar(&faults.LagMillis, "lag", 0, "milliseconds that the list of instances lags")
+		rebootTime := flags.Duration("reboot-time", platform.DefaultRebootTime, "how long an instance is away for a reboot")
 		flags.Uint64Var(&faults.Seed, "seed", 1, "seed of the choice of lost answers")
 		return func(ctx context.Context, c console, _ []string) error {
 			log, err := telemetry.NewLogger(c.err, "info")
@@ -34,6 +35,7 @@
 			}
 			server := platform.NewServer(clockwork.NewRealClock())
 			server.SetFaults(faults)
+			server.Reboots.SetTime(*rebootTime)
 			log.Info("listening", zap.String("platform", listener.Addr().String()))
 			return serveHTTP(ctx, listener, server.Handler())
 		}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,102 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/fleetstore"
+	"persimmonbay/internal/maintenance"
+	"persimmonbay/internal/platform"
+	"persimmonbay/internal/problem"
+	"persimmonbay/internal/telemetry"
+)
+
+// Controller carries plans out for as long as it holds the control lease. It
+// keeps no state of its own between two steps.
+type Controller struct {
+	Store    *fleetstore.Store
+	Rebooter platform.Rebooter
+	Sources  Sources
+	Policy   maintenance.Policy
+	Clock    clockwork.Clock
+	Log      *zap.Logger
+}
+
+// Step plans once, makes the changes and returns how many it made. Changes
+// that others forestalled are dropped; the next plan sees why.
+func (c *Controller) Step(ctx context.Context) int {
+	planned := c.Clock.Now()
+	snapshot, known := c.Sources.Snapshot(ctx)
+	if !known {
+		return 0
+	}
+	return c.Apply(ctx, maintenance.Plan(&snapshot, c.Policy), planned)
+}
+
+// Apply makes the changes of a plan that was made at the given time.
+func (c *Controller) Apply(ctx context.Context, changes maintenance.Changes, planned time.Time) int {
+	made := 0
+	if changes.Disruptions != nil {
+		_, err := c.Store.SaveDisruptions(ctx, *changes.Disruptions)
+		made += c.made("disruptions", err)
+	}
+	written := make(map[string]uint64, len(changes.Reboots))
+	for _, r := range changes.Records {
+		version, err := c.Store.SaveRecord(ctx, r)
+		made += c.made(r.Instance, err)
+		if err == nil {
+			written[r.Instance] = version
+		}
+	}
+	for _, r := range changes.Forgotten {
+		made += c.made(r.Instance, c.Store.ForgetRecord(ctx, r))
+	}
+	if changes.Wave != nil {
+		_, err := c.Store.SaveWave(ctx, *changes.Wave)
+		made += c.made("wave", err)
+	}
+	for _, r := range changes.Reboots {
+		if version, ok := written[r.Instance]; ok {
+			r.Version = version
+			c.reboot(ctx, r, planned)
+		}
+	}
+	return made
+}
+
+// reboot asks for the reboot that is written in r, unless so much time has
+// passed since that another controller may have asked for the next.
+func (c *Controller) reboot(ctx context.Context, r maintenance.Record, planned time.Time) {
+	deadline := planned.Add(c.Policy.RebootGrace / 2)
+	if !c.Clock.Now().Before(deadline) {
+		c.Log.Warn("reboot not asked for: too late", zap.String("step", string(problem.StepReboot)), zap.String("peer", r.Instance))
+		return
+	}
+	ctx, cancel := clockwork.WithDeadline(ctx, c.Clock, deadline)
+	defer cancel()
+	err := c.Rebooter.Reboot(ctx, r.Instance)
+	if err != nil && !problem.Is(err, problem.Conflict) {
+		c.Log.Warn("reboot not accepted", telemetry.ProblemFields(err)...)
+		return
+	}
+	c.Log.Info("reboot accepted", zap.String("instance", r.Instance), zap.Int("attempt", r.Reboot.Attempt))
+	r.Reboot.Accepted = true
+	_, err = c.Store.SaveRecord(ctx, r)
+	c.made(r.Instance, err)
+}
+
+// made logs what became of a change and returns 1 when it was made.
+func (c *Controller) made(what string, err error) int {
+	if err == nil {
+		return 1
+	}
+	if problem.Is(err, problem.Conflict) || problem.Is(err, problem.NotFound) {
+		c.Log.Debug("change forestalled", zap.String("change", what))
+		return 0
+	}
+	c.Log.Warn("change not made", append(telemetry.ProblemFields(err), zap.String("change", what))...)
+	return 0
+}
--- /dev/null
+++ b/internal/controller/run.go
@@ -0,0 +1,37 @@
+package controller
+
+import (
+	"context"
+	"time"
+)
+
+// Timing of the controller's loop.
+const (
+	stepEvery = time.Second            // without a change
+	stepPause = 100 * time.Millisecond // between two steps, so that changes gather
+)
+
+// Run steps whenever something may have changed, for as long as lease is held
+// and until ctx ends.
+func (c *Controller) Run(ctx context.Context, lease *Lease) {
+	for ctx.Err() == nil {
+		changed := c.Sources.Changed()
+		if lease.Held(c.Clock.Now()) {
+			c.Step(ctx)
+		}
+		c.wait(ctx, changed)
+	}
+}
+
+func (c *Controller) wait(ctx context.Context, changed <-chan struct{}) {
+	select {
+	case <-changed:
+	case <-c.Clock.After(stepEvery):
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-c.Clock.After(stepPause):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/entry/control.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"time"
+
+	"persimmonbay/internal/controller"
+	"persimmonbay/internal/fleetstore"
+	"persimmonbay/internal/maintenance"
+	"persimmonbay/internal/platform"
+	"persimmonbay/internal/shard"
+)
+
+// control is the part of an entry that keeps to the pools and, while it holds
+// the control lease, carries plans out. Its fields are set once; what they
+// share is in their own shards.
+type control struct {
+	entry   *Entry
+	view    *maintenance.View
+	store   *fleetstore.Store
+	source  *confirmingStore
+	router  *router
+	work    *workCounter
+	policy  maintenance.Policy
+	steps   *controller.Controller
+	lease   *controller.Lease
+	started *shard.Cell[time.Time] // since when this entry is registered; zero: not yet
+}
+
+func newControl(e *Entry) *control {
+	pools, waves := e.platform.For(platform.PurposePools), e.platform.For(platform.PurposeWaves)
+	c := &control{
+		entry:   e,
+		view:    maintenance.NewView(),
+		store:   fleetstore.New(waves),
+		source:  newConfirmingStore(pools, e.clock),
+		work:    newWorkCounter(),
+		policy:  maintenance.DefaultPolicy(),
+		started: shard.NewCell(time.Time{}),
+	}
+	c.policy.RebootGrace, c.policy.ReturnTimeout = e.settings.Maintenance.RebootGrace, e.settings.Maintenance.ReturnTimeout
+	c.router = newRouter(c)
+	c.steps = &controller.Controller{Store: c.store, Rebooter: waves, Sources: c, Policy: c.policy, Clock: e.clock, Log: e.log}
+	c.lease = controller.NewLease(waves, waves, e.settings.ID, e.settings.Membership.LeaseTTL, e.settings.Platform.WatchWait, e.clock, e.log)
+	return c
+}
--- /dev/null
+++ b/internal/entry/control_acknowledge.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"persimmonbay/internal/maintenance"
+	"persimmonbay/internal/membership"
+)
+
+// acknowledgedBy returns up to which revision an entry has acknowledged the
+// records; 0 when it is not heard.
+func (c *control) acknowledgedBy(id string) uint64 {
+	e := c.entry
+	if id == e.settings.ID {
+		return c.acknowledged()
+	}
+	m, known := e.members.Member(membership.EntryID(id))
+	if !known || !m.Alive(e.clock.Now(), e.settings.Membership.SilentFor) {
+		return 0
+	}
+	return m.MaintenanceRevision
+}
+
+// acknowledged returns up to which revision this entry acts on the records and
+// has no older work left on an instance that is leaving.
+func (c *control) acknowledged() uint64 {
+	revision := c.router.settledRevision()
+	c.view.Leaving(func(r maintenance.Record) {
+		if c.work.at(r.Instance) > 0 {
+			revision = min(revision, r.Version-1)
+		}
+	})
+	return revision
+}
+
+// mayAct reports whether this entry may send work by the records it knows.
+func (c *control) mayAct(revision uint64) bool {
+	e := c.entry
+	now := e.clock.Now()
+	var peers []maintenance.PeerWord
+	for _, m := range e.members.Members() {
+		if !m.Registered {
+			continue
+		}
+		peers = append(peers, maintenance.PeerWord{
+			Fresh:          m.Alive(now, e.settings.Membership.SilentFor),
+			StoreReachable: m.StoreReachable,
+			Revision:       m.MaintenanceRevision,
+		})
+	}
+	return maintenance.MayAct(now, c.source.confirmed.Get(), e.settings.Maintenance.Fence, revision, peers)
+}
--- /dev/null
+++ b/internal/entry/control_run.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/configuration"
+	"persimmonbay/internal/fleetstore"
+	"persimmonbay/internal/platform"
+	"persimmonbay/internal/platform/api"
+	"persimmonbay/internal/problem"
+	"persimmonbay/internal/telemetry"
+)
+
+// Timing of the loops that keep to the pools.
+const (
+	registeredEvery = 100 * time.Millisecond // between two looks for the own registration
+	refreshEvery    = time.Second            // between two looks at the fence
+	maxRecordsWait  = 10 * time.Second       // of one watch call, so that the view is confirmed well within the fence
+)
+
+// run follows the records, keeps the routes up with them and carries plans out
+// until ctx ends. The records are listed only once this entry is registered,
+// so that no controller overlooks an entry that acts on them.
+func (c *control) run(ctx context.Context) {
+	if !c.awaitRegistered(ctx) {
+		return
+	}
+	var loops sync.WaitGroup
+	loops.Go(func() { c.followRecords().Run(ctx) })
+	loops.Go(func() { c.keepRoutes(ctx) })
+	loops.Go(func() { c.lease.Run(ctx) })
+	loops.Go(func() { c.steps.Run(ctx, c.lease) })
+	loops.Wait()
+}
+
+func (c *control) awaitRegistered(ctx context.Context) bool {
+	client := c.entry.platform.For(platform.PurposeMembership)
+	for ctx.Err() == nil {
+		_, err := client.Get(ctx, membersPrefix+c.entry.settings.ID)
+		if err == nil {
+			c.started.Update(func(time.Time) (time.Time, bool) { return c.entry.clock.Now(), true })
+			return true
+		}
+		select {
+		case <-c.entry.clock.After(registeredEvery):
+		case <-ctx.Done():
+		}
+	}
+	return false
+}
+
+func (c *control) followRecords() *platform.Follower {
+	return &platform.Follower{
+		Store:   c.source,
+		Prefix:  fleetstore.Prefix,
+		Wait:    min(c.entry.settings.Platform.WatchWait, maxRecordsWait, c.entry.settings.Maintenance.Fence/3),
+		Clock:   c.entry.clock,
+		Log:     c.entry.log,
+		Listed:  func(l api.Listing) { c.applied(fleetstore.ApplyListing(c.view, l)) },
+		Changed: func(e api.Event) { c.applied(fleetstore.ApplyEvent(c.view, e)) },
+		Reached: func(bool) {},
+	}
+}
+
+func (c *control) applied(err error) {
+	if err != nil {
+		c.entry.log.Error("record cannot be read; what was known stays", telemetry.ProblemFields(err)...)
+	}
+	c.router.refresh()
+}
+
+// keepRoutes refreshes the routes when the configuration changes, and at times
+// so that the fence falls also when nothing does.
+func (c *control) keepRoutes(ctx context.Context) {
+	for ctx.Err() == nil {
+		var changed <-chan struct{}
+		var inForce configuration.Versioned
+		inForce, changed = c.entry.inForce.Watch()
+		c.router.refresh()
+		select {
+		case <-changed:
+			c.entry.log.Debug("routes follow the configuration", zap.String("step", string(problem.StepRoute)), zap.Uint64("replaced", uint64(inForce.Version)))
+		case <-c.entry.clock.After(refreshEvery):
+		case <-ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/control_snapshot.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"context"
+	"strings"
+
+	"persimmonbay/internal/controller"
+	"persimmonbay/internal/fleet"
+	"persimmonbay/internal/maintenance"
+	"persimmonbay/internal/platform"
+	"persimmonbay/internal/telemetry"
+)
+
+var _ controller.Sources = (*control)(nil)
+
+// Changed implements controller.Sources.
+func (c *control) Changed() <-chan struct{} { return c.view.Changed() }
+
+// Snapshot implements controller.Sources. The store is only asked for the
+// registered entries while something leaves.
+func (c *control) Snapshot(ctx context.Context) (maintenance.Snapshot, bool) {
+	s, known := c.snapshot()
+	if !known {
+		return s, false
+	}
+	for _, r := range s.Records {
+		if r.Phase == maintenance.Leaving {
+			c.fillAcknowledgements(ctx, &s)
+			break
+		}
+	}
+	return s, true
+}
+
+// snapshot returns what this entry knows without asking anyone.
+func (c *control) snapshot() (maintenance.Snapshot, bool) {
+	e := c.entry
+	s := maintenance.Snapshot{Now: e.clock.Now().UTC().Round(0), Listed: make(map[string]fleet.Instance)}
+	known := c.view.Fill(&s)
+	list := e.instances.Get()
+	for _, i := range list {
+		s.Listed[i.ID] = i
+	}
+	s.ListedKnown = list != nil
+	configured := e.inForce.Get().Configuration
+	if configured == nil {
+		return s, false
+	}
+	s.Budgets, s.ServicePools = maintenance.Budgets(configured), maintenance.ServicePools(configured)
+	return s, known
+}
+
+// fillAcknowledgements collects the word of every entry that is registered
+// with the store now, or heard although its lease has lapsed. An entry that is
+// gone is waited for until it has surely stopped by itself.
+func (c *control) fillAcknowledgements(ctx context.Context, s *maintenance.Snapshot) {
+	e := c.entry
+	listing, err := e.platform.For(platform.PurposeWaves).List(ctx, membersPrefix)
+	if err != nil {
+		e.log.Warn("registered entries not read", telemetry.ProblemFields(err)...)
+		return
+	}
+	registered := make(map[string]bool, len(listing.Items))
+	for _, kv := range listing.Items {
+		id := strings.TrimPrefix(kv.Key, membersPrefix)
+		registered[id] = true
+		s.Acknowledgements = append(s.Acknowledgements, maintenance.Acknowledgement{Entry: id, Revision: c.acknowledgedBy(id)})
+	}
+	s.Complete = registered[e.settings.ID]
+	if e.clock.Since(c.started.Get()) < e.settings.Maintenance.Fence+e.settings.Membership.LeaseTTL {
+		s.Settle = e.settings.Maintenance.Fence // an entry may be gone that this one never heard of
+	}
+	for _, m := range e.members.Members() {
+		if registered[string(m.ID)] {
+			continue
+		}
+		if m.Alive(e.clock.Now(), e.settings.Membership.SilentFor) {
+			s.Acknowledgements = append(s.Acknowledgements, maintenance.Acknowledgement{Entry: string(m.ID), Revision: m.MaintenanceRevision})
+		} else {
+			s.Settle = e.settings.Maintenance.Fence
+		}
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -51,6 +51,7 @@
 	peers     *peer.Client
 	sender    *upstream.Sender
 	metrics   *telemetry.Metrics
+	control   *control
 }
 
 // New opens the listeners of an entry. Run must follow.
@@ -76,6 +77,7 @@
 		sender:    upstream.NewSender(s.Limits.WholeBytes),
 		metrics:   telemetry.NewMetrics(),
 	}
+	e.control = newControl(e)
 	e.metrics.Publish("platformCalls", func() any { return client.Counts().Snapshot() })
 	e.metrics.Publish("configurationVersion", func() any { return e.inForce.Get().Version })
 	return e, nil
@@ -126,7 +128,7 @@
 func (e *Entry) callersHandler() http.Handler {
 	requests := &request.Server{
 		InForce:    e.inForce,
-		Dispatcher: dispatch.New(e.routes),
+		Dispatcher: e.control.work.wrap(dispatch.New(e.routes)),
 		Sender:     e.sender,
 		Ledger:     ledger.Closed{},
 		Clock:      e.clock,
@@ -142,6 +144,7 @@
 		e.followConfiguration().Run,
 		e.heartbeat,
 		e.pollInstances,
+		e.control.run,
 	}
 }
 
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -63,5 +63,6 @@
 		ConfigurationVersion: e.inForce.Get().Version,
 		Leaving:              h.leaving,
 		StoreReachable:       h.storeReachable,
+		MaintenanceRevision:  e.control.acknowledged(),
 	}
 }
--- a/internal/entry/instances.go
+++ b/internal/entry/instances.go
@@ -16,7 +16,7 @@
 		list, err := client.Instances(ctx)
 		if err == nil {
 			e.instances.Update(func([]fleet.Instance) ([]fleet.Instance, bool) { return list, true })
-			e.routes.Replace(list)
+			e.control.router.refresh()
 		} else if ctx.Err() == nil {
 			e.log.Warn("list of instances not read", telemetry.ProblemFields(err)...)
 		}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -5,7 +5,6 @@
 
 	"persimmonbay/internal/configstore"
 	"persimmonbay/internal/configuration"
-	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/operator"
 	"persimmonbay/internal/operator/message"
 	"persimmonbay/internal/problem"
@@ -69,9 +68,6 @@
 // InForce implements operator.Backend.
 func (e *Entry) InForce() configuration.Versioned { return e.inForce.Get() }
 
-// Instances implements operator.Backend.
-func (e *Entry) Instances() []fleet.Instance { return e.instances.Get() }
-
 // Apply implements operator.Backend.
 func (e *Entry) Apply(ctx context.Context, who string, base configuration.Version, source []byte) (configuration.Version, error) {
 	version, err := e.configs.Apply(ctx, who, base, source)
--- /dev/null
+++ b/internal/entry/router.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"persimmonbay/internal/fleet"
+	"persimmonbay/internal/maintenance"
+)
+
+// settleTime is how long after the routes changed a placement by the old ones
+// may still appear among the work.
+const settleTime = 200 * time.Millisecond
+
+// router keeps the routing table up with the records, the platform's list and
+// the configuration. mu guards the order of its replacements and the field
+// applied.
+type router struct {
+	control *control
+	mu      sync.Mutex
+	applied applied
+}
+
+func newRouter(c *control) *router { return &router{control: c} }
+
+// refresh replaces the routing table by what is known now.
+func (r *router) refresh() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.control.entry
+	state := r.control.view.State()
+	var serving []fleet.Instance
+	if c := e.inForce.Get().Configuration; c != nil && r.control.mayAct(state.Revision) {
+		serving = maintenance.ServingInstances(e.instances.Get(), r.control.view.Record, maintenance.ServicePools(c))
+	}
+	e.routes.Replace(serving)
+	r.settle()
+	if state.Revision != r.applied.revision {
+		r.applied.revision, r.applied.at = state.Revision, e.clock.Now()
+	}
+}
+
+// settle moves the settled revision on. mu is held.
+func (r *router) settle() {
+	if r.control.entry.clock.Since(r.applied.at) >= settleTime {
+		r.applied.settled = r.applied.revision
+	}
+}
+
+// settledRevision returns the revision of the records that every placement
+// follows.
+func (r *router) settledRevision() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settle()
+	return r.applied.settled
+}
--- /dev/null
+++ b/internal/fleetstore/apply.go
@@ -0,0 +1,69 @@
+package fleetstore
+
+import (
+	"strings"
+
+	"persimmonbay/internal/maintenance"
+	"persimmonbay/internal/platform/api"
+)
+
+// ApplyListing makes view what the store holds. A key that cannot be read is
+// left as it was known, and the first such error is returned.
+func ApplyListing(view *maintenance.View, listing api.Listing) error {
+	view.Unknow()
+	var first error
+	listed := make(map[string]bool, len(listing.Items))
+	for _, kv := range listing.Items {
+		if id, isRecord := strings.CutPrefix(kv.Key, recordsPrefix); isRecord {
+			listed[id] = true
+		}
+		if err := applyPut(view, kv); err != nil && first == nil {
+			first = err
+		}
+	}
+	view.Retain(listed, listing.Revision)
+	return first
+}
+
+// ApplyEvent takes one change of the store over into view.
+func ApplyEvent(view *maintenance.View, event api.Event) error {
+	if event.Type == api.EventPut {
+		return applyPut(view, api.KeyValue{Key: event.Key, Value: event.Value, Version: event.Version})
+	}
+	switch id, isRecord := strings.CutPrefix(event.Key, recordsPrefix); {
+	case isRecord:
+		view.DropRecord(id, event.Revision)
+	case event.Key == disruptionsKey:
+		view.PutDisruptions(maintenance.Disruptions{})
+	case event.Key == waveKey:
+		view.PutWave(maintenance.Wave{})
+	}
+	return nil
+}
+
+func applyPut(view *maintenance.View, kv api.KeyValue) error {
+	switch {
+	case strings.HasPrefix(kv.Key, recordsPrefix):
+		var r maintenance.Record
+		if err := decode(kv, &r); err != nil {
+			return err
+		}
+		r.Version = kv.Version
+		view.PutRecord(r)
+	case kv.Key == disruptionsKey:
+		var d maintenance.Disruptions
+		if err := decode(kv, &d); err != nil {
+			return err
+		}
+		d.Version = kv.Version
+		view.PutDisruptions(d)
+	case kv.Key == waveKey:
+		var w maintenance.Wave
+		if err := decode(kv, &w); err != nil {
+			return err
+		}
+		w.Version = kv.Version
+		view.PutWave(w)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleetstore/read.go
@@ -0,0 +1,45 @@
+package fleetstore
+
+import (
+	"context"
+	"encoding/json"
+
+	"persimmonbay/internal/maintenance"
+	"persimmonbay/internal/platform/api"
+	"persimmonbay/internal/problem"
+)
+
+// LoadDisruptions reads the disruptions as they are now.
+func (s *Store) LoadDisruptions(ctx context.Context) (maintenance.Disruptions, error) {
+	var d maintenance.Disruptions
+	version, err := s.load(ctx, disruptionsKey, &d)
+	d.Version = version
+	return d, err
+}
+
+// LoadWave reads the wave as it is now.
+func (s *Store) LoadWave(ctx context.Context) (maintenance.Wave, error) {
+	var w maintenance.Wave
+	version, err := s.load(ctx, waveKey, &w)
+	w.Version = version
+	return w, err
+}
+
+// load reads a key, which may be absent, and returns its version.
+func (s *Store) load(ctx context.Context, key string, target any) (uint64, error) {
+	kv, err := s.store.Get(ctx, key)
+	if problem.Is(err, problem.NotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	return kv.Version, decode(kv, target)
+}
+
+func decode(kv api.KeyValue, target any) error {
+	if err := json.Unmarshal(kv.Value, target); err != nil {
+		return problem.Wrap(problem.Internal, problem.StepStoreRead, kv.Key, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/maintenance/operate.go
@@ -0,0 +1,93 @@
+package maintenance
+
+import (
+	"fmt"
+
+	"persimmonbay/internal/problem"
+)
+
+// RequestMove returns the disruptions with an operator's move of an instance
+// to another pool. Without force it is refused where the budget of the pool
+// that it leaves has no room.
+func RequestMove(s *Snapshot, instance, target, by string, force bool) (Disruptions, error) {
+	r, err := s.operable(instance)
+	if err != nil {
+		return Disruptions{}, err
+	}
+	if !s.hasPool(target) {
+		return Disruptions{}, problem.New(problem.NotFound, problem.StepPlan, target, "no such pool; 'pool list' shows them, and a new one is made in the configuration")
+	}
+	if r.Pool == target && r.Home == target {
+		return Disruptions{}, problem.New(problem.Conflict, problem.StepPlan, instance, "it is in pool "+target+" already")
+	}
+	return s.take(r, Reservation{Kind: ForMove, Target: target, By: by}, force)
+}
+
+// RequestDrain returns the disruptions with an operator's drain of an
+// instance, which lasts until it is undrained.
+func RequestDrain(s *Snapshot, instance, by string, force bool) (Disruptions, error) {
+	r, err := s.operable(instance)
+	if err != nil {
+		return Disruptions{}, err
+	}
+	if v, reserved := s.Disruptions.Find(instance); reserved && v.Kind == ForDrain {
+		return Disruptions{}, problem.New(problem.Conflict, problem.StepPlan, instance, "it is drained already, by "+v.By)
+	}
+	return s.take(r, Reservation{Kind: ForDrain, By: by}, force)
+}
+
+// RequestUndrain returns the disruptions with the return of a drained
+// instance.
+func RequestUndrain(s *Snapshot, instance, by string) (Disruptions, error) {
+	r, err := s.operable(instance)
+	if err != nil {
+		return Disruptions{}, err
+	}
+	v, reserved := s.Disruptions.Find(instance)
+	if !reserved || v.Kind != ForDrain {
+		return Disruptions{}, problem.New(problem.Conflict, problem.StepPlan, instance, "it is not drained")
+	}
+	return s.Disruptions.With(Reservation{Instance: instance, Pool: r.Pool, Kind: ForReturn, By: by, Since: s.Now}), nil
+}
+
+// operable returns the record of an instance that an operator may change now.
+func (s *Snapshot) operable(instance string) (Record, error) {
+	r, known := s.Records[instance]
+	if !known {
+		return r, problem.New(problem.NotFound, problem.StepPlan, instance, "no such instance; 'instance list' shows them")
+	}
+	v, reserved := s.Disruptions.Find(instance)
+	if reserved && v.Kind != ForDrain {
+		return r, problem.New(problem.Conflict, problem.StepPlan, instance, "it is reserved for a "+string(v.Kind)+" by "+v.Owner()+"; try again when that is done")
+	}
+	return r, nil
+}
+
+// Owner names who made the reservation.
+func (v Reservation) Owner() string {
+	if v.By != "" {
+		return v.By
+	}
+	return "wave " + v.Wave
+}
+
+// take reserves the instance of r unless the budget has no room.
+func (s *Snapshot) take(r Record, v Reservation, force bool) (Disruptions, error) {
+	_, drained := s.Disruptions.Find(r.Instance)
+	t := Tallies(s)[r.Pool]
+	if !force && !drained && s.live(r.Instance) && t.Free() <= 0 {
+		return Disruptions{}, problem.New(problem.Conflict, problem.StepPlan, r.Instance,
+			fmt.Sprintf("pool %s would break its availability budget: %d instances serve and it needs %d; wait, or repeat with -force", r.Pool, t.Present, t.Needed))
+	}
+	v.Instance, v.Pool, v.Since = r.Instance, r.Pool, s.Now
+	return s.Disruptions.With(v), nil
+}
+
+func (s *Snapshot) hasPool(name string) bool {
+	for _, b := range s.Budgets {
+		if b.Pool == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/maintenance/peer_word.go
@@ -0,0 +1,8 @@
+package maintenance
+
+// PeerWord is what another registered entry last told.
+type PeerWord struct {
+	Fresh          bool // heard lately
+	StoreReachable bool
+	Revision       uint64 // of the records that it acts on
+}
--- /dev/null
+++ b/internal/maintenance/plan.go
@@ -0,0 +1,34 @@
+package maintenance
+
+import "sort"
+
+// Plan returns the next changes that follow from s: new instances get a pool,
+// what is reserved goes one step on, and a running wave reserves what the
+// budgets leave room for.
+func Plan(s *Snapshot, p Policy) Changes {
+	if !s.ListedKnown {
+		return Changes{}
+	}
+	planner := &planner{s: s, policy: p, disruptions: s.Disruptions, tallies: Tallies(s), written: make(map[string]bool)}
+	planner.assign()
+	for _, id := range sortedIDs(s.Records) {
+		planner.forget(s.Records[id])
+	}
+	for _, r := range s.Disruptions.Reservations {
+		planner.advance(r)
+	}
+	for _, id := range sortedIDs(s.Records) {
+		planner.observe(s.Records[id])
+	}
+	planner.continueWave()
+	return planner.result()
+}
+
+func sortedIDs[V any](byID map[string]V) []string {
+	ids := make([]string, 0, len(byID))
+	for id := range byID {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/maintenance/pool_hold.go
@@ -0,0 +1,32 @@
+package maintenance
+
+import "fmt"
+
+// poolHold says why the wave takes nothing from the pool now, or nothing when
+// it has no more to take or goes on.
+func poolHold(s *Snapshot, p Policy, t Tally) string {
+	waiting, away, drained := 0, 0, ""
+	for id, r := range s.Records {
+		if r.Home != t.Pool || !s.Wave.Covers(r) || r.Maintained == s.Wave.ID {
+			continue
+		}
+		v, reserved := s.Disruptions.Find(id)
+		switch {
+		case !reserved:
+			waiting++
+		case v.Kind == ForDrain:
+			drained = id
+		case !p.lost(r, s.Now):
+			away++
+		}
+	}
+	switch {
+	case away > 0 || t.Free() > 0 && waiting > 0:
+		return ""
+	case waiting > 0:
+		return fmt.Sprintf("%d of %d instances serve and the budget needs %d; %d wait for one more to serve", t.Present, t.Home, t.Needed, waiting)
+	case drained != "":
+		return drained + " is drained by an operator; 'instance undrain' lets the wave take it"
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/maintenance/state.go
@@ -0,0 +1,9 @@
+package maintenance
+
+// State is what a View holds besides the records.
+type State struct {
+	Disruptions Disruptions
+	Wave        Wave
+	Revision    uint64 // of the store, up to which the view is complete
+	Known       bool   // the view is of one revision of the store
+}
--- /dev/null
+++ b/internal/maintenance/tally.go
@@ -0,0 +1,40 @@
+package maintenance
+
+// Tally is how a pool stands against its availability budget.
+type Tally struct {
+	Pool    string `json:"pool"`
+	Home    int    `json:"home"`    // instances that belong to it
+	Present int    `json:"present"` // instances that serve it and are not about to leave
+	Needed  int    `json:"needed"`  // instances that its budget demands
+	Spare   bool   `json:"spare"`
+}
+
+// Free is how many instances may leave the pool now; below zero when failures
+// have broken the budget.
+func (t Tally) Free() int { return t.Present - t.Needed }
+
+// Tallies returns how each pool stands, by pool.
+func Tallies(s *Snapshot) map[string]Tally {
+	tallies := make(map[string]Tally, len(s.Budgets))
+	for _, b := range s.Budgets {
+		tallies[b.Pool] = Tally{Pool: b.Pool, Spare: b.Spare}
+	}
+	for id, r := range s.Records {
+		home := tallies[r.Home]
+		home.Pool = r.Home
+		home.Home++
+		tallies[r.Home] = home
+		_, reserved := s.Disruptions.Find(id)
+		if r.Phase == Serving && s.live(id) && !reserved {
+			pool := tallies[r.Pool]
+			pool.Pool = r.Pool
+			pool.Present++
+			tallies[r.Pool] = pool
+		}
+	}
+	for pool, t := range tallies {
+		t.Needed = t.Home - s.budget(pool).Allowed(t.Home)
+		tallies[pool] = t
+	}
+	return tallies
+}
--- /dev/null
+++ b/internal/maintenance/view.go
@@ -0,0 +1,98 @@
+package maintenance
+
+import "persimmonbay/internal/shard"
+
+// View is what this process knows of the records in the store. The records are
+// in shards by instance, each under its own lock; the rest is in a cell. Only
+// one goroutine, which follows the store, writes, in the order of the store's
+// revisions; a snapshot locks all shards and so is of one revision.
+type View struct {
+	records *shard.Map[string, Record]
+	state   *shard.Cell[State]
+}
+
+// NewView returns a view that knows nothing.
+func NewView() *View {
+	return &View{records: shard.NewMap[string, Record](), state: shard.NewCell(State{})}
+}
+
+// PutRecord notes a record as stored at its version.
+func (v *View) PutRecord(r Record) {
+	v.records.Set(r.Instance, r)
+	v.advance(r.Version, func(s *State) {})
+}
+
+// DropRecord notes that a record was deleted at a revision.
+func (v *View) DropRecord(instance string, revision uint64) {
+	v.records.Delete(instance)
+	v.advance(revision, func(s *State) {})
+}
+
+// PutDisruptions notes the disruptions as stored at their version.
+func (v *View) PutDisruptions(d Disruptions) {
+	v.advance(d.Version, func(s *State) { s.Disruptions = d })
+}
+
+// PutWave notes the wave as stored at its version.
+func (v *View) PutWave(w Wave) {
+	v.advance(w.Version, func(s *State) { s.Wave = w })
+}
+
+// Retain drops every record that is not among the listed, and notes that the
+// view is complete up to revision.
+func (v *View) Retain(listed map[string]bool, revision uint64) {
+	v.records.Range(func(id string, _ Record) bool {
+		if !listed[id] {
+			v.records.Delete(id)
+		}
+		return true
+	})
+	v.advance(revision, func(s *State) { s.Known = true })
+}
+
+func (v *View) advance(revision uint64, change func(*State)) {
+	v.state.Update(func(s State) (State, bool) {
+		change(&s)
+		s.Revision = max(s.Revision, revision)
+		return s, true
+	})
+}
+
+// State returns what is known besides the records.
+func (v *View) State() State { return v.state.Get() }
+
+// Changed returns a channel that is closed at the next change.
+func (v *View) Changed() <-chan struct{} {
+	_, changed := v.state.Watch()
+	return changed
+}
+
+// Record returns the record of an instance.
+func (v *View) Record(instance string) (Record, bool) { return v.records.Get(instance) }
+
+// Leaving calls visit for each record of an instance that is leaving.
+func (v *View) Leaving(visit func(Record)) {
+	v.records.Range(func(_ string, r Record) bool {
+		if r.Phase == Leaving {
+			visit(r)
+		}
+		return true
+	})
+}
+
+// Unknow notes that the view is being listed anew and is of no one revision.
+func (v *View) Unknow() {
+	v.state.Update(func(s State) (State, bool) { s.Known = false; return s, true })
+}
+
+// Fill copies the view into s and reports whether it is of one revision.
+func (v *View) Fill(s *Snapshot) bool {
+	s.Records = make(map[string]Record)
+	var state State
+	v.records.Snapshot(
+		func() { state = v.state.Get() },
+		func(id string, r Record) { s.Records[id] = r },
+	)
+	s.Disruptions, s.Wave = state.Disruptions, state.Wave
+	return state.Known
+}
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -8,4 +8,5 @@
 	ConfigurationVersion configuration.Version
 	Leaving              bool
 	StoreReachable       bool
+	MaintenanceRevision  uint64 // of the pool records that it acts on
 }
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -15,8 +15,9 @@
 	ConfigurationVersion configuration.Version `json:"configurationVersion"`
 	Leaving              bool                  `json:"leaving"`
 	StoreReachable       bool                  `json:"storeReachable"`
-	Registered           bool                  `json:"registered"` // its lease holds, as far as the store was seen
-	LastHeard            time.Time             `json:"lastHeard"`  // zero: never
+	MaintenanceRevision  uint64                `json:"maintenanceRevision"` // of the pool records that it acts on
+	Registered           bool                  `json:"registered"`          // its lease holds, as far as the store was seen
+	LastHeard            time.Time             `json:"lastHeard"`           // zero: never
 }
 
 // Alive reports whether the member was heard within silentFor before now.
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -58,6 +58,7 @@
 func (t *Table) Heard(h Heartbeat, now time.Time) {
 	t.members.Update(h.Entry, func(m Member, ok bool) (Member, bool) {
 		m.ConfigurationVersion = max(m.ConfigurationVersion, h.ConfigurationVersion)
+		m.MaintenanceRevision = h.MaintenanceRevision
 		m.Leaving, m.StoreReachable, m.LastHeard = h.Leaving, h.StoreReachable, now
 		return m, ok
 	})
--- a/internal/operator/backend.go
+++ b/internal/operator/backend.go
@@ -5,17 +5,16 @@
 
 	"persimmonbay/internal/configstore"
 	"persimmonbay/internal/configuration"
-	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/operator/message"
 )
 
 // Backend is what the operators' face needs of an entry.
 type Backend interface {
+	FleetBackend
 	// Ready returns nil when the entry may receive requests, or why not.
 	Ready() error
 	Status() message.Status
 	InForce() configuration.Versioned
-	Instances() []fleet.Instance
 	Apply(ctx context.Context, operator string, base configuration.Version, source []byte) (configuration.Version, error)
 	History(ctx context.Context) ([]configstore.Applied, error)
 }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -43,7 +43,7 @@
 	r.HandleFunc("/-/readyz", s.readyz).Methods(http.MethodGet)
 	r.Handle("/debug/vars", s.metrics).Methods(http.MethodGet)
 	r.HandleFunc("/v1/status", s.status).Methods(http.MethodGet)
-	r.HandleFunc("/v1/instances", s.instances).Methods(http.MethodGet)
+	s.fleetRoutes(r)
 	r.HandleFunc("/v1/configuration", s.configuration).Methods(http.MethodGet)
 	r.HandleFunc("/v1/configuration", s.apply).Methods(http.MethodPut)
 	r.HandleFunc("/v1/configuration/history", s.history).Methods(http.MethodGet)
@@ -79,10 +79,6 @@
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) { respond(w, s.backend.Status()) }
 
-func (s *Server) instances(w http.ResponseWriter, _ *http.Request) {
-	respond(w, s.backend.Instances())
-}
-
 func (s *Server) configuration(w http.ResponseWriter, _ *http.Request) {
 	v := s.backend.InForce()
 	respond(w, message.Configuration{Version: v.Version, Source: v.Source})
--- a/internal/peer/wire/convert.go
+++ b/internal/peer/wire/convert.go
@@ -13,6 +13,7 @@
 		ConfigurationVersion: uint64(h.ConfigurationVersion),
 		Leaving:              h.Leaving,
 		StoreReachable:       h.StoreReachable,
+		MaintenanceRevision:  h.MaintenanceRevision,
 	}
 }
 
@@ -23,6 +24,7 @@
 		ConfigurationVersion: configuration.Version(m.GetConfigurationVersion()),
 		Leaving:              m.GetLeaving(),
 		StoreReachable:       m.GetStoreReachable(),
+		MaintenanceRevision:  m.GetMaintenanceRevision(),
 	}
 }
 
--- a/internal/problem/step.go
+++ b/internal/problem/step.go
@@ -23,5 +23,6 @@
 	StepInstances     Step = "instances"
 	StepPeerCall      Step = "peer-call"
 	StepPlan          Step = "plan"
+	StepReboot        Step = "reboot"
 	StepShutdown      Step = "shutdown"
 )
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -21,18 +21,22 @@
 	DefaultInstancesEvery  = time.Second
 	DefaultShutdownNotice  = 2 * time.Second
 	DefaultShutdownTimeout = 30 * time.Second
+	DefaultFence           = 30 * time.Second
+	DefaultRebootGrace     = 30 * time.Second
+	DefaultReturnTimeout   = 15 * time.Minute
 )
 
 // Entry holds all settings of an entry process.
 type Entry struct {
-	ID               string     `yaml:"id" validate:"required"`
-	AvailabilityZone string     `yaml:"availabilityZone" validate:"required"`
-	Listen           Listen     `yaml:"listen"`
-	Platform         Platform   `yaml:"platform"`
-	Membership       Membership `yaml:"membership"`
-	Limits           Limits     `yaml:"limits"`
-	Secrets          Secrets    `yaml:"secrets"`
-	LogLevel         string     `yaml:"logLevel" validate:"oneof=debug info warn error"`
+	ID               string      `yaml:"id" validate:"required"`
+	AvailabilityZone string      `yaml:"availabilityZone" validate:"required"`
+	Listen           Listen      `yaml:"listen"`
+	Platform         Platform    `yaml:"platform"`
+	Membership       Membership  `yaml:"membership"`
+	Limits           Limits      `yaml:"limits"`
+	Maintenance      Maintenance `yaml:"maintenance"`
+	Secrets          Secrets     `yaml:"secrets"`
+	LogLevel         string      `yaml:"logLevel" validate:"oneof=debug info warn error"`
 }
 
 // DefaultEntry returns the settings that hold where a file is silent.
@@ -46,7 +50,8 @@
 			RequestTimeout: DefaultRequestTimeout, InstancesEvery: DefaultInstancesEvery,
 			ShutdownNotice: DefaultShutdownNotice, ShutdownTimeout: DefaultShutdownTimeout,
 		},
-		LogLevel: "info",
+		Maintenance: Maintenance{Fence: DefaultFence, RebootGrace: DefaultRebootGrace, ReturnTimeout: DefaultReturnTimeout},
+		LogLevel:    "info",
 	}
 }
 
--- a/internal/standin/platform/instances.go
+++ b/internal/standin/platform/instances.go
@@ -32,13 +32,21 @@
 // Remove takes an instance off the list.
 func (l *Instances) Remove(id string) { l.record(id, instanceVersion{gone: true}) }
 
-// SetState changes an instance's state and reports whether it is listed.
-func (l *Instances) SetState(id string, state fleet.InstanceState) bool {
+// current returns an instance as it is now, without the list's lag.
+func (l *Instances) current(id string) (fleet.Instance, bool) {
 	versions, _ := l.versions.Get(id)
 	if len(versions) == 0 || versions[len(versions)-1].gone {
+		return fleet.Instance{}, false
+	}
+	return versions[len(versions)-1].instance, true
+}
+
+// SetState changes an instance's state and reports whether it is listed.
+func (l *Instances) SetState(id string, state fleet.InstanceState) bool {
+	instance, listed := l.current(id)
+	if !listed {
 		return false
 	}
-	instance := versions[len(versions)-1].instance
 	instance.State = state
 	l.Put(instance)
 	return true
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -22,6 +22,7 @@
 type Server struct {
 	Store     *Store
 	Instances *Instances
+	Reboots   *Reboots
 	faults    *shard.Cell[Faults]
 	injector  *injector
 }
@@ -29,7 +30,8 @@
 // NewServer returns a healthy platform without instances.
 func NewServer(clock clockwork.Clock) *Server {
 	faults := shard.NewCell(Faults{})
-	return &Server{Store: NewStore(clock), Instances: NewInstances(clock), faults: faults, injector: newInjector(faults, clock)}
+	instances := NewInstances(clock)
+	return &Server{Store: NewStore(clock), Instances: instances, Reboots: newReboots(clock, instances, faults), faults: faults, injector: newInjector(faults, clock)}
 }
 
 // SetFaults throws the switches.
@@ -52,7 +54,9 @@
 	v1.HandleFunc("/leases/{id}/renew", s.renew).Methods(http.MethodPost)
 	v1.HandleFunc("/leases/{id}", s.revoke).Methods(http.MethodDelete)
 	v1.HandleFunc("/instances", s.instances).Methods(http.MethodGet)
+	v1.HandleFunc("/instances/{id}/reboot", s.reboot).Methods(http.MethodPost)
 	r.HandleFunc("/standin/faults", s.putFaults).Methods(http.MethodPut)
+	r.HandleFunc("/standin/reboots", s.reboots).Methods(http.MethodGet)
 	r.HandleFunc("/standin/instances/{id}", s.putInstance).Methods(http.MethodPut)
 	r.HandleFunc("/standin/instances/{id}", s.removeInstance).Methods(http.MethodDelete)
 	return r
--- /dev/null
+++ b/internal/standin/upstream/reboot.go
@@ -0,0 +1,29 @@
+package upstream
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// reboot cuts off every request, those at work included, for the time that the
+// platform names.
+func (s *Server) reboot(w http.ResponseWriter, r *http.Request) {
+	var order RebootOrder
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.setDown(true)
+	s.clock.AfterFunc(time.Duration(order.DownMillis)*time.Millisecond, func() { s.setDown(false) })
+}
+
+func (s *Server) setDown(down bool) {
+	s.down.Update(func(bool) (bool, bool) { return down, true })
+}
+
+func (s *Server) cutOffWhenDown() {
+	if s.down.Get() {
+		panic(http.ErrAbortHandler)
+	}
+}
--- a/internal/standin/upstream/server.go
+++ b/internal/standin/upstream/server.go
@@ -37,6 +37,7 @@
 	load       *shard.Cell[Load]
 	executions *shard.Map[string, int]
 	silencer   *silencer
+	down       *shard.Cell[bool] // rebooting: every request is cut off
 }
 
 // NewServer returns a healthy runner with this many slots.
@@ -49,6 +50,7 @@
 		load:       shard.NewCell(Load{}),
 		executions: shard.NewMap[string, int](),
 		silencer:   newSilencer(),
+		down:       shard.NewCell(false),
 	}
 }
 
@@ -88,6 +90,7 @@
 	r.HandleFunc("/standin/faults", s.putFaults).Methods(http.MethodPut)
 	r.HandleFunc("/standin/executions", s.listExecutions).Methods(http.MethodGet)
 	r.HandleFunc("/standin/load", s.showLoad).Methods(http.MethodGet)
+	r.HandleFunc("/standin/reboot", s.reboot).Methods(http.MethodPost)
 	r.PathPrefix("/").HandlerFunc(s.work)
 	return r
 }
@@ -100,6 +103,7 @@
 	}
 	atWork := s.begin()
 	defer s.end()
+	s.cutOffWhenDown()
 	if f.RefuseOverCap && atWork > s.slots {
 		http.Error(w, "no free slot", http.StatusServiceUnavailable)
 		return
@@ -108,6 +112,7 @@
 	if f.SlowMillis > 0 {
 		<-s.clock.After(time.Duration(f.SlowMillis) * time.Millisecond)
 	}
+	s.cutOffWhenDown()
 	s.reply(w, reply, f)
 }
 
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -60,6 +60,9 @@
 limits:
   instancesEvery: 100ms
   shutdownNotice: 100ms
+maintenance:
+  fence: 3s
+  rebootGrace: 5s
 secrets:
   peerKey: %s
   operatorToken: %s
