--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -57,6 +57,7 @@
 	sender  *upstream.Sender
 	metrics *telemetry.Metrics
 	ledger  *ledger.Ledger
+	control *control
 }
 
 // New opens the listeners of an entry. Run must follow.
@@ -87,6 +88,7 @@
 		metrics: telemetry.NewMetrics(),
 	}
 	e.sender = upstream.NewSender(s.Limits.WholeBytes, clock, e.upstreamLeaving)
+	e.control = newControl(e)
 	e.metrics.Publish("platformCalls", func() any { return client.Counts().Snapshot() })
 	e.metrics.Publish("configurationVersion", func() any { return e.inForce.Get().Version })
 	e.ledger = e.newLedger()
@@ -139,7 +141,7 @@
 func (e *Entry) callersHandler() http.Handler {
 	requests := &request.Server{
 		InForce:    e.inForce,
-		Dispatcher: dispatch.New(e.routes),
+		Dispatcher: e.control.work.wrap(dispatch.New(e.routes)),
 		Sender:     e.sender,
 		Ledger:     e.ledger,
 		Retries:    request.NewRetryBudget(request.RetryShare),
@@ -160,6 +162,7 @@
 		e.pollInstances,
 		e.followInstances,
 		e.forgetIdleLedger,
+		e.control.run,
 	}
 }
 
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -104,6 +104,7 @@
 		ConfigurationVersion: e.inForce.Get().Version,
 		Leaving:              h.leaving,
 		StoreReachable:       h.storeReachable,
+		MaintenanceRevision:  e.control.acknowledged(),
 		Incarnation:          e.incarnation,
 		LeavingUpstreams:     e.routes.Marks(e.clock.Now()),
 		Instances:            e.inventory.Get().Stamp,
--- a/internal/entry/instances.go
+++ b/internal/entry/instances.go
@@ -53,7 +53,7 @@
 	for {
 		list, changed := e.inventory.Watch()
 		if list.Stamp.Generation > 0 {
-			e.routes.Replace(list.Instances, e.clock.Now())
+			e.control.router.refresh()
 		}
 		select {
 		case <-changed:
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -6,7 +6,6 @@
 
 	"persimmonbay/internal/configstore"
 	"persimmonbay/internal/configuration"
-	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/operator"
 	"persimmonbay/internal/operator/message"
 	"persimmonbay/internal/problem"
@@ -75,9 +74,6 @@
 // InForce implements operator.Backend.
 func (e *Entry) InForce() configuration.Versioned { return e.inForce.Get() }
 
-// Instances implements operator.Backend.
-func (e *Entry) Instances() []fleet.Instance { return e.inventory.Get().Instances }
-
 // Apply implements operator.Backend. It goes on when the operator is gone,
 // since the store may have accepted already.
 func (e *Entry) Apply(ctx context.Context, who string, base configuration.Version, source []byte) (configuration.Version, error) {
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -17,4 +17,5 @@
 	Incarnation          uint64        // rises with every start of the sender
 	Instances            inventory.Stamp
 	LeavingUpstreams     []routing.LeavingMark // instances that said themselves that they are leaving
+	MaintenanceRevision  uint64                // of the pool records that it acts on
 }
--- a/internal/peer/wire/convert.go
+++ b/internal/peer/wire/convert.go
@@ -20,6 +20,7 @@
 		Incarnation:          h.Incarnation,
 		Instances:            FromStamp(h.Instances, now),
 		LeavingUpstreams:     fromLeavingMarks(h.LeavingUpstreams),
+		MaintenanceRevision:  h.MaintenanceRevision,
 	}
 }
 
@@ -35,6 +36,7 @@
 		Incarnation:          m.GetIncarnation(),
 		Instances:            ToStamp(m.GetInstances(), now),
 		LeavingUpstreams:     toLeavingMarks(m.GetLeavingUpstreams()),
+		MaintenanceRevision:  m.GetMaintenanceRevision(),
 	}
 }
 
