--- a/cmd/persimmonbay/request.go
+++ b/cmd/persimmonbay/request.go
@@ -9,7 +9,7 @@
 )
 
 func requestCommand() command {
-	return command{name: "request", summary: "ask the ledger about requests", children: []command{requestShowCommand(), requestInDoubtCommand()}}
+	return command{name: "request", summary: "ask the ledger about requests", children: []command{requestKeyCommand(), requestShowCommand(), requestInDoubtCommand()}}
 }
 
 func requestShowCommand() command {
