--- a/cmd/persimmonbay/main.go
+++ b/cmd/persimmonbay/main.go
@@ -22,8 +22,13 @@
 		entryCommand(),
 		standinCommand(),
 		configCommand(),
+		poolCommand(),
 		instanceCommand(),
 		replayCommand(),
+		requestCommand(),
+		serviceCommand(),
+		teamCommand(),
+		waveCommand(),
 		statusCommand(),
 		versionCommand(),
 	}
--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -40,7 +40,7 @@
 }
 
 func newSlotKeeper(e *Entry) *slotKeeper {
-	self := slots.Holder{Entry: membership.EntryID(e.settings.ID), Incarnation: uint64(e.clock.Now().UnixNano())}
+	self := slots.Holder{Entry: membership.EntryID(e.settings.ID), Incarnation: e.incarnation}
 	newOrder := func(s admission.Shares) admission.Order { return admission.NewFair(s, admission.DefaultLimits) }
 	return &slotKeeper{
 		entry:    e,
--- a/internal/routing/health_test.go
+++ b/internal/routing/health_test.go
@@ -1,19 +1,17 @@
-package routing_test
+package routing
 
 import (
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-
-	"persimmonbay/internal/routing"
 )
 
 var _ = Describe("an upstream's health", func() {
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 	It("is lost by failing everything, but not by single failures", func() {
-		var h routing.Health
+		var h Health
 		for range 20 {
 			Expect(h.Failed()).To(BeFalse())
 			Expect(h.Succeeded(time.Millisecond, time.Millisecond)).To(BeFalse())
@@ -26,7 +24,7 @@
 	})
 
 	It("is lost by answers far slower than the service's", func() {
-		var h routing.Health
+		var h Health
 		out := false
 		for range 8 {
 			out = h.Succeeded(time.Second, 20*time.Millisecond)
@@ -35,7 +33,7 @@
 	})
 
 	It("comes back gradually, and later after each ejection", func() {
-		var h routing.Health
+		var h Health
 		h.Eject(now)
 		Expect(h.Bound(now.Add(time.Second), 8)).To(BeZero())
 		back := now.Add(2 * time.Second)
@@ -55,11 +53,11 @@
 
 var _ = Describe("the choice of an upstream", func() {
 	It("stays in the zone while there is room, and then takes most room", func() {
-		all := []routing.Candidate{{AvailabilityZone: "az-1", Free: 1}, {AvailabilityZone: "az-2", Free: 8}, {AvailabilityZone: "az-3", Free: 4}}
-		Expect(routing.Choose(all, "az-1", 0)).To(Equal(0))
+		all := []Candidate{{AvailabilityZone: "az-1", Free: 1}, {AvailabilityZone: "az-2", Free: 8}, {AvailabilityZone: "az-3", Free: 4}}
+		Expect(Choose(all, "az-1", 0)).To(Equal(0))
 		all[0].Free = 0
-		Expect(routing.Choose(all, "az-1", 0)).To(Equal(1))
+		Expect(Choose(all, "az-1", 0)).To(Equal(1))
 		all[1].Free, all[2].Free = 0, 0
-		Expect(routing.Choose(all, "az-1", 0)).To(Equal(-1))
+		Expect(Choose(all, "az-1", 0)).To(Equal(-1))
 	})
 })
