An entry that lost the store's word gives up what others may have taken over

An entry cut off from the store for long came back and used slots that were lent to others meanwhile; so did its own lenders; and a home cut off itself vouched for others. Conclusion: the store's word holds until a time; after a gap, slots that nobody vouched for are handed back and lenders start anew.

--- a/internal/dispatch/node_test.go
+++ b/internal/dispatch/node_test.go
@@ -93,5 +93,5 @@
 		}
 		n.placer.See(members, gone, n.clean, now)
 	}
-	n.placer.Trust(now.Sub(n.seen) <= testStoreTTL/2)
+	n.placer.Trust(n.seen.Add(testStoreTTL/2), now)
 }
--- a/internal/dispatch/placer.go
+++ b/internal/dispatch/placer.go
@@ -22,6 +22,7 @@
 	services *shard.Map[string, *serviceShard] // by service
 	known    *shard.Map[string, place]         // by upstream
 	view     *shard.Cell[*slots.View]
+	trusted  *shard.Cell[time.Time] // until when the store's confirmation holds
 	lenders  *slots.Lenders
 	seq      *shard.Cell[uint64]
 	rounds   allowance // touched by Borrow alone
@@ -35,10 +36,11 @@
 		services: shard.NewMap[string, *serviceShard](),
 		known:    shard.NewMap[string, place](),
 		view:     shard.NewCell[*slots.View](nil),
+		trusted:  shard.NewCell(time.Time{}),
 		seq:      shard.NewCell(uint64(0)),
 		rounds:   allowance{tokens: roundsAtOnce, at: born},
 	}
-	p.lenders = slots.NewLenders(self, p.view, p.terms)
+	p.lenders = slots.NewLenders(self, p.view, p.trusted, p.terms)
 	return p
 }
 
@@ -83,11 +85,18 @@
 	}
 }
 
-// Trust says whether the store confirms this entry's registration.
-func (p *Placer) Trust(trusted bool) {
+// Trust says until when the store's confirmation of this entry's registration
+// holds. After a gap, slots that no home vouched for meanwhile are handed back
+// first, and this entry's lenders start anew: others may have taken over.
+func (p *Placer) Trust(until, now time.Time) {
+	if !now.Before(p.trusted.Get()) {
+		p.lenders.Reset()
+	}
+	p.trusted.Update(func(time.Time) (time.Time, bool) { return until, true })
 	p.services.Range(func(_ string, at *serviceShard) bool {
 		at.mu.Lock()
-		at.service.trusted = trusted
+		at.service.distrust(now)
+		at.service.trusted = until
 		at.mu.Unlock()
 		return true
 	})
--- a/internal/dispatch/placer_bench_test.go
+++ b/internal/dispatch/placer_bench_test.go
@@ -67,7 +67,7 @@
 		}
 		p.List(c.Services[i].Name, instances, at)
 	}
-	p.Trust(true)
+	p.Trust(at.Add(time.Hour), at)
 	p.Fix(func(string) int { return testSlots })
 	p.Tick(at)
 	return p
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -22,7 +22,7 @@
 	capacity  int           // slots of one upstream
 	members   int           // entries
 	order     admission.Order
-	trusted   bool
+	trusted   time.Time // until when the store's confirmation of this entry holds
 	upstreams []*upstream
 	retries   []*admission.Ticket // those that were tried elsewhere go first
 	latency   admission.Estimate
@@ -83,7 +83,7 @@
 func (s *service) choose(tried []string, now time.Time) *upstream {
 	s.scratch = s.scratch[:0]
 	for _, u := range s.upstreams {
-		c := routing.Candidate{AvailabilityZone: u.instance.AvailabilityZone, Free: u.free(now, s.trusted), InUse: u.holding.InUse}
+		c := routing.Candidate{AvailabilityZone: u.instance.AvailabilityZone, Free: u.free(now, now.Before(s.trusted)), InUse: u.holding.InUse}
 		if len(tried) > 0 && slices.Contains(tried, u.instance.ID) {
 			c.Free = 0
 		}
@@ -209,10 +209,24 @@
 	for _, u := range s.upstreams {
 		u.settle(now)
 	}
+	s.distrust(now)
 	s.order.Refresh(s.width(), s.capacity*len(s.upstreams)/max(s.members, 1), now)
 	s.pump(now)
 }
 
+// distrust hands back what nobody vouches for any more: it may be lent to others
+// by the time the store confirms this entry again.
+func (s *service) distrust(now time.Time) {
+	if now.Before(s.trusted) {
+		return
+	}
+	for _, u := range s.upstreams {
+		if !u.vouched(now) {
+			u.holding.Leave()
+		}
+	}
+}
+
 // list takes over the instances that may receive new work. One that has gone
 // is kept while requests are at work on it.
 func (s *service) list(instances []fleet.Instance) {
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -21,12 +21,17 @@
 // confirms this entry; else only a home that heard it lately vouches for the
 // slots.
 func (u *upstream) free(now time.Time, trusted bool) int {
-	if !u.listed || !trusted && now.Sub(u.holding.Acked()) > slots.VouchedFor {
+	if !u.listed || !trusted && !u.vouched(now) {
 		return 0
 	}
 	return min(u.holding.Free(), u.health.Bound(now, u.holding.Held)-u.holding.InUse)
 }
 
+// vouched reports whether a home other than this entry heard it lately.
+func (u *upstream) vouched(now time.Time) bool {
+	return now.Sub(u.holding.Acked()) <= slots.VouchedFor
+}
+
 // settle frees the slots of requests that are surely over by now.
 func (u *upstream) settle(now time.Time) {
 	kept := u.unsure[:0]
--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -23,6 +23,7 @@
 	ticksPerRoutine = 50                     // rounds between two reports of less demand
 	leaveRounds     = 10
 	leaveTimeout    = time.Second
+	outageTrust     = time.Second      // between two looks at whether it is an outage
 	goneRemembered  = 10 * time.Minute // how long an entry that went is kept in the view
 )
 
@@ -139,7 +140,7 @@
 		name := inForce.Configuration.Services[i].Name
 		k.placer.List(name, k.entry.routes.Candidates(name), now)
 	}
-	k.placer.Trust(k.trusted(now))
+	k.placer.Trust(k.trustedUntil(now), now)
 	k.see(now, true)
 	return true
 }
@@ -183,13 +184,22 @@
 	})
 }
 
-// trusted reports whether this entry may count as registered: the store has
+// trustedUntil returns until when this entry may count as registered: the store has
 // confirmed it lately, or no entry that is heard reaches the store either.
-func (k *slotKeeper) trusted(now time.Time) bool {
+func (k *slotKeeper) trustedUntil(now time.Time) time.Time {
 	confirmed := k.standing.Get().confirmed
-	if !confirmed.IsZero() && now.Sub(confirmed) <= k.entry.settings.Membership.LeaseTTL {
-		return true
+	until := confirmed.Add(k.entry.settings.Membership.LeaseTTL)
+	if !confirmed.IsZero() && now.Before(until) {
+		return until
 	}
+	if k.outage(now) {
+		return now.Add(outageTrust)
+	}
+	return time.Time{}
+}
+
+// outage reports whether no entry that is heard reaches the store either.
+func (k *slotKeeper) outage(now time.Time) bool {
 	heard := false
 	for _, m := range k.entry.members.Members() {
 		if m.Alive(now, k.entry.settings.Membership.SilentFor) {
--- a/internal/replay/simulation.go
+++ b/internal/replay/simulation.go
@@ -71,7 +71,7 @@
 	e := &entry{id: membership.EntryID(fmt.Sprintf("entry-%d", i+1)), zone: zone(i)}
 	e.placer = dispatch.NewPlacer(slots.Holder{Entry: e.id, Incarnation: 1}, e.zone, s.time(), newOrder(s.way.Order))
 	e.placer.Configure(s.configuration)
-	e.placer.Trust(true)
+	e.placer.Trust(epoch.Add(s.trace.Duration+time.Hour), s.time())
 	s.entries = append(s.entries, e)
 	s.list(e)
 	if s.way.Slots != SlotsLent {
--- a/internal/slots/lenders.go
+++ b/internal/slots/lenders.go
@@ -11,15 +11,17 @@
 type Lenders struct {
 	self    Holder
 	view    *shard.Cell[*View]
+	trusted *shard.Cell[time.Time]
 	terms   func(upstream string) (Terms, bool)
 	lenders *shard.Map[string, *Lender]
 	next    *shard.Cell[uint64] // number of the next term
 }
 
 // NewLenders returns no lenders. terms tells the bounds of an upstream that is
-// known; it is called under a shard's lock.
-func NewLenders(self Holder, view *shard.Cell[*View], terms func(upstream string) (Terms, bool)) *Lenders {
-	return &Lenders{self: self, view: view, terms: terms, lenders: shard.NewMap[string, *Lender](), next: shard.NewCell(self.Incarnation)}
+// known. trusted holds until when the store's confirmation of this entry holds;
+// without it nothing is lent, nor is anyone vouched for.
+func NewLenders(self Holder, view *shard.Cell[*View], trusted *shard.Cell[time.Time], terms func(upstream string) (Terms, bool)) *Lenders {
+	return &Lenders{self: self, view: view, trusted: trusted, terms: terms, lenders: shard.NewMap[string, *Lender](), next: shard.NewCell(self.Incarnation)}
 }
 
 // Answer answers the reports of a batch.
@@ -41,7 +43,7 @@
 	}
 	l.lenders.Update(item.Upstream, func(lender *Lender, ok bool) (*Lender, bool) {
 		view := l.view.Get()
-		if view == nil || view.Home(item.Upstream) != l.self.Entry {
+		if view == nil || !now.Before(l.trusted.Get()) || view.Home(item.Upstream) != l.self.Entry {
 			return lender, ok
 		}
 		if !ok {
@@ -69,6 +71,14 @@
 	return lender.Handover(now)
 }
 
+// Reset ends all lenders, after a time in which others may have taken over.
+func (l *Lenders) Reset() {
+	l.lenders.Range(func(upstream string, _ *Lender) bool {
+		l.lenders.Delete(upstream)
+		return true
+	})
+}
+
 // Recalls returns what to ask back, by holder.
 func (l *Lenders) Recalls(now time.Time) map[Holder][]Recall {
 	recalls := make(map[Holder][]Recall)
--- a/internal/upstream/silence_fleet_test.go
+++ b/internal/upstream/silence_fleet_test.go
@@ -71,7 +71,7 @@
 	})
 	p.Configure(c)
 	p.List("tags", table.Candidates("tags"), now)
-	p.Trust(true)
+	p.Trust(now.Add(time.Hour), now)
 	p.Fix(func(string) int { return c.Services[0].Slots })
 	p.Tick(now)
 	return p
