--- /dev/null
+++ b/test/slots_outage_test.go
@@ -0,0 +1,52 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/load"
+	standin "persimmonbay/internal/standin/platform"
+)
+
+// outageRequests at outageRate span more than the lease of a registration.
+const (
+	outageRequests = 240
+	outageRate     = 20
+)
+
+var _ = Describe("slots in an outage of the store", func() {
+	DescribeTable("go on being lent while no entry reaches it", func(faults standin.Faults) {
+		f := startFleet("tags", 2, 3)
+		f.configure(registryAnswers)
+		for i := range f.entries {
+			Eventually(func() string { return get(f.callers(i) + "/tags/1").outcome }, patience).Should(Equal("completed"))
+		}
+		setPlatformFaults(f, faults)
+		plan := f.plan("inspectors", "normal", 8, outageRequests, outageRate)
+		plan.Timeout = 10 * time.Second
+		result := load.Run(context.Background(), plan)
+		GinkgoWriter.Printf("outage: %d completed, %d refused, %d broken, p99 %v\n", result.Completed, result.Refused, result.Broken, result.Quantile(99))
+		Expect(result.Completed).To(Equal(outageRequests))
+	},
+		Entry("that fails at once", standin.Faults{Outage: true}),
+		Entry("that answers nothing", standin.Faults{Silent: true}),
+	)
+})
+
+// setPlatformFaults throws the platform's switches.
+func setPlatformFaults(f *testFleet, faults standin.Faults) {
+	GinkgoHelper()
+	body, err := json.Marshal(faults)
+	Expect(err).NotTo(HaveOccurred())
+	request, err := http.NewRequest(http.MethodPut, f.platformURL()+"/standin/faults", bytes.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	response, err := http.DefaultClient.Do(request)
+	Expect(err).NotTo(HaveOccurred())
+	_ = response.Body.Close()
+}
