--- /dev/null
+++ b/internal/ledger/export_test.go
@@ -0,0 +1,4 @@
+package ledger
+
+// Decide is decide, for the model check.
+var Decide = decide
