--- a/internal/ledger/segment.go
+++ b/internal/ledger/segment.go
@@ -1,11 +1,10 @@
 package ledger
 
 import (
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
-
-	"persimmonbay/internal/request"
 )
 
 // Segment holds the latest record of each key in FoldBatches batches in a row.
@@ -20,10 +19,15 @@
 	index := Index{Number: s.Number, Fingerprints: make([]uint64, len(s.Records))}
 	for i := range s.Records {
 		index.Fingerprints[i] = s.Records[i].fingerprint()
-		if made := keyMade(s.Records[i].Key); made.After(index.Newest) {
+		made := keyMade(s.Records[i].Key)
+		if i == 0 || made.Before(index.Oldest) {
+			index.Oldest = made
+		}
+		if made.After(index.Newest) {
 			index.Newest = made
 		}
 	}
+	slices.Sort(index.Fingerprints)
 	return index
 }
 
@@ -37,4 +41,14 @@
 	return Record{}, false
 }
 
-func keyMade(key uuid.UUID) time.Time { return request.Key(key.String()).Made() }
+// keyMade returns the time that a UUIDv7 carries.
+func keyMade(key uuid.UUID) time.Time {
+	var millis int64
+	for _, b := range key[:keyTimeBytes] {
+		millis = millis<<8 | int64(b)
+	}
+	return time.UnixMilli(millis)
+}
+
+// keyTimeBytes is how many bytes of a UUIDv7 are its time.
+const keyTimeBytes = 6
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -20,13 +21,13 @@
 	folded   uint64 // batches up to this one are in segments
 	ring     [RingSlots]StoredBatch
 	recent   map[uuid.UUID]position // latest record of keys not yet folded
-	segments map[uint64]Index
-	folds    map[uint64]uint64 // latest segment of a fingerprint
+	segments []Index                // in the order of their numbers
+	keys     int                    // in segments
 }
 
 // NewState builds the state from what stands in the store.
 func NewState(s Snapshot) *State {
-	st := &State{recent: map[uuid.UUID]position{}, segments: map[uint64]Index{}, folds: map[uint64]uint64{}}
+	st := &State{recent: map[uuid.UUID]position{}}
 	sort.Slice(s.Indexes, func(i, j int) bool { return s.Indexes[i].Number < s.Indexes[j].Number })
 	for _, index := range s.Indexes {
 		st.addIndex(index)
@@ -65,13 +66,19 @@
 // Full reports whether the next batch would overwrite one not yet folded.
 func (s *State) Full() bool { return s.top+1 > s.folded+RingSlots }
 
-// Find returns the unfolded record of key, or the segment that may hold it.
+// Find returns the unfolded record of key, or the latest segment that may hold
+// it.
 func (s *State) Find(key uuid.UUID) (r Record, found bool, segment uint64, folded bool) {
 	if p, ok := s.recent[key]; ok {
 		return s.ring[p.seq%RingSlots].Records[p.at], true, 0, false
 	}
-	segment, folded = s.folds[fingerprint(key)]
-	return Record{}, false, segment, folded
+	made := keyMade(key)
+	for i := len(s.segments) - 1; i >= 0; i-- {
+		if s.segments[i].mayHold(key, made) {
+			return Record{}, false, s.segments[i].Number, true
+		}
+	}
+	return Record{}, false, 0, false
 }
 
 // ToFold returns the next segment, or false when there are too few batches.
@@ -113,20 +120,18 @@
 }
 
 func (s *State) addIndex(index Index) {
-	s.segments[index.Number] = index
+	s.segments = append(s.segments, index)
 	s.folded = max(s.folded, (index.Number+1)*FoldBatches)
-	for _, f := range index.Fingerprints {
-		s.folds[f] = index.Number
-	}
+	s.keys += len(index.Fingerprints)
 }
 
 // Expired returns the numbers of up to limit segments that are no longer
 // needed.
 func (s *State) Expired(now time.Time, limit int) []uint64 {
 	var numbers []uint64
-	for number, index := range s.segments {
-		if len(numbers) < limit && index.expired(now) {
-			numbers = append(numbers, number)
+	for i := range s.segments {
+		if len(numbers) < limit && s.segments[i].expired(now) {
+			numbers = append(numbers, s.segments[i].Number)
 		}
 	}
 	return numbers
@@ -134,23 +139,24 @@
 
 // Drop forgets a segment.
 func (s *State) Drop(number uint64) {
-	for _, f := range s.segments[number].Fingerprints {
-		if s.folds[f] == number {
-			delete(s.folds, f)
+	for i := range s.segments {
+		if s.segments[i].Number == number {
+			s.keys -= len(s.segments[i].Fingerprints)
+			s.segments = slices.Delete(s.segments, i, i+1)
+			return
 		}
 	}
-	delete(s.segments, number)
 }
 
-// Keys returns the number of keys that the state knows.
-func (s *State) Keys() int { return len(s.recent) + len(s.folds) }
+// Keys returns about how many keys the state knows: one whose claim and
+// outcome are in two segments counts twice.
+func (s *State) Keys() int { return len(s.recent) + s.keys }
 
 // Segments returns the numbers of the kept segments in order.
 func (s *State) Segments() []uint64 {
-	numbers := make([]uint64, 0, len(s.segments))
-	for n := range s.segments {
-		numbers = append(numbers, n)
+	numbers := make([]uint64, len(s.segments))
+	for i := range s.segments {
+		numbers[i] = s.segments[i].Number
 	}
-	sort.Slice(numbers, func(i, j int) bool { return numbers[i] < numbers[j] })
 	return numbers
 }
--- a/internal/ledgerstore/store.go
+++ b/internal/ledgerstore/store.go
@@ -78,7 +78,7 @@
 		return err
 	}
 	index := segment.Index()
-	value, err = encode(&wire.LedgerIndex{Number: index.Number, NewestMillis: index.Newest.UnixMilli(), Fingerprints: index.Fingerprints})
+	value, err = encode(&wire.LedgerIndex{Number: index.Number, OldestMillis: index.Oldest.UnixMilli(), NewestMillis: index.Newest.UnixMilli(), Fingerprints: index.Fingerprints})
 	if err != nil {
 		return err
 	}
@@ -143,5 +143,6 @@
 func decodeIndex(item api.KeyValue) (ledger.Index, error) {
 	var m wire.LedgerIndex
 	err := decode(item, &m)
-	return ledger.Index{Number: m.GetNumber(), Newest: time.UnixMilli(m.GetNewestMillis()), Fingerprints: m.GetFingerprints()}, err
+	return ledger.Index{Number: m.GetNumber(), Oldest: time.UnixMilli(m.GetOldestMillis()),
+		Newest: time.UnixMilli(m.GetNewestMillis()), Fingerprints: m.GetFingerprints()}, err
 }
--- /dev/null
+++ b/test/bench/claim_load_test.go
@@ -0,0 +1,90 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
+
+	"persimmonbay/internal/fleet"
+	"persimmonbay/internal/request"
+)
+
+// Offered load, open loop.
+const (
+	claimsASecond = 5000
+	claimTick     = 2 * time.Millisecond
+	claimWarmUp   = 500 * time.Millisecond
+	claimPhase    = 3 * time.Second
+	claimDeadline = time.Second
+	answerBytes   = 200
+)
+
+// claimLoad offers claims to ledgers in turn. mu guards took.
+type claimLoad struct {
+	ledgers []request.Ledger
+	granted atomic.Int64
+	failed  atomic.Int64
+	mu      sync.Mutex
+	took    *hdrhistogram.Histogram // microseconds of granted claims
+}
+
+func newClaimLoad(ledgers []request.Ledger) *claimLoad {
+	return &claimLoad{ledgers: ledgers, took: hdrhistogram.New(1, 10_000_000, 3)}
+}
+
+// run offers for d and returns when the last claim has its answer.
+func (l *claimLoad) run(d time.Duration) {
+	var group sync.WaitGroup
+	start := time.Now()
+	offered := 0
+	ticker := time.NewTicker(claimTick)
+	defer ticker.Stop()
+	for time.Since(start) < d {
+		<-ticker.C
+		for due := int(time.Since(start).Seconds() * claimsASecond); offered < due; offered++ {
+			ledger := l.ledgers[offered%len(l.ledgers)]
+			group.Go(func() { l.claim(ledger) })
+		}
+	}
+	group.Wait()
+}
+
+func (l *claimLoad) claim(ledger request.Ledger) {
+	key, err := uuid.NewV7()
+	if err != nil {
+		return
+	}
+	deadline := time.Now().Add(claimDeadline)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	r := &request.Request{ID: uuid.NewString(), Key: request.Key(key.String()), Service: "transfers", Method: "POST", Path: "/transfers", Body: []byte("one flock"), Deadline: deadline}
+	start := time.Now()
+	claim, err := ledger.Claim(ctx, r)
+	took := time.Since(start)
+	if err != nil || claim.State != request.ClaimGranted {
+		l.failed.Add(1)
+		return
+	}
+	l.granted.Add(1)
+	l.mu.Lock()
+	_ = l.took.RecordValue(took.Microseconds())
+	l.mu.Unlock()
+	ledger.Complete(context.Background(), r, request.Result{Outcome: fleet.Completed, Answer: request.Answer{Status: 200, Body: make([]byte, answerBytes)}})
+}
+
+// report prints the phase that lasted elapsed.
+func (l *claimLoad) report(name string, elapsed time.Duration, writes, reads int64) {
+	seconds := elapsed.Seconds()
+	fmt.Printf("%-44s %6.0f claims/s %5.0f failed/s %6.0f writes/s %5.0f reads/s  p50 %7v p99 %7v\n", name,
+		float64(l.granted.Load())/seconds, float64(l.failed.Load())/seconds, float64(writes)/seconds, float64(reads)/seconds,
+		l.quantile(50), l.quantile(99))
+}
+
+func (l *claimLoad) quantile(q float64) time.Duration {
+	return time.Duration(l.took.ValueAtQuantile(q)) * time.Microsecond
+}
--- /dev/null
+++ b/test/bench/ledger_test.go
@@ -0,0 +1,64 @@
+package bench
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"persimmonbay/internal/ledger"
+	"persimmonbay/internal/ledgerstore"
+	"persimmonbay/internal/request"
+	standinplatform "persimmonbay/internal/standin/platform"
+)
+
+// batchWrites is the share of the platform's writes that the ledger's batches
+// may take, a second; folds and drops come on top.
+const batchWrites = 133
+
+// BenchmarkLedger offers claims to the ledgers of one, three and six entries,
+// all in this process, at several latencies of the store, and prints claims,
+// platform calls and latency beside those of one write a claim.
+func BenchmarkLedger(b *testing.B) {
+	for range b.N {
+		for _, latency := range []time.Duration{2, 5, 20} {
+			for _, entries := range []int{1, 3, 6} {
+				for _, shards := range []int{1, 2, 4} {
+					measureLedger(entries, shards, latency*time.Millisecond)
+				}
+			}
+			measureSingleWrites(latency * time.Millisecond)
+		}
+	}
+}
+
+func measureLedger(entries, shards int, latency time.Duration) {
+	store := newSlowStore(standinplatform.NewStore(clockwork.NewRealClock()), latency)
+	all := map[string]*ledger.Ledger{}
+	var live []string
+	var ledgers []request.Ledger
+	for i := range entries {
+		live = append(live, fmt.Sprintf("entry-%d", i+1))
+	}
+	for _, id := range live {
+		options := ledger.DefaultOptions(id)
+		options.Shards, options.Interval = shards, time.Duration(shards)*time.Second/batchWrites
+		all[id] = ledger.New(ledgerstore.New(store), &nearPeers{live: live, all: all}, clockwork.NewRealClock(), options)
+		ledgers = append(ledgers, all[id])
+	}
+	measureClaims(fmt.Sprintf("store %v, %d entries, %d shards", latency, entries, shards), ledgers, store)
+}
+
+func measureSingleWrites(latency time.Duration) {
+	store := newSlowStore(standinplatform.NewStore(clockwork.NewRealClock()), latency)
+	measureClaims(fmt.Sprintf("store %v, one write a claim", latency), []request.Ledger{&singleWrites{store: store}}, store)
+}
+
+func measureClaims(name string, ledgers []request.Ledger, store *slowStore) {
+	newClaimLoad(ledgers).run(claimWarmUp)
+	l := newClaimLoad(ledgers)
+	writes, reads, start := store.writes.Load(), store.reads.Load(), time.Now()
+	l.run(claimPhase)
+	l.report(name, time.Since(start), store.writes.Load()-writes, store.reads.Load()-reads)
+}
--- /dev/null
+++ b/test/bench/slow_store_test.go
@@ -0,0 +1,66 @@
+package bench
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"persimmonbay/internal/platform"
+	"persimmonbay/internal/platform/api"
+)
+
+// The platform's allowance, in writes a second in all.
+const (
+	platformWrites = 300
+	platformBurst  = 30
+)
+
+// slowStore is a store whose every call takes latency, and which takes no more
+// writes than the platform does. It counts calls.
+type slowStore struct {
+	platform.Store
+	latency       time.Duration
+	allowance     *rate.Limiter
+	writes, reads atomic.Int64
+}
+
+func newSlowStore(store platform.Store, latency time.Duration) *slowStore {
+	return &slowStore{Store: store, latency: latency, allowance: rate.NewLimiter(platformWrites, platformBurst)}
+}
+
+func (s *slowStore) write(ctx context.Context) error {
+	if err := s.allowance.Wait(ctx); err != nil {
+		return err
+	}
+	s.writes.Add(1)
+	time.Sleep(s.latency)
+	return nil
+}
+
+func (s *slowStore) Get(ctx context.Context, key string) (api.KeyValue, error) {
+	s.reads.Add(1)
+	time.Sleep(s.latency)
+	return s.Store.Get(ctx, key)
+}
+
+func (s *slowStore) List(ctx context.Context, prefix string) (api.Listing, error) {
+	s.reads.Add(1)
+	time.Sleep(s.latency)
+	return s.Store.List(ctx, prefix)
+}
+
+func (s *slowStore) Put(ctx context.Context, key string, value []byte, c platform.Condition, lease platform.LeaseID) (uint64, error) {
+	if err := s.write(ctx); err != nil {
+		return 0, err
+	}
+	return s.Store.Put(ctx, key, value, c, lease)
+}
+
+func (s *slowStore) Delete(ctx context.Context, key string, c platform.Condition) error {
+	if err := s.write(ctx); err != nil {
+		return err
+	}
+	return s.Store.Delete(ctx, key, c)
+}
