--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,8 +12,8 @@
 	"persimmonbay/internal/configstore"
 	"persimmonbay/internal/configuration"
 	"persimmonbay/internal/dispatch"
-	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/front"
+	"persimmonbay/internal/inventory"
 	"persimmonbay/internal/ledger"
 	"persimmonbay/internal/membership"
 	"persimmonbay/internal/operator"
@@ -46,12 +46,18 @@
 	inForce   *configuration.InForce
 	members   *membership.Table
 	routes    *routing.Table
-	instances *shard.Cell[[]fleet.Instance]
+	inventory *inventory.Inventory
+	changed   *shard.Cell[uint64] // rises when peers should hear of a change at once
 	health    *shard.Cell[health]
-	peers     *peer.Client
-	sender    *upstream.Sender
-	metrics   *telemetry.Metrics
-	ledger    *ledger.Ledger
+	sighted   *shard.Cell[sighting] // the newest version that a peer told of
+
+	incarnation uint64 // rises with every start of this entry
+
+	peers   *peer.Client
+	sender  *upstream.Sender
+	metrics *telemetry.Metrics
+	ledger  *ledger.Ledger
+	control *control
 }
 
 // New opens the listeners of an entry. Run must follow.
@@ -71,12 +77,18 @@
 		inForce:   configuration.NewInForce(),
 		members:   membership.NewTable(membership.EntryID(s.ID)),
 		routes:    routing.NewTable(),
-		instances: shard.NewCell[[]fleet.Instance](nil),
+		inventory: inventory.New(),
+		changed:   shard.NewCell[uint64](0),
 		health:    shard.NewCell(health{}),
-		peers:     peer.NewClient(s.ID, []byte(s.Secrets.PeerKey), peerTimeout),
-		sender:    upstream.NewSender(s.Limits.WholeBytes),
-		metrics:   telemetry.NewMetrics(),
+		sighted:   shard.NewCell(sighting{}),
+
+		incarnation: uint64(clock.Now().UnixNano()),
+
+		peers:   peer.NewClient(s.ID, []byte(s.Secrets.PeerKey), peerTimeout),
+		metrics: telemetry.NewMetrics(),
 	}
+	e.sender = upstream.NewSender(s.Limits.WholeBytes, clock, e.upstreamLeaving)
+	e.control = newControl(e)
 	e.metrics.Publish("platformCalls", func() any { return client.Counts().Snapshot() })
 	e.metrics.Publish("configurationVersion", func() any { return e.inForce.Get().Version })
 	e.ledger = e.newLedger()
@@ -129,9 +141,10 @@
 func (e *Entry) callersHandler() http.Handler {
 	requests := &request.Server{
 		InForce:    e.inForce,
-		Dispatcher: dispatch.New(e.routes),
+		Dispatcher: e.control.work.wrap(dispatch.New(e.routes)),
 		Sender:     e.sender,
 		Ledger:     e.ledger,
+		Retries:    request.NewRetryBudget(request.RetryShare),
 		Clock:      e.clock,
 	}
 	return front.NewServer(requests, e.metrics, e.clock, e.settings.Limits.BodyBytes, e.log).Handler()
@@ -144,8 +157,12 @@
 		e.followMembers().Run,
 		e.followConfiguration().Run,
 		e.heartbeat,
+		e.announce,
+		e.chase,
 		e.pollInstances,
+		e.followInstances,
 		e.forgetIdleLedger,
+		e.control.run,
 	}
 }
 
