--- a/test/ledger_test.go
+++ b/test/ledger_test.go
@@ -53,7 +53,7 @@
 		more("completed")
 		f.signal(2, syscall.SIGKILL)
 		more("completed")
-		instances := f.instances()
+		instances := f.listedInstances()
 		for _, i := range instances {
 			f.standin(http.MethodDelete, "/standin/instances/"+i.ID, nil)
 		}
@@ -221,7 +221,7 @@
 	return keys
 }
 
-func (f *testFleet) instances() []fleet.Instance {
+func (f *testFleet) listedInstances() []fleet.Instance {
 	var instances []fleet.Instance
 	fetch(f.platformURL()+"/v1/instances", &instances)
 	return instances
