--- a/internal/ledger/options.go
+++ b/internal/ledger/options.go
@@ -21,6 +21,6 @@
 		Interval:       15 * time.Millisecond,
 		OutcomeDelay:   50 * time.Millisecond,
 		ForwardTimeout: time.Second,
-		MaxKeys:        1_000_000,
+		MaxKeys:        500_000,
 	}
 }
