--- /dev/null
+++ b/internal/ledger/retention_test.go
@@ -0,0 +1,75 @@
+package ledger_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/fleet"
+	"persimmonbay/internal/request"
+)
+
+// Load of the run over several retentions.
+const (
+	retentionClaims = 40 // a minute
+	retentionRounds = 55 // minutes
+	steadyFrom      = 20 // minutes after which the store no longer grows
+)
+
+var _ = Describe("the retention", func() {
+	It("bounds what the store holds, and no key within it is granted twice", func() {
+		most := map[bool]int{} // store keys, by whether the store is steady
+		var segments, granted, again int
+		bubble(func(r *run, _ request.Key) {
+			random := rand.New(rand.NewPCG(1, 5))
+			var keys []request.Key
+			for minute := range retentionRounds {
+				for range retentionClaims {
+					key := newKey(random)
+					keys = append(keys, key)
+					granted += claimed(r, random, key)
+					time.Sleep(200 * time.Millisecond)
+				}
+				for range 5 {
+					again += claimed(r, random, keys[random.IntN(len(keys))])
+				}
+				time.Sleep(time.Minute)
+				for _, l := range r.ledgers {
+					l.Forget() // all are idle: the next claims load the log
+				}
+				listing, err := r.store.List(context.Background(), "")
+				Expect(err).NotTo(HaveOccurred())
+				segments = 0
+				for _, item := range listing.Items {
+					if strings.Contains(item.Key, "/segment/") {
+						segments++
+					}
+				}
+				most[minute >= steadyFrom] = max(most[minute >= steadyFrom], len(listing.Items))
+			}
+		})
+		fmt.Fprintf(GinkgoWriter, "store keys at most: %v, segments at the end: %d\n", most, segments)
+		Expect(granted).To(Equal(retentionClaims * retentionRounds))
+		Expect(again).To(BeZero())
+		Expect(segments).To(BeNumerically(">", 2))
+		Expect(most[true]).To(BeNumerically("<", most[false]*3/2))
+	})
+})
+
+// claimed has a random entry claim and finish key, and returns how many grants
+// there were.
+func claimed(r *run, random *rand.Rand, key request.Key) int {
+	l := r.ledgers[r.entries[random.IntN(len(r.entries))]]
+	attempt := transfer(key, fmt.Sprint(random.Uint64()), time.Second)
+	claim, err := l.Claim(context.Background(), attempt)
+	if err != nil || claim.State != request.ClaimGranted {
+		return 0
+	}
+	l.Complete(context.Background(), attempt, request.Result{Outcome: fleet.Completed, Answer: request.Answer{Status: 201}})
+	return 1
+}
