Ledger: a hurried caller no longer breaks the session to an owner

Cause: a call between entries that is given up at its caller's deadline closes the yamux session that all calls to that peer share, so one caller with a timeout of a few milliseconds made its entry pass the owner over for a second. The call goes on for at most the forward timeout.

--- a/internal/ledger/fake_peers_test.go
+++ b/internal/ledger/fake_peers_test.go
@@ -39,6 +39,7 @@
 		}
 		return r.verdict, r.err
 	case <-ctx.Done():
+		p.faults.change(func(f *faults) { f.givenUp++ })
 		p.faults.stop(p.entry)
 		return ledger.Verdict{}, problem.Wrap(problem.Interrupted, problem.StepPeerCall, peer, ctx.Err())
 	}
--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -21,6 +21,7 @@
 	killed  map[string]bool
 	cut     map[string]bool // entries that no other reaches
 	noCheck bool            // sabotage: the store checks no version
+	givenUp int             // calls between entries that were given up
 }
 
 func newFaults(seed uint64) *faults {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -134,9 +134,7 @@
 	if owner == l.options.Entry || l.suspected(owner) {
 		return l.shards[number].Do(ctx, operation)
 	}
-	forwardCtx, cancel := context.WithTimeout(ctx, l.options.ForwardTimeout)
-	verdict, err := l.peers.Forward(forwardCtx, owner, operation)
-	cancel()
+	verdict, err := l.forward(ctx, owner, operation)
 	if err == nil {
 		l.counters.add(countForwarded)
 		return verdict, nil
@@ -151,6 +149,25 @@
 	return l.shards[number].Do(ctx, operation)
 }
 
+// forward hands operation to owner and waits until ctx ends at most. The call
+// itself goes on: to give it up would break the session that all calls to the
+// owner share.
+func (l *Ledger) forward(ctx context.Context, owner string, operation Record) (Verdict, error) {
+	replies := make(chan result, 1)
+	go func() {
+		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), l.options.ForwardTimeout)
+		defer cancel()
+		verdict, err := l.peers.Forward(callCtx, owner, operation)
+		replies <- result{verdict: verdict, err: err}
+	}()
+	select {
+	case r := <-replies:
+		return r.verdict, r.err
+	case <-ctx.Done():
+		return Verdict{}, ctx.Err()
+	}
+}
+
 func (l *Ledger) suspected(owner string) bool {
 	until, ok := l.suspects.Get(owner)
 	return ok && l.clock.Now().Before(until)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -59,6 +59,21 @@
 		Expect(later.State).To(Equal(request.ClaimInDoubt))
 	})
 
+	It("gives up no call to an owner because a caller was in a hurry", func() {
+		var givenUp int
+		bubble(func(r *run, key request.Key) {
+			r.faults.change(func(f *faults) { f.slow = 100 * time.Millisecond })
+			for _, l := range r.ledgers {
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Millisecond)
+				_, _ = l.Claim(ctx, transfer(key, "first", 5*time.Millisecond))
+				cancel()
+			}
+			time.Sleep(10 * time.Second)
+			r.faults.change(func(f *faults) { givenUp = f.givenUp })
+		})
+		Expect(givenUp).To(BeZero()) // it would break the session that all calls share
+	})
+
 	It("says that this attempt did not run when the store is down", func() {
 		var err error
 		bubble(func(r *run, key request.Key) {
