Sessions between entries: judged by their own progress, dialled without a lock

Cause: the link's lock was held while dialling and proving the key, so a call waited beyond its own deadline; a call with a short deadline closed the session under all others; a silent session was noticed only by a call's 2 s timeout. Ruled out: a shorter yamux keepalive alone (costs messages on idle sessions and does not tell which call waits); closing on a call's timeout (kills sessions of peers that are merely slow). Heartbeats have a timeout of 1 s, so a dead member does not hold up the round.

--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"persimmonbay/internal/membership"
 	"persimmonbay/internal/peer/wire"
@@ -22,7 +23,13 @@
 	}
 }
 
+// heartbeatTimeout bounds one exchange, so that a dead member does not delay
+// the next round with the others.
+const heartbeatTimeout = time.Second
+
 func (e *Entry) heartbeatOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
 	reached := shard.NewCell(false)
 	var calls sync.WaitGroup
 	for _, m := range e.members.Members() {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -18,49 +19,49 @@
 	key     []byte
 	timeout time.Duration
 	links   *shard.Map[string, *link]
+	dials   sync.WaitGroup
 }
 
 // NewClient returns a client of the entry called self. timeout bounds each
-// call and is the time after which a silent session is given up.
+// call; a silent session is given up sooner.
 func NewClient(self string, key []byte, timeout time.Duration) *Client {
 	return &Client{self: self, key: key, timeout: timeout, links: shard.NewMapOf[string, *link](8)}
 }
 
 // Call sends request to the entry at address and returns its answer. An error
-// of kind Unavailable means that the request never left.
+// of kind Unavailable means that the request never left. A call that ends
+// before its session is known to be silent leaves the session to the others.
 func (c *Client) Call(ctx context.Context, address string, request *wire.Request) (*wire.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	l := c.links.GetOrCreate(address, func() *link { return &link{address: address, key: c.key} })
-	session, err := l.open(ctx)
+	l := c.links.GetOrCreate(address, func() *link { return &link{address: address, key: c.key, dials: &c.dials} })
+	connection, err := l.open(ctx)
 	if err != nil {
 		return nil, connectError(address, err)
 	}
-	stream, err := session.OpenStream()
+	answered := connection.watch(func() { l.replace(connection) })
+	stream, err := connection.session.OpenStream()
 	if err != nil {
-		l.drop(session)
+		l.replace(connection)
 		return nil, problem.Wrap(problem.Unavailable, problem.StepPeerCall, address, err)
 	}
 	defer stream.Close()
 	request.From = c.self
 	response, err := exchange(ctx, stream, request)
 	if err != nil {
-		l.drop(session)
-		return nil, problem.Wrap(problem.Interrupted, problem.StepPeerCall, address, err)
+		return nil, exchangeError(address, err)
 	}
+	answered()
 	if response.GetFailure() != nil {
 		return nil, wire.ToError(address, response.GetFailure())
 	}
 	return response, nil
 }
 
-// exchange gives up when ctx ends: a session that stays silent is as good as
-// closed.
+// exchange gives up when ctx ends.
 func exchange(ctx context.Context, stream *yamux.Stream, request *wire.Request) (*wire.Response, error) {
-	deadline, _ := ctx.Deadline()
-	if err := stream.SetDeadline(deadline); err != nil {
-		return nil, err
-	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
+	defer stop()
 	if err := wire.Write(stream, request); err != nil {
 		return nil, err
 	}
@@ -68,6 +69,13 @@
 	return response, wire.Read(stream, response)
 }
 
+func exchangeError(address string, err error) error {
+	if errors.Is(err, yamux.ErrTimeout) {
+		return problem.Wrap(problem.Timeout, problem.StepPeerCall, address, err)
+	}
+	return problem.Wrap(problem.Interrupted, problem.StepPeerCall, address, err)
+}
+
 func connectError(address string, err error) error {
 	var known *problem.Error
 	if errors.As(err, &known) {
@@ -83,10 +91,11 @@
 	}
 }
 
-// Close closes all sessions.
+// Close closes all sessions and waits for the dialling ones.
 func (c *Client) Close() {
 	c.links.Range(func(address string, _ *link) bool {
 		c.Forget(address)
 		return true
 	})
+	c.dials.Wait()
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -4,34 +4,82 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/yamux"
+
+	"persimmonbay/internal/problem"
 )
 
-// link is the session to one address. mu guards session: at most one is open.
+// dialTimeout bounds connecting and the proof of the key together.
+const dialTimeout = handshakeTimeout
+
+// link is the session to one address. mu guards current, dialling and closed;
+// it is not held while dialling, so that a call waits no longer than its own
+// deadline. At most one session is open and one being dialled.
 type link struct {
 	address string
 	key     []byte
-	mu      sync.Mutex
-	session *yamux.Session
+	dials   *sync.WaitGroup // the goroutines of all links of a client
+
+	mu       sync.Mutex
+	current  *connection
+	dialling *dialling
+	closed   bool
 }
 
 // open returns the session, dialling a new one when there is none.
-func (l *link) open(ctx context.Context) (*yamux.Session, error) {
+func (l *link) open(ctx context.Context) (*connection, error) {
+	c, d, err := l.state()
+	if c != nil || err != nil {
+		return c, err
+	}
+	select {
+	case <-d.done:
+		return d.connection, d.err
+	case <-ctx.Done():
+		return nil, problem.Wrap(problem.Unavailable, problem.StepConnect, l.address, ctx.Err())
+	}
+}
+
+// state returns the open session, or else the dialling under way, which it
+// begins if need be.
+func (l *link) state() (*connection, *dialling, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.session != nil && !l.session.IsClosed() {
-		return l.session, nil
+	if l.closed {
+		return nil, nil, problem.New(problem.Unavailable, problem.StepConnect, l.address, "the session was closed")
 	}
-	session, err := l.dial(ctx)
-	if err != nil {
-		return nil, err
+	if l.current != nil && !l.current.session.IsClosed() {
+		return l.current, nil, nil
+	}
+	if l.dialling == nil {
+		l.dialling = &dialling{done: make(chan struct{})}
+		d := l.dialling
+		l.dials.Go(func() { l.dialOnce(d) })
 	}
-	l.session = session
-	return session, nil
+	return nil, l.dialling, nil
 }
 
-func (l *link) dial(ctx context.Context) (*yamux.Session, error) {
+func (l *link) dialOnce(d *dialling) {
+	d.connection, d.err = l.dial()
+	l.mu.Lock()
+	l.dialling = nil
+	refused := l.closed && d.err == nil
+	if !l.closed {
+		l.current = d.connection
+	}
+	l.mu.Unlock()
+	if refused {
+		_ = d.connection.session.Close()
+		d.connection, d.err = nil, problem.New(problem.Unavailable, problem.StepConnect, l.address, "the session was closed")
+	}
+	close(d.done)
+}
+
+func (l *link) dial() (*connection, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
 	var dialer net.Dialer
 	c, err := dialer.DialContext(ctx, "tcp", l.address)
 	if err != nil {
@@ -41,26 +89,33 @@
 		_ = c.Close()
 		return nil, err
 	}
-	return yamux.Client(c, sessionConfig())
+	live := &liveConn{Conn: c}
+	live.lastRead.Store(time.Now().UnixNano())
+	session, err := yamux.Client(live, sessionConfig())
+	if err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return &connection{session: session, conn: live}, nil
 }
 
-// drop closes the session if it is still the one in use, so that the next
-// call dials anew.
-func (l *link) drop(session *yamux.Session) {
+// replace gives c up, if it is still the one in use, and dials anew at once.
+func (l *link) replace(c *connection) {
 	l.mu.Lock()
-	if l.session == session {
-		l.session = nil
+	if l.current == c {
+		l.current = nil
 	}
 	l.mu.Unlock()
-	_ = session.Close()
+	_ = c.session.Close()
+	_, _, _ = l.state() // begins to dial; the next call waits for it
 }
 
 func (l *link) close() {
 	l.mu.Lock()
-	session := l.session
-	l.session = nil
+	c := l.current
+	l.current, l.closed = nil, true
 	l.mu.Unlock()
-	if session != nil {
-		_ = session.Close()
+	if c != nil {
+		_ = c.session.Close()
 	}
 }
--- /dev/null
+++ b/internal/peer/session_test.go
@@ -0,0 +1,130 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/peer/wire"
+	"persimmonbay/internal/problem"
+)
+
+// patience is how long a condition may take to come true on a busy machine.
+const patience = 30 * time.Second
+
+// recovery is how soon a silent session must have been replaced.
+const recovery = 2 * time.Second
+
+var testKey = []byte("test-peer-key-0123456789")
+
+var _ = Describe("a session", func() {
+	var (
+		handler *heldHandler
+		server  string
+		client  *Client
+	)
+
+	BeforeEach(func() {
+		handler = &heldHandler{begun: make(chan struct{}, 8), release: make(chan struct{})}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		server = l.Addr().String()
+		ctx, cancel := context.WithCancel(context.Background())
+		served := make(chan error, 1)
+		go func() { served <- NewServer(handler, testKey, zap.NewNop()).Serve(ctx, l) }()
+		client = NewClient("entry-1", testKey, patience)
+		DeferCleanup(func() {
+			client.Close()
+			cancel()
+			Expect(<-served).To(Succeed())
+		})
+	})
+
+	heartbeat := func(ctx context.Context, address string) error {
+		_, err := client.Call(ctx, address, &wire.Request{Body: &wire.Request_Heartbeat{Heartbeat: &wire.Heartbeat{}}})
+		return err
+	}
+	held := func(ctx context.Context, address string) error {
+		_, err := client.Call(ctx, address, &wire.Request{Body: &wire.Request_Configuration{Configuration: &wire.ConfigurationRequest{}}})
+		return err
+	}
+	within := func(d time.Duration, call func(context.Context, string) error, address string) error {
+		ctx, cancel := context.WithTimeout(context.Background(), d)
+		defer cancel()
+		return call(ctx, address)
+	}
+
+	It("that goes silent is given up and replaced within 2 s", func() {
+		r := startRelay(server)
+		Expect(heartbeat(context.Background(), r.address())).To(Succeed())
+		inFlight := make(chan error, 1)
+		go func() { inFlight <- held(context.Background(), r.address()) }()
+		Eventually(handler.begun, patience).Should(Receive())
+		r.silence()
+		silent := time.Now()
+		Expect(heartbeat(context.Background(), r.address())).NotTo(Succeed())
+		Expect(heartbeat(context.Background(), r.address())).To(Succeed())
+		Expect(time.Since(silent)).To(BeNumerically("<", recovery))
+		Expect(r.connections()).To(Equal(2))
+		var err error
+		Eventually(inFlight, patience).Should(Receive(&err))
+		Expect(problem.KindOf(err)).To(Equal(problem.Interrupted))
+		close(handler.release)
+	})
+
+	It("that goes silent is given up although every call has a short deadline", func() {
+		r := startRelay(server)
+		Expect(heartbeat(context.Background(), r.address())).To(Succeed())
+		r.silence()
+		Eventually(func() error { return within(50*time.Millisecond, heartbeat, r.address()) }, recovery, time.Millisecond).Should(Succeed())
+		close(handler.release)
+	})
+
+	It("outlives a call that is given up early", func() {
+		inFlight := make(chan error, 1)
+		go func() { inFlight <- held(context.Background(), server) }()
+		Eventually(handler.begun, patience).Should(Receive())
+		Expect(problem.KindOf(within(20*time.Millisecond, held, server))).To(Equal(problem.Timeout))
+		close(handler.release)
+		Expect(<-inFlight).To(Succeed())
+	})
+
+	It("outlives calls that the peer is slow to answer", func() {
+		r := startRelay(server)
+		inFlight := make(chan error, 1)
+		go func() { inFlight <- held(context.Background(), r.address()) }()
+		Consistently(inFlight, 2*silenceLimit).ShouldNot(Receive())
+		close(handler.release)
+		Expect(<-inFlight).To(Succeed())
+		Expect(r.connections()).To(Equal(1))
+	})
+
+	It("that is being opened keeps no call beyond its deadline", func() {
+		mute, err := net.Listen("tcp", "127.0.0.1:0") // connects, and says nothing
+		Expect(err).NotTo(HaveOccurred())
+		defer mute.Close()
+		done := make(chan error, 8)
+		start := time.Now()
+		for range cap(done) {
+			go func() { done <- within(50*time.Millisecond, heartbeat, mute.Addr().String()) }()
+		}
+		for range cap(done) {
+			Expect(problem.KindOf(<-done)).To(Equal(problem.Unavailable))
+		}
+		Expect(time.Since(start)).To(BeNumerically("<", handshakeTimeout/2))
+		close(handler.release)
+	})
+
+	It("is refused to a stranger", func() {
+		stranger := NewClient("entry-2", []byte("another-key-of-16-b"), patience)
+		defer stranger.Close()
+		_, err := stranger.Call(context.Background(), server, &wire.Request{})
+		Expect(err).To(HaveOccurred())
+		Expect(problem.KindOf(err)).To(BeElementOf(problem.Unauthorized, problem.Unavailable))
+		close(handler.release)
+	})
+})
