--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,8 +94,8 @@
 	for _, loop := range e.loops() {
 		loops.Go(func() { loop(loopsCtx) })
 	}
-	callers := &http.Server{Handler: e.callersHandler(), ReadHeaderTimeout: headerTimeout}
-	operators := &http.Server{Handler: operator.NewServer(e, e.metrics, e.settings.Secrets.OperatorToken, e.log).Handler(), ReadHeaderTimeout: headerTimeout}
+	callers := &http.Server{Handler: e.tellClosing(e.callersHandler()), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	operators := &http.Server{Handler: operator.NewServer(e, e.metrics, e.settings.Secrets.OperatorToken, e.log).Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	failed := make(chan error, 3)
 	go func() { failed <- callers.Serve(e.listeners.callers) }()
 	go func() { failed <- operators.Serve(e.listeners.operators) }()
@@ -113,9 +113,9 @@
 		err = e.drain(callers)
 	}
 	_ = callers.Close()
-	_ = operators.Close()
 	stopLoops()
 	loops.Wait()
+	closeOperators(operators)
 	e.sender.Close()
 	e.peers.Close()
 	e.platform.Close()
@@ -145,13 +145,3 @@
 		e.pollInstances,
 	}
 }
-
-// drain waits for the balancer to notice and then for requests in flight.
-func (e *Entry) drain(callers *http.Server) error {
-	e.health.Update(func(h health) (health, bool) { h.leaving = true; return h, true })
-	e.log.Info("leaving")
-	<-e.clock.After(e.settings.Limits.ShutdownNotice)
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Limits.ShutdownTimeout)
-	defer cancel()
-	return callers.Shutdown(ctx)
-}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -63,8 +63,11 @@
 func (s *Server) serveConnection(ctx context.Context, c net.Conn) {
 	defer c.Close()
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	defer stop()
-	if err := handshake(c, s.key, roleListener, roleDialer); err != nil {
+	err := handshake(c, s.key, roleListener, roleDialer)
+	if !stop() {
+		return
+	}
+	if err != nil {
 		s.log.Warn("peer refused", zap.String("step", string(problem.StepAuthorize)), zap.String("peer", c.RemoteAddr().String()), zap.Error(err))
 		return
 	}
@@ -77,7 +80,17 @@
 	s.serveSession(ctx, session)
 }
 
+// serveSession serves until the session ends. When ctx does, the peer is told
+// to begin no more calls and those at work are served to their end.
 func (s *Server) serveSession(ctx context.Context, session *yamux.Session) {
+	var atWork sync.RWMutex // held for reading by each call, for writing to close
+	stop := context.AfterFunc(ctx, func() {
+		_ = session.GoAway()
+		atWork.Lock()
+		defer atWork.Unlock()
+		_ = session.Close()
+	})
+	defer stop()
 	var streams sync.WaitGroup
 	defer streams.Wait()
 	for {
@@ -85,7 +98,11 @@
 		if err != nil {
 			return
 		}
-		streams.Go(func() { s.serveStream(ctx, stream) })
+		streams.Go(func() {
+			atWork.RLock()
+			defer atWork.RUnlock()
+			s.serveStream(context.WithoutCancel(ctx), stream)
+		})
 	}
 }
 
--- a/internal/peer/session_test.go
+++ b/internal/peer/session_test.go
@@ -25,6 +25,7 @@
 	var (
 		handler *heldHandler
 		server  string
+		stop    context.CancelFunc
 		client  *Client
 	)
 
@@ -34,6 +35,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		server = l.Addr().String()
 		ctx, cancel := context.WithCancel(context.Background())
+		stop = cancel
 		served := make(chan error, 1)
 		go func() { served <- NewServer(handler, testKey, zap.NewNop()).Serve(ctx, l) }()
 		client = NewClient("entry-1", testKey, patience)
@@ -84,6 +86,16 @@
 		close(handler.release)
 	})
 
+	It("is served to the end of its calls when the server stops", func() {
+		inFlight := make(chan error, 1)
+		go func() { inFlight <- held(context.Background(), server) }()
+		Eventually(handler.begun, patience).Should(Receive())
+		stop()
+		Eventually(func() error { return heartbeat(context.Background(), server) }, patience).ShouldNot(Succeed())
+		close(handler.release)
+		Expect(<-inFlight).To(Succeed())
+	})
+
 	It("outlives a call that is given up early", func() {
 		inFlight := make(chan error, 1)
 		go func() { inFlight <- held(context.Background(), server) }()
