--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -7,21 +7,27 @@
 	"persimmonbay/internal/routing"
 )
 
-// upstreamLeaving takes an instance at its own word that it is leaving.
+// upstreamLeaving takes an instance at its own word that it is leaving, and
+// has the other entries told.
 func (e *Entry) upstreamLeaving(instance string) {
-	e.markLeaving(routing.LeavingMark{Instance: instance, Heard: e.clock.Now()}, e.settings.ID)
+	if e.markLeaving(routing.LeavingMark{Instance: instance, Heard: e.clock.Now()}, e.settings.ID) {
+		e.tellPeers()
+	}
 }
 
-// heard takes over what a member's heartbeat tells.
-func (e *Entry) heard(h membership.Heartbeat) {
-	e.members.Heard(h, e.clock.Now())
+// heard takes over what a heartbeat tells and reports whether its sender is
+// known.
+func (e *Entry) heard(h membership.Heartbeat) (known bool) {
+	known = e.members.Heard(h, e.clock.Now())
 	for _, m := range h.LeavingUpstreams {
 		e.markLeaving(m, string(h.Entry))
 	}
+	return known
 }
 
-func (e *Entry) markLeaving(m routing.LeavingMark, from string) {
-	if e.routes.Mark(m, e.clock.Now()) {
+func (e *Entry) markLeaving(m routing.LeavingMark, from string) (news bool) {
+	if news = e.routes.Mark(m, e.clock.Now()); news {
 		e.log.Info("upstream leaving by its own word", zap.String("instance", m.Instance), zap.String("heardFrom", from))
 	}
+	return news
 }
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -15,8 +15,11 @@
 	ConfigurationVersion configuration.Version `json:"configurationVersion"`
 	Leaving              bool                  `json:"leaving"`
 	StoreReachable       bool                  `json:"storeReachable"`
-	Registered           bool                  `json:"registered"` // its lease holds, as far as the store was seen
-	LastHeard            time.Time             `json:"lastHeard"`  // zero: never
+	Registered           bool                  `json:"registered"`          // its lease holds, as far as the store was seen
+	LastHeard            time.Time             `json:"lastHeard"`           // zero: never
+	Incarnation          uint64                `json:"incarnation"`         // of the latest start it was heard of
+	Introduced           time.Time             `json:"introduced"`          // when a peer told of it; zero: never
+	MaintenanceRevision  uint64                `json:"maintenanceRevision"` // of the pool records that it acts on
 }
 
 // Alive reports whether the member was heard within silentFor before now.
--- a/internal/peer/wire/convert.go
+++ b/internal/peer/wire/convert.go
@@ -1,30 +1,42 @@
 package wire
 
 import (
+	"time"
+
 	"persimmonbay/internal/configuration"
 	"persimmonbay/internal/membership"
 	"persimmonbay/internal/problem"
 )
 
-// FromHeartbeat converts a plain heartbeat to its message.
-func FromHeartbeat(h membership.Heartbeat) *Heartbeat {
+// FromHeartbeat converts a plain heartbeat, sent at now, to its message.
+func FromHeartbeat(h membership.Heartbeat, now time.Time) *Heartbeat {
 	return &Heartbeat{
 		Entry:                string(h.Entry),
 		ConfigurationVersion: uint64(h.ConfigurationVersion),
 		Leaving:              h.Leaving,
 		StoreReachable:       h.StoreReachable,
+		Registration:         fromOptionalRegistration(h.Registration),
+		Stranger:             h.Stranger,
+		Incarnation:          h.Incarnation,
+		Instances:            FromStamp(h.Instances, now),
 		LeavingUpstreams:     fromLeavingMarks(h.LeavingUpstreams),
+		MaintenanceRevision:  h.MaintenanceRevision,
 	}
 }
 
-// ToHeartbeat converts a message to a plain heartbeat.
-func ToHeartbeat(m *Heartbeat) membership.Heartbeat {
+// ToHeartbeat converts a message, received at now, to a plain heartbeat.
+func ToHeartbeat(m *Heartbeat, now time.Time) membership.Heartbeat {
 	return membership.Heartbeat{
 		Entry:                membership.EntryID(m.GetEntry()),
 		ConfigurationVersion: configuration.Version(m.GetConfigurationVersion()),
 		Leaving:              m.GetLeaving(),
 		StoreReachable:       m.GetStoreReachable(),
+		Registration:         toOptionalRegistration(m.GetRegistration()),
+		Stranger:             m.GetStranger(),
+		Incarnation:          m.GetIncarnation(),
+		Instances:            ToStamp(m.GetInstances(), now),
 		LeavingUpstreams:     toLeavingMarks(m.GetLeavingUpstreams()),
+		MaintenanceRevision:  m.GetMaintenanceRevision(),
 	}
 }
 
--- a/internal/peer/wire/fuzz_test.go
+++ b/internal/peer/wire/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
@@ -31,7 +32,7 @@
 			return
 		}
 		g.Expect(len(frame) - in.Len()).To(BeNumerically("<=", MaxFrameBytes+frameHeaderBytes))
-		ToHeartbeat(message.GetHeartbeat())
+		ToHeartbeat(message.GetHeartbeat(), time.Unix(0, 0))
 		var again bytes.Buffer
 		g.Expect(Write(&again, message)).To(Succeed())
 		read := &Request{}
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -22,14 +22,24 @@
 type Server struct {
 	Store     *Store
 	Instances *Instances
+	Reboots   *Reboots
 	faults    *shard.Cell[Faults]
 	injector  *injector
+	meter     *meter
 }
 
 // NewServer returns a healthy platform without instances.
 func NewServer(clock clockwork.Clock) *Server {
 	faults := shard.NewCell(Faults{})
-	return &Server{Store: NewStore(clock), Instances: NewInstances(clock), faults: faults, injector: newInjector(faults, clock)}
+	instances := NewInstances(clock)
+	return &Server{
+		Store:     NewStore(clock),
+		Instances: instances,
+		Reboots:   newReboots(clock, instances, faults),
+		faults:    faults,
+		injector:  newInjector(faults, clock),
+		meter:     newMeter(clock),
+	}
 }
 
 // SetFaults throws the switches.
@@ -42,7 +52,7 @@
 	r := mux.NewRouter().UseEncodedPath()
 	r.SkipClean(true)
 	v1 := r.PathPrefix("/v1").Subrouter()
-	v1.Use(s.injector.wrap)
+	v1.Use(s.meter.wrap, s.injector.wrap)
 	v1.HandleFunc("/kv", s.list).Methods(http.MethodGet).Queries("prefix", "{prefix}")
 	v1.HandleFunc("/kv/{key:.+}", s.get).Methods(http.MethodGet)
 	v1.HandleFunc("/kv/{key:.+}", s.put).Methods(http.MethodPut)
@@ -52,7 +62,11 @@
 	v1.HandleFunc("/leases/{id}/renew", s.renew).Methods(http.MethodPost)
 	v1.HandleFunc("/leases/{id}", s.revoke).Methods(http.MethodDelete)
 	v1.HandleFunc("/instances", s.instances).Methods(http.MethodGet)
+	v1.HandleFunc("/instances/{id}/reboot", s.reboot).Methods(http.MethodPost)
 	r.HandleFunc("/standin/faults", s.putFaults).Methods(http.MethodPut)
+	r.HandleFunc("/standin/rates", s.putRates).Methods(http.MethodPut)
+	r.HandleFunc("/standin/calls", s.getCalls).Methods(http.MethodGet)
+	r.HandleFunc("/standin/reboots", s.reboots).Methods(http.MethodGet)
 	r.HandleFunc("/standin/instances/{id}", s.putInstance).Methods(http.MethodPut)
 	r.HandleFunc("/standin/instances/{id}", s.removeInstance).Methods(http.MethodDelete)
 	return r
@@ -127,8 +141,8 @@
 	answer(w, struct{}{}, s.Store.Revoke(r.Context(), platform.LeaseID(mux.Vars(r)["id"])))
 }
 
-func (s *Server) instances(w http.ResponseWriter, _ *http.Request) {
-	answer(w, s.Instances.List(time.Duration(s.faults.Get().LagMillis)*time.Millisecond), nil)
+func (s *Server) instances(w http.ResponseWriter, r *http.Request) {
+	writeCompressed(w, r, s.Instances.List(time.Duration(s.faults.Get().LagMillis)*time.Millisecond))
 }
 
 func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
--- a/test/suite_test.go
+++ b/test/suite_test.go
@@ -7,6 +7,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gexec"
+
+	_ "persimmonbay/internal/entry" // so that a change of it outdates cached results
 )
 
 // binary is the path of the program built for this run.
@@ -19,7 +21,7 @@
 
 var _ = BeforeSuite(func() {
 	var err error
-	binary, err = gexec.Build("persimmonbay/cmd/persimmonbay")
+	binary, err = gexec.Build("persimmonbay/cmd/persimmonbay", buildFlags...)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(gexec.CleanupBuildArtifacts)
 })
