--- a/internal/standin/relay/connection.go
+++ b/internal/standin/relay/connection.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"sync"
-	"sync/atomic"
 
 	"persimmonbay/internal/shard"
 )
@@ -15,11 +14,10 @@
 type connection struct {
 	near, far net.Conn
 	silent    *shard.Cell[bool]
-	carried   *atomic.Int64 // bytes passed on, both ways, of all connections
 }
 
-func newConnection(near, far net.Conn, carried *atomic.Int64) *connection {
-	return &connection{near: near, far: far, silent: shard.NewCell(false), carried: carried}
+func newConnection(near, far net.Conn) *connection {
+	return &connection{near: near, far: far, silent: shard.NewCell(false)}
 }
 
 // carry copies both ways until one end closes.
@@ -45,7 +43,6 @@
 		if _, err := to.Write(buffer[:n]); err != nil {
 			break
 		}
-		c.carried.Add(int64(n))
 	}
 	if !c.silent.Get() {
 		c.close()
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -4,19 +4,17 @@
 	"net"
 	"strconv"
 	"sync"
-	"sync/atomic"
 
 	"persimmonbay/internal/shard"
 )
 
 // Relay forwards connections to a target. Each open connection is in a shard
-// of connections; cut has a lock of its own, carried is counted atomically.
+// of connections; cut has a lock of its own.
 type Relay struct {
 	target      string
 	listener    net.Listener
 	cut         *shard.Cell[bool]
 	connections *shard.Map[string, *connection]
-	carried     atomic.Int64
 	running     sync.WaitGroup
 }
 
@@ -55,9 +53,6 @@
 // Open returns the number of open connections, silent ones included.
 func (r *Relay) Open() int { return r.connections.Len() }
 
-// Carried returns the bytes passed on so far, both ways.
-func (r *Relay) Carried() int64 { return r.carried.Load() }
-
 // Close stops the relay and waits for its goroutines.
 func (r *Relay) Close() {
 	_ = r.listener.Close()
@@ -92,7 +87,7 @@
 	if err != nil {
 		return
 	}
-	c := newConnection(near, far, &r.carried)
+	c := newConnection(near, far)
 	defer c.close()
 	r.connections.Set(id, c)
 	defer r.connections.Delete(id)
--- a/test/bench/entry_test.go
+++ b/test/bench/entry_test.go
@@ -142,7 +142,7 @@
 	return instance.Address, e.Addresses().Callers
 }
 
-func apply(ctx context.Context, b *testing.B, p *standinplatform.Server, clock clockwork.Clock) *configuration.Configuration {
+func apply(ctx context.Context, b *testing.B, p *standinplatform.Server, clock clockwork.Clock) {
 	answers, err := os.ReadFile("../../examples/registry/answers.yaml")
 	if err != nil {
 		b.Fatal(err)
@@ -151,15 +151,13 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	generated := configuration.Generate(questionnaire)
-	source, err := configfile.Render(generated)
+	source, err := configfile.Render(configuration.Generate(questionnaire))
 	if err != nil {
 		b.Fatal(err)
 	}
 	if _, err := configstore.New(p.Store, clock).Apply(ctx, "bench", 0, source); err != nil {
 		b.Fatal(err)
 	}
-	return generated
 }
 
 func listen(b *testing.B) net.Listener {
--- a/test/bench/process_vars_test.go
+++ /dev/null
@@ -1,6 +0,0 @@
-package bench
-
-// processVars is what the benchmarks read of /debug/vars.
-type processVars struct {
-	Entry entryVars `json:"entry"`
-}
