--- a/cmd/persimmonbay/config_apply.go
+++ b/cmd/persimmonbay/config_apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"net/http"
@@ -10,6 +11,7 @@
 	"persimmonbay/internal/configfile"
 	"persimmonbay/internal/configuration"
 	"persimmonbay/internal/operator/message"
+	"persimmonbay/internal/problem"
 )
 
 func configApplyCommand() command {
@@ -32,13 +34,25 @@
 			var accepted message.ApplyResponse
 			in := message.ApplyRequest{Operator: *as, Base: configuration.Version(*base), Source: data}
 			if err := client.Send(ctx, http.MethodPut, "/v1/configuration", in, &accepted); err != nil {
-				return err
+				return inFile(name, err)
 			}
 			return f.show(c, accepted, row("ACCEPTED"), []string{fmt.Sprint(accepted.Version)})
 		}
 	}}
 }
 
+// inFile names the operator's file in findings that came from an entry.
+func inFile(name string, err error) error {
+	var findings problem.Findings
+	if !errors.As(err, &findings) {
+		return err
+	}
+	for i := range findings {
+		findings[i].File = name
+	}
+	return findings
+}
+
 func currentUser() string {
 	u, err := user.Current()
 	if err != nil {
--- a/cmd/persimmonbay/config_generate.go
+++ b/cmd/persimmonbay/config_generate.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"os"
 
 	"persimmonbay/internal/configfile"
 	"persimmonbay/internal/configuration"
+	"persimmonbay/internal/problem"
 )
 
 func configGenerateCommand() command {
@@ -33,8 +35,11 @@
 // readDocument reads the one file that args name.
 func readDocument(args []string) (name string, data []byte, err error) {
 	if len(args) != 1 {
-		return "", nil, &usageError{"expected one file"}
+		return "", nil, &usageError{fmt.Sprintf("expected one file after the flags, found %d", len(args))}
 	}
 	data, err = os.ReadFile(args[0])
-	return args[0], data, err
+	if err != nil {
+		return "", nil, problem.Wrap(problem.NotFound, problem.StepParse, args[0], err)
+	}
+	return args[0], data, nil
 }
--- a/cmd/persimmonbay/standin_platform.go
+++ b/cmd/persimmonbay/standin_platform.go
@@ -23,6 +23,9 @@
 		flags.BoolVar(&faults.Silent, "silent", false, "take calls and never answer")
 		flags.IntVar(&faults.LagMillis, "lag", 0, "milliseconds that the list of instances lags")
 		flags.Uint64Var(&faults.Seed, "seed", 1, "seed of the choice of lost answers")
+		var rates platform.Rates
+		flags.IntVar(&rates.Writes, "writes", 0, "writes a second that are taken; 0 for any number")
+		flags.IntVar(&rates.Reads, "reads", 0, "reads a second that are taken, a watch counting as one; 0 for any number")
 		return func(ctx context.Context, c console, _ []string) error {
 			log, err := telemetry.NewLogger(c.err, "info")
 			if err != nil {
@@ -34,6 +37,7 @@
 			}
 			server := platform.NewServer(clockwork.NewRealClock())
 			server.SetFaults(faults)
+			server.SetRates(rates)
 			log.Info("listening", zap.String("platform", listener.Addr().String()))
 			return serveHTTP(ctx, listener, server.Handler())
 		}
--- a/internal/configstore/history.go
+++ b/internal/configstore/history.go
@@ -33,7 +33,7 @@
 	pause := retryPause()
 	for range maxTries {
 		var slot api.KeyValue
-		if slot, err = s.store.Get(ctx, key); err != nil && !problem.Is(err, problem.NotFound) {
+		if slot, err = s.read(ctx, key); err != nil && !problem.Is(err, problem.NotFound) {
 			return notAsked(err)
 		}
 		var held historic
@@ -76,7 +76,7 @@
 // slot returns what the history holds in the slot of sequence; version 0 when
 // it holds nothing.
 func (s *Store) slot(ctx context.Context, sequence uint64) (historic, error) {
-	kv, err := s.store.Get(ctx, slotKey(sequence))
+	kv, err := s.read(ctx, slotKey(sequence))
 	if problem.Is(err, problem.NotFound) {
 		return historic{}, nil
 	}
--- a/internal/configstore/propose.go
+++ b/internal/configstore/propose.go
@@ -36,15 +36,14 @@
 		switch {
 		case err == nil:
 			return configuration.Version(version), nil
-		case problem.Is(err, problem.Conflict):
-			if version, settled, err := s.settle(ctx, r, lost); settled {
-				return version, err
-			}
 		case problem.Is(err, problem.Interrupted) || problem.Is(err, problem.Timeout):
 			lost = true
-		case !lost:
+		case !lost && !problem.Is(err, problem.Conflict):
 			return 0, notAsked(err) // no copy of the write has left
 		}
+		if version, settled, err := s.settle(ctx, r, lost); settled {
+			return version, err
+		}
 		if try == maxTries || !s.wait(ctx, pause.NextBackOff()) {
 			return 0, unknown(err)
 		}
--- /dev/null
+++ b/internal/configstore/read.go
@@ -0,0 +1,23 @@
+package configstore
+
+import (
+	"context"
+
+	"persimmonbay/internal/platform/api"
+	"persimmonbay/internal/problem"
+)
+
+// maxReads bounds the tries of one read. A first one may meet a connection
+// that has gone silent; the next uses a new one.
+const maxReads = 3
+
+// read gets key, again when the answer is lost.
+func (s *Store) read(ctx context.Context, key string) (kv api.KeyValue, err error) {
+	for range maxReads {
+		kv, err = s.store.Get(ctx, key)
+		if ctx.Err() != nil || !problem.Is(err, problem.Interrupted) && !problem.Is(err, problem.Timeout) {
+			return kv, err
+		}
+	}
+	return kv, err
+}
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -34,7 +34,7 @@
 
 // Load returns the accepted configuration; version 0 when there is none.
 func (s *Store) Load(ctx context.Context) (configuration.Versioned, error) {
-	kv, err := s.store.Get(ctx, CurrentKey)
+	kv, err := s.read(ctx, CurrentKey)
 	if problem.Is(err, problem.NotFound) {
 		return configuration.Versioned{}, nil
 	}
@@ -87,7 +87,7 @@
 
 // current returns the current record; version 0 when there is none.
 func (s *Store) current(ctx context.Context) (historic, error) {
-	kv, err := s.store.Get(ctx, CurrentKey)
+	kv, err := s.read(ctx, CurrentKey)
 	if problem.Is(err, problem.NotFound) {
 		return historic{}, nil
 	}
--- /dev/null
+++ b/internal/configuration/in_force_test.go
@@ -0,0 +1,60 @@
+package configuration_test
+
+import (
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"persimmonbay/internal/configuration"
+)
+
+var _ = Describe("the configuration in force", func() {
+	It("never goes back, whatever order versions come in", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			offers := rapid.SliceOf(rapid.Uint64Range(1, 20)).Draw(t, "offers")
+			inForce := configuration.NewInForce()
+			newest := configuration.Version(0)
+			for _, offer := range offers {
+				v := configuration.Version(offer)
+				took := inForce.Offer(configuration.Versioned{Version: v})
+				if took != (v > newest) {
+					t.Fatalf("offer of %d over %d: taken %v", v, newest, took)
+				}
+				newest = max(newest, v)
+				if inForce.Get().Version != newest {
+					t.Fatalf("%d is in force, not %d", inForce.Get().Version, newest)
+				}
+			}
+		})
+	})
+
+	It("never goes back under concurrent offers", func() {
+		inForce := configuration.NewInForce()
+		var offers sync.WaitGroup
+		for i := range 8 {
+			offers.Go(func() {
+				for v := i; v < 800; v += 8 {
+					before := inForce.Get().Version
+					inForce.Offer(configuration.Versioned{Version: configuration.Version(800 - v)})
+					if after := inForce.Get().Version; after < before {
+						panic("went back")
+					}
+				}
+			})
+		}
+		offers.Wait()
+		Expect(inForce.Get().Version).To(Equal(configuration.Version(800)))
+	})
+
+	It("wakes who waits for a change", func() {
+		inForce := configuration.NewInForce()
+		_, changed := inForce.Watch()
+		Expect(inForce.Offer(configuration.Versioned{Version: 3})).To(BeTrue())
+		Expect(changed).To(BeClosed())
+		_, changed = inForce.Watch()
+		Expect(inForce.Offer(configuration.Versioned{Version: 3})).To(BeFalse())
+		Expect(changed).NotTo(BeClosed())
+	})
+})
--- /dev/null
+++ b/internal/membership/table_test.go
@@ -0,0 +1,84 @@
+package membership_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/membership"
+)
+
+var _ = Describe("the table of members", func() {
+	now := time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+	stored := membership.Registration{ID: "b", PeerAddress: "10.0.0.2:7", AvailabilityZone: "az-2"}
+	var table *membership.Table
+
+	BeforeEach(func() { table = membership.NewTable("a") })
+
+	It("leaves itself out", func() {
+		table.Register(membership.Registration{ID: "a", PeerAddress: "10.0.0.1:7"})
+		table.Announced(membership.Registration{ID: "a", PeerAddress: "10.0.0.1:7"}, now)
+		Expect(table.Members()).To(BeEmpty())
+	})
+
+	It("tells a stranger's heartbeat from a member's", func() {
+		Expect(table.Heard(membership.Heartbeat{Entry: "b"}, now)).To(BeFalse())
+		table.Register(stored)
+		Expect(table.Heard(membership.Heartbeat{Entry: "b"}, now)).To(BeTrue())
+	})
+
+	It("believes an entry on its own address over the store's list, and a peer's tale not", func() {
+		table.Register(stored)
+		moved := stored
+		moved.PeerAddress = "10.0.0.2:8"
+		table.Introduce(moved, now)
+		Expect(address(table)).To(Equal("10.0.0.2:7"))
+		table.Announced(moved, now)
+		Expect(address(table)).To(Equal("10.0.0.2:8"))
+	})
+
+	It("keeps the version when heartbeats of one start overtake each other", func() {
+		table.Register(stored)
+		table.Heard(membership.Heartbeat{Entry: "b", Incarnation: 1, ConfigurationVersion: 7}, now)
+		table.Heard(membership.Heartbeat{Entry: "b", Incarnation: 1, ConfigurationVersion: 6}, now)
+		Expect(version(table)).To(Equal(uint64(7)))
+	})
+
+	It("takes what a restarted member says, and nothing from before its restart", func() {
+		table.Register(stored)
+		table.Heard(membership.Heartbeat{Entry: "b", Incarnation: 1, ConfigurationVersion: 7}, now)
+		table.Heard(membership.Heartbeat{Entry: "b", Incarnation: 2}, now)
+		Expect(version(table)).To(BeZero())
+		table.Heard(membership.Heartbeat{Entry: "b", Incarnation: 1, ConfigurationVersion: 9}, now)
+		Expect(version(table)).To(BeZero())
+	})
+
+	It("keeps members through an outage of the store and forgets those unheard for long", func() {
+		table.Register(stored)
+		table.Heard(membership.Heartbeat{Entry: "b"}, now)
+		table.Retain(map[membership.EntryID]bool{})
+		table.Forget(now.Add(time.Second))
+		Expect(table.Members()).To(HaveLen(1))
+		table.Forget(now.Add(2 * time.Minute))
+		Expect(table.Members()).To(BeEmpty())
+	})
+
+	It("gives an introduced member time to be heard", func() {
+		table.Introduce(stored, now)
+		table.Forget(now.Add(time.Second))
+		Expect(table.Members()).To(HaveLen(1))
+		table.Forget(now.Add(2 * time.Minute))
+		Expect(table.Members()).To(BeEmpty())
+	})
+})
+
+func address(table *membership.Table) string {
+	m, _ := table.Member("b")
+	return m.PeerAddress
+}
+
+func version(table *membership.Table) uint64 {
+	m, _ := table.Member("b")
+	return uint64(m.ConfigurationVersion)
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -49,7 +49,12 @@
 	request.Header.Set("Authorization", bearer+c.token)
 	response, err := c.http.Do(request)
 	if err != nil {
-		return problem.Wrap(problem.Unavailable, problem.StepConnect, c.base, err)
+		p := problem.Wrap(problem.Unavailable, problem.StepConnect, c.base, err)
+		p.Detail = "the entry does not answer; ask another one with -operator"
+		if method != http.MethodGet {
+			p.Detail = "the entry does not answer, and may have made the change; look before you repeat it, through another entry with -operator"
+		}
+		return p
 	}
 	defer response.Body.Close()
 	answer, err := io.ReadAll(response.Body)
@@ -70,5 +75,8 @@
 	if err := json.Unmarshal(answer, &out); err != nil {
 		return problem.New(problem.Internal, problem.StepReceive, peer, string(answer))
 	}
+	if len(out.Findings) > 0 {
+		return problem.Findings(out.Findings)
+	}
 	return problem.New(problem.Kind(out.Kind), problem.Step(out.Step), out.Peer, out.Error)
 }
--- a/internal/operator/message/error_response.go
+++ b/internal/operator/message/error_response.go
@@ -1,9 +1,12 @@
 package message
 
+import "persimmonbay/internal/problem"
+
 // ErrorResponse is the body of every answer that is no success.
 type ErrorResponse struct {
-	Kind  string `json:"kind"`
-	Step  string `json:"step"`
-	Peer  string `json:"peer,omitempty"`
-	Error string `json:"error"`
+	Kind     string            `json:"kind"`
+	Step     string            `json:"step"`
+	Peer     string            `json:"peer,omitempty"`
+	Error    string            `json:"error"`              // what happened and what to do next
+	Findings []problem.Finding `json:"findings,omitempty"` // the faults of a document
 }
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -4,6 +4,7 @@
 	"crypto/subtle"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -112,7 +113,11 @@
 
 func (s *Server) decode(w http.ResponseWriter, r *http.Request, target any) bool {
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(target)
-	if err != nil {
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		s.fail(w, problem.New(problem.TooLarge, problem.StepParse, r.RemoteAddr, fmt.Sprintf("a change may have %d bytes at most", large.Limit)))
+	case err != nil:
 		s.fail(w, problem.Wrap(problem.Invalid, problem.StepParse, r.RemoteAddr, err))
 	}
 	return err == nil
@@ -122,11 +127,11 @@
 	out := message.ErrorResponse{Kind: string(problem.KindOf(err)), Error: err.Error()}
 	var p *problem.Error
 	if errors.As(err, &p) {
-		out.Step, out.Peer = string(p.Step), p.Peer
+		out.Step, out.Peer, out.Error = string(p.Step), p.Peer, p.Reason()
 	}
 	var findings problem.Findings
 	if errors.As(err, &findings) {
-		out.Kind, out.Step = string(problem.Invalid), string(problem.StepConfiguration)
+		out.Kind, out.Step, out.Findings = string(problem.Invalid), string(problem.StepConfiguration), findings
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(statusOf(problem.Kind(out.Kind)))
@@ -143,8 +148,12 @@
 		return http.StatusNotFound
 	case problem.Conflict:
 		return http.StatusConflict
+	case problem.TooLarge:
+		return http.StatusRequestEntityTooLarge
 	case problem.Unavailable:
 		return http.StatusServiceUnavailable
+	case problem.Interrupted, problem.Timeout:
+		return http.StatusGatewayTimeout
 	}
 	return http.StatusInternalServerError
 }
--- a/internal/problem/error.go
+++ b/internal/problem/error.go
@@ -32,15 +32,23 @@
 		b.WriteString(" " + e.Peer)
 	}
 	b.WriteString(": " + string(e.Kind))
-	if e.Detail != "" {
-		b.WriteString(": " + e.Detail)
-	}
-	if e.Err != nil {
-		b.WriteString(": " + e.Err.Error())
+	if reason := e.Reason(); reason != "" {
+		b.WriteString(": " + reason)
 	}
 	return b.String()
 }
 
+// Reason returns detail and cause, without the step, the peer and the kind.
+func (e *Error) Reason() string {
+	switch {
+	case e.Err == nil:
+		return e.Detail
+	case e.Detail == "":
+		return e.Err.Error()
+	}
+	return e.Detail + ": " + e.Err.Error()
+}
+
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
--- a/internal/problem/finding.go
+++ b/internal/problem/finding.go
@@ -4,10 +4,10 @@
 
 // Finding is one fault in a document that a person wrote.
 type Finding struct {
-	File     string // may be empty
-	Line     int    // 1-based; 0 when unknown
-	Path     string // the field, as in "services[0].pool"
-	Expected string // what should stand there
+	File     string `json:"file"`     // may be empty
+	Line     int    `json:"line"`     // 1-based; 0 when unknown
+	Path     string `json:"path"`     // the field, as in "services[0].pool"
+	Expected string `json:"expected"` // what should stand there
 }
 
 // String prints "file:line: path: expected".
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -24,12 +24,13 @@
 	Instances *Instances
 	faults    *shard.Cell[Faults]
 	injector  *injector
+	meter     *meter
 }
 
 // NewServer returns a healthy platform without instances.
 func NewServer(clock clockwork.Clock) *Server {
 	faults := shard.NewCell(Faults{})
-	return &Server{Store: NewStore(clock), Instances: NewInstances(clock), faults: faults, injector: newInjector(faults, clock)}
+	return &Server{Store: NewStore(clock), Instances: NewInstances(clock), faults: faults, injector: newInjector(faults, clock), meter: newMeter(clock)}
 }
 
 // SetFaults throws the switches.
@@ -42,7 +43,7 @@
 	r := mux.NewRouter().UseEncodedPath()
 	r.SkipClean(true)
 	v1 := r.PathPrefix("/v1").Subrouter()
-	v1.Use(s.injector.wrap)
+	v1.Use(s.meter.wrap, s.injector.wrap)
 	v1.HandleFunc("/kv", s.list).Methods(http.MethodGet).Queries("prefix", "{prefix}")
 	v1.HandleFunc("/kv/{key:.+}", s.get).Methods(http.MethodGet)
 	v1.HandleFunc("/kv/{key:.+}", s.put).Methods(http.MethodPut)
@@ -53,6 +54,8 @@
 	v1.HandleFunc("/leases/{id}", s.revoke).Methods(http.MethodDelete)
 	v1.HandleFunc("/instances", s.instances).Methods(http.MethodGet)
 	r.HandleFunc("/standin/faults", s.putFaults).Methods(http.MethodPut)
+	r.HandleFunc("/standin/rates", s.putRates).Methods(http.MethodPut)
+	r.HandleFunc("/standin/calls", s.getCalls).Methods(http.MethodGet)
 	r.HandleFunc("/standin/instances/{id}", s.putInstance).Methods(http.MethodPut)
 	r.HandleFunc("/standin/instances/{id}", s.removeInstance).Methods(http.MethodDelete)
 	return r
