--- /dev/null
+++ b/internal/platform/follower_test.go
@@ -0,0 +1,101 @@
+package platform_test
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"persimmonbay/internal/configuration"
+	"persimmonbay/internal/platform"
+	"persimmonbay/internal/platform/api"
+	standin "persimmonbay/internal/standin/platform"
+)
+
+var _ = Describe("a follower", func() {
+	It("lists again when its revision is too old", func() {
+		store := &scriptedStore{
+			listings: []api.Listing{{Revision: 3}, {Revision: 90, Items: []api.KeyValue{{Key: "k", Version: 80}}}},
+			changes:  []api.Changes{{Revision: 5}, {}, {Revision: 91}},
+			done:     make(chan struct{}),
+		}
+		versions := follow(store, store.done)
+		Expect(versions).To(Equal([]uint64{80}))
+		Expect(store.afters).To(Equal([]uint64{3, 5, 90, 91}))
+	})
+
+	It("with InForce never goes back, however events come", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			store := &scriptedStore{listings: []api.Listing{{Revision: 1}}, done: make(chan struct{})}
+			newest := uint64(0)
+			for _, version := range rapid.SliceOf(rapid.Uint64Range(1, 30)).Draw(t, "versions") {
+				newest = max(newest, version)
+				store.changes = append(store.changes, api.Changes{Revision: version, Events: []api.Event{{Type: api.EventPut, Version: version}}})
+			}
+			inForce := configuration.NewInForce()
+			last := configuration.Version(0)
+			for _, version := range follow(store, store.done) {
+				inForce.Offer(configuration.Versioned{Version: configuration.Version(version)})
+				if inForce.Get().Version < last {
+					t.Fatalf("went back from %d to %d", last, inForce.Get().Version)
+				}
+				last = inForce.Get().Version
+			}
+			if uint64(last) != newest {
+				t.Fatalf("%d in force, not the newest %d", last, newest)
+			}
+		})
+	})
+
+	It("goes on over HTTP after an outage, without a gap", func() {
+		r := newRig(time.Minute)
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		seen, reached := make(chan uint64, 10), make(chan bool, 1000)
+		f := &platform.Follower{
+			Store: r.client, Prefix: "k", Wait: 50 * time.Millisecond, Clock: clockwork.NewRealClock(), Log: zap.NewNop(),
+			Listed:  func(api.Listing) {},
+			Changed: func(e api.Event) { seen <- e.Version },
+			Reached: func(ok bool) { reached <- ok },
+		}
+		done := make(chan struct{})
+		go func() { defer close(done); f.Run(ctx) }()
+		Eventually(reached).Should(Receive(BeTrue()))
+		r.standin.SetFaults(standin.Faults{Outage: true})
+		Eventually(reached).Should(Receive(BeFalse()))
+		first, err := r.standin.Store.Put(ctx, "k", nil, platform.Any(), "")
+		Expect(err).NotTo(HaveOccurred())
+		second, err := r.standin.Store.Put(ctx, "k", nil, platform.Any(), "")
+		Expect(err).NotTo(HaveOccurred())
+		r.standin.SetFaults(standin.Faults{})
+		Eventually(seen, "20s").Should(Receive(Equal(first)))
+		Eventually(seen, "20s").Should(Receive(Equal(second)))
+		stop()
+		<-done
+	})
+})
+
+// follow runs a follower until done and returns the versions it was told, in
+// order.
+func follow(store platform.Store, done <-chan struct{}) []uint64 {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() { <-done; stop() }()
+	var versions []uint64
+	f := &platform.Follower{
+		Store: store, Prefix: "k", Clock: clockwork.NewRealClock(), Log: zap.NewNop(),
+		Listed: func(l api.Listing) {
+			for _, kv := range l.Items {
+				versions = append(versions, kv.Version)
+			}
+		},
+		Changed: func(e api.Event) { versions = append(versions, e.Version) },
+		Reached: func(bool) {},
+	}
+	f.Run(ctx)
+	return versions
+}
