--- a/internal/configfile/configfile.go
+++ b/internal/configfile/configfile.go
@@ -12,7 +12,11 @@
 // name. Faults are problem.Findings.
 func ParseQuestionnaire(name string, data []byte) (*configuration.Questionnaire, error) {
 	q := &configuration.Questionnaire{}
-	if _, err := yamlfile.Decode(name, data, q); err != nil {
+	document, err := yamlfile.Decode(name, data, q)
+	if err != nil {
+		return nil, err
+	}
+	if err := document.Locate(configuration.CheckQuestionnaire(q)).Err(); err != nil {
 		return nil, err
 	}
 	return q, nil
--- a/internal/configuration/pool.go
+++ b/internal/configuration/pool.go
@@ -2,6 +2,6 @@
 
 // Pool is a named set of instances. An instance belongs to exactly one.
 type Pool struct {
-	Name  string `yaml:"name" validate:"required"`
+	Name  string `yaml:"name" validate:"required,label"`
 	Spare bool   `yaml:"spare"` // its instances replace those drained elsewhere
 }
--- a/internal/configuration/service.go
+++ b/internal/configuration/service.go
@@ -4,7 +4,7 @@
 
 // Service is one upstream service as configured.
 type Service struct {
-	Name               string        `yaml:"name" validate:"required,alphanum|contains=-"`
+	Name               string        `yaml:"name" validate:"required,label"`
 	Pool               string        `yaml:"pool" validate:"required"`
 	AvailabilityBudget float64       `yaml:"availabilityBudget" validate:"gt=0,lte=1"` // share of instances that may be away at once
 	Slots              int           `yaml:"slots" validate:"gt=0"`                    // requests at work on one instance
--- a/internal/yamlfile/document.go
+++ b/internal/yamlfile/document.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"reflect"
 	"strings"
 
 	"github.com/goccy/go-yaml"
@@ -27,9 +28,12 @@
 	if err != nil {
 		return nil, problem.Findings{syntaxFinding(name, err)}
 	}
-	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict(), durations())
+	if err := checkScalars(name, file, target); err != nil {
+		return nil, err
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
 	if err := decoder.Decode(target); err != nil && !errors.Is(err, io.EOF) {
-		return nil, problem.Findings{decodeFinding(name, file, err)}
+		return nil, problem.Findings{syntaxFinding(name, err)}
 	}
 	d := &Document{name: name, file: file}
 	return d, d.Locate(validate(target)).Err()
@@ -68,12 +72,24 @@
 	return n
 }
 
-func decodeFinding(name string, file *ast.File, err error) problem.Finding {
-	var wrong *durationError
-	if errors.As(err, &wrong) {
-		return problem.Finding{File: name, Line: scalarLine(file, wrong.scalar), Path: wrong.scalar, Expected: wrong.Error()}
+// checkScalars refuses a second document, which would be ignored, and scalars
+// of the wrong type.
+func checkScalars(name string, file *ast.File, target any) error {
+	if len(file.Docs) > 1 {
+		return problem.Findings{{File: name, Line: secondLine(file), Path: "document", Expected: "expected one document, found another after ---"}}
 	}
-	return syntaxFinding(name, err)
+	check := &scalarCheck{name: name}
+	for _, d := range file.Docs {
+		check.value("", d.Body, reflect.TypeOf(target).Elem())
+	}
+	return check.findings.Err()
+}
+
+func secondLine(file *ast.File) int {
+	if start := file.Docs[1].Start; start != nil {
+		return start.Position.Line
+	}
+	return 1
 }
 
 func syntaxFinding(name string, err error) problem.Finding {
--- a/internal/yamlfile/validate.go
+++ b/internal/yamlfile/validate.go
@@ -19,6 +19,9 @@
 		name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
 		return name
 	})
+	if err := v.RegisterValidation("label", isLabel); err != nil {
+		panic(err) // only an empty tag or a nil function is refused
+	}
 	return v
 }
 
@@ -48,6 +51,10 @@
 		return "expected a value, found none"
 	case "hostname_port":
 		return "expected HOST:PORT, as in 127.0.0.1:8080"
+	case "label":
+		return labelExpectation
+	case "startswith":
+		return "expected a value that starts with " + fault.Param()
 	case "oneof":
 		return "expected one of: " + fault.Param()
 	case "gt", "gte", "lt", "lte", "min", "max":
