--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,7 +16,6 @@
 	"persimmonbay/internal/front"
 	"persimmonbay/internal/ledger"
 	"persimmonbay/internal/membership"
-	"persimmonbay/internal/operator"
 	"persimmonbay/internal/peer"
 	"persimmonbay/internal/platform"
 	"persimmonbay/internal/request"
@@ -103,10 +102,10 @@
 		loops.Go(func() { loop(loopsCtx) })
 	}
 	callers := &http.Server{Handler: e.callersHandler(), ReadHeaderTimeout: headerTimeout}
-	operators := &http.Server{Handler: operator.NewServer(e, e.metrics, e.settings.Secrets.OperatorToken, e.log).Handler(), ReadHeaderTimeout: headerTimeout}
+	operators := e.operatorServer()
 	failed := make(chan error, 3)
 	go func() { failed <- callers.Serve(e.listeners.callers) }()
-	go func() { failed <- operators.Serve(e.listeners.operators) }()
+	go func() { failed <- operators.Serve(e.operatorListener()) }()
 	loops.Go(func() {
 		if err := peer.NewServer(e, []byte(e.settings.Secrets.PeerKey), e.log).Serve(loopsCtx, e.listeners.peers); err != nil {
 			failed <- err
--- /dev/null
+++ b/internal/entry/operator_listener.go
@@ -0,0 +1,32 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"persimmonbay/internal/operator"
+)
+
+// Bounds of the operators' listener, which strangers reach too.
+const (
+	operatorReadTimeout = time.Minute      // of a whole request; longer than any change takes
+	operatorIdleTimeout = 30 * time.Second // of a connection between two requests
+	operatorHeaderBytes = 16 << 10
+)
+
+// operatorServer returns the server of the operators' address.
+func (e *Entry) operatorServer() *http.Server {
+	return &http.Server{
+		Handler:           operator.NewServer(e, e.metrics, e.settings.Secrets.OperatorToken, e.log).Handler(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       operatorReadTimeout,
+		IdleTimeout:       operatorIdleTimeout,
+		MaxHeaderBytes:    operatorHeaderBytes,
+	}
+}
+
+// operatorListener returns the operators' listener with its bound.
+func (e *Entry) operatorListener() net.Listener {
+	return operator.Bound(e.listeners.operators, operator.MaxConnections, e.log)
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -27,6 +27,9 @@
 	return &Client{base: "http://" + address, token: token, http: &http.Client{Timeout: clientTimeout}}
 }
 
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
 // Get reads path into out.
 func (c *Client) Get(ctx context.Context, path string, out any) error {
 	return c.call(ctx, http.MethodGet, path, nil, out)
--- /dev/null
+++ b/internal/operator/operator_suite_test.go
@@ -0,0 +1,20 @@
+package operator_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+)
+
+func TestOperator(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "operators' face")
+}
+
+// Each spec leaves no goroutine behind.
+var _ = BeforeEach(func() {
+	before := goleak.IgnoreCurrent()
+	DeferCleanup(func() { Expect(goleak.Find(before)).To(Succeed()) })
+})
--- /dev/null
+++ b/internal/operator/server_test.go
@@ -0,0 +1,128 @@
+package operator_test
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"persimmonbay/internal/operator"
+	"persimmonbay/internal/problem"
+	"persimmonbay/internal/telemetry"
+)
+
+const token = "operator-test-token"
+
+var _ = Describe("a change over the operators' address", func() {
+	var backend *fakeBackend
+	var logs *observer.ObservedLogs
+	var handler http.Handler
+
+	BeforeEach(func() {
+		var core zapcore.Core
+		core, logs = observer.New(zapcore.WarnLevel)
+		backend = &fakeBackend{}
+		handler = operator.NewServer(backend, telemetry.NewMetrics(), token, zap.New(core)).Handler()
+	})
+
+	put := func(authorization, body string) *httptest.ResponseRecorder {
+		r := httptest.NewRequest(http.MethodPut, "/v1/configuration", strings.NewReader(body))
+		r.Header.Set("Authorization", authorization)
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		return w
+	}
+
+	It("is refused and logged without the token, before its body is read", func() {
+		for _, authorization := range []string{"", "Bearer ", "Bearer wrong", "Basic " + token} {
+			Expect(put(authorization, "{}").Code).To(Equal(http.StatusUnauthorized))
+		}
+		Expect(backend.applied).To(BeZero())
+		Expect(logs.FilterMessage("change refused").Len()).To(Equal(4))
+	})
+
+	It("is made with the token", func() {
+		Expect(put("Bearer "+token, `{"operator":"amal"}`).Code).To(Equal(http.StatusOK))
+		Expect(backend.applied).To(Equal(1))
+	})
+
+	It("is refused when it is larger than any configuration", func() {
+		w := put("Bearer "+token, `{"operator":"`+strings.Repeat("x", 3<<20)+`"}`)
+		Expect(w.Code).To(Equal(http.StatusRequestEntityTooLarge))
+		Expect(backend.applied).To(BeZero())
+	})
+
+	It("brings the findings of a document back, with lines", func() {
+		backend.err = problem.Findings{{File: "configuration", Line: 5, Path: "teams[0].name", Expected: "expected a value"}}
+		listening := httptest.NewServer(handler)
+		defer listening.Close()
+		client := operator.NewClient(strings.TrimPrefix(listening.URL, "http://"), token)
+		err := client.Send(GinkgoT().Context(), http.MethodPut, "/v1/configuration", struct{}{}, &struct{}{})
+		Expect(err).To(Equal(backend.err))
+		http.DefaultClient.CloseIdleConnections()
+		client.Close()
+	})
+
+	DescribeTable("is answered with one of the words", func(kind problem.Kind, status int) {
+		backend.err = problem.New(kind, problem.StepConfiguration, "bela", "came first")
+		w := put("Bearer "+token, "{}")
+		Expect(w.Code).To(Equal(status))
+		Expect(w.Body.String()).To(ContainSubstring(`"peer":"bela"`))
+	},
+		Entry("conflict", problem.Conflict, http.StatusConflict),
+		Entry("not accepted", problem.Unavailable, http.StatusServiceUnavailable),
+		Entry("unknown", problem.Interrupted, http.StatusGatewayTimeout),
+	)
+})
+
+var _ = Describe("the operators' listener", func() {
+	It("closes connections above its bound and takes new ones when others end", func() {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		listener := operator.Bound(inner, 2, zap.NewNop())
+		server := &http.Server{Handler: http.NotFoundHandler()}
+		done := make(chan struct{})
+		go func() { defer close(done); _ = server.Serve(listener) }()
+		defer func() { _ = server.Close(); <-done }()
+
+		first, second, third := dial(inner), dial(inner), dial(inner)
+		defer second.Close()
+		defer third.Close()
+		Expect(third.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+		_, err = third.Read(make([]byte, 1))
+		Expect(err).NotTo(MatchError(os.ErrDeadlineExceeded))
+		Expect(err).To(HaveOccurred())
+		_ = first.Close()
+		Eventually(func() string { return ask(inner) }).Should(HavePrefix("HTTP/1.0 404"))
+	})
+})
+
+func dial(listener net.Listener) net.Conn {
+	GinkgoHelper()
+	c, err := net.Dial("tcp", listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	return c
+}
+
+// ask sends one request and returns the beginning of the answer.
+func ask(listener net.Listener) string {
+	c, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		return ""
+	}
+	defer c.Close()
+	if _, err := c.Write([]byte("GET / HTTP/1.0\r\n\r\n")); err != nil {
+		return ""
+	}
+	beginning := make([]byte, 12)
+	n, _ := c.Read(beginning)
+	return string(beginning[:n])
+}
