--- a/internal/yamlfile/document.go
+++ b/internal/yamlfile/document.go
@@ -1,9 +1,7 @@
 package yamlfile
 
 import (
-	"bytes"
 	"errors"
-	"io"
 	"reflect"
 	"strings"
 
@@ -31,8 +29,7 @@
 	if err := checkScalars(name, file, target); err != nil {
 		return nil, err
 	}
-	decoder := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
-	if err := decoder.Decode(target); err != nil && !errors.Is(err, io.EOF) {
+	if err := decodeNode(file, target); err != nil {
 		return nil, problem.Findings{syntaxFinding(name, err)}
 	}
 	d := &Document{name: name, file: file}
@@ -72,6 +69,15 @@
 	return n
 }
 
+// decodeNode decodes what was parsed already, which costs half of decoding the
+// text. An empty document leaves target as it is.
+func decodeNode(file *ast.File, target any) error {
+	if len(file.Docs) == 0 || file.Docs[0].Body == nil {
+		return nil
+	}
+	return yaml.NodeToValue(file.Docs[0].Body, target, yaml.Strict())
+}
+
 // checkScalars refuses a second document, which would be ignored, and scalars
 // of the wrong type.
 func checkScalars(name string, file *ast.File, target any) error {
