--- a/cmd/persimmonbay/main.go
+++ b/cmd/persimmonbay/main.go
@@ -22,7 +22,12 @@
 		entryCommand(),
 		standinCommand(),
 		configCommand(),
+		poolCommand(),
 		instanceCommand(),
+		requestCommand(),
+		serviceCommand(),
+		teamCommand(),
+		waveCommand(),
 		statusCommand(),
 		versionCommand(),
 	}
--- a/cmd/persimmonbay/standin_platform.go
+++ b/cmd/persimmonbay/standin_platform.go
@@ -22,6 +22,7 @@
 		flags.Float64Var(&faults.LoseAnswers, "lose-answers", 0, "share of writes whose answer is lost after they took effect")
 		flags.BoolVar(&faults.Silent, "silent", false, "take calls and never answer")
 		flags.IntVar(&faults.LagMillis, "lag", 0, "milliseconds that the list of instances lags")
+		rebootTime := flags.Duration("reboot-time", platform.DefaultRebootTime, "how long an instance is away for a reboot")
 		flags.Uint64Var(&faults.Seed, "seed", 1, "seed of the choice of lost answers")
 		var rates platform.Rates
 		flags.IntVar(&rates.Writes, "writes", 0, "writes a second that are taken; 0 for any number")
@@ -38,6 +39,7 @@
 			server := platform.NewServer(clockwork.NewRealClock())
 			server.SetFaults(faults)
 			server.SetRates(rates)
+			server.Reboots.SetTime(*rebootTime)
 			log.Info("listening", zap.String("platform", listener.Addr().String()))
 			return serveHTTP(ctx, listener, server.Handler())
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,8 +12,8 @@
 	"persimmonbay/internal/configstore"
 	"persimmonbay/internal/configuration"
 	"persimmonbay/internal/dispatch"
-	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/front"
+	"persimmonbay/internal/inventory"
 	"persimmonbay/internal/ledger"
 	"persimmonbay/internal/membership"
 	"persimmonbay/internal/peer"
@@ -45,7 +45,8 @@
 	inForce   *configuration.InForce
 	members   *membership.Table
 	routes    *routing.Table
-	instances *shard.Cell[[]fleet.Instance]
+	inventory *inventory.Inventory
+	changed   *shard.Cell[uint64] // rises when peers should hear of a change at once
 	health    *shard.Cell[health]
 	sighted   *shard.Cell[sighting] // the newest version that a peer told of
 
@@ -54,6 +55,8 @@
 	peers   *peer.Client
 	sender  *upstream.Sender
 	metrics *telemetry.Metrics
+	ledger  *ledger.Ledger
+	control *control
 }
 
 // New opens the listeners of an entry. Run must follow.
@@ -73,18 +76,21 @@
 		inForce:   configuration.NewInForce(),
 		members:   membership.NewTable(membership.EntryID(s.ID)),
 		routes:    routing.NewTable(),
-		instances: shard.NewCell[[]fleet.Instance](nil),
+		inventory: inventory.New(),
+		changed:   shard.NewCell[uint64](0),
 		health:    shard.NewCell(health{}),
 		sighted:   shard.NewCell(sighting{}),
 
 		incarnation: uint64(clock.Now().UnixNano()),
 
 		peers:   peer.NewClient(s.ID, []byte(s.Secrets.PeerKey), peerTimeout),
-		sender:  upstream.NewSender(s.Limits.WholeBytes),
 		metrics: telemetry.NewMetrics(),
 	}
+	e.sender = upstream.NewSender(s.Limits.WholeBytes, clock, e.upstreamLeaving)
+	e.control = newControl(e)
 	e.metrics.Publish("platformCalls", func() any { return client.Counts().Snapshot() })
 	e.metrics.Publish("configurationVersion", func() any { return e.inForce.Get().Version })
+	e.ledger = e.newLedger()
 	return e, nil
 }
 
@@ -120,6 +126,7 @@
 		err = e.drain(callers)
 	}
 	_ = callers.Close()
+	e.closeLedger()
 	_ = operators.Close()
 	stopLoops()
 	loops.Wait()
@@ -133,9 +140,10 @@
 func (e *Entry) callersHandler() http.Handler {
 	requests := &request.Server{
 		InForce:    e.inForce,
-		Dispatcher: dispatch.New(e.routes),
+		Dispatcher: e.control.work.wrap(dispatch.New(e.routes)),
 		Sender:     e.sender,
-		Ledger:     ledger.Closed{},
+		Ledger:     e.ledger,
+		Retries:    request.NewRetryBudget(request.RetryShare),
 		Clock:      e.clock,
 	}
 	return front.NewServer(requests, e.metrics, e.clock, e.settings.Limits.BodyBytes, e.log).Handler()
@@ -151,6 +159,9 @@
 		e.announce,
 		e.chase,
 		e.pollInstances,
+		e.followInstances,
+		e.forgetIdleLedger,
+		e.control.run,
 	}
 }
 
--- a/internal/entry/fake_peer_test.go
+++ b/internal/entry/fake_peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -51,7 +52,7 @@
 			}
 		}
 		own := membership.Heartbeat{Entry: p.id, ConfigurationVersion: p.version, Incarnation: 1}
-		return &wire.Response{Body: &wire.Response_Heartbeat{Heartbeat: wire.FromHeartbeat(own)}}, nil
+		return &wire.Response{Body: &wire.Response_Heartbeat{Heartbeat: wire.FromHeartbeat(own, time.Now())}}, nil
 	case *wire.Request_Members:
 		known := []membership.Registration{p.registration()}
 		for _, other := range p.knows {
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -8,15 +8,19 @@
 )
 
 // Handle implements peer.Handler.
-func (e *Entry) Handle(_ context.Context, request *wire.Request) (*wire.Response, error) {
+func (e *Entry) Handle(ctx context.Context, request *wire.Request) (*wire.Response, error) {
 	switch body := request.GetBody().(type) {
 	case *wire.Request_Heartbeat:
-		return e.heartbeatReceived(wire.ToHeartbeat(body.Heartbeat)), nil
+		return e.heartbeatReceived(wire.ToHeartbeat(body.Heartbeat, e.clock.Now())), nil
+	case *wire.Request_Instances:
+		return &wire.Response{Body: &wire.Response_Instances{Instances: wire.FromInstances(e.inventory.Get(), e.clock.Now())}}, nil
 	case *wire.Request_Members:
 		return e.knownMembers(), nil
 	case *wire.Request_Configuration:
 		v := e.inForce.Get()
 		return &wire.Response{Body: &wire.Response_Configuration{Configuration: &wire.Configuration{Version: uint64(v.Version), Source: v.Source}}}, nil
+	case *wire.Request_Ledger:
+		return e.serveLedger(ctx, body.Ledger)
 	}
 	return nil, problem.New(problem.Invalid, problem.StepPeerCall, request.GetFrom(), "unknown request")
 }
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -13,8 +13,10 @@
 // heartbeat exchanges heartbeats with every member until ctx ends.
 func (e *Entry) heartbeat(ctx context.Context) {
 	for {
+		_, changed := e.changed.Watch()
 		e.heartbeatRound(ctx)
 		select {
+		case <-changed:
 		case <-e.clock.After(e.settings.Membership.Heartbeat):
 		case <-ctx.Done():
 			return
@@ -22,6 +24,11 @@
 	}
 }
 
+// tellPeers has the next heartbeats sent at once.
+func (e *Entry) tellPeers() {
+	e.changed.Update(func(n uint64) (uint64, bool) { return n + 1, true })
+}
+
 // heartbeatRound asks every member once. An entry with nothing in force takes
 // the newest of all answers, never that of whoever answers first.
 func (e *Entry) heartbeatRound(ctx context.Context) {
@@ -34,6 +41,7 @@
 		return h, changed
 	})
 	e.members.Forget(e.clock.Now())
+	e.routes.Refresh(e.clock.Now())
 }
 
 // exchangeHeartbeats returns the newest version among the members that
@@ -72,16 +80,19 @@
 	if theirs.Entry != m.ID {
 		return theirs, false // another entry lives at that address now
 	}
-	e.members.Heard(theirs, e.clock.Now())
+	e.heard(theirs)
+	if e.inventory.Heard(theirs.Instances) {
+		e.fetchInstances(ctx, m)
+	}
 	return theirs, true
 }
 
 func (e *Entry) sendHeartbeat(ctx context.Context, m membership.Member, own membership.Heartbeat) (membership.Heartbeat, error) {
-	response, err := e.peers.Call(ctx, m.PeerAddress, &wire.Request{Body: &wire.Request_Heartbeat{Heartbeat: wire.FromHeartbeat(own)}})
+	response, err := e.peers.Call(ctx, m.PeerAddress, &wire.Request{Body: &wire.Request_Heartbeat{Heartbeat: wire.FromHeartbeat(own, e.clock.Now())}})
 	if err != nil {
 		return membership.Heartbeat{}, err
 	}
-	return wire.ToHeartbeat(response.GetHeartbeat()), nil
+	return wire.ToHeartbeat(response.GetHeartbeat(), e.clock.Now()), nil
 }
 
 // ownHeartbeat carries this entry's registration while the store cannot show
@@ -93,7 +104,10 @@
 		ConfigurationVersion: e.inForce.Get().Version,
 		Leaving:              h.leaving,
 		StoreReachable:       h.storeReachable,
+		MaintenanceRevision:  e.control.acknowledged(),
 		Incarnation:          e.incarnation,
+		LeavingUpstreams:     e.routes.Marks(e.clock.Now()),
+		Instances:            e.inventory.Get().Stamp,
 	}
 	if !h.storeReachable {
 		own.Registration = e.ownRegistration()
@@ -102,7 +116,7 @@
 }
 
 func (e *Entry) ownRegistration() *membership.Registration {
-	addresses := e.Addresses()
+	addresses := e.advertised()
 	return &membership.Registration{
 		ID:               membership.EntryID(e.settings.ID),
 		PeerAddress:      addresses.Peers,
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -6,7 +6,6 @@
 
 	"persimmonbay/internal/configstore"
 	"persimmonbay/internal/configuration"
-	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/operator"
 	"persimmonbay/internal/operator/message"
 	"persimmonbay/internal/problem"
@@ -40,7 +39,7 @@
 		Asked:                e.settings.ID,
 		ConfigurationVersion: e.inForce.Get().Version,
 		Entries:              []message.EntryStatus{e.ownStatus()},
-		Instances:            len(e.instances.Get()),
+		Instances:            len(e.inventory.Get().Instances),
 	}
 	now := e.clock.Now()
 	for _, m := range e.members.Members() {
@@ -63,7 +62,7 @@
 	return message.EntryStatus{
 		ID:                   e.settings.ID,
 		AvailabilityZone:     e.settings.AvailabilityZone,
-		OperatorAddress:      e.Addresses().Operators,
+		OperatorAddress:      e.advertised().Operators,
 		ConfigurationVersion: e.inForce.Get().Version,
 		Alive:                true,
 		Leaving:              h.leaving,
@@ -75,9 +74,6 @@
 // InForce implements operator.Backend.
 func (e *Entry) InForce() configuration.Versioned { return e.inForce.Get() }
 
-// Instances implements operator.Backend.
-func (e *Entry) Instances() []fleet.Instance { return e.instances.Get() }
-
 // Apply implements operator.Backend. It goes on when the operator is gone,
 // since the store may have accepted already.
 func (e *Entry) Apply(ctx context.Context, who string, base configuration.Version, source []byte) (configuration.Version, error) {
--- a/internal/entry/registrar.go
+++ b/internal/entry/registrar.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"time"
@@ -51,6 +52,14 @@
 	}
 }
 
+// advertised returns the addresses that others are told.
+func (e *Entry) advertised() Addresses {
+	a := e.Addresses()
+	a.Operators = cmp.Or(e.settings.Advertise.Operators, a.Operators)
+	a.Peers = cmp.Or(e.settings.Advertise.Peers, a.Peers)
+	return a
+}
+
 // run registers and renews until ctx ends, then hands the lease back.
 func (r *registrar) run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -72,11 +72,14 @@
 	}
 	own := e.ownHeartbeat()
 	own.Registration = nil // the asking entry knows where it asked
-	own.Stranger = !e.members.Heard(theirs, now)
+	own.Stranger = !e.heard(theirs)
+	if e.inventory.Heard(theirs.Instances) {
+		e.tellPeers() // their answers bring the newer list
+	}
 	if m, ok := e.members.Member(theirs.Entry); ok {
 		e.sight(sighting{version: theirs.ConfigurationVersion, address: m.PeerAddress})
 	}
-	return &wire.Response{Body: &wire.Response_Heartbeat{Heartbeat: wire.FromHeartbeat(own)}}
+	return &wire.Response{Body: &wire.Response_Heartbeat{Heartbeat: wire.FromHeartbeat(own, now)}}
 }
 
 // sight notes that a peer has a version; the newest and latest sighting wins.
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -1,6 +1,10 @@
 package membership
 
-import "persimmonbay/internal/configuration"
+import (
+	"persimmonbay/internal/configuration"
+	"persimmonbay/internal/inventory"
+	"persimmonbay/internal/routing"
+)
 
 // Heartbeat tells that an entry is alive and what it has in force.
 type Heartbeat struct {
@@ -11,4 +15,7 @@
 	Registration         *Registration // of the sender; nil when the receiver knows it
 	Stranger             bool          // in an answer: the receiver does not know the sender
 	Incarnation          uint64        // rises with every start of the sender
+	Instances            inventory.Stamp
+	LeavingUpstreams     []routing.LeavingMark // instances that said themselves that they are leaving
+	MaintenanceRevision  uint64                // of the pool records that it acts on
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -102,6 +102,7 @@
 			h.ConfigurationVersion = max(h.ConfigurationVersion, m.ConfigurationVersion)
 		}
 		m.Incarnation, m.ConfigurationVersion = h.Incarnation, h.ConfigurationVersion
+		m.MaintenanceRevision = h.MaintenanceRevision
 		m.Leaving, m.StoreReachable, m.LastHeard = h.Leaving, h.StoreReachable, now
 		return m, true
 	})
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -10,7 +10,6 @@
 	"github.com/gorilla/mux"
 	"github.com/jonboulle/clockwork"
 
-	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/platform"
 	"persimmonbay/internal/platform/api"
 	"persimmonbay/internal/problem"
@@ -22,6 +21,7 @@
 type Server struct {
 	Store     *Store
 	Instances *Instances
+	Reboots   *Reboots
 	faults    *shard.Cell[Faults]
 	injector  *injector
 	meter     *meter
@@ -30,7 +30,15 @@
 // NewServer returns a healthy platform without instances.
 func NewServer(clock clockwork.Clock) *Server {
 	faults := shard.NewCell(Faults{})
-	return &Server{Store: NewStore(clock), Instances: NewInstances(clock), faults: faults, injector: newInjector(faults, clock), meter: newMeter(clock)}
+	instances := NewInstances(clock)
+	return &Server{
+		Store:     NewStore(clock),
+		Instances: instances,
+		Reboots:   newReboots(clock, instances, faults),
+		faults:    faults,
+		injector:  newInjector(faults, clock),
+		meter:     newMeter(clock),
+	}
 }
 
 // SetFaults throws the switches.
@@ -53,9 +61,11 @@
 	v1.HandleFunc("/leases/{id}/renew", s.renew).Methods(http.MethodPost)
 	v1.HandleFunc("/leases/{id}", s.revoke).Methods(http.MethodDelete)
 	v1.HandleFunc("/instances", s.instances).Methods(http.MethodGet)
+	v1.HandleFunc("/instances/{id}/reboot", s.reboot).Methods(http.MethodPost)
 	r.HandleFunc("/standin/faults", s.putFaults).Methods(http.MethodPut)
 	r.HandleFunc("/standin/rates", s.putRates).Methods(http.MethodPut)
 	r.HandleFunc("/standin/calls", s.getCalls).Methods(http.MethodGet)
+	r.HandleFunc("/standin/reboots", s.reboots).Methods(http.MethodGet)
 	r.HandleFunc("/standin/instances/{id}", s.putInstance).Methods(http.MethodPut)
 	r.HandleFunc("/standin/instances/{id}", s.removeInstance).Methods(http.MethodDelete)
 	return r
@@ -130,31 +140,8 @@
 	answer(w, struct{}{}, s.Store.Revoke(r.Context(), platform.LeaseID(mux.Vars(r)["id"])))
 }
 
-func (s *Server) instances(w http.ResponseWriter, _ *http.Request) {
-	answer(w, s.Instances.List(time.Duration(s.faults.Get().LagMillis)*time.Millisecond), nil)
-}
-
-func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if decode(w, r, &f) {
-		s.SetFaults(f)
-		answer(w, f, nil)
-	}
-}
-
-func (s *Server) putInstance(w http.ResponseWriter, r *http.Request) {
-	var instance fleet.Instance
-	if !decode(w, r, &instance) {
-		return
-	}
-	instance.ID = mux.Vars(r)["id"]
-	s.Instances.Put(instance)
-	answer(w, instance, nil)
-}
-
-func (s *Server) removeInstance(w http.ResponseWriter, r *http.Request) {
-	s.Instances.Remove(mux.Vars(r)["id"])
-	answer(w, struct{}{}, nil)
+func (s *Server) instances(w http.ResponseWriter, r *http.Request) {
+	writeCompressed(w, r, s.Instances.List(time.Duration(s.faults.Get().LagMillis)*time.Millisecond))
 }
 
 // keyOf returns the key in the path, slashes as they are.
