--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -107,7 +107,7 @@
 	for _, loop := range e.loops() {
 		loops.Go(func() { loop(loopsCtx) })
 	}
-	callers := &http.Server{Handler: e.callersHandler(), ReadHeaderTimeout: headerTimeout}
+	callers := &http.Server{Handler: e.tellClosing(e.callersHandler()), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	operators := e.operatorServer()
 	failed := make(chan error, 3)
 	go func() { failed <- callers.Serve(e.listeners.callers) }()
@@ -127,9 +127,9 @@
 	}
 	_ = callers.Close()
 	e.closeLedger()
-	_ = operators.Close()
 	stopLoops()
 	loops.Wait()
+	closeOperators(operators)
 	e.sender.Close()
 	e.peers.Close()
 	e.platform.Close()
@@ -164,13 +164,3 @@
 		e.control.run,
 	}
 }
-
-// drain waits for the balancer to notice and then for requests in flight.
-func (e *Entry) drain(callers *http.Server) error {
-	e.health.Update(func(h health) (health, bool) { h.leaving = true; return h, true })
-	e.log.Info("leaving")
-	<-e.clock.After(e.settings.Limits.ShutdownNotice)
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Limits.ShutdownTimeout)
-	defer cancel()
-	return callers.Shutdown(ctx)
-}
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"persimmonbay/internal/membership"
 	"persimmonbay/internal/peer/wire"
@@ -27,6 +28,10 @@
 	}
 }
 
+// heartbeatTimeout bounds a round of exchanges, so that a dead member does not
+// delay the next one with the others.
+const heartbeatTimeout = time.Second
+
 // tellPeers has the next heartbeats sent at once.
 func (e *Entry) tellPeers() {
 	e.changed.Update(func(n uint64) (uint64, bool) { return n + 1, true })
@@ -50,6 +55,8 @@
 // exchangeHeartbeats returns the newest version among the members that
 // answered or are spared, and whether there is any.
 func (e *Entry) exchangeHeartbeats(ctx context.Context, spared func(membership.Member) bool) (newest sighting, reached bool) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
 	best := shard.NewCell(sighting{})
 	answered := shard.NewCell(false)
 	var calls sync.WaitGroup
--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -7,9 +7,12 @@
 	"persimmonbay/internal/routing"
 )
 
-// upstreamLeaving takes an instance at its own word that it is leaving.
+// upstreamLeaving takes an instance at its own word that it is leaving, and
+// has the other entries told.
 func (e *Entry) upstreamLeaving(instance string) {
-	e.markLeaving(routing.LeavingMark{Instance: instance, Heard: e.clock.Now()}, e.settings.ID)
+	if e.markLeaving(routing.LeavingMark{Instance: instance, Heard: e.clock.Now()}, e.settings.ID) {
+		e.tellPeers()
+	}
 }
 
 // heard takes over what a heartbeat tells and reports whether its sender is
@@ -22,8 +25,9 @@
 	return known
 }
 
-func (e *Entry) markLeaving(m routing.LeavingMark, from string) {
-	if e.routes.Mark(m, e.clock.Now()) {
+func (e *Entry) markLeaving(m routing.LeavingMark, from string) (news bool) {
+	if news = e.routes.Mark(m, e.clock.Now()); news {
 		e.log.Info("upstream leaving by its own word", zap.String("instance", m.Instance), zap.String("heardFrom", from))
 	}
+	return news
 }
--- a/internal/entry/operator_listener.go
+++ b/internal/entry/operator_listener.go
@@ -12,7 +12,6 @@
 const (
 	operatorReadTimeout = time.Minute      // of a whole request; longer than any change takes
 	operatorIdleTimeout = 30 * time.Second // of a connection between two requests
-	operatorHeaderBytes = 16 << 10
 )
 
 // operatorServer returns the server of the operators' address.
@@ -22,7 +21,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       operatorReadTimeout,
 		IdleTimeout:       operatorIdleTimeout,
-		MaxHeaderBytes:    operatorHeaderBytes,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
 }
 
--- a/test/bench/configuration_size_test.go
+++ b/test/bench/configuration_size_test.go
@@ -22,12 +22,12 @@
 	for range b.N {
 		fmt.Printf("%8s %8s %12s %14s %12s %12s\n", "pools", "teams", "bytes", "parse+check", "held KB", "apply")
 		for _, size := range []struct{ pools, teams int }{{50, 60}, {251, 300}, {500, 600}} {
-			measureSize(b, size.pools, size.teams)
+			measureConfigurationSize(b, size.pools, size.teams)
 		}
 	}
 }
 
-func measureSize(b *testing.B, pools, teams int) {
+func measureConfigurationSize(b *testing.B, pools, teams int) {
 	source := largeDocument(b, pools, teams)
 	began := time.Now()
 	const reads = 5
