--- a/test/bench/idle_fleet_test.go
+++ b/test/bench/idle_fleet_test.go
@@ -16,6 +16,7 @@
 	platform  string // HOST:PORT
 	processes []*exec.Cmd
 	entries   []*exec.Cmd
+	operators []string // HOST:PORT of each entry
 }
 
 func startIdle(b *testing.B, binary string, n int) *idleFleet {
@@ -32,6 +33,7 @@
 		entry := exec.Command(binary, "entry", "-config", settings)
 		operator = f.start(b, entry, "operators")
 		f.entries = append(f.entries, entry)
+		f.operators = append(f.operators, operator)
 	}
 	configuration := "../../examples/registry/configuration.yaml"
 	if out, err := exec.Command(binary, "config", "apply", "-operator", operator, "-token", "bench-operator-token", configuration).CombinedOutput(); err != nil {
--- /dev/null
+++ b/test/bench/spread_test.go
@@ -0,0 +1,71 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"persimmonbay/internal/configuration"
+	"persimmonbay/internal/operator"
+	"persimmonbay/internal/operator/message"
+)
+
+// spreadEntries is the size of the fleet whose spread is measured.
+const spreadEntries = 14
+
+// BenchmarkConfigurationSpread prints how long configurations of growing size
+// take to be accepted, and from then until all entries have them in force.
+func BenchmarkConfigurationSpread(b *testing.B) {
+	binary := filepath.Join(b.TempDir(), "persimmonbay")
+	if out, err := exec.Command("go", "build", "-o", binary, "persimmonbay/cmd/persimmonbay").CombinedOutput(); err != nil {
+		b.Fatalf("%v: %s", err, out)
+	}
+	for range b.N {
+		f := startIdle(b, binary, spreadEntries)
+		base := f.version(b, 0)
+		fmt.Printf("%8s %8s %12s %12s %12s\n", "pools", "teams", "bytes", "accepted", "everywhere")
+		for _, size := range []struct{ pools, teams int }{{50, 60}, {251, 300}, {500, 600}} {
+			source := largeDocument(b, size.pools, size.teams)
+			began := time.Now()
+			base = f.apply(b, base, source)
+			accepted := time.Now()
+			for i := range f.operators {
+				for f.version(b, i) != base {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			fmt.Printf("%8d %8d %12d %12v %12v\n", size.pools, size.teams, len(source),
+				accepted.Sub(began).Round(time.Millisecond), time.Since(accepted).Round(time.Millisecond))
+		}
+		f.stop()
+	}
+}
+
+func (f *idleFleet) apply(b *testing.B, base configuration.Version, source []byte) configuration.Version {
+	client := operator.NewClient(f.operators[0], "bench-operator-token")
+	defer client.Close()
+	var accepted message.ApplyResponse
+	in := message.ApplyRequest{Operator: "bench", Base: base, Source: source}
+	if err := client.Send(context.Background(), http.MethodPut, "/v1/configuration", in, &accepted); err != nil {
+		b.Fatal(err)
+	}
+	return accepted.Version
+}
+
+func (f *idleFleet) version(b *testing.B, i int) configuration.Version {
+	response, err := http.Get("http://" + f.operators[i] + "/v1/status")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer response.Body.Close()
+	var status message.Status
+	if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
+		b.Fatal(err)
+	}
+	return status.ConfigurationVersion
+}
