Leave the calls of a stopping peer's session to their end

Cause: once a peer had said that it takes no new calls, the next call closed the session under the calls that were still being served. Conclusion: such a session is retired and closed by the peer when it is done.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -41,8 +41,12 @@
 	}
 	answered := connection.watch(func() { l.replace(connection) })
 	stream, err := connection.session.OpenStream()
-	if err != nil {
+	if errors.Is(err, yamux.ErrRemoteGoAway) {
+		l.retire(connection)
+	} else if err != nil {
 		l.replace(connection)
+	}
+	if err != nil {
 		return nil, problem.Wrap(problem.Unavailable, problem.StepPeerCall, address, err)
 	}
 	defer stream.Close()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,9 +15,9 @@
 // dialTimeout bounds connecting and the proof of the key together.
 const dialTimeout = handshakeTimeout
 
-// link is the session to one address. mu guards current, dialling and closed;
-// it is not held while dialling, so that a call waits no longer than its own
-// deadline. At most one session is open and one being dialled.
+// link is the session to one address. mu guards the fields below it; it is not
+// held while dialling, so that a call waits no longer than its own deadline. At
+// most one session takes calls and one is being dialled.
 type link struct {
 	address string
 	key     []byte
@@ -25,6 +26,7 @@
 	mu       sync.Mutex
 	current  *connection
 	dialling *dialling
+	retired  []*connection // take no new calls and end once theirs have
 	closed   bool
 }
 
@@ -99,6 +101,19 @@
 	return &connection{session: session, conn: live}, nil
 }
 
+// retire takes c out of use and leaves the calls over it to their end: the
+// peer is stopping.
+func (l *link) retire(c *connection) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.current != c {
+		return
+	}
+	l.current = nil
+	l.retired = slices.DeleteFunc(l.retired, func(old *connection) bool { return old.session.IsClosed() })
+	l.retired = append(l.retired, c)
+}
+
 // replace gives c up, if it is still the one in use, and dials anew at once.
 func (l *link) replace(c *connection) {
 	l.mu.Lock()
@@ -112,10 +127,13 @@
 
 func (l *link) close() {
 	l.mu.Lock()
-	c := l.current
-	l.current, l.closed = nil, true
+	open := l.retired
+	if l.current != nil {
+		open = append(open, l.current)
+	}
+	l.current, l.retired, l.closed = nil, nil, true
 	l.mu.Unlock()
-	if c != nil {
+	for _, c := range open {
 		_ = c.session.Close()
 	}
 }
