Late answers: hold each late request until its caller has given up

Cause of a failure seen under load (go test ./internal/upstream, answer_test.go, 'stay with their own request when they are late', expected an error, got none): the spec let all late answers go after the tenth request, so the last 'late' request was answered at once and raced with the cancel of its caller; and it waited for the arrival of any late request, not of its own. Ruled out: a fault of the sender, which may well return an answer that came before the cancel. The spec is as strict: four late answers, each released while its own caller is gone and others ask.

--- a/internal/upstream/answer_test.go
+++ b/internal/upstream/answer_test.go
@@ -112,30 +112,31 @@
 	})
 
 	It("stay with their own request when they are late", func() {
-		late := make(chan struct{})
+		// Each late request is held until its caller has given up; its answer
+		// then comes while other requests are under way.
+		held := map[string]chan struct{}{"late-0": make(chan struct{}), "late-1": make(chan struct{}), "late-2": make(chan struct{}), "late-3": make(chan struct{})}
 		u := startRaw(func(c net.Conn, _ int, r *http.Request) bool {
-			if r.Header.Get(headerRequestID) == "late" {
-				<-late
-			}
 			id := r.Header.Get(headerRequestID)
+			if release, late := held[id]; late {
+				<-release
+			}
 			_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(id), id)
 			return err == nil
 		})
 		s := newSender()
 		for i := range 20 {
 			if i%5 == 0 {
+				late := fmt.Sprintf("late-%d", i/5)
 				ctx, cancel := context.WithCancel(context.Background())
 				given := make(chan error, 1)
 				go func() {
-					_, err := s.Send(ctx, instanceAt(u.address()), service, ask("late"))
+					_, err := s.Send(ctx, instanceAt(u.address()), service, ask(late))
 					given <- err
 				}()
-				Eventually(u.requests, patience).Should(ContainElement("late"))
+				Eventually(u.requests, patience).Should(ContainElement(late))
 				cancel()
 				Expect(<-given).To(HaveOccurred())
-			}
-			if i == 10 {
-				close(late)
+				close(held[late])
 			}
 			id := fmt.Sprintf("r%d", i)
 			answer, err := s.Send(context.Background(), instanceAt(u.address()), service, ask(id))
