--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,7 +15,6 @@
 	"persimmonbay/internal/inventory"
 	"persimmonbay/internal/ledger"
 	"persimmonbay/internal/membership"
-	"persimmonbay/internal/operator"
 	"persimmonbay/internal/peer"
 	"persimmonbay/internal/platform"
 	"persimmonbay/internal/request"
@@ -109,11 +108,11 @@
 	for _, loop := range e.loops() {
 		loops.Go(func() { loop(loopsCtx) })
 	}
-	callers := &http.Server{Handler: e.callersHandler(), ReadHeaderTimeout: headerTimeout}
-	operators := &http.Server{Handler: operator.NewServer(e, e.metrics, e.settings.Secrets.OperatorToken, e.log).Handler(), ReadHeaderTimeout: headerTimeout}
+	callers := &http.Server{Handler: e.tellClosing(e.callersHandler()), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	operators := e.operatorServer()
 	failed := make(chan error, 3)
 	go func() { failed <- callers.Serve(e.listeners.callers) }()
-	go func() { failed <- operators.Serve(e.listeners.operators) }()
+	go func() { failed <- operators.Serve(e.operatorListener()) }()
 	loops.Go(func() {
 		if err := peer.NewServer(e, []byte(e.settings.Secrets.PeerKey), e.log).Serve(loopsCtx, e.listeners.peers); err != nil {
 			failed <- err
@@ -129,9 +128,9 @@
 	}
 	_ = callers.Close()
 	e.closeLedger()
-	_ = operators.Close()
 	stopLoops()
 	loops.Wait()
+	closeOperators(operators)
 	e.sender.Close()
 	e.peers.Close()
 	e.platform.Close()
@@ -167,13 +166,3 @@
 		e.control.run,
 	}
 }
-
-// drain waits for the balancer to notice and then for requests in flight.
-func (e *Entry) drain(callers *http.Server) error {
-	e.health.Update(func(h health) (health, bool) { h.leaving = true; return h, true })
-	e.log.Info("leaving")
-	<-e.clock.After(e.settings.Limits.ShutdownNotice)
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Limits.ShutdownTimeout)
-	defer cancel()
-	return callers.Shutdown(ctx)
-}
--- a/test/config_fleet_test.go
+++ b/test/config_fleet_test.go
@@ -27,12 +27,15 @@
 // each, and each other by seeds.
 type configFleet struct {
 	*testFleet
-	relays []*relay.Relay
+	relays    []*relay.Relay
+	heartbeat string
 }
 
-func startConfigFleet(entries int) *configFleet {
+func startConfigFleet(entries int) *configFleet { return startConfigFleetWith(entries, "100ms") }
+
+func startConfigFleetWith(entries int, heartbeat string) *configFleet {
 	GinkgoHelper()
-	f := &configFleet{testFleet: startFleet("tags", 0, 0)}
+	f := &configFleet{testFleet: startFleet("tags", 0, 0), heartbeat: heartbeat}
 	for i := range entries {
 		r, err := relay.Listen(f.platform.listening("platform"))
 		Expect(err).NotTo(HaveOccurred())
@@ -53,6 +56,7 @@
 		}
 	}
 	settings := strings.Replace(f.entrySettings(i), f.platform.listening("platform"), f.relays[i].Address(), 1)
+	settings = strings.Replace(settings, "heartbeat: 100ms", "heartbeat: "+f.heartbeat, 1)
 	settings += fmt.Sprintf("peers:\n  seeds: [%s]\n", strings.Join(seeds, ", "))
 	file := filepath.Join(f.dir, fmt.Sprintf("entry-%d.yaml", i+1))
 	Expect(os.WriteFile(file, []byte(settings), 0o600)).To(Succeed())
--- a/test/configuration_test.go
+++ b/test/configuration_test.go
@@ -48,6 +48,15 @@
 		f.expectInForce(f.apply(1, first, "second"))
 	})
 
+	It("is in force everywhere in time without waiting for the next heartbeat", func() {
+		f := startConfigFleetWith(3, "1h")
+		first := f.apply(0, 0, "first")
+		f.expectInForce(first)
+		f.relays[1].Cut()
+		f.relays[2].Cut()
+		f.expectInForce(f.apply(0, first, "second"))
+	})
+
 	It("is in force after all entries were restarted", func() {
 		f := startConfigFleet(3)
 		first := f.apply(0, 0, "first")
@@ -98,6 +107,7 @@
 		f.expectInForce(first)
 		Eventually(func() int { return f.ready(1) }, patience).Should(Equal(http.StatusOK))
 		f.relays[1].Cut()
+		Eventually(func() int { return f.ready(1) }, patience).Should(Equal(http.StatusOK))
 		Consistently(func() int { return f.ready(1) }, "1s", "20ms").Should(Equal(http.StatusOK)) // the peer is enough
 		f.entries[0].kill()
 		Eventually(func() int { return f.ready(1) }, patience).Should(Equal(http.StatusServiceUnavailable))
