--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -19,6 +19,8 @@
 	case *wire.Request_Configuration:
 		v := e.inForce.Get()
 		return &wire.Response{Body: &wire.Response_Configuration{Configuration: &wire.Configuration{Version: uint64(v.Version), Source: v.Source}}}, nil
+	case *wire.Request_Slots:
+		return e.handleSlots(request.GetFrom(), body.Slots), nil
 	case *wire.Request_Ledger:
 		return e.serveLedger(ctx, body.Ledger)
 	}
--- a/internal/entry/registrar.go
+++ b/internal/entry/registrar.go
@@ -35,8 +35,9 @@
 	clock        clockwork.Clock
 	log          *zap.Logger
 	lease        platform.LeaseID
-	failures     int        // in a row
-	reached      func(bool) // told after every try whether the store is in reach
+	kept         func(since time.Time, first bool) // called when the registration is confirmed as of since; first: the key was free
+	failures     int                               // in a row
+	reached      func(bool)                        // told after every try whether the store is in reach
 }
 
 func (e *Entry) newRegistrar() *registrar {
@@ -49,6 +50,7 @@
 		clock:        e.clock,
 		log:          e.log,
 		reached:      e.storeReached,
+		kept:         e.slots.confirm,
 	}
 }
 
@@ -91,9 +93,13 @@
 
 // keep renews the lease, or makes a new one when there is none or it lapsed.
 func (r *registrar) keep(ctx context.Context) error {
+	start := r.clock.Now()
 	if r.lease != "" {
 		err := r.lessor.Renew(ctx, r.lease)
 		if !problem.Is(err, problem.NotFound) {
+			if err == nil {
+				r.kept(start, false)
+			}
 			return err
 		}
 		r.lease = ""
@@ -106,10 +112,17 @@
 	if err != nil {
 		return err
 	}
-	if _, err := r.store.Put(ctx, membersPrefix+string(r.registration.ID), value, platform.Any(), lease); err != nil {
+	key := membersPrefix + string(r.registration.ID)
+	_, err = r.store.Put(ctx, key, value, platform.MustNotExist(), lease)
+	first := err == nil
+	if problem.Is(err, problem.Conflict) { // an earlier run's key
+		_, err = r.store.Put(ctx, key, value, platform.Any(), lease)
+	}
+	if err != nil {
 		return err
 	}
 	r.lease = lease
+	r.kept(start, first)
 	return nil
 }
 
