Wave test: count the requests that met a reboot

Cause: idempotent requests are retried, so the callers saw no failure even when an instance was rebooted under them.

After: go test ./test -ginkgo.focus 'reboots each' passes, none met a reboot.

--- a/internal/standin/upstream/reboot.go
+++ b/internal/standin/upstream/reboot.go
@@ -24,6 +24,7 @@
 
 func (s *Server) cutOffWhenDown() {
 	if s.down.Get() {
+		s.load.Update(func(l Load) (Load, bool) { l.CutOff++; return l, true })
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/test/wave_test.go
+++ b/test/wave_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -11,6 +12,7 @@
 
 	"persimmonbay/internal/maintenance"
 	"persimmonbay/internal/operator/message"
+	"persimmonbay/internal/standin/upstream"
 )
 
 // wavePatience is how long a wave over a small fleet may take.
@@ -23,6 +25,7 @@
 		for i := range f.entries {
 			Eventually(func() string { return get(f.callers(i) + "/tags/1").outcome }, patience).Should(Equal("completed"))
 		}
+		f.slowUpstreams()
 		holder := f.controlHolder()
 		asked := f.operator((holder + 1) % len(f.entries))
 		code, _, stderr := command("wave", "start", "-operator", asked, "-token", testToken, "-as", "amal")
@@ -39,6 +42,7 @@
 		Expect(results.completed).To(BeNumerically(">", 100))
 		GinkgoWriter.Printf("requests completed during the wave: %d\n", results.completed)
 		for i := range f.upstreams {
+			Expect(f.upstreamLoad(i).CutOff).To(BeZero(), "requests that met a reboot")
 			Expect(f.reboots()).To(HaveKeyWithValue(fmt.Sprintf("tags-%d", i+1), 1))
 		}
 		for _, i := range f.instances(asked) {
@@ -79,6 +83,27 @@
 	return i - 1
 }
 
+// slowUpstreams makes every request take a while, so that some are always at
+// work.
+func (f *testFleet) slowUpstreams() {
+	GinkgoHelper()
+	for _, u := range f.upstreams {
+		request, err := http.NewRequest(http.MethodPut, "http://"+u.listening("upstream")+"/standin/faults", strings.NewReader(`{"slowMillis":800}`))
+		Expect(err).NotTo(HaveOccurred())
+		response, err := http.DefaultClient.Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		_ = response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusOK))
+	}
+}
+
+func (f *testFleet) upstreamLoad(i int) upstream.Load {
+	GinkgoHelper()
+	var load upstream.Load
+	getJSON("http://"+f.upstreams[i].listening("upstream")+"/standin/load", &load)
+	return load
+}
+
 func (f *testFleet) reboots() map[string]int {
 	GinkgoHelper()
 	counts := map[string]int{}
@@ -132,7 +157,7 @@
 			continue
 		}
 		url := f.callers(i)
-		for range 2 {
+		for range 8 {
 			c.running.Go(func() { c.call(url) })
 		}
 	}
