--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -25,6 +25,10 @@
 	Log      *zap.Logger
 }
 
+// planLife is how long a plan may be carried out after it was made. A holder
+// that was paused for longer drops its plan.
+const planLife = 5 * time.Second
+
 // Step plans once, makes the changes and returns how many it made. Changes
 // that others forestalled are dropped; the next plan sees why.
 func (c *Controller) Step(ctx context.Context) int {
@@ -39,6 +43,10 @@
 // Apply makes the changes of a plan that was made at the given time.
 func (c *Controller) Apply(ctx context.Context, changes maintenance.Changes, planned time.Time) int {
 	made := 0
+	if c.Clock.Since(planned) > planLife {
+		c.Log.Warn("plan dropped: too old", zap.String("step", string(problem.StepPlan)))
+		return made
+	}
 	if changes.Disruptions != nil {
 		_, err := c.Store.SaveDisruptions(ctx, *changes.Disruptions)
 		made += c.made("disruptions", err)
--- /dev/null
+++ b/internal/controller/faulty_store_test.go
@@ -0,0 +1,68 @@
+package controller_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"persimmonbay/internal/platform"
+	"persimmonbay/internal/platform/api"
+	"persimmonbay/internal/problem"
+)
+
+// faultyStore is one entry's way to the store, with seeded faults.
+type faultyStore struct {
+	platform.Store
+	random      *rand.Rand
+	unreachable func() bool
+	loseAnswers float64 // share of writes that take effect but whose answer is lost
+	writesLeft  int     // until the process crashes; below zero: no crash
+}
+
+func (s *faultyStore) fails() error {
+	if s.unreachable() || s.writesLeft == 0 {
+		return problem.New(problem.Unavailable, problem.StepStoreWrite, "", "cut off")
+	}
+	return nil
+}
+
+func (s *faultyStore) Get(ctx context.Context, key string) (api.KeyValue, error) {
+	if err := s.fails(); err != nil {
+		return api.KeyValue{}, err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *faultyStore) List(ctx context.Context, prefix string) (api.Listing, error) {
+	if err := s.fails(); err != nil {
+		return api.Listing{}, err
+	}
+	return s.Store.List(ctx, prefix)
+}
+
+func (s *faultyStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (api.Changes, error) {
+	if err := s.fails(); err != nil {
+		return api.Changes{}, err
+	}
+	return s.Store.Watch(ctx, prefix, after, wait)
+}
+
+func (s *faultyStore) Put(ctx context.Context, key string, value []byte, condition platform.Condition, lease platform.LeaseID) (uint64, error) {
+	if err := s.fails(); err != nil {
+		return 0, err
+	}
+	s.writesLeft--
+	version, err := s.Store.Put(ctx, key, value, condition, lease)
+	if err == nil && s.random.Float64() < s.loseAnswers {
+		return 0, problem.New(problem.Interrupted, problem.StepStoreWrite, "", "answer lost")
+	}
+	return version, err
+}
+
+func (s *faultyStore) Delete(ctx context.Context, key string, condition platform.Condition) error {
+	if err := s.fails(); err != nil {
+		return err
+	}
+	s.writesLeft--
+	return s.Store.Delete(ctx, key, condition)
+}
--- /dev/null
+++ b/internal/controller/one_pool_test.go
@@ -0,0 +1,38 @@
+package controller_test
+
+import (
+	"fmt"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// Extent of the search for an instance in two pools.
+const (
+	onePoolSeeds   = 240
+	onePoolActions = 1000
+)
+
+var _ = Describe("an instance", func() {
+	It("is in exactly one pool in all views that entries act on, at every step", func() {
+		moves := 0
+		for seed := range uint64(onePoolSeeds) {
+			w := newWorld(seed, 3)
+			w.addPool("tags", 0.4, 3)
+			w.addPool("renewals", 0.4, 3)
+			w.addPool("spare", 1, 2)
+			for range onePoolActions {
+				w.act()
+				Expect(w.onePool()).To(BeEmpty(), func() string { return seedReport(seed, w) })
+			}
+			moves += w.moves()
+		}
+		GinkgoWriter.Printf("moves over %d seeds: %d\n", onePoolSeeds, moves)
+		Expect(moves).To(BeNumerically(">", onePoolSeeds), "the search has moved instances")
+	})
+})
+
+func seedReport(seed uint64, w *simWorld) string {
+	return fmt.Sprintf("seed %d\n%s", seed, strings.Join(w.trail, "\n"))
+}
--- /dev/null
+++ b/internal/controller/sim_plan_test.go
@@ -0,0 +1,10 @@
+package controller_test
+
+import (
+	"persimmonbay/internal/maintenance"
+)
+
+// simPlan is a plan whose controller was paused before it carried it out.
+type simPlan struct {
+	changes maintenance.Changes
+}
--- /dev/null
+++ b/internal/controller/sim_work_test.go
@@ -0,0 +1,10 @@
+package controller_test
+
+import "time"
+
+// simWork is one request at work on an instance.
+type simWork struct {
+	instance string
+	pool     string
+	until    time.Time
+}
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -14,28 +14,28 @@
 // the control lease, carries plans out. Its fields are set once; what they
 // share is in their own shards.
 type control struct {
-	entry   *Entry
-	view    *maintenance.View
-	store   *fleetstore.Store
-	source  *confirmingStore
-	router  *router
-	work    *workCounter
-	policy  maintenance.Policy
-	steps   *controller.Controller
-	lease   *controller.Lease
-	started *shard.Cell[time.Time] // since when this entry is registered; zero: not yet
+	entry  *Entry
+	view   *maintenance.View
+	store  *fleetstore.Store
+	source *confirmingStore
+	router *router
+	work   *workCounter
+	policy maintenance.Policy
+	steps  *controller.Controller
+	lease  *controller.Lease
+	steady *shard.Cell[time.Time] // since when this entry has seen all entries and none go
 }
 
 func newControl(e *Entry) *control {
 	pools, waves := e.platform.For(platform.PurposePools), e.platform.For(platform.PurposeWaves)
 	c := &control{
-		entry:   e,
-		view:    maintenance.NewView(),
-		store:   fleetstore.New(waves),
-		source:  newConfirmingStore(pools, e.clock),
-		work:    newWorkCounter(),
-		policy:  maintenance.DefaultPolicy(),
-		started: shard.NewCell(time.Time{}),
+		entry:  e,
+		view:   maintenance.NewView(),
+		store:  fleetstore.New(waves),
+		source: newConfirmingStore(pools, e.clock),
+		work:   newWorkCounter(),
+		policy: maintenance.DefaultPolicy(),
+		steady: shard.NewCell(e.clock.Now()),
 	}
 	c.policy.RebootGrace, c.policy.ReturnTimeout = e.settings.Maintenance.RebootGrace, e.settings.Maintenance.ReturnTimeout
 	c.router = newRouter(c)
@@ -43,3 +43,8 @@
 	c.lease = controller.NewLease(waves, waves, e.settings.ID, e.settings.Membership.LeaseTTL, e.settings.Platform.WatchWait, e.clock, e.log)
 	return c
 }
+
+// entriesChanged notes that an entry has gone, or may have without being seen.
+func (c *control) entriesChanged() {
+	c.steady.Update(func(time.Time) (time.Time, bool) { return c.entry.clock.Now(), true })
+}
--- a/internal/entry/control_acknowledge.go
+++ b/internal/entry/control_acknowledge.go
@@ -5,18 +5,15 @@
 	"persimmonbay/internal/membership"
 )
 
-// acknowledgedBy returns up to which revision an entry has acknowledged the
-// records; 0 when it is not heard.
-func (c *control) acknowledgedBy(id string) uint64 {
+// word returns what this entry knows of an entry, itself included.
+func (c *control) word(id string, registered bool) maintenance.EntryWord {
 	e := c.entry
 	if id == e.settings.ID {
-		return c.acknowledged()
+		return maintenance.EntryWord{Entry: id, Registered: registered, Heard: true, Revision: c.acknowledged()}
 	}
 	m, known := e.members.Member(membership.EntryID(id))
-	if !known || !m.Alive(e.clock.Now(), e.settings.Membership.SilentFor) {
-		return 0
-	}
-	return m.MaintenanceRevision
+	heard := known && m.Alive(e.clock.Now(), e.settings.Membership.SilentFor)
+	return maintenance.EntryWord{Entry: id, Registered: registered, Heard: heard, Revision: m.MaintenanceRevision}
 }
 
 // acknowledged returns up to which revision this entry acts on the records and
@@ -37,9 +34,6 @@
 	now := e.clock.Now()
 	var peers []maintenance.PeerWord
 	for _, m := range e.members.Members() {
-		if !m.Registered {
-			continue
-		}
 		peers = append(peers, maintenance.PeerWord{
 			Fresh:          m.Alive(now, e.settings.Membership.SilentFor),
 			StoreReachable: m.StoreReachable,
--- a/internal/entry/control_run.go
+++ b/internal/entry/control_run.go
@@ -42,7 +42,6 @@
 	for ctx.Err() == nil {
 		_, err := client.Get(ctx, membersPrefix+c.entry.settings.ID)
 		if err == nil {
-			c.started.Update(func(time.Time) (time.Time, bool) { return c.entry.clock.Now(), true })
 			return true
 		}
 		select {
--- a/internal/entry/control_snapshot.go
+++ b/internal/entry/control_snapshot.go
@@ -60,24 +60,20 @@
 		e.log.Warn("registered entries not read", telemetry.ProblemFields(err)...)
 		return
 	}
+	words := []maintenance.EntryWord{}
 	registered := make(map[string]bool, len(listing.Items))
 	for _, kv := range listing.Items {
 		id := strings.TrimPrefix(kv.Key, membersPrefix)
 		registered[id] = true
-		s.Acknowledgements = append(s.Acknowledgements, maintenance.Acknowledgement{Entry: id, Revision: c.acknowledgedBy(id)})
+		words = append(words, c.word(id, true))
 	}
-	s.Complete = registered[e.settings.ID]
-	if e.clock.Since(c.started.Get()) < e.settings.Maintenance.Fence+e.settings.Membership.LeaseTTL {
-		s.Settle = e.settings.Maintenance.Fence // an entry may be gone that this one never heard of
+	if !registered[e.settings.ID] {
+		return // an entry that is not registered decides nothing
 	}
 	for _, m := range e.members.Members() {
-		if registered[string(m.ID)] {
-			continue
-		}
-		if m.Alive(e.clock.Now(), e.settings.Membership.SilentFor) {
-			s.Acknowledgements = append(s.Acknowledgements, maintenance.Acknowledgement{Entry: string(m.ID), Revision: m.MaintenanceRevision})
-		} else {
-			s.Settle = e.settings.Maintenance.Fence
+		if !registered[string(m.ID)] {
+			words = append(words, c.word(string(m.ID), false))
 		}
 	}
+	s.Await(words, e.clock.Since(c.steady.Get()), e.settings.Maintenance.Fence, e.settings.Membership.LeaseTTL)
 }
--- a/internal/entry/counted_dispatcher.go
+++ b/internal/entry/counted_dispatcher.go
@@ -4,6 +4,7 @@
 
 // countedDispatcher counts the placements of another dispatcher.
 type countedDispatcher struct {
-	next request.Dispatcher
-	work *workCounter
+	next   request.Dispatcher
+	work   *workCounter
+	before func()
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -128,7 +128,7 @@
 func (e *Entry) callersHandler() http.Handler {
 	requests := &request.Server{
 		InForce:    e.inForce,
-		Dispatcher: e.control.work.wrap(dispatch.New(e.routes)),
+		Dispatcher: e.control.work.wrap(dispatch.New(e.routes), e.control.router.refreshOld),
 		Sender:     e.sender,
 		Ledger:     ledger.Closed{},
 		Clock:      e.clock,
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -32,10 +32,12 @@
 		e.register(kv.Value)
 	}
 	e.members.Retain(registered)
+	e.control.entriesChanged()
 }
 
 func (e *Entry) memberChanged(event api.Event) {
 	if event.Type == api.EventDelete {
+		e.control.entriesChanged()
 		e.members.Unregister(membership.EntryID(strings.TrimPrefix(event.Key, membersPrefix)))
 		return
 	}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"persimmonbay/internal/fleet"
@@ -12,6 +13,9 @@
 // may still appear among the work.
 const settleTime = 200 * time.Millisecond
 
+// maxTableAge is how old the routing table may be when work is placed by it.
+const maxTableAge = 2 * refreshEvery
+
 // router keeps the routing table up with the records, the platform's list and
 // the configuration. mu guards the order of its replacements and the field
 // applied.
@@ -19,6 +23,7 @@
 	control *control
 	mu      sync.Mutex
 	applied applied
+	latest  atomic.Int64 // when the table was last replaced, in Unix nanoseconds
 }
 
 func newRouter(c *control) *router { return &router{control: c} }
@@ -34,12 +39,21 @@
 		serving = maintenance.ServingInstances(e.instances.Get(), r.control.view.Record, maintenance.ServicePools(c))
 	}
 	e.routes.Replace(serving)
+	r.latest.Store(e.clock.Now().UnixNano())
 	r.settle()
 	if state.Revision != r.applied.revision {
 		r.applied.revision, r.applied.at = state.Revision, e.clock.Now()
 	}
 }
 
+// refreshOld refreshes a table that has not been for long, as after a pause of
+// the whole process, before anything is placed by it.
+func (r *router) refreshOld() {
+	if r.control.entry.clock.Now().UnixNano()-r.latest.Load() > int64(maxTableAge) {
+		r.refresh()
+	}
+}
+
 // settle moves the settled revision on. mu is held.
 func (r *router) settle() {
 	if r.control.entry.clock.Since(r.applied.at) >= settleTime {
--- a/internal/entry/work_counter.go
+++ b/internal/entry/work_counter.go
@@ -16,9 +16,10 @@
 
 func newWorkCounter() *workCounter { return &workCounter{counts: shard.NewMap[string, int]()} }
 
-// wrap returns a dispatcher that counts what next places.
-func (c *workCounter) wrap(next request.Dispatcher) request.Dispatcher {
-	return &countedDispatcher{next: next, work: c}
+// wrap returns a dispatcher that counts what next places, and calls before
+// ahead of each placement.
+func (c *workCounter) wrap(next request.Dispatcher, before func()) request.Dispatcher {
+	return &countedDispatcher{next: next, work: c, before: before}
 }
 
 // at returns the requests at work on an instance.
@@ -35,6 +36,7 @@
 
 // Acquire implements request.Dispatcher.
 func (d *countedDispatcher) Acquire(ctx context.Context, r *request.Request, service *configuration.Service, tried []string) (request.Placement, error) {
+	d.before()
 	placement, err := d.next.Acquire(ctx, r, service, tried)
 	if err != nil {
 		return placement, err
--- /dev/null
+++ b/internal/maintenance/await.go
@@ -0,0 +1,31 @@
+package maintenance
+
+import "time"
+
+// Await notes whose acknowledgement plans must wait for. An entry that is
+// registered or heard must give its word. One that is neither has stopped by
+// itself once the fence has passed since something began to leave. steadyFor
+// tells for how long the controller has seen every entry and none go; until
+// that is the fence and a lease's time to live, one may be gone unseen. Most
+// of the entries must be heard in any case: those that take part in an outage
+// of the store are most of them too, so that one of them would know.
+func (s *Snapshot) Await(words []EntryWord, steadyFor, fence, leaseTTL time.Duration) {
+	heard := 0
+	if steadyFor < fence+leaseTTL {
+		s.Settle = fence
+	}
+	for _, w := range words {
+		if w.Heard {
+			heard++
+		}
+		if !w.Registered && !w.Heard {
+			s.Settle = fence
+			continue
+		}
+		if !w.Heard {
+			w.Revision = 0
+		}
+		s.Acknowledgements = append(s.Acknowledgements, Acknowledgement{Entry: w.Entry, Revision: w.Revision})
+	}
+	s.Complete = 2*heard > len(words)
+}
