--- a/internal/controller/sim_wave_test.go
+++ b/internal/controller/sim_wave_test.go
@@ -163,20 +163,19 @@
 // reservedTooMuch checks that nothing was reserved in a pool that failures,
 // known for long enough, had left without room.
 func (w *simWave) reservedTooMuch(truth *maintenance.Snapshot) string {
-	known := *truth
-	known.Listed = map[string]fleet.Instance{}
-	for id, i := range w.instances {
-		if w.now().Sub(w.lastLive[id]) < knownFailure {
-			i.State = fleet.Live
+	present := map[string]int{}
+	for id, r := range truth.Records {
+		_, reserved := truth.Disruptions.Find(id)
+		if r.Phase == maintenance.Serving && !reserved && w.now().Sub(w.lastLive[id]) < knownFailure {
+			present[r.Pool]++
 		}
-		known.Listed[id] = i
 	}
-	tallies := maintenance.Tallies(&known)
+	tallies := maintenance.Tallies(truth)
 	now := map[string]bool{}
 	for _, v := range truth.Disruptions.Reservations {
 		now[v.Instance] = true
-		if fresh := !w.reserved[v.Instance] && v.Kind == maintenance.ForReboot; fresh && !tallies[v.Pool].Spare && tallies[v.Pool].Free() < 0 {
-			return fmt.Sprintf("%s was reserved though %s had no room: %+v", v.Instance, v.Pool, tallies[v.Pool])
+		if fresh := !w.reserved[v.Instance] && v.Kind == maintenance.ForReboot; fresh && !tallies[v.Pool].Spare && present[v.Pool] < tallies[v.Pool].Needed {
+			return fmt.Sprintf("%s was reserved though only %d instances serve %s, which needs %d", v.Instance, present[v.Pool], v.Pool, tallies[v.Pool].Needed)
 		}
 	}
 	w.reserved = now
