--- a/internal/entry/control_snapshot.go
+++ b/internal/entry/control_snapshot.go
@@ -37,7 +37,7 @@
 	e := c.entry
 	s := maintenance.Snapshot{Now: e.clock.Now().UTC().Round(0), Listed: make(map[string]fleet.Instance)}
 	known := c.view.Fill(&s)
-	list := e.instances.Get()
+	list := e.inventory.Get().Instances
 	for _, i := range list {
 		s.Listed[i.ID] = i
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,8 +12,8 @@
 	"persimmonbay/internal/configstore"
 	"persimmonbay/internal/configuration"
 	"persimmonbay/internal/dispatch"
-	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/front"
+	"persimmonbay/internal/inventory"
 	"persimmonbay/internal/ledger"
 	"persimmonbay/internal/membership"
 	"persimmonbay/internal/operator"
@@ -46,12 +46,18 @@
 	inForce   *configuration.InForce
 	members   *membership.Table
 	routes    *routing.Table
-	instances *shard.Cell[[]fleet.Instance]
+	inventory *inventory.Inventory
+	changed   *shard.Cell[uint64] // rises when peers should hear of a change at once
 	health    *shard.Cell[health]
-	peers     *peer.Client
-	sender    *upstream.Sender
-	metrics   *telemetry.Metrics
-	control   *control
+	sighted   *shard.Cell[sighting] // the newest version that a peer told of
+
+	incarnation uint64 // rises with every start of this entry
+
+	peers   *peer.Client
+	sender  *upstream.Sender
+	metrics *telemetry.Metrics
+	ledger  *ledger.Ledger
+	control *control
 }
 
 // New opens the listeners of an entry. Run must follow.
@@ -71,15 +77,21 @@
 		inForce:   configuration.NewInForce(),
 		members:   membership.NewTable(membership.EntryID(s.ID)),
 		routes:    routing.NewTable(),
-		instances: shard.NewCell[[]fleet.Instance](nil),
+		inventory: inventory.New(),
+		changed:   shard.NewCell[uint64](0),
 		health:    shard.NewCell(health{}),
-		peers:     peer.NewClient(s.ID, []byte(s.Secrets.PeerKey), peerTimeout),
-		sender:    upstream.NewSender(s.Limits.WholeBytes),
-		metrics:   telemetry.NewMetrics(),
+		sighted:   shard.NewCell(sighting{}),
+
+		incarnation: uint64(clock.Now().UnixNano()),
+
+		peers:   peer.NewClient(s.ID, []byte(s.Secrets.PeerKey), peerTimeout),
+		metrics: telemetry.NewMetrics(),
 	}
+	e.sender = upstream.NewSender(s.Limits.WholeBytes, clock, e.upstreamLeaving)
 	e.control = newControl(e)
 	e.metrics.Publish("platformCalls", func() any { return client.Counts().Snapshot() })
 	e.metrics.Publish("configurationVersion", func() any { return e.inForce.Get().Version })
+	e.ledger = e.newLedger()
 	return e, nil
 }
 
@@ -96,8 +108,8 @@
 	for _, loop := range e.loops() {
 		loops.Go(func() { loop(loopsCtx) })
 	}
-	callers := &http.Server{Handler: e.callersHandler(), ReadHeaderTimeout: headerTimeout}
-	operators := &http.Server{Handler: operator.NewServer(e, e.metrics, e.settings.Secrets.OperatorToken, e.log).Handler(), ReadHeaderTimeout: headerTimeout}
+	callers := &http.Server{Handler: e.tellClosing(e.callersHandler()), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	operators := &http.Server{Handler: operator.NewServer(e, e.metrics, e.settings.Secrets.OperatorToken, e.log).Handler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	failed := make(chan error, 3)
 	go func() { failed <- callers.Serve(e.listeners.callers) }()
 	go func() { failed <- operators.Serve(e.listeners.operators) }()
@@ -115,9 +127,10 @@
 		err = e.drain(callers)
 	}
 	_ = callers.Close()
-	_ = operators.Close()
+	e.closeLedger()
 	stopLoops()
 	loops.Wait()
+	closeOperators(operators)
 	e.sender.Close()
 	e.peers.Close()
 	e.platform.Close()
@@ -130,7 +143,8 @@
 		InForce:    e.inForce,
 		Dispatcher: e.control.work.wrap(dispatch.New(e.routes), e.control.router.refreshOld),
 		Sender:     e.sender,
-		Ledger:     ledger.Closed{},
+		Ledger:     e.ledger,
+		Retries:    request.NewRetryBudget(request.RetryShare),
 		Clock:      e.clock,
 	}
 	return front.NewServer(requests, e.metrics, e.clock, e.settings.Limits.BodyBytes, e.log).Handler()
@@ -143,17 +157,11 @@
 		e.followMembers().Run,
 		e.followConfiguration().Run,
 		e.heartbeat,
+		e.announce,
+		e.chase,
 		e.pollInstances,
+		e.followInstances,
+		e.forgetIdleLedger,
 		e.control.run,
 	}
 }
-
-// drain waits for the balancer to notice and then for requests in flight.
-func (e *Entry) drain(callers *http.Server) error {
-	e.health.Update(func(h health) (health, bool) { h.leaving = true; return h, true })
-	e.log.Info("leaving")
-	<-e.clock.After(e.settings.Limits.ShutdownNotice)
-	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Limits.ShutdownTimeout)
-	defer cancel()
-	return callers.Shutdown(ctx)
-}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"persimmonbay/internal/configstore"
 	"persimmonbay/internal/configuration"
@@ -10,6 +11,9 @@
 	"persimmonbay/internal/problem"
 )
 
+// applyTimeout bounds one change of the configuration with all its retries.
+const applyTimeout = 20 * time.Second
+
 var _ operator.Backend = (*Entry)(nil)
 
 // Ready implements operator.Backend. An entry that can reach neither the store
@@ -19,10 +23,12 @@
 	switch {
 	case h.leaving:
 		return problem.New(problem.Unavailable, problem.StepShutdown, "", "this entry is leaving")
+	case e.inForce.Get().Configuration == nil && !h.current():
+		return problem.New(problem.Unavailable, problem.StepConfiguration, "", "no configuration is in force yet, and neither the platform nor a peer can be reached; peers.seeds in the settings lets an entry start without the platform")
 	case e.inForce.Get().Configuration == nil:
 		return problem.New(problem.Unavailable, problem.StepConfiguration, "", "no configuration is in force yet; apply one with 'persimmonbay config apply'")
-	case !h.storeReachable && !h.peerReachable:
-		return problem.New(problem.Unavailable, problem.StepConfiguration, "", "neither the platform nor a peer can be reached")
+	case !h.current():
+		return problem.New(problem.Unavailable, problem.StepConfiguration, "", "neither the platform nor a peer can be reached; look at the network of this entry and at the platform's store")
 	}
 	return nil
 }
@@ -33,7 +39,7 @@
 		Asked:                e.settings.ID,
 		ConfigurationVersion: e.inForce.Get().Version,
 		Entries:              []message.EntryStatus{e.ownStatus()},
-		Instances:            len(e.instances.Get()),
+		Instances:            len(e.inventory.Get().Instances),
 	}
 	now := e.clock.Now()
 	for _, m := range e.members.Members() {
@@ -56,7 +62,7 @@
 	return message.EntryStatus{
 		ID:                   e.settings.ID,
 		AvailabilityZone:     e.settings.AvailabilityZone,
-		OperatorAddress:      e.Addresses().Operators,
+		OperatorAddress:      e.advertised().Operators,
 		ConfigurationVersion: e.inForce.Get().Version,
 		Alive:                true,
 		Leaving:              h.leaving,
@@ -68,8 +74,11 @@
 // InForce implements operator.Backend.
 func (e *Entry) InForce() configuration.Versioned { return e.inForce.Get() }
 
-// Apply implements operator.Backend.
+// Apply implements operator.Backend. It goes on when the operator is gone,
+// since the store may have accepted already.
 func (e *Entry) Apply(ctx context.Context, who string, base configuration.Version, source []byte) (configuration.Version, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), applyTimeout)
+	defer cancel()
 	version, err := e.configs.Apply(ctx, who, base, source)
 	if err != nil {
 		return 0, err
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -36,9 +36,9 @@
 	state := r.control.view.State()
 	var serving []fleet.Instance
 	if c := e.inForce.Get().Configuration; c != nil && r.control.mayAct(state.Revision) {
-		serving = maintenance.ServingInstances(e.instances.Get(), r.control.view.Record, maintenance.ServicePools(c))
+		serving = maintenance.ServingInstances(e.inventory.Get().Instances, r.control.view.Record, maintenance.ServicePools(c))
 	}
-	e.routes.Replace(serving)
+	e.routes.Replace(serving, e.clock.Now())
 	r.latest.Store(e.clock.Now().UnixNano())
 	r.settle()
 	if state.Revision != r.applied.revision {
--- /dev/null
+++ b/internal/ledger/options.go
@@ -0,0 +1,36 @@
+package ledger
+
+import "time"
+
+// Options are the timing and bounds of a ledger. They must be the same on all
+// entries as far as Shards goes.
+type Options struct {
+	Entry          string        // this entry's ID
+	Shards         int           // of the log
+	Interval       time.Duration // least time between two writes to a shard by one entry
+	OutcomeDelay   time.Duration // how long an outcome waits for a batch to ride on
+	ForwardTimeout time.Duration // after which an owner that does not answer is passed over
+	MaxKeys        int           // that one entry keeps track of in a shard
+}
+
+// Defaults. Two shards with a write each 15 ms make 133 batches a second; folds
+// and drops add an eighth, which stays within 150 of the platform's writes.
+const (
+	defaultShards         = 2
+	defaultInterval       = 15 * time.Millisecond
+	defaultOutcomeDelay   = 50 * time.Millisecond
+	defaultForwardTimeout = time.Second
+	defaultMaxKeys        = 500_000
+)
+
+// DefaultOptions returns the options of the entry called entry.
+func DefaultOptions(entry string) Options {
+	return Options{
+		Entry:          entry,
+		Shards:         defaultShards,
+		Interval:       defaultInterval,
+		OutcomeDelay:   defaultOutcomeDelay,
+		ForwardTimeout: defaultForwardTimeout,
+		MaxKeys:        defaultMaxKeys,
+	}
+}
--- a/internal/operator/backend.go
+++ b/internal/operator/backend.go
@@ -10,6 +10,7 @@
 
 // Backend is what the operators' face needs of an entry.
 type Backend interface {
+	LedgerBackend
 	FleetBackend
 	// Ready returns nil when the entry may receive requests, or why not.
 	Ready() error
