--- a/internal/maintenance/plan_loan.go
+++ b/internal/maintenance/plan_loan.go
@@ -1,5 +1,7 @@
 package maintenance
 
+import "slices"
+
 // borrow lends a spare instance to each pool that has work to do and no
 // instance to miss, one at a time.
 func (p *planner) borrow(due []Record) {
@@ -32,9 +34,10 @@
 }
 
 // underway reports whether the pool has an instance away that is expected
-// back, or a loan on its way.
+// back, or a loan on its way. What this very plan releases still counts: the
+// tallies do not show it back yet.
 func (p *planner) underway(pool string) bool {
-	for _, v := range p.disruptions.Reservations {
+	for _, v := range slices.Concat(p.s.Disruptions.Reservations, p.disruptions.Reservations) {
 		expected := v.Kind == ForReboot && v.Pool == pool && !p.policy.lost(p.s.Records[v.Instance], p.s.Now)
 		if expected || v.Kind == ForLoan && v.Target == pool {
 			return true
--- a/internal/maintenance/tally.go
+++ b/internal/maintenance/tally.go
@@ -31,6 +31,10 @@
 			pool.Present++
 			tallies[r.Pool] = pool
 		}
+		if home := tallies[r.Home]; r.Lent() && home.Spare && s.live(id) {
+			home.Present++ // lending is what spares are for
+			tallies[r.Home] = home
+		}
 	}
 	for pool, t := range tallies {
 		t.Needed = t.Home - s.budget(pool).Allowed(t.Home)
