--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -10,7 +10,6 @@
 	"github.com/gorilla/mux"
 	"github.com/jonboulle/clockwork"
 
-	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/platform"
 	"persimmonbay/internal/platform/api"
 	"persimmonbay/internal/problem"
@@ -145,29 +144,6 @@
 	writeCompressed(w, r, s.Instances.List(time.Duration(s.faults.Get().LagMillis)*time.Millisecond))
 }
 
-func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if decode(w, r, &f) {
-		s.SetFaults(f)
-		answer(w, f, nil)
-	}
-}
-
-func (s *Server) putInstance(w http.ResponseWriter, r *http.Request) {
-	var instance fleet.Instance
-	if !decode(w, r, &instance) {
-		return
-	}
-	instance.ID = mux.Vars(r)["id"]
-	s.Instances.Put(instance)
-	answer(w, instance, nil)
-}
-
-func (s *Server) removeInstance(w http.ResponseWriter, r *http.Request) {
-	s.Instances.Remove(mux.Vars(r)["id"])
-	answer(w, struct{}{}, nil)
-}
-
 // keyOf returns the key in the path, slashes as they are.
 func keyOf(r *http.Request) string { return r.URL.Path[len("/v1/kv/"):] }
 
