--- /dev/null
+++ b/internal/dispatch/upstream.go
@@ -0,0 +1,46 @@
+package dispatch
+
+import (
+	"time"
+
+	"persimmonbay/internal/fleet"
+	"persimmonbay/internal/routing"
+	"persimmonbay/internal/slots"
+)
+
+// upstream is one instance of a service as this entry uses it.
+type upstream struct {
+	instance fleet.Instance
+	listed   bool // may receive new work
+	holding  slots.Holding
+	health   routing.Health
+	unsure   []time.Time // when slots whose request broke off may be used again
+}
+
+// free returns how many requests may start now. trusted says that the store
+// confirms this entry; else only a home that heard it lately vouches for the
+// slots.
+func (u *upstream) free(now time.Time, trusted bool) int {
+	if !u.listed || !trusted && !u.vouched(now) {
+		return 0
+	}
+	return min(u.holding.Free(), u.health.Bound(now, u.holding.Held)-u.holding.InUse)
+}
+
+// vouched reports whether a home other than this entry heard it lately.
+func (u *upstream) vouched(now time.Time) bool {
+	return now.Sub(u.holding.Acked()) <= slots.VouchedFor
+}
+
+// settle frees the slots of requests that are surely over by now.
+func (u *upstream) settle(now time.Time) {
+	kept := u.unsure[:0]
+	for _, at := range u.unsure {
+		if now.Before(at) {
+			kept = append(kept, at)
+			continue
+		}
+		u.holding.Release()
+	}
+	u.unsure = kept
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,7 +11,6 @@
 
 	"persimmonbay/internal/configstore"
 	"persimmonbay/internal/configuration"
-	"persimmonbay/internal/dispatch"
 	"persimmonbay/internal/front"
 	"persimmonbay/internal/inventory"
 	"persimmonbay/internal/ledger"
@@ -57,6 +56,7 @@
 	metrics *telemetry.Metrics
 	ledger  *ledger.Ledger
 	control *control
+	slots   *slotKeeper
 }
 
 // New opens the listeners of an entry. Run must follow.
@@ -88,6 +88,7 @@
 	}
 	e.sender = upstream.NewSender(s.Limits.WholeBytes, clock, e.upstreamLeaving)
 	e.control = newControl(e)
+	e.slots = newSlotKeeper(e)
 	e.metrics.Publish("platformCalls", func() any { return client.Counts().Snapshot() })
 	e.metrics.Publish("configurationVersion", func() any { return e.inForce.Get().Version })
 	e.ledger = e.newLedger()
@@ -140,7 +141,7 @@
 func (e *Entry) callersHandler() http.Handler {
 	requests := &request.Server{
 		InForce:    e.inForce,
-		Dispatcher: e.control.work.wrap(dispatch.New(e.routes), e.control.router.refreshOld),
+		Dispatcher: e.control.work.wrap(e.slots.dispatcher(), e.control.router.refreshOld),
 		Sender:     e.sender,
 		Ledger:     e.ledger,
 		Retries:    request.NewRetryBudget(request.RetryShare),
@@ -159,6 +160,7 @@
 		e.announce,
 		e.chase,
 		e.pollInstances,
+		e.slots.run,
 		e.followInstances,
 		e.forgetIdleLedger,
 		e.control.run,
--- a/internal/entry/registrar_test.go
+++ b/internal/entry/registrar_test.go
@@ -28,6 +28,7 @@
 		r = &registrar{
 			lessor: store, store: store, registration: membership.Registration{ID: "entry-1", PeerAddress: "10.0.0.1:7"},
 			ttl: 5 * time.Second, clock: clock, log: zap.NewNop(), reached: func(r bool) { reached = r },
+			kept: func(time.Time, bool) {},
 		}
 	})
 
--- a/internal/upstream/silence_fleet_test.go
+++ b/internal/upstream/silence_fleet_test.go
@@ -11,11 +11,13 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"persimmonbay/internal/admission"
 	"persimmonbay/internal/configuration"
 	"persimmonbay/internal/dispatch"
 	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/request"
 	"persimmonbay/internal/routing"
+	"persimmonbay/internal/slots"
 	standin "persimmonbay/internal/standin/upstream"
 )
 
@@ -56,11 +58,25 @@
 		Teams:    []configuration.Team{{Name: "herders", TopClass: fleet.Urgent}},
 		Services: []configuration.Service{{Name: "tags", Slots: 64, Connections: 64, Timeout: timeout, SilenceLimit: silenceLimit}},
 	}})
-	f.server = &request.Server{InForce: inForce, Dispatcher: dispatch.New(table), Sender: newSenderOf(1 << 20),
+	f.server = &request.Server{InForce: inForce, Dispatcher: dispatch.New(testPlacer(inForce, table, clock), clock, noRecorder{}, func() {}), Sender: newSenderOf(1 << 20),
 		Ledger: grantingLedger{}, Retries: request.NewRetryBudget(request.RetryShare), Clock: clock}
 	return f
 }
 
+// testPlacer returns a placer of one entry that has all slots.
+func testPlacer(inForce *configuration.InForce, table *routing.Table, clock clockwork.Clock) *dispatch.Placer {
+	now, c := clock.Now(), inForce.Get().Configuration
+	p := dispatch.NewPlacer(slots.Holder{Entry: "entry-1"}, "az-1", now, func(s admission.Shares) admission.Order {
+		return admission.NewFair(s, admission.DefaultLimits)
+	})
+	p.Configure(c)
+	p.List("tags", table.Candidates("tags"), now)
+	p.Trust(now.Add(time.Hour), now)
+	p.Fix(func(string) int { return c.Services[0].Slots })
+	p.Tick(now)
+	return p
+}
+
 func (f *silenceFleet) silence() {
 	for _, u := range f.upstreams {
 		u.SetFaults(standin.Faults{SilenceOpen: true})
