--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -141,7 +141,7 @@
 func (e *Entry) callersHandler() http.Handler {
 	requests := &request.Server{
 		InForce:    e.inForce,
-		Dispatcher: e.control.work.wrap(e.slots.dispatcher()),
+		Dispatcher: e.control.work.wrap(e.slots.dispatcher(), e.control.router.refreshOld),
 		Sender:     e.sender,
 		Ledger:     e.ledger,
 		Retries:    request.NewRetryBudget(request.RetryShare),
