Slots in an outage of the store: trust without a gap, registrations passed over

Cause, from a trace of the process test: (1) an entry took a peer's word 'store in reach' for proof that only itself was cut off, but that word lags by several seconds, and a watch opened before the outage ends well in it; (2) all registrations lapse in an outage, so each entry saw itself alone; (3) the trust in the own registration ended before the outage was looked at, and that gap of one tick reset the entry's lenders.

Now heartbeats carry when the store last confirmed the sender's registration; in an outage these times lie within one renewal of each other. While they do, and the own one is overdue, lapsed registrations are passed over, and trust is extended before it lapses.

--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -117,6 +117,7 @@
 		ConfigurationVersion: e.inForce.Get().Version,
 		Leaving:              h.leaving,
 		StoreReachable:       h.storeReachable,
+		Confirmed:            e.slots.standing.Get().confirmed,
 		MaintenanceRevision:  e.control.acknowledged(),
 		Incarnation:          e.incarnation,
 		LeavingUpstreams:     e.routes.Marks(e.clock.Now()),
--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -24,6 +24,7 @@
 	leaveRounds     = 10
 	leaveTimeout    = time.Second
 	outageTrust     = time.Second      // between two looks at whether it is an outage
+	renewalShare    = 40               // per cent of a lease's time within which it is renewed
 	goneRemembered  = 10 * time.Minute // how long an entry that went is kept in the view
 )
 
@@ -141,7 +142,9 @@
 		k.placer.List(name, k.entry.routes.Candidates(name), now)
 	}
 	k.placer.Trust(k.trustedUntil(now), now)
-	k.see(now, true)
+	if !k.unsettled(now) {
+		k.see(now, true)
+	}
 	return true
 }
 
@@ -189,27 +192,44 @@
 func (k *slotKeeper) trustedUntil(now time.Time) time.Time {
 	confirmed := k.standing.Get().confirmed
 	until := confirmed.Add(k.entry.settings.Membership.LeaseTTL)
-	if !confirmed.IsZero() && now.Before(until) {
-		return until
-	}
-	if k.outage(now) {
-		return now.Add(outageTrust)
+	if next := now.Add(outageTrust); until.Before(next) && k.outage(now) {
+		return next // before the old word lapses, so that there is no gap
 	}
-	return time.Time{}
+	return until
 }
 
-// outage reports whether no entry that is heard reaches the store either.
+// outage reports whether the store has confirmed no entry that is heard since
+// about when it last confirmed this one. Whether the store is in reach now is
+// the wrong question: each entry takes some time to tell an outage from a lost
+// answer, and a watch may end well in an outage.
 func (k *slotKeeper) outage(now time.Time) bool {
+	confirmed := k.standing.Get().confirmed
+	if confirmed.IsZero() {
+		confirmed = now.Add(-k.entry.settings.Membership.LeaseTTL)
+	}
+	members := k.entry.members.Members()
 	heard := false
-	for _, m := range k.entry.members.Members() {
+	for _, m := range members {
 		if m.Alive(now, k.entry.settings.Membership.SilentFor) {
 			heard = true
-			if m.StoreReachable {
+			if m.Confirmed.Sub(confirmed) > k.renewalDue() {
 				return false
 			}
 		}
 	}
-	return heard || len(k.entry.members.Members()) == 0
+	return heard || len(members) == 0
+}
+
+// renewalDue is the time within which a registration is confirmed again while
+// all is well.
+func (k *slotKeeper) renewalDue() time.Duration {
+	return k.entry.settings.Membership.LeaseTTL * renewalShare / 100
+}
+
+// unsettled reports whether the store's word on who is registered should be
+// passed over: registrations lapse in an outage although the entries live.
+func (k *slotKeeper) unsettled(now time.Time) bool {
+	return now.Sub(k.standing.Get().confirmed) > k.renewalDue() && k.outage(now)
 }
 
 // send carries one batch to its entry and the loans back.
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"time"
+
 	"persimmonbay/internal/configuration"
 	"persimmonbay/internal/inventory"
 	"persimmonbay/internal/routing"
@@ -12,6 +14,7 @@
 	ConfigurationVersion configuration.Version
 	Leaving              bool
 	StoreReachable       bool
+	Confirmed            time.Time     // when the store last confirmed the registration of the sender; zero: never
 	Registration         *Registration // of the sender; nil when the receiver knows it
 	Stranger             bool          // in an answer: the receiver does not know the sender
 	Incarnation          uint64        // rises with every start of the sender
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -15,6 +15,7 @@
 	ConfigurationVersion configuration.Version `json:"configurationVersion"`
 	Leaving              bool                  `json:"leaving"`
 	StoreReachable       bool                  `json:"storeReachable"`
+	Confirmed            time.Time             `json:"confirmed"`           // when the store last confirmed its registration; zero: never
 	Registered           bool                  `json:"registered"`          // its lease holds, as far as the store was seen
 	LastHeard            time.Time             `json:"lastHeard"`           // zero: never
 	Incarnation          uint64                `json:"incarnation"`         // of the latest start it was heard of
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -103,7 +103,7 @@
 		}
 		m.Incarnation, m.ConfigurationVersion = h.Incarnation, h.ConfigurationVersion
 		m.MaintenanceRevision = h.MaintenanceRevision
-		m.Leaving, m.StoreReachable, m.LastHeard = h.Leaving, h.StoreReachable, now
+		m.Leaving, m.StoreReachable, m.Confirmed, m.LastHeard = h.Leaving, h.StoreReachable, h.Confirmed, now
 		return m, true
 	})
 	return known
