--- a/internal/peer/wire/convert.go
+++ b/internal/peer/wire/convert.go
@@ -27,6 +27,9 @@
 
 // ToHeartbeat converts a message, received at now, to a plain heartbeat.
 func ToHeartbeat(m *Heartbeat, now time.Time) membership.Heartbeat {
+	if m == nil {
+		m = &Heartbeat{}
+	}
 	return membership.Heartbeat{
 		Entry:                membership.EntryID(m.GetEntry()),
 		ConfigurationVersion: configuration.Version(m.GetConfigurationVersion()),
