The fence of the pools asks when the store confirmed a peer, not whether it can

Cause of the requests still refused in an outage (85 of 240 when calls hang): an entry past its fence stops sending while a peer says that it reaches the store, and that word lags by some seconds in an outage; its routes were empty from 2 s to 6 s after the calls began to hang. Found from the log of entry 0: 'no live instance' for that time, and the tests' fence of 3 s.

Now a peer counts as reaching the store when it says so and was confirmed within a renewal's time, or was confirmed well after this entry. When this entry alone is cut off, its peers are confirmed all along, so it stops as before.

--- a/internal/entry/control_acknowledge.go
+++ b/internal/entry/control_acknowledge.go
@@ -36,7 +36,7 @@
 	for _, m := range e.members.Members() {
 		peers = append(peers, maintenance.PeerWord{
 			Fresh:          m.Alive(now, e.settings.Membership.SilentFor),
-			StoreReachable: m.StoreReachable,
+			StoreReachable: e.slots.reachesStore(m, now),
 			Revision:       m.MaintenanceRevision,
 		})
 	}
--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -220,6 +220,17 @@
 	return heard || len(members) == 0
 }
 
+// reachesStore reports whether a member that is heard reaches the store, as far
+// as its latest confirmation tells: it says so itself and was confirmed within
+// a renewal's time, or was confirmed well after this entry.
+func (k *slotKeeper) reachesStore(m membership.Member, now time.Time) bool {
+	if m.StoreReachable && now.Sub(m.Confirmed) <= k.renewalDue() {
+		return true
+	}
+	confirmed := k.standing.Get().confirmed
+	return !confirmed.IsZero() && m.Confirmed.Sub(confirmed) > k.renewalDue()
+}
+
 // renewalDue is the time within which a registration is confirmed again while
 // all is well.
 func (k *slotKeeper) renewalDue() time.Duration {
