Read the list of instances on condition of its entity tag

The platform's protocol tells no changes; HTTP's own If-None-Match does, where the service serves it. Without a tag the whole list is read as before. The stand-in serves weak tags, with a switch noTags that takes them away.

Ruled out: reading less often, which breaks the 3 s for leaving instances.

Conclusion: the list no longer counts where the platform's service has entity tags; whether it has is not known.

Seen to fail: without If-None-Match the table entry "and transfers it whole only then" counts 5 lists in place of 3.

--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -19,13 +19,14 @@
 
 // exchange is one call: what to send and where to put the answer.
 type exchange struct {
-	kind   callKind
-	step   problem.Step
-	method string
-	path   string
-	in     any // JSON body; nil for none
-	out    any // where to decode the answer; nil to drop it
-	wait   time.Duration
+	kind      callKind
+	step      problem.Step
+	method    string
+	path      string
+	in        any // JSON body; nil for none
+	out       any // where to decode the answer; nil to drop it
+	wait      time.Duration
+	condition *validator // of a conditional read; nil for none
 }
 
 func (c *Client) call(ctx context.Context, x exchange) error {
@@ -72,6 +73,7 @@
 		return nil, err
 	}
 	request.Header.Set("Content-Type", "application/json")
+	x.condition.ask(request)
 	return request, nil
 }
 
@@ -84,6 +86,9 @@
 	if len(body) > maxAnswerBytes {
 		return problem.New(problem.Interrupted, x.step, c.base, "the answer is larger than any that the platform gives")
 	}
+	if x.condition.take(response) {
+		return nil
+	}
 	if response.StatusCode/100 != 2 {
 		return c.refusal(response.StatusCode, body, x.step)
 	}
--- /dev/null
+++ b/internal/platform/instances_test.go
@@ -0,0 +1,47 @@
+package platform_test
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/fleet"
+	"persimmonbay/internal/platform"
+	standin "persimmonbay/internal/standin/platform"
+)
+
+var _ = DescribeTable("the client of the platform reads every change of the list of instances",
+	func(faults standin.Faults, whole int) {
+		server := standin.NewServer(clockwork.NewRealClock())
+		server.SetFaults(faults)
+		server.Instances.Put(fleet.Instance{ID: "a"})
+		var lists atomic.Int64 // answered whole
+		listening := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			answer := httptest.NewRecorder()
+			server.Handler().ServeHTTP(answer, r)
+			if answer.Code == http.StatusOK {
+				lists.Add(1)
+			}
+			maps.Copy(w.Header(), answer.Header())
+			w.WriteHeader(answer.Code)
+			_, _ = w.Write(answer.Body.Bytes())
+		}))
+		defer listening.Close()
+		client := platform.NewClient(listening.URL, time.Minute).For(platform.PurposeInstances)
+		defer client.Close()
+		for _, state := range []fleet.InstanceState{fleet.Live, fleet.Live, fleet.Leaving, fleet.Leaving, fleet.Live} {
+			server.Instances.SetState("a", state)
+			Expect(client.Instances(context.Background())).To(Equal([]fleet.Instance{{ID: "a", State: state}}))
+		}
+		Expect(lists.Load()).To(BeEquivalentTo(whole))
+	},
+	Entry("and transfers it whole only then", standin.Faults{}, 3),
+	Entry("also from a platform without entity tags", standin.Faults{NoTags: true}, 5),
+)
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -7,6 +7,7 @@
 	LoseAnswers float64  `json:"loseAnswers"` // share of writes that take effect but whose answer is lost
 	Silent      bool     `json:"silent"`      // calls are taken and never answered
 	LagMillis   int      `json:"lagMillis"`   // how old the list of instances is
+	NoTags      bool     `json:"noTags"`      // the list of instances has no entity tag
 	NeverBack   []string `json:"neverBack"`   // instances that do not come back from a reboot
 	Seed        uint64   `json:"seed"`        // of the choice of lost answers
 }
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -141,7 +141,13 @@
 }
 
 func (s *Server) instances(w http.ResponseWriter, r *http.Request) {
-	writeCompressed(w, r, s.Instances.List(time.Duration(s.faults.Get().LagMillis)*time.Millisecond))
+	faults := s.faults.Get()
+	list := s.Instances.List(time.Duration(faults.LagMillis) * time.Millisecond)
+	if faults.NoTags {
+		writeCompressed(w, r, list)
+		return
+	}
+	writeTagged(w, r, list)
 }
 
 // keyOf returns the key in the path, slashes as they are.
--- a/test/bench/control_test.go
+++ b/test/bench/control_test.go
@@ -16,38 +16,49 @@
 // idleFor is how long the idle fleet is measured.
 const idleFor = 10 * time.Second
 
-// BenchmarkIdleControl starts 3, 7 and 14 entries as processes and prints what
-// membership and configuration cost each of them while nothing happens. Bytes
-// are those of all read and write calls, without the headers of TCP and IP;
-// the list of instances is read every hour.
+// idleSizes are the sizes at which the idle fleet is measured.
+var idleSizes = []idleSize{
+	{entries: 3, instances: 50}, {entries: 7, instances: 50}, {entries: 14, instances: 50},
+	{entries: 7, instances: 300}, {entries: 7, instances: 910}, {entries: 14, instances: 910},
+	{entries: 7, instances: 910, noTags: true},
+}
+
+// BenchmarkIdleControl starts entries as processes and prints what membership,
+// configuration, slots and the list of instances cost each of them on average
+// while nothing happens. Bytes are those of all read and write calls, without
+// the headers of TCP and IP.
 func BenchmarkIdleControl(b *testing.B) {
 	binary := filepath.Join(b.TempDir(), "persimmonbay")
 	if out, err := exec.Command("go", "build", "-o", binary, "persimmonbay/cmd/persimmonbay").CombinedOutput(); err != nil {
 		b.Fatalf("%v: %s", err, out)
 	}
 	for range b.N {
-		fmt.Printf("%8s %14s %14s %12s %12s %8s\n", "entries", "sent B/s", "received B/s", "calls/s", "CPU ms/s", "RSS MB")
-		for _, n := range []int{3, 7, 14} {
-			measureIdle(b, binary, n)
+		fmt.Printf("%8s %9s %5s %9s %12s %8s %9s %8s %7s\n", "entries", "instances", "tags", "sent B/s", "received B/s", "most B/s", "calls/s", "CPU ms/s", "RSS MB")
+		for _, size := range idleSizes {
+			measureIdle(b, binary, size)
 		}
 	}
 }
 
-func measureIdle(b *testing.B, binary string, n int) {
-	f := startIdle(b, binary, n)
+func measureIdle(b *testing.B, binary string, size idleSize) {
+	f := startIdle(b, binary, size)
 	defer f.stop()
 	before, callsBefore := f.usages(b), f.calls(b)
 	time.Sleep(idleFor)
 	after, callsAfter := f.usages(b), f.calls(b)
 	var total usage
+	var most uint64 // bytes of the busiest entry, both ways
 	for i := range after {
-		total = total.plus(after[i].minus(before[i]))
+		used := after[i].minus(before[i])
+		total = total.plus(used)
 		total.rss += after[i].rss
+		most = max(most, used.read+used.written)
 	}
-	perEntry := float64(n) * idleFor.Seconds()
+	perEntry := float64(size.entries) * idleFor.Seconds()
 	calls := float64(callsAfter.Reads + callsAfter.Writes + callsAfter.Watches - callsBefore.Reads - callsBefore.Writes - callsBefore.Watches)
-	fmt.Printf("%8d %14.0f %14.0f %12.2f %12.2f %8.1f\n", n, float64(total.written)/perEntry, float64(total.read)/perEntry, calls/perEntry,
-		float64(total.cpu.Microseconds())/1000/perEntry, float64(total.rss)/float64(n)/(1<<20))
+	fmt.Printf("%8d %9d %5t %9.0f %12.0f %8.0f %9.2f %8.2f %7.1f\n", size.entries, size.instances, !size.noTags,
+		float64(total.written)/perEntry, float64(total.read)/perEntry, float64(most)/idleFor.Seconds(), calls/perEntry,
+		float64(total.cpu.Microseconds())/1000/perEntry, float64(total.rss)/float64(size.entries)/(1<<20))
 }
 
 func (f *idleFleet) calls(b *testing.B) standinplatform.Calls {
--- a/test/bench/idle_fleet_test.go
+++ b/test/bench/idle_fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -9,8 +10,13 @@
 	"os/exec"
 	"testing"
 	"time"
+
+	standinplatform "persimmonbay/internal/standin/platform"
 )
 
+// registryServices are the services of the Registry's example configuration.
+var registryServices = []string{"tags", "renewals", "transfers", "inspections", "rights"}
+
 // idleFleet is a stand-in platform and entries, each a process.
 type idleFleet struct {
 	platform  string // HOST:PORT
@@ -19,15 +25,19 @@
 	operators []string // HOST:PORT of each entry
 }
 
-func startIdle(b *testing.B, binary string, n int) *idleFleet {
+func startIdle(b *testing.B, binary string, size idleSize) *idleFleet {
 	f := &idleFleet{}
 	f.platform = f.start(b, exec.Command(binary, "standin", "platform"), "platform")
+	f.put(b, "/standin/faults", standinplatform.Faults{NoTags: size.noTags})
+	for i, instance := range instanceList(size.instances) {
+		instance.Service = registryServices[i%len(registryServices)]
+		f.put(b, "/standin/instances/"+instance.ID, instance)
+	}
 	operator := ""
-	for i := range n {
+	for i := range size.entries {
 		settings := writeFile(b, fmt.Sprintf("entry-%d.yaml", i), fmt.Sprintf(`id: entry-%d
 availabilityZone: az-%d
 platform: {address: "http://%s"}
-limits: {instancesEvery: 1h}
 secrets: {peerKey: bench-peer-key-0123, operatorToken: bench-operator-token}
 `, i, i%3, f.platform))
 		entry := exec.Command(binary, "entry", "-config", settings)
@@ -42,10 +52,27 @@
 	for !ready(operator) {
 		time.Sleep(10 * time.Millisecond)
 	}
-	time.Sleep(3 * time.Second) // until heartbeats are regular
+	f.settle(b)
 	return f
 }
 
+// put sends body to one of the switches of the stand-in platform.
+func (f *idleFleet) put(b *testing.B, path string, body any) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		b.Fatal(err)
+	}
+	request, err := http.NewRequest(http.MethodPut, "http://"+f.platform+path, bytes.NewReader(encoded))
+	if err != nil {
+		b.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	_ = response.Body.Close()
+}
+
 // start runs a process and returns the address in its "listening" log line.
 func (f *idleFleet) start(b *testing.B, c *exec.Cmd, address string) string {
 	log, err := c.StderrPipe()
@@ -68,6 +95,20 @@
 	return ""
 }
 
+// settle waits until the store is written no more than leases need, so that
+// the pools hold all instances, and then until heartbeats and slots are regular.
+func (f *idleFleet) settle(b *testing.B) {
+	const window, writesPerEntry = 3 * time.Second, 1.5 // a second
+	for {
+		before := f.calls(b).Writes
+		time.Sleep(window)
+		if float64(f.calls(b).Writes-before) < writesPerEntry*window.Seconds()*float64(len(f.entries)) {
+			break
+		}
+	}
+	time.Sleep(window)
+}
+
 func (f *idleFleet) stop() {
 	for _, p := range f.processes {
 		_ = p.Process.Kill()
--- a/test/bench/spread_test.go
+++ b/test/bench/spread_test.go
@@ -26,7 +26,7 @@
 		b.Fatalf("%v: %s", err, out)
 	}
 	for range b.N {
-		f := startIdle(b, binary, spreadEntries)
+		f := startIdle(b, binary, idleSize{entries: spreadEntries})
 		base := f.version(b, 0)
 		fmt.Printf("%8s %8s %12s %12s %12s\n", "pools", "teams", "bytes", "accepted", "everywhere")
 		for _, size := range []struct{ pools, teams int }{{50, 60}, {251, 300}, {500, 600}} {
