Keep the streams of heartbeats and slot batches open between calls

Cause: a stream a call costs 48 bytes of yamux frames to open and close it, each way counted once on either side, of some 200 for a heartbeat exchange. Calls that come all the time now go one after another over streams that are kept; a stream whose answer may still come is closed. Other calls, the ledger's among them, keep a stream each, so that a peer that stops is told from a lost answer as before.

Ruled out: one-way messages, which need a number and a timeout of their own to know a lost one; they would save 12 bytes more an exchange.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -40,7 +40,8 @@
 		return nil, connectError(address, err)
 	}
 	answered := connection.watch(func() { l.replace(connection) })
-	stream, err := connection.session.OpenStream()
+	keep := regular(request)
+	stream, err := connection.stream(keep)
 	if errors.Is(err, yamux.ErrRemoteGoAway) {
 		l.retire(connection)
 	} else if err != nil {
@@ -49,9 +50,13 @@
 	if err != nil {
 		return nil, problem.Wrap(problem.Unavailable, problem.StepPeerCall, address, err)
 	}
-	defer stream.Close()
 	request.From = c.self
-	response, err := exchange(ctx, stream, request)
+	response, reusable, err := exchange(ctx, stream, request)
+	if keep && reusable {
+		connection.kept.put(stream, time.Now())
+	} else {
+		_ = stream.Close()
+	}
 	if err != nil {
 		return nil, exchangeError(address, err)
 	}
@@ -62,15 +67,23 @@
 	return response, nil
 }
 
-// exchange gives up when ctx ends.
-func exchange(ctx context.Context, stream *yamux.Stream, request *wire.Request) (*wire.Response, error) {
+// regular reports whether calls like this one come all the time, so that their
+// streams are worth keeping. What ends such a call says less: a peer that stops
+// closes kept streams, and the call cannot tell that from a lost answer.
+func regular(request *wire.Request) bool {
+	return request.GetHeartbeat() != nil || request.GetSlots() != nil
+}
+
+// exchange gives up when ctx ends. reusable says that the answer is whole and
+// the stream may carry another call.
+func exchange(ctx context.Context, stream *yamux.Stream, request *wire.Request) (response *wire.Response, reusable bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Now()) })
-	defer stop()
 	if err := wire.Write(stream, request); err != nil {
-		return nil, err
+		return nil, false, err
 	}
-	response := &wire.Response{}
-	return response, wire.Read(stream, response)
+	response = &wire.Response{}
+	err = wire.Read(stream, response)
+	return response, stop() && err == nil, err
 }
 
 func exchangeError(address string, err error) error {
--- a/internal/peer/connection.go
+++ b/internal/peer/connection.go
@@ -19,6 +19,18 @@
 	session *yamux.Session
 	conn    *liveConn
 	judging atomic.Bool
+	kept    keptStreams
+}
+
+// stream returns the stream for one call: one that was kept, if the call may
+// use one, or a new one.
+func (c *connection) stream(keep bool) (*yamux.Stream, error) {
+	if keep {
+		if s := c.kept.take(time.Now()); s != nil {
+			return s, nil
+		}
+	}
+	return c.session.OpenStream()
 }
 
 // watch begins to judge the session by its progress from now on. It returns
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -98,28 +98,40 @@
 		if err != nil {
 			return
 		}
-		streams.Go(func() {
-			atWork.RLock()
-			defer atWork.RUnlock()
-			s.serveStream(context.WithoutCancel(ctx), stream)
-		})
+		streams.Go(func() { s.serveStream(ctx, stream, &atWork) })
 	}
 }
 
-func (s *Server) serveStream(ctx context.Context, stream *yamux.Stream) {
+// serveStream serves the calls that come over a stream one by one, until the
+// peer closes it or ctx ends.
+func (s *Server) serveStream(ctx context.Context, stream *yamux.Stream, atWork *sync.RWMutex) {
 	defer stream.Close()
-	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
-	defer cancel()
-	if err := stream.SetDeadline(time.Now().Add(serveTimeout)); err != nil {
-		return
+	for s.serveCall(ctx, stream, atWork) {
+	}
+}
+
+// serveCall waits for a call and serves it, and reports whether another may
+// follow. A call that has come is served to its end.
+func (s *Server) serveCall(ctx context.Context, stream *yamux.Stream, atWork *sync.RWMutex) bool {
+	if err := stream.SetDeadline(time.Now().Add(idleLimit)); err != nil {
+		return false
 	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetReadDeadline(time.Now()) })
+	defer stop()
 	request := &wire.Request{}
 	if err := wire.Read(stream, request); err != nil {
-		return
+		return false
+	}
+	atWork.RLock()
+	defer atWork.RUnlock()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), serveTimeout)
+	defer cancel()
+	if err := stream.SetWriteDeadline(time.Now().Add(serveTimeout)); err != nil {
+		return false
 	}
 	response, err := s.handler.Handle(ctx, request)
 	if err != nil {
 		response = &wire.Response{Failure: wire.FromError(err)}
 	}
-	_ = wire.Write(stream, response) // the asking side sees a broken stream
+	return wire.Write(stream, response) == nil // the asking side sees a broken stream
 }
