Heartbeats tell a known state by its digest and the ages alone

Cause: of each heartbeat, once a second to each peer, only two ages change; the rest, 60 bytes each way, is told again. Now a heartbeat to a peer that has acknowledged the sender's state, and an answer to one that shows it knows the answerer's, carry the state's digest and the ages. A receiver that does not know the state, after a restart say, takes nothing from it and asks for the whole one.

Ruled out: deltas of single fields, which need an order of messages; fewer heartbeats, which lengthen the 3 s for leaving instances.

Seen to fail: "is asked for whole by an entry that does not know its state" when any state is taken for the known one; "is followed by the whole one to a peer that restarted" when the request for it is passed over.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,7 @@
 	configs   *configstore.Store
 	inForce   *configuration.InForce
 	members   *membership.Table
+	beats     *membership.Heartbeats
 	routes    *routing.Table
 	inventory *inventory.Inventory
 	changed   *shard.Cell[uint64] // rises when peers should hear of a change at once
@@ -75,6 +76,7 @@
 		configs:   configstore.New(client.For(platform.PurposeConfiguration), clock),
 		inForce:   configuration.NewInForce(),
 		members:   membership.NewTable(membership.EntryID(s.ID)),
+		beats:     membership.NewHeartbeats(),
 		routes:    routing.NewTable(),
 		inventory: inventory.New(),
 		changed:   shard.NewCell[uint64](0),
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"persimmonbay/internal/membership"
 	"persimmonbay/internal/peer/wire"
 	"persimmonbay/internal/problem"
 )
@@ -11,7 +12,7 @@
 func (e *Entry) Handle(ctx context.Context, request *wire.Request) (*wire.Response, error) {
 	switch body := request.GetBody().(type) {
 	case *wire.Request_Heartbeat:
-		return e.heartbeatReceived(wire.ToHeartbeat(body.Heartbeat, e.clock.Now())), nil
+		return e.handleHeartbeat(membership.EntryID(request.GetFrom()), body.Heartbeat), nil
 	case *wire.Request_Instances:
 		return &wire.Response{Body: &wire.Response_Instances{Instances: wire.FromInstances(e.inventory.Get(), e.clock.Now())}}, nil
 	case *wire.Request_Members:
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"persimmonbay/internal/membership"
-	"persimmonbay/internal/peer/wire"
 	"persimmonbay/internal/shard"
 	"persimmonbay/internal/telemetry"
 )
@@ -49,6 +48,10 @@
 		return h, changed
 	})
 	e.members.Forget(e.clock.Now())
+	e.beats.Retain(func(id membership.EntryID) bool {
+		_, member := e.members.Member(id)
+		return member
+	})
 	e.routes.Refresh(e.clock.Now())
 }
 
@@ -100,14 +103,6 @@
 	return theirs, true
 }
 
-func (e *Entry) sendHeartbeat(ctx context.Context, m membership.Member, own membership.Heartbeat) (membership.Heartbeat, error) {
-	response, err := e.peers.Call(ctx, m.PeerAddress, &wire.Request{Body: &wire.Request_Heartbeat{Heartbeat: wire.FromHeartbeat(own, e.clock.Now())}})
-	if err != nil {
-		return membership.Heartbeat{}, err
-	}
-	return wire.ToHeartbeat(response.GetHeartbeat(), e.clock.Now()), nil
-}
-
 // ownHeartbeat carries this entry's registration while the store cannot show
 // it to the others.
 func (e *Entry) ownHeartbeat() membership.Heartbeat {
--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"persimmonbay/internal/membership"
-	"persimmonbay/internal/peer/wire"
 	"persimmonbay/internal/telemetry"
 )
 
@@ -64,8 +63,8 @@
 	return seen.version <= e.inForce.Get().Version
 }
 
-// heartbeatReceived answers the heartbeat of a peer.
-func (e *Entry) heartbeatReceived(theirs membership.Heartbeat) *wire.Response {
+// heartbeatReceived takes over what a peer tells and returns the answer.
+func (e *Entry) heartbeatReceived(theirs membership.Heartbeat) membership.Heartbeat {
 	now := e.clock.Now()
 	if theirs.Registration != nil && theirs.Registration.ID == theirs.Entry {
 		e.members.Announced(*theirs.Registration, now)
@@ -79,7 +78,7 @@
 	if m, ok := e.members.Member(theirs.Entry); ok {
 		e.sight(sighting{version: theirs.ConfigurationVersion, address: m.PeerAddress})
 	}
-	return &wire.Response{Body: &wire.Response_Heartbeat{Heartbeat: wire.FromHeartbeat(own, now)}}
+	return own
 }
 
 // sight notes that a peer has a version; the newest and latest sighting wins.
--- a/internal/peer/wire/convert.go
+++ b/internal/peer/wire/convert.go
@@ -11,6 +11,7 @@
 // FromHeartbeat converts a plain heartbeat, sent at now, to its message.
 func FromHeartbeat(h membership.Heartbeat, now time.Time) *Heartbeat {
 	return &Heartbeat{
+		State:                h.State(),
 		Entry:                string(h.Entry),
 		ConfigurationVersion: uint64(h.ConfigurationVersion),
 		Leaving:              h.Leaving,
@@ -25,6 +26,21 @@
 	}
 }
 
+// FromKnownHeartbeat converts the ages of a heartbeat whose receiver knows all
+// else by its state.
+func FromKnownHeartbeat(h membership.Heartbeat, now time.Time) *Heartbeat {
+	return &Heartbeat{
+		State:              h.State(),
+		Stranger:           h.Stranger,
+		ConfirmedAgeMillis: fromOptionalTime(h.Confirmed, now),
+		Instances:          &InstancesStamp{AgeMillis: FromStamp(h.Instances, now).GetAgeMillis()},
+	}
+}
+
+// Whole reports whether a message has all that a heartbeat tells, not only its
+// state and ages.
+func (x *Heartbeat) Whole() bool { return x.GetEntry() != "" || x.GetState() == 0 }
+
 // ToHeartbeat converts a message, received at now, to a plain heartbeat.
 func ToHeartbeat(m *Heartbeat, now time.Time) membership.Heartbeat {
 	if m == nil {
