Tell peers only what changed on the list of instances

Cause: each change had each of 6 peers fetch the whole list.

Entries keep the four lists before the one in use and tell a peer that shows its stamp the difference. The result must have the digest that the teller's list has, otherwise the whole list is asked for. Lists are ordered by ID now.

Ruled out: a log of changes, which must be put together again for a peer that is some behind.

That the whole list is asked for after a difference that does not fit is not tested at the entry: it takes a list that changes between two messages.

--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -14,7 +14,7 @@
 	case *wire.Request_Heartbeat:
 		return e.handleHeartbeat(membership.EntryID(request.GetFrom()), body.Heartbeat), nil
 	case *wire.Request_Instances:
-		return &wire.Response{Body: &wire.Response_Instances{Instances: wire.FromInstances(e.inventory.Get(), e.clock.Now())}}, nil
+		return e.handleInstances(body.Instances), nil
 	case *wire.Request_Members:
 		return e.knownMembers(), nil
 	case *wire.Request_Configuration:
--- a/internal/entry/instances.go
+++ b/internal/entry/instances.go
@@ -63,18 +63,41 @@
 	}
 }
 
-// fetchInstances takes a newer list over from a peer.
+// fetchInstances takes a newer list over from a peer: what changed since the
+// one in use, or all of it when the peer cannot tell.
 func (e *Entry) fetchInstances(ctx context.Context, m membership.Member) {
-	response, err := e.peers.Call(ctx, m.PeerAddress, &wire.Request{Body: &wire.Request_Instances{Instances: &wire.InstancesRequest{}}})
+	known := &wire.InstancesRequest{Known: wire.FromStamp(e.inventory.Get().Stamp, e.clock.Now())}
+	list := e.askInstances(ctx, m, known)
+	if list.GetBase() != nil && !e.inventory.LearnChanges(wire.ToDifference(list, e.clock.Now())) {
+		list = e.askInstances(ctx, m, &wire.InstancesRequest{})
+	}
+	if list != nil && list.GetBase() == nil {
+		e.inventory.Learn(wire.ToInstances(list, e.clock.Now()))
+	}
+}
+
+// askInstances returns the answer of m, or nil when there is none.
+func (e *Entry) askInstances(ctx context.Context, m membership.Member, request *wire.InstancesRequest) *wire.Instances {
+	response, err := e.peers.Call(ctx, m.PeerAddress, &wire.Request{Body: &wire.Request_Instances{Instances: request}})
 	if err != nil {
 		e.log.Warn("list of instances not fetched", telemetry.ProblemFields(err)...)
-		return
+		return nil
 	}
 	if response.GetInstances() == nil {
 		e.log.Error("peer answered without instances", zap.String("step", string(problem.StepInstances)), zap.String("peer", string(m.ID)))
-		return
 	}
-	e.inventory.Learn(wire.ToInstances(response.GetInstances(), e.clock.Now()))
+	return response.GetInstances()
+}
+
+// handleInstances answers with the changes since the list that the asking
+// entry has, or with all of the list in use.
+func (e *Entry) handleInstances(request *wire.InstancesRequest) *wire.Response {
+	now := e.clock.Now()
+	answer := wire.FromInstances(e.inventory.Get(), now)
+	if d, ok := e.inventory.Since(wire.ToStamp(request.GetKnown(), now)); ok {
+		answer = wire.FromDifference(d, now)
+	}
+	return &wire.Response{Body: &wire.Response_Instances{Instances: answer}}
 }
 
 // aliveMembers returns the IDs of the other entries that are heard.
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -9,33 +9,38 @@
 	"persimmonbay/internal/shard"
 )
 
-// Inventory holds the list of instances in use on this entry. The cell's lock
-// guards that a list is only replaced by a newer one.
+// Inventory holds the list of instances in use on this entry and a few earlier
+// ones. The cell's lock guards that a list is only replaced by a newer one.
 type Inventory struct {
-	cell *shard.Cell[List]
+	cell *shard.Cell[history]
 }
 
 // New returns an inventory that has seen no list.
-func New() *Inventory { return &Inventory{cell: shard.NewCell(List{})} }
+func New() *Inventory { return &Inventory{cell: shard.NewCell(history{})} }
 
-// Get returns the list in use.
-func (v *Inventory) Get() List { return v.cell.Get() }
+// Get returns the list in use, ordered by ID.
+func (v *Inventory) Get() List { return v.cell.Get().current }
 
 // Watch returns the list in use and a channel closed when its content or
 // freshness changes.
-func (v *Inventory) Watch() (List, <-chan struct{}) { return v.cell.Watch() }
+func (v *Inventory) Watch() (List, <-chan struct{}) {
+	h, changed := v.cell.Watch()
+	return h.current, changed
+}
 
 // Read takes over a list that this entry read from the platform at time now,
 // and reports whether its content differs from the one in use.
 func (v *Inventory) Read(instances []fleet.Instance, now time.Time) (changed bool) {
+	instances = ordered(instances)
 	digest := digestOf(instances)
-	v.cell.Update(func(old List) (List, bool) {
-		stamp := Stamp{Generation: old.Stamp.Generation, Digest: digest, ReadAt: now}
-		changed = old.Stamp.Generation == 0 || digest != old.Stamp.Digest
-		if changed {
-			stamp.Generation++
+	v.cell.Update(func(old history) (history, bool) {
+		stamp := Stamp{Generation: old.current.Stamp.Generation, Digest: digest, ReadAt: now}
+		changed = stamp.Generation == 0 || digest != old.current.Stamp.Digest
+		if !changed {
+			return old.aged(stamp), true
 		}
-		return List{Stamp: stamp, Instances: instances}, true
+		stamp.Generation++
+		return old.replaced(List{Stamp: stamp, Instances: instances}), true
 	})
 	return changed
 }
@@ -43,19 +48,45 @@
 // Learn takes over a list from a peer if it is newer, and reports whether it
 // was.
 func (v *Inventory) Learn(list List) bool {
-	return v.cell.Update(func(old List) (List, bool) { return list, list.Stamp.Newer(old.Stamp) })
+	return v.cell.Update(func(old history) (history, bool) {
+		return old.replaced(list), list.Stamp.Newer(old.current.Stamp)
+	})
+}
+
+// Since returns what changed from the list with this stamp to the one in use,
+// and false when that list is not known here.
+func (v *Inventory) Since(stamp Stamp) (Difference, bool) {
+	h := v.cell.Get()
+	base, ok := h.find(stamp)
+	if !ok || stamp.Generation == 0 {
+		return Difference{}, false
+	}
+	return differenceOf(base, h.current), true
+}
+
+// LearnChanges takes over what a peer tells has changed, if the result is
+// newer. It reports false when the peer must tell its whole list: the list in
+// use is not the one that the changes are of, or they do not result in the
+// list that the peer has.
+func (v *Inventory) LearnChanges(d Difference) (understood bool) {
+	list, ok := d.apply(v.Get())
+	if ok {
+		v.Learn(list)
+	}
+	return ok
 }
 
 // Heard notes the stamp of a peer's list: it may show that the list in use is
 // fresher than known. It reports whether the peer's list is newer.
 func (v *Inventory) Heard(stamp Stamp) (newer bool) {
-	v.cell.Update(func(old List) (List, bool) {
-		newer = stamp.Newer(old.Stamp)
-		if !stamp.Same(old.Stamp) || !stamp.ReadAt.After(old.Stamp.ReadAt) {
+	v.cell.Update(func(old history) (history, bool) {
+		known := old.current.Stamp
+		newer = stamp.Newer(known)
+		if !stamp.Same(known) || !stamp.ReadAt.After(known.ReadAt) {
 			return old, false
 		}
-		old.Stamp.ReadAt = stamp.ReadAt
-		return old, true
+		known.ReadAt = stamp.ReadAt
+		return old.aged(known), true
 	})
 	return newer
 }
--- a/internal/peer/wire/instances.go
+++ b/internal/peer/wire/instances.go
@@ -24,24 +24,42 @@
 
 // FromInstances converts a list of instances to its message.
 func FromInstances(l inventory.List, now time.Time) *Instances {
-	m := &Instances{Stamp: FromStamp(l.Stamp, now), Instances: make([]*Instance, len(l.Instances))}
-	for i, in := range l.Instances {
-		m.Instances[i] = &Instance{
+	return &Instances{Stamp: FromStamp(l.Stamp, now), Instances: fromInstances(l.Instances)}
+}
+
+// ToInstances converts a message to a list of instances.
+func ToInstances(m *Instances, now time.Time) inventory.List {
+	return inventory.List{Stamp: ToStamp(m.GetStamp(), now), Instances: toInstances(m.GetInstances())}
+}
+
+// FromDifference converts the changes between two lists to their message.
+func FromDifference(d inventory.Difference, now time.Time) *Instances {
+	return &Instances{Stamp: FromStamp(d.Stamp, now), Base: FromStamp(d.Base, now), Instances: fromInstances(d.Changed), Removed: d.Removed}
+}
+
+// ToDifference converts a message that has a base to the changes it tells.
+func ToDifference(m *Instances, now time.Time) inventory.Difference {
+	return inventory.Difference{Base: ToStamp(m.GetBase(), now), Stamp: ToStamp(m.GetStamp(), now), Changed: toInstances(m.GetInstances()), Removed: m.GetRemoved()}
+}
+
+func fromInstances(list []fleet.Instance) []*Instance {
+	messages := make([]*Instance, len(list))
+	for i, in := range list {
+		messages[i] = &Instance{
 			Id: in.ID, Kind: string(in.Kind), Service: in.Service, Address: in.Address,
 			AvailabilityZone: in.AvailabilityZone, Rack: in.Rack, State: string(in.State),
 		}
 	}
-	return m
+	return messages
 }
 
-// ToInstances converts a message to a list of instances.
-func ToInstances(m *Instances, now time.Time) inventory.List {
-	l := inventory.List{Stamp: ToStamp(m.GetStamp(), now), Instances: make([]fleet.Instance, len(m.GetInstances()))}
-	for i, in := range m.GetInstances() {
-		l.Instances[i] = fleet.Instance{
+func toInstances(messages []*Instance) []fleet.Instance {
+	list := make([]fleet.Instance, len(messages))
+	for i, in := range messages {
+		list[i] = fleet.Instance{
 			ID: in.GetId(), Kind: fleet.InstanceKind(in.GetKind()), Service: in.GetService(), Address: in.GetAddress(),
 			AvailabilityZone: in.GetAvailabilityZone(), Rack: in.GetRack(), State: fleet.InstanceState(in.GetState()),
 		}
 	}
-	return l
+	return list
 }
--- a/test/bench/slopes_test.go
+++ b/test/bench/slopes_test.go
@@ -6,16 +6,22 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
 
 	"persimmonbay/internal/fleet"
+	"persimmonbay/internal/inventory"
+	"persimmonbay/internal/peer/wire"
 	standinplatform "persimmonbay/internal/standin/platform"
 )
 
 // BenchmarkInstanceListBytes prints the size of the platform's list of
-// instances, which entries read to learn who is live.
+// instances, which entries read to learn who is live, and of what one entry
+// tells another of it: all, or the change of one instance.
 func BenchmarkInstanceListBytes(b *testing.B) {
 	for _, n := range []int{50, 300, 910} {
 		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
@@ -26,11 +32,28 @@
 			for range b.N {
 				b.ReportMetric(float64(listBytes(server, "")), "plain-bytes")
 				b.ReportMetric(float64(listBytes(server, "gzip")), "gzip-bytes")
+				whole, change := peerListBytes(instanceList(n))
+				b.ReportMetric(float64(whole), "peer-bytes")
+				b.ReportMetric(float64(change), "peer-change-bytes")
 			}
 		})
 	}
 }
 
+// peerListBytes returns the sizes of the messages that tell a peer the list, and
+// the change of one instance of it.
+func peerListBytes(list []fleet.Instance) (whole, change int) {
+	v, now := inventory.New(), time.Now()
+	v.Read(list, now)
+	base := v.Get().Stamp
+	whole = proto.Size(wire.FromInstances(v.Get(), now))
+	list = slices.Clone(list)
+	list[len(list)/2].State = fleet.Leaving
+	v.Read(list, now)
+	d, _ := v.Since(base)
+	return whole, proto.Size(wire.FromDifference(d, now))
+}
+
 // listBytes returns the size of the body with which the platform answers.
 func listBytes(server *standinplatform.Server, encoding string) int {
 	request := httptest.NewRequest(http.MethodGet, "/v1/instances", nil)
