Fewer bytes and calls to the platform while nothing changes

Cause: each call without a body told its type and the name of the client; a waiter for the control lease listed the key again after each watch that had nothing to tell, one call in five seconds.

Ruled out: longer watches, which leave a silent connection unseen for longer; no Accept-Encoding on small calls, 42 B/s, since a platform that compresses listings would then do so no more.

--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -97,13 +97,19 @@
 	return nil
 }
 
-// awaitEnd waits until the key changes.
+// awaitEnd waits until the key changes, call after call.
 func (l *Lease) awaitEnd(ctx context.Context, listing api.Listing) error {
-	_, err := l.store.Watch(ctx, LeaseKey, listing.Revision, l.wait)
-	if problem.Is(err, problem.Compacted) {
-		return nil
+	revision := listing.Revision
+	for {
+		changes, err := l.store.Watch(ctx, LeaseKey, revision, l.wait)
+		if problem.Is(err, problem.Compacted) {
+			return nil
+		}
+		if err != nil || len(changes.Events) > 0 {
+			return err
+		}
+		revision = changes.Revision
 	}
-	return err
 }
 
 func (l *Lease) renew(ctx context.Context) error {
--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -72,7 +72,10 @@
 	if err != nil {
 		return nil, err
 	}
-	request.Header.Set("Content-Type", "application/json")
+	request.Header["User-Agent"] = nil // sends none
+	if x.in != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
 	x.condition.ask(request)
 	return request, nil
 }
