Configurations are stored and told to peers compressed

Cause: at 251 pools and 300 teams an accepted configuration is 80,585 bytes. The store's record holds it in base64, and the platform's protocol once more, 143 kB for each watching entry; a peer that asks another gets it as it is.

Now it is stored and told in gzip. What earlier releases stored plain is read too; an older release cannot read what this one stores.

Ruled out: leaving it to the platform's HTTP to compress, of which nothing is known; peers that wait for their watch first, which delays an outage's spread.

Test changed: written in the support of configstore's tests reads the record with Decode, since it looked into the stored form; what is counted is the same.

--- /dev/null
+++ b/internal/configstore/document_test.go
@@ -0,0 +1,22 @@
+package configstore_test
+
+import (
+	"encoding/json"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/configstore"
+	"persimmonbay/internal/platform/api"
+)
+
+var _ = Describe("a stored configuration", func() {
+	It("is read also as earlier releases stored it, plain", func() {
+		source := document("amal")
+		value, err := json.Marshal(map[string]any{"source": source})
+		Expect(err).NotTo(HaveOccurred())
+		v, err := configstore.Decode(api.KeyValue{Value: value, Version: 3})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(v.Source).To(Equal(source))
+	})
+})
--- a/internal/configstore/record.go
+++ b/internal/configstore/record.go
@@ -13,5 +13,5 @@
 	Base     configuration.Version `json:"base"`     // the version it replaced
 	Sequence uint64                `json:"sequence"` // one more than that of its base; picks its history slot
 	Nonce    string                `json:"nonce"`    // tells one apply from another
-	Source   []byte                `json:"source"`   // YAML
+	Source   document              `json:"source"`   // YAML
 }
--- a/internal/configstore/support_test.go
+++ b/internal/configstore/support_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"strings"
 	"time"
@@ -12,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"persimmonbay/internal/configstore"
+	"persimmonbay/internal/platform/api"
 	standin "persimmonbay/internal/standin/platform"
 )
 
@@ -63,8 +63,8 @@
 	Expect(err).NotTo(HaveOccurred())
 	times := make(map[string]int)
 	for _, e := range changes.Events {
-		var stored struct{ Source []byte }
-		if json.Unmarshal(e.Value, &stored) != nil {
+		stored, err := configstore.Decode(api.KeyValue{Key: e.Key, Value: e.Value, Version: e.Version})
+		if err != nil {
 			continue // a deletion
 		}
 		author, _, _ := strings.Cut(strings.TrimPrefix(string(stored.Source), "organisation: "), "\n")
--- a/internal/entry/config_follow.go
+++ b/internal/entry/config_follow.go
@@ -7,6 +7,7 @@
 
 	"persimmonbay/internal/configstore"
 	"persimmonbay/internal/configuration"
+	"persimmonbay/internal/packed"
 	"persimmonbay/internal/peer/wire"
 	"persimmonbay/internal/platform"
 	"persimmonbay/internal/platform/api"
@@ -70,7 +71,11 @@
 		return err
 	}
 	c := response.GetConfiguration()
-	v, err := configstore.Parse(configuration.Version(c.GetVersion()), c.GetSource())
+	source, err := packed.Unpack(c.GetSource())
+	if err != nil {
+		return problem.Wrap(problem.Invalid, problem.StepConfiguration, address, err)
+	}
+	v, err := configstore.Parse(configuration.Version(c.GetVersion()), source)
 	if err != nil {
 		return problem.Wrap(problem.Invalid, problem.StepConfiguration, address, err)
 	}
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"persimmonbay/internal/membership"
+	"persimmonbay/internal/packed"
 	"persimmonbay/internal/peer/wire"
 	"persimmonbay/internal/problem"
 )
@@ -19,7 +20,7 @@
 		return e.knownMembers(), nil
 	case *wire.Request_Configuration:
 		v := e.inForce.Get()
-		return &wire.Response{Body: &wire.Response_Configuration{Configuration: &wire.Configuration{Version: uint64(v.Version), Source: v.Source}}}, nil
+		return &wire.Response{Body: &wire.Response_Configuration{Configuration: &wire.Configuration{Version: uint64(v.Version), Source: packed.Pack(v.Source)}}}, nil
 	case *wire.Request_Slots:
 		return e.handleSlots(request.GetFrom(), body.Slots), nil
 	case *wire.Request_Ledger:
--- a/test/bench/spread_test.go
+++ b/test/bench/spread_test.go
@@ -13,6 +13,7 @@
 	"persimmonbay/internal/configuration"
 	"persimmonbay/internal/operator"
 	"persimmonbay/internal/operator/message"
+	"persimmonbay/internal/packed"
 )
 
 // spreadEntries is the size of the fleet whose spread is measured.
@@ -28,7 +29,7 @@
 	for range b.N {
 		f := startIdle(b, binary, idleSize{entries: spreadEntries})
 		base := f.version(b, 0)
-		fmt.Printf("%8s %8s %12s %12s %12s\n", "pools", "teams", "bytes", "accepted", "everywhere")
+		fmt.Printf("%8s %8s %12s %12s %12s %12s\n", "pools", "teams", "bytes", "packed", "accepted", "everywhere")
 		for _, size := range []struct{ pools, teams int }{{50, 60}, {251, 300}, {500, 600}} {
 			source := largeDocument(b, size.pools, size.teams)
 			began := time.Now()
@@ -39,7 +40,7 @@
 					time.Sleep(time.Millisecond)
 				}
 			}
-			fmt.Printf("%8d %8d %12d %12v %12v\n", size.pools, size.teams, len(source),
+			fmt.Printf("%8d %8d %12d %12d %12v %12v\n", size.pools, size.teams, len(source), len(packed.Pack(source)),
 				accepted.Sub(began).Round(time.Millisecond), time.Since(accepted).Round(time.Millisecond))
 		}
 		f.stop()
