Slots: only most of the entries together can take a cut for an outage

Cause: entries that heard one another, and no one whom the store confirmed, took that for an outage of the store and kept using lent slots beyond their lease. A smaller group cut off together, such as the entries of one region, did so too, while the other side's homes saw their leases lapse, waited their requests out and lent the slots anew: an upstream could be over-committed from then until the fence of the pools fell after 30 s. The pools already ask for most of the entries.

Before: 3 of 7 entries cut off together kept their slots in use. After: their trust ends with their lease, 4 of 7 go on. The price: the smaller side stops sending after 5 s instead of 30.

Not mended: the greater side cut off from the store goes on while the smaller side, which reaches it, lends anew; pools have the same gap once its entries are forgotten after a minute. See CAPACITY.

Seen to fail: "lasts beyond the lease only with most of the entries in the same outage", entry "three of seven, cut off together", with one heard entry being enough as before.

--- a/internal/entry/slots_trust.go
+++ b/internal/entry/slots_trust.go
@@ -33,26 +33,28 @@
 	return until
 }
 
-// outage reports whether the store has confirmed no entry that is heard since
-// about when it last confirmed this one. Whether the store is in reach now is
-// the wrong question: each entry takes some time to tell an outage from a lost
-// answer, and a watch may end well in an outage.
+// outage reports whether most of the entries are heard and the store has
+// confirmed none of them since about when it last confirmed this one. A smaller
+// group may be cut off together, from entries that lend its slots anew. Whether
+// the store is in reach now is the wrong question: each entry takes some time to
+// tell an outage from a lost answer, and a watch may end well in an outage.
 func (k *slotKeeper) outage(now time.Time) bool {
 	confirmed := k.standing.Get().confirmed
 	if confirmed.IsZero() {
 		confirmed = now.Add(-k.entry.settings.Membership.LeaseTTL)
 	}
 	members := k.entry.members.Members()
-	heard := false
+	heard := 0
 	for _, m := range members {
 		if m.Alive(now, k.entry.settings.Membership.SilentFor) {
-			heard = true
+			heard++
 			if m.Confirmed.Sub(confirmed) > k.renewalDue() {
 				return false
 			}
 		}
 	}
-	return heard || len(members) == 0
+	entries, together := len(members)+1, heard+1 // with this one
+	return 2*together > entries
 }
 
 // reachesStore reports whether a member that is heard reaches the store, as far
