One way to tell peers at once

Cause: a configuration that came in force had heartbeats sent by a loop of its own, announce; a new list of instances and a leaving upstream by tellPeers, which brings the heartbeat loop's next round forward. Now all three do the latter; an entry has one loop less.

Ruled out: announce for all, which runs beside the regular round, so that two heartbeats to a peer overtake each other.

Before and after: the specs "in force everywhere" (with one entry cut from the store, with the store down right after acceptance, with silent watches) pass with their bounds unchanged. A round that waits for a dead member, at most a second, now delays the next one.

--- a/internal/entry/config_follow.go
+++ b/internal/entry/config_follow.go
@@ -46,9 +46,10 @@
 	e.offer(v)
 }
 
-// offer puts v in force if it is newer.
+// offer puts v in force if it is newer, and has the other entries told.
 func (e *Entry) offer(v configuration.Versioned) {
 	if e.inForce.Offer(v) {
+		e.tellPeers()
 		e.log.Info("configuration in force", zap.Uint64("version", uint64(v.Version)))
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -159,7 +159,6 @@
 		e.followMembers().Run,
 		e.followConfiguration().Run,
 		e.heartbeat,
-		e.announce,
 		e.chase,
 		e.pollInstances,
 		e.slots.run,
--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -13,24 +13,6 @@
 // catchUpRetry is the wait between two tries to take over a sighted version.
 const catchUpRetry = 200 * time.Millisecond
 
-// announce tells every member at once when a configuration comes in force
-// here, until ctx ends.
-func (e *Entry) announce(ctx context.Context) {
-	var told sighting
-	for {
-		v, changed := e.inForce.Watch()
-		if v.Version > told.version {
-			e.exchangeHeartbeats(ctx, everyone)
-			told.version = v.Version
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // chase takes over newer versions that peers told of, until ctx ends. With
 // nothing in force it leaves that to the round of heartbeats, which looks at
 // all peers first.
