Slot reports name an upstream by its lender's term once that is known

Cause: each item of a slot batch told the upstream's ID, 11 bytes in the traces and 18 with IDs as a platform's, beside the term of its lender, which no other lender has. The ID is now left out on the wire once the holder knows the term; a home that does not know the term, after a restart say, asks for the report anew.

Ruled out: reporting less often that a demand has fallen by one, which leaves most of an upstream's slots with holders that no longer want them; numbers in place of terms, which a restarted home could confuse.

--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -10,6 +10,7 @@
 	"persimmonbay/internal/dispatch"
 	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/membership"
+	"persimmonbay/internal/peer/wire"
 )
 
 // What the fleet of the tests is made of.
@@ -147,7 +148,9 @@
 	if !c.served && !c.arrives.IsZero() && !f.now.Before(c.arrives) {
 		c.served = true
 		if to := f.node(c.batch.To); !to.dead {
-			c.loans, _ = to.placer.Serve(c.batch.Batch, f.now)
+			received := wire.ToSlotBatch(string(c.from.id), wire.FromSlotBatch(c.batch.Batch))
+			loans, _ := to.placer.Serve(received, f.now)
+			c.loans = wire.ToSlotLoans(c.batch.Batch.Items, wire.FromSlotLoans(received.Items, loans))
 		}
 	}
 	if c.done || c.from.dead {
--- a/internal/peer/wire/slots.go
+++ b/internal/peer/wire/slots.go
@@ -12,7 +12,7 @@
 func FromSlotBatch(b slots.Batch) *SlotBatch {
 	m := &SlotBatch{Incarnation: b.From.Incarnation, AgeMillis: uint64(b.Age.Milliseconds()), Clean: b.Clean, Seq: b.Seq}
 	for _, i := range b.Items {
-		m.Items = append(m.Items, &SlotItem{Upstream: i.Upstream, Term: i.Term, Held: uint32(i.Held), Need: uint32(i.Need), Demand: uint32(i.Demand), Handover: fromHandover(i.Handover)})
+		m.Items = append(m.Items, fromSlotItem(i))
 	}
 	for _, r := range b.Recalls {
 		m.Recalls = append(m.Recalls, &SlotRecall{Upstream: r.Upstream, Target: uint32(r.Target)})
@@ -20,6 +20,15 @@
 	return m
 }
 
+// fromSlotItem leaves out the upstream where the home knows it by the term.
+func fromSlotItem(i slots.Item) *SlotItem {
+	m := &SlotItem{Term: i.Term, Held: uint32(i.Held), Need: uint32(i.Need), Demand: uint32(i.Demand), Handover: fromHandover(i.Handover)}
+	if i.Term == 0 {
+		m.Upstream = i.Upstream
+	}
+	return m
+}
+
 // ToSlotBatch converts the message that the entry called from sent.
 func ToSlotBatch(from string, m *SlotBatch) slots.Batch {
 	b := slots.Batch{
@@ -82,7 +91,7 @@
 
 func fromSlotLoan(item slots.Item, l slots.Loan) *SlotLoan {
 	if !l.Home {
-		return &SlotLoan{Away: true}
+		return &SlotLoan{Away: true, Unknown: l.Unknown}
 	}
 	m := &SlotLoan{Granted: uint32(l.Granted), Unsettled: !l.Settled}
 	if l.Term != item.Term {
@@ -106,7 +115,7 @@
 
 func toSlotLoan(item slots.Item, m *SlotLoan) slots.Loan {
 	if m.GetAway() {
-		return slots.Loan{Upstream: item.Upstream}
+		return slots.Loan{Upstream: item.Upstream, Unknown: m.GetUnknown()}
 	}
 	return slots.Loan{Upstream: item.Upstream, Home: true, Term: cmp.Or(m.GetTerm(), item.Term), Granted: int(m.GetGranted()), Settled: !m.GetUnsettled()}
 }
--- a/internal/slots/holding.go
+++ b/internal/slots/holding.go
@@ -119,6 +119,9 @@
 		return
 	}
 	h.pending = 0
+	if loan.Unknown {
+		h.term = 0 // so that the next report names the upstream
+	}
 	if !loan.Home {
 		return
 	}
--- a/internal/slots/item.go
+++ b/internal/slots/item.go
@@ -2,7 +2,7 @@
 
 // Item is what a holder tells the home of one upstream.
 type Item struct {
-	Upstream string
+	Upstream string // may be left out on the way to a home that knows it by Term
 	Term     uint64 // the home's term as the holder knows it; 0: not yet
 	Held     int    // slots the holder has, in use or not
 	Need     int    // slots it could use for work within its guaranteed share
--- a/internal/slots/lenders.go
+++ b/internal/slots/lenders.go
@@ -1,38 +1,51 @@
 package slots
 
 import (
+	"strconv"
 	"time"
 
 	"persimmonbay/internal/shard"
 )
 
 // Lenders holds the lenders of the upstreams whose home this entry is, in
-// shards by upstream. Each lender is only touched under its shard's lock.
+// shards by upstream. Each lender is only touched under its shard's lock; its
+// term never changes.
 type Lenders struct {
 	self    Holder
 	view    *shard.Cell[*View]
 	trusted *shard.Cell[time.Time]
 	terms   func(upstream string) (Terms, bool)
 	lenders *shard.Map[string, *Lender]
-	next    *shard.Cell[uint64] // number of the next term
+	byTerm  *shard.Map[string, string] // upstream by the key of its lender's term
+	next    *shard.Cell[uint64]        // number of the next term
 }
 
 // NewLenders returns no lenders. terms tells the bounds of an upstream that is
 // known. trusted holds until when the store's confirmation of this entry holds;
 // without it nothing is lent, nor is anyone vouched for.
 func NewLenders(self Holder, view *shard.Cell[*View], trusted *shard.Cell[time.Time], terms func(upstream string) (Terms, bool)) *Lenders {
-	return &Lenders{self: self, view: view, trusted: trusted, terms: terms, lenders: shard.NewMap[string, *Lender](), next: shard.NewCell(self.Incarnation)}
+	return &Lenders{self: self, view: view, trusted: trusted, terms: terms, lenders: shard.NewMap[string, *Lender](), byTerm: shard.NewMap[string, string](), next: shard.NewCell(self.Incarnation)}
 }
 
 // Answer answers the reports of a batch.
 func (l *Lenders) Answer(b Batch, now time.Time) []Loan {
 	loans := make([]Loan, len(b.Items))
 	for i, item := range b.Items {
+		if item.Upstream == "" {
+			item.Upstream, _ = l.byTerm.Get(termKey(item.Term))
+		}
+		if item.Upstream == "" {
+			loans[i] = Loan{Unknown: true}
+			continue
+		}
 		loans[i] = l.answer(b, item, now)
 	}
 	return loans
 }
 
+// termKey is the key of a term among the upstreams.
+func termKey(term uint64) string { return strconv.FormatUint(term, 36) }
+
 // answer reads the view under the shard's lock, so that no lender lends after
 // Drop under a newer view.
 func (l *Lenders) answer(b Batch, item Item, now time.Time) Loan {
@@ -48,6 +61,7 @@
 		}
 		if !ok {
 			lender = NewLender(item.Upstream, l.term())
+			l.byTerm.Set(termKey(lender.term), item.Upstream)
 		}
 		loan = lender.Report(&b, item, view, terms, now)
 		return lender, true
@@ -68,13 +82,15 @@
 	if !ok {
 		return nil
 	}
+	l.byTerm.Delete(termKey(lender.term))
 	return lender.Handover(now)
 }
 
 // Reset ends all lenders, after a time in which others may have taken over.
 func (l *Lenders) Reset() {
-	l.lenders.Range(func(upstream string, _ *Lender) bool {
+	l.lenders.Range(func(upstream string, lender *Lender) bool {
 		l.lenders.Delete(upstream)
+		l.byTerm.Delete(termKey(lender.term))
 		return true
 	})
 }
