Make a heartbeat once a round, and hash an upstream once for its home

Cause: an entry's own heartbeat, which looks through all pool records, was made anew for each peer of a round; the rendezvous of an upstream hashed its ID once for each member.

--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -62,12 +62,13 @@
 	defer cancel()
 	best := shard.NewCell(sighting{})
 	answered := shard.NewCell(false)
+	own := e.ownHeartbeat()
 	var calls sync.WaitGroup
 	for _, m := range e.members.Members() {
 		calls.Go(func() {
 			seen := sighting{version: m.ConfigurationVersion, address: m.PeerAddress}
 			if !spared(m) {
-				theirs, ok := e.exchangeHeartbeat(ctx, m)
+				theirs, ok := e.exchangeHeartbeat(ctx, m, own)
 				if !ok {
 					return
 				}
@@ -81,13 +82,13 @@
 	return best.Get(), answered.Get()
 }
 
-// exchangeHeartbeat returns the answer of m and whether there was one.
-func (e *Entry) exchangeHeartbeat(ctx context.Context, m membership.Member) (membership.Heartbeat, bool) {
-	theirs, err := e.sendHeartbeat(ctx, m, e.ownHeartbeat())
+// exchangeHeartbeat returns the answer of m to the heartbeat of this entry and
+// whether there was one.
+func (e *Entry) exchangeHeartbeat(ctx context.Context, m membership.Member, own membership.Heartbeat) (membership.Heartbeat, bool) {
+	theirs, err := e.sendHeartbeat(ctx, m, own)
 	if err == nil && theirs.Stranger {
-		introduction := e.ownHeartbeat()
-		introduction.Registration = e.ownRegistration()
-		theirs, err = e.sendHeartbeat(ctx, m, introduction)
+		own.Registration = e.ownRegistration()
+		theirs, err = e.sendHeartbeat(ctx, m, own)
 	}
 	if err != nil {
 		e.log.Debug("heartbeat failed", telemetry.ProblemFields(err)...)
--- a/internal/slots/home.go
+++ b/internal/slots/home.go
@@ -11,8 +11,9 @@
 func Home(upstream string, members []membership.EntryID) membership.EntryID {
 	var best membership.EntryID
 	var most uint64
+	hash := xxhash.Sum64String(upstream)
 	for _, m := range members {
-		if w := weight(upstream, m); best == "" || w > most {
+		if w := mix(hash ^ xxhash.Sum64String(string(m))); best == "" || w > most {
 			best, most = m, w
 		}
 	}
