Tell peers the entity tag with the list, so that the next reader has it

Cause: the tag was kept by the platform client of the entry that read the list; the entry whose turn came next read the whole list once, 20.7 kB at 910 instances, after each change. The tag is now part of the list, in memory and between peers; the client keeps no list of its own.

What shows the effect are the tests: a follower has the reader's tag, and a read with it transfers no list.

Tests changed: Read takes the listing in place of its instances alone, the client's test hands the listing it knows back; what they hold is the same or more.

Seen to fail: "bring a peer to the same list from any that is still kept" and "is the peer's, whatever was there before" when changes leave the tag out.

--- a/internal/entry/instances.go
+++ b/internal/entry/instances.go
@@ -35,7 +35,7 @@
 }
 
 func (e *Entry) readInstances(ctx context.Context, client platform.InstanceLister) {
-	list, err := client.Instances(ctx)
+	list, err := client.Instances(ctx, e.inventory.Listing())
 	if err != nil {
 		if ctx.Err() == nil {
 			e.log.Warn("list of instances not read", telemetry.ProblemFields(err)...)
--- a/internal/entry/instances_test.go
+++ b/internal/entry/instances_test.go
@@ -35,13 +35,13 @@
 		at := membership.Member{ID: "entry-1", PeerAddress: reader.Addresses().Peers}
 		follower, _ := newTestEntry()
 		for i := range 3 { // the first is whole, the others are changes
-			reader.inventory.Read(list(fmt.Sprint("rack-", i)), time.Now())
+			reader.inventory.Read(fleet.Listing{Tag: fmt.Sprint("tag-", i), Instances: list(fmt.Sprint("rack-", i))}, time.Now())
 			follower.fetchInstances(ctx, at)
-			Expect(follower.inventory.Get().Instances).To(Equal(list(fmt.Sprint("rack-", i))))
+			Expect(follower.inventory.Listing()).To(Equal(fleet.Listing{Tag: fmt.Sprint("tag-", i), Instances: list(fmt.Sprint("rack-", i))}))
 		}
-		follower.inventory.Read(list("rack-elsewhere"), time.Now()) // unknown to the reader
+		follower.inventory.Read(fleet.Listing{Instances: list("rack-elsewhere")}, time.Now()) // unknown to the reader
 		for i := range 3 {
-			reader.inventory.Read(list(fmt.Sprint("rack-", 10+i)), time.Now())
+			reader.inventory.Read(fleet.Listing{Instances: list(fmt.Sprint("rack-", 10+i))}, time.Now())
 		}
 		follower.fetchInstances(ctx, at)
 		Expect(follower.inventory.Get().Instances).To(Equal(list("rack-12")))
--- a/internal/inventory/difference.go
+++ b/internal/inventory/difference.go
@@ -11,13 +11,14 @@
 type Difference struct {
 	Base    Stamp            // of the earlier list
 	Stamp   Stamp            // of the list that results
+	Tag     string           // of the list that results
 	Changed []fleet.Instance // new ones included
 	Removed []string         // IDs
 }
 
 // differenceOf compares two lists, both ordered by ID.
 func differenceOf(base, list List) Difference {
-	d := Difference{Base: base.Stamp, Stamp: list.Stamp}
+	d := Difference{Base: base.Stamp, Stamp: list.Stamp, Tag: list.Tag}
 	left := make(map[string]fleet.Instance, len(base.Instances))
 	for _, i := range base.Instances {
 		left[i.ID] = i
@@ -48,7 +49,7 @@
 	for _, id := range d.Removed {
 		drop[id] = true
 	}
-	list := List{Stamp: d.Stamp, Instances: make([]fleet.Instance, 0, len(base.Instances)+len(d.Changed))}
+	list := List{Stamp: d.Stamp, Tag: d.Tag, Instances: make([]fleet.Instance, 0, len(base.Instances)+len(d.Changed))}
 	for _, i := range base.Instances {
 		if !drop[i.ID] {
 			list.Instances = append(list.Instances, i)
--- a/internal/inventory/difference_test.go
+++ b/internal/inventory/difference_test.go
@@ -25,20 +25,24 @@
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			g := NewWithT(t)
 			reader, now := New(), start
-			reader.Read(live, now)
+			reader.Read(fleet.Listing{Instances: live}, now)
 			followers := []*Inventory{}
 			for range rapid.IntRange(1, maxEarlier).Draw(t, "reads") {
 				follower := New()
 				follower.Learn(reader.Get())
 				followers = append(followers, follower)
 				now = now.Add(time.Second)
-				reader.Read(drawn.Draw(t, "list"), now)
+				reader.Read(fleet.Listing{Tag: fmt.Sprint(now.Unix()), Instances: drawn.Draw(t, "list")}, now)
 			}
 			for _, follower := range followers {
 				d, ok := reader.Since(follower.Get().Stamp)
 				g.Expect(ok).To(BeTrue())
 				g.Expect(follower.LearnChanges(d)).To(BeTrue())
 				g.Expect(follower.Get().Stamp.Same(reader.Get().Stamp)).To(BeTrue())
+				if follower.Get().Stamp != reader.Get().Stamp {
+					continue // it had that list before, under an earlier tag
+				}
+				g.Expect(follower.Listing().Tag).To(Equal(reader.Listing().Tag))
 				g.Expect(follower.Get().Instances).To(HaveLen(len(reader.Get().Instances)))
 				for i, instance := range reader.Get().Instances {
 					g.Expect(follower.Get().Instances[i]).To(Equal(instance))
@@ -49,9 +53,9 @@
 
 	It("are not taken when they are of another list or give another one", func() {
 		reader, follower := New(), New()
-		reader.Read(live, start)
+		reader.Read(fleet.Listing{Instances: live}, start)
 		follower.Learn(reader.Get())
-		reader.Read(gone, start.Add(time.Second))
+		reader.Read(fleet.Listing{Instances: gone}, start.Add(time.Second))
 		d, ok := reader.Since(follower.Get().Stamp)
 		Expect(ok).To(BeTrue())
 		lost := d
@@ -65,12 +69,12 @@
 
 	It("are not told to one whose list is not kept", func() {
 		reader := New()
-		reader.Read(live, start)
+		reader.Read(fleet.Listing{Instances: live}, start)
 		_, ok := reader.Since(Stamp{})
 		Expect(ok).To(BeFalse())
 		old := reader.Get().Stamp
 		for i := range maxEarlier + 1 {
-			reader.Read([]fleet.Instance{{ID: fmt.Sprint(i)}}, start)
+			reader.Read(fleet.Listing{Instances: []fleet.Instance{{ID: fmt.Sprint(i)}}}, start)
 		}
 		_, ok = reader.Since(old)
 		Expect(ok).To(BeFalse())
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -28,19 +28,26 @@
 	return h.current, changed
 }
 
+// Listing returns the list in use as the platform showed it.
+func (v *Inventory) Listing() fleet.Listing {
+	l := v.Get()
+	return fleet.Listing{Tag: l.Tag, Instances: l.Instances}
+}
+
 // Read takes over a list that this entry read from the platform at time now,
 // and reports whether its content differs from the one in use.
-func (v *Inventory) Read(instances []fleet.Instance, now time.Time) (changed bool) {
-	instances = ordered(instances)
-	digest := digestOf(instances)
+func (v *Inventory) Read(listing fleet.Listing, now time.Time) (changed bool) {
+	list := List{Tag: listing.Tag, Instances: ordered(listing.Instances)}
+	digest := digestOf(list.Instances)
 	v.cell.Update(func(old history) (history, bool) {
-		stamp := Stamp{Generation: old.current.Stamp.Generation, Digest: digest, ReadAt: now}
-		changed = stamp.Generation == 0 || digest != old.current.Stamp.Digest
+		list.Stamp = Stamp{Generation: old.current.Stamp.Generation, Digest: digest, ReadAt: now}
+		changed = list.Stamp.Generation == 0 || digest != old.current.Stamp.Digest
 		if !changed {
-			return old.aged(stamp), true
+			old.current = list
+			return old, true
 		}
-		stamp.Generation++
-		return old.replaced(List{Stamp: stamp, Instances: instances}), true
+		list.Stamp.Generation++
+		return old.replaced(list), true
 	})
 	return changed
 }
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -18,20 +18,20 @@
 var _ = Describe("Inventory", func() {
 	It("counts a generation for each change, not for each read", func() {
 		v := New()
-		Expect(v.Read(live, start)).To(BeTrue())
-		Expect(v.Read(live, start.Add(time.Second))).To(BeFalse())
+		Expect(v.Read(fleet.Listing{Instances: live}, start)).To(BeTrue())
+		Expect(v.Read(fleet.Listing{Instances: live}, start.Add(time.Second))).To(BeFalse())
 		Expect(v.Get().Stamp.Generation).To(BeEquivalentTo(1))
 		Expect(v.Get().Stamp.ReadAt).To(Equal(start.Add(time.Second)))
-		Expect(v.Read(gone, start.Add(2*time.Second))).To(BeTrue())
+		Expect(v.Read(fleet.Listing{Instances: gone}, start.Add(2*time.Second))).To(BeTrue())
 		Expect(v.Get().Stamp.Generation).To(BeEquivalentTo(2))
 	})
 
 	It("takes a peer's newer list and never an older one", func() {
 		reader, other := New(), New()
-		reader.Read(live, start)
+		reader.Read(fleet.Listing{Instances: live}, start)
 		old := reader.Get()
 		Expect(other.Learn(old)).To(BeTrue())
-		reader.Read(gone, start.Add(time.Second))
+		reader.Read(fleet.Listing{Instances: gone}, start.Add(time.Second))
 		Expect(other.Heard(reader.Get().Stamp)).To(BeTrue())
 		Expect(other.Learn(reader.Get())).To(BeTrue())
 		Expect(other.Learn(old)).To(BeFalse())
@@ -40,8 +40,8 @@
 
 	It("ends with one list when two entries read different ones at once", func() {
 		a, b := New(), New()
-		a.Read(live, start)
-		b.Read(gone, start)
+		a.Read(fleet.Listing{Instances: live}, start)
+		b.Read(fleet.Listing{Instances: gone}, start)
 		first, second := a.Get(), b.Get()
 		a.Learn(second)
 		b.Learn(first)
@@ -50,7 +50,7 @@
 
 	It("learns from a peer's stamp that its own list is still current", func() {
 		v := New()
-		v.Read(live, start)
+		v.Read(fleet.Listing{Instances: live}, start)
 		stamp := v.Get().Stamp
 		stamp.ReadAt = start.Add(5 * time.Second)
 		Expect(v.Heard(stamp)).To(BeFalse())
--- a/internal/inventory/list.go
+++ b/internal/inventory/list.go
@@ -6,5 +6,6 @@
 // must not be changed.
 type List struct {
 	Stamp     Stamp
+	Tag       string // entity tag under which the platform showed it; empty: none
 	Instances []fleet.Instance
 }
--- a/internal/peer/wire/instances.go
+++ b/internal/peer/wire/instances.go
@@ -24,22 +24,22 @@
 
 // FromInstances converts a list of instances to its message.
 func FromInstances(l inventory.List, now time.Time) *Instances {
-	return &Instances{Stamp: FromStamp(l.Stamp, now), Instances: fromInstances(l.Instances)}
+	return &Instances{Stamp: FromStamp(l.Stamp, now), Tag: l.Tag, Instances: fromInstances(l.Instances)}
 }
 
 // ToInstances converts a message to a list of instances.
 func ToInstances(m *Instances, now time.Time) inventory.List {
-	return inventory.List{Stamp: ToStamp(m.GetStamp(), now), Instances: toInstances(m.GetInstances())}
+	return inventory.List{Stamp: ToStamp(m.GetStamp(), now), Tag: m.GetTag(), Instances: toInstances(m.GetInstances())}
 }
 
 // FromDifference converts the changes between two lists to their message.
 func FromDifference(d inventory.Difference, now time.Time) *Instances {
-	return &Instances{Stamp: FromStamp(d.Stamp, now), Base: FromStamp(d.Base, now), Instances: fromInstances(d.Changed), Removed: d.Removed}
+	return &Instances{Stamp: FromStamp(d.Stamp, now), Tag: d.Tag, Base: FromStamp(d.Base, now), Instances: fromInstances(d.Changed), Removed: d.Removed}
 }
 
 // ToDifference converts a message that has a base to the changes it tells.
 func ToDifference(m *Instances, now time.Time) inventory.Difference {
-	return inventory.Difference{Base: ToStamp(m.GetBase(), now), Stamp: ToStamp(m.GetStamp(), now), Changed: toInstances(m.GetInstances()), Removed: m.GetRemoved()}
+	return inventory.Difference{Base: ToStamp(m.GetBase(), now), Stamp: ToStamp(m.GetStamp(), now), Tag: m.GetTag(), Changed: toInstances(m.GetInstances()), Removed: m.GetRemoved()}
 }
 
 func fromInstances(list []fleet.Instance) []*Instance {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -10,7 +10,6 @@
 	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/platform/api"
 	"persimmonbay/internal/problem"
-	"persimmonbay/internal/shard"
 )
 
 // maxIdleConnections bounds the connections kept to the platform.
@@ -27,7 +26,6 @@
 	http    *http.Client
 	purpose Purpose
 	counts  *CallCounts
-	listed  *shard.Cell[taggedInstances] // the latest list of instances read
 }
 
 var (
@@ -40,7 +38,7 @@
 // bounds each call that does not wait.
 func NewClient(base string, timeout time.Duration) *Client {
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnections}
-	return &Client{base: base, timeout: timeout, http: &http.Client{Transport: transport}, counts: NewCallCounts(), listed: shard.NewCell(taggedInstances{})}
+	return &Client{base: base, timeout: timeout, http: &http.Client{Transport: transport}, counts: NewCallCounts()}
 }
 
 // For returns a client that counts its calls under purpose. It shares
@@ -123,23 +121,18 @@
 	return c.call(ctx, exchange{kind: callWrite, step: problem.StepLease, method: http.MethodDelete, path: leasePath(id)})
 }
 
-// Instances implements InstanceLister. The whole list is transferred only when
-// it is not the one that was read last, or the platform knows no entity tags.
-func (c *Client) Instances(ctx context.Context) ([]fleet.Instance, error) {
-	known := c.listed.Get()
-	condition := &validator{tag: known.tag}
+// Instances implements InstanceLister.
+func (c *Client) Instances(ctx context.Context, known fleet.Listing) (fleet.Listing, error) {
+	condition := &validator{tag: known.Tag}
 	var instances []fleet.Instance
 	err := c.call(ctx, exchange{kind: callRead, step: problem.StepInstances, method: http.MethodGet, path: "/v1/instances", out: &instances, condition: condition})
 	if err != nil {
-		return nil, err
+		return fleet.Listing{}, err
 	}
 	if condition.unchanged {
-		return known.instances, nil
+		return known, nil
 	}
-	c.listed.Update(func(taggedInstances) (taggedInstances, bool) {
-		return taggedInstances{tag: condition.tag, instances: instances}, true
-	})
-	return instances, nil
+	return fleet.Listing{Tag: condition.tag, Instances: instances}, nil
 }
 
 func keyPath(key string) string { return (&url.URL{Path: "/v1/kv/" + key}).EscapedPath() }
--- a/internal/platform/instances_test.go
+++ b/internal/platform/instances_test.go
@@ -36,9 +36,13 @@
 		defer listening.Close()
 		client := platform.NewClient(listening.URL, time.Minute).For(platform.PurposeInstances)
 		defer client.Close()
+		var known fleet.Listing
 		for _, state := range []fleet.InstanceState{fleet.Live, fleet.Live, fleet.Leaving, fleet.Leaving, fleet.Live} {
 			server.Instances.SetState("a", state)
-			Expect(client.Instances(context.Background())).To(Equal([]fleet.Instance{{ID: "a", State: state}}))
+			var err error
+			known, err = client.Instances(context.Background(), known)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(known.Instances).To(Equal([]fleet.Instance{{ID: "a", State: state}}))
 		}
 		Expect(lists.Load()).To(BeEquivalentTo(whole))
 	},
--- a/test/bench/slopes_test.go
+++ b/test/bench/slopes_test.go
@@ -44,12 +44,12 @@
 // the change of one instance of it.
 func peerListBytes(list []fleet.Instance) (whole, change int) {
 	v, now := inventory.New(), time.Now()
-	v.Read(list, now)
+	v.Read(fleet.Listing{Tag: `W/"0123456789abcdef"`, Instances: list}, now)
 	base := v.Get().Stamp
 	whole = proto.Size(wire.FromInstances(v.Get(), now))
 	list = slices.Clone(list)
 	list[len(list)/2].State = fleet.Leaving
-	v.Read(list, now)
+	v.Read(fleet.Listing{Tag: `W/"0123456789abcdef"`, Instances: list}, now)
 	d, _ := v.Since(base)
 	return whole, proto.Size(wire.FromDifference(d, now))
 }
