--- a/internal/trace/load.go
+++ b/internal/trace/load.go
@@ -14,21 +14,41 @@
 
 // Load reads the trace in file, the outcomes beside it and its questionnaire.
 func Load(file string) (*Trace, error) {
-	t := &Trace{}
-	if err := read(file, t); err != nil {
+	data, err := read(file)
+	if err != nil {
 		return nil, err
 	}
-	if err := read(strings.TrimSuffix(file, ".yaml")+outcomesSuffix, &t.Outcomes); err != nil {
+	t, err := Parse(file, data)
+	if err != nil {
 		return nil, err
 	}
-	return t, read(filepath.Join(filepath.Dir(file), t.Answers), &t.Questionnaire)
+	if err := decode(strings.TrimSuffix(file, ".yaml")+outcomesSuffix, &t.Outcomes); err != nil {
+		return nil, err
+	}
+	return t, decode(filepath.Join(filepath.Dir(file), t.Answers), &t.Questionnaire)
 }
 
-func read(file string, target any) error {
-	data, err := os.ReadFile(file)
+// Parse reads a trace without the files that belong to it. Errors are findings
+// that name file and line.
+func Parse(file string, data []byte) (*Trace, error) {
+	t := &Trace{}
+	_, err := yamlfile.Decode(file, data, t)
+	return t, err
+}
+
+func decode(file string, target any) error {
+	data, err := read(file)
 	if err != nil {
-		return problem.Wrap(problem.NotFound, problem.StepParse, "", err)
+		return err
 	}
 	_, err = yamlfile.Decode(file, data, target)
 	return err
 }
+
+func read(file string) ([]byte, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, problem.Wrap(problem.NotFound, problem.StepParse, "", err)
+	}
+	return data, nil
+}
--- a/internal/trace/segment.go
+++ b/internal/trace/segment.go
@@ -4,9 +4,9 @@
 
 // Segment is a time in which a stream's requests arrive at one rate.
 type Segment struct {
-	From time.Duration `yaml:"from"`
+	From time.Duration `yaml:"from" validate:"gte=0"`
 	To   time.Duration `yaml:"to" validate:"gtfield=From"`
-	Rate float64       `yaml:"rate" validate:"gt=0"` // requests a second over all entries
+	Rate float64       `yaml:"rate" validate:"gt=0,lte=1000000"` // requests a second over all entries
 }
 
 // Holds reports whether at lies in the segment.
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -12,7 +12,7 @@
 	Name     string        `yaml:"name" validate:"required"`
 	Answers  string        `yaml:"answers" validate:"required"` // questionnaire, relative to the trace's file
 	Seed     uint64        `yaml:"seed"`
-	Entries  int           `yaml:"entries" validate:"gt=0"`
+	Entries  int           `yaml:"entries" validate:"gt=0,lte=1000"`
 	Duration time.Duration `yaml:"duration" validate:"gt=0"`
 	Balance  []float64     `yaml:"balance"` // each entry's part of the load; empty: even
 	Streams  []Stream      `yaml:"streams" validate:"required,dive"`
