--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"persimmonbay/internal/membership"
+	"persimmonbay/internal/packed"
 	"persimmonbay/internal/peer/wire"
 	"persimmonbay/internal/problem"
 )
@@ -11,14 +13,14 @@
 func (e *Entry) Handle(ctx context.Context, request *wire.Request) (*wire.Response, error) {
 	switch body := request.GetBody().(type) {
 	case *wire.Request_Heartbeat:
-		return e.heartbeatReceived(wire.ToHeartbeat(body.Heartbeat, e.clock.Now())), nil
+		return e.handleHeartbeat(membership.EntryID(request.GetFrom()), body.Heartbeat), nil
 	case *wire.Request_Instances:
-		return &wire.Response{Body: &wire.Response_Instances{Instances: wire.FromInstances(e.inventory.Get(), e.clock.Now())}}, nil
+		return e.handleInstances(body.Instances), nil
 	case *wire.Request_Members:
 		return e.knownMembers(), nil
 	case *wire.Request_Configuration:
 		v := e.inForce.Get()
-		return &wire.Response{Body: &wire.Response_Configuration{Configuration: &wire.Configuration{Version: uint64(v.Version), Source: v.Source}}}, nil
+		return &wire.Response{Body: &wire.Response_Configuration{Configuration: &wire.Configuration{Version: uint64(v.Version), Source: packed.Pack(v.Source)}}}, nil
 	case *wire.Request_Slots:
 		return e.handleSlots(request.GetFrom(), body.Slots), nil
 	case *wire.Request_Ledger:
