Benchmark of claims forwarded over sessions between entries

Nothing measured what forwarding costs: BenchmarkLedger has no sessions, BenchmarkKeyedRequests has HTTP and upstreams on top.

--- a/test/bench/claim_load_test.go
+++ b/test/bench/claim_load_test.go
@@ -27,14 +27,15 @@
 // claimLoad offers claims to ledgers in turn. mu guards took.
 type claimLoad struct {
 	ledgers []request.Ledger
+	rate    int // claims a second
 	granted atomic.Int64
 	failed  atomic.Int64
 	mu      sync.Mutex
 	took    *hdrhistogram.Histogram // microseconds of granted claims
 }
 
-func newClaimLoad(ledgers []request.Ledger) *claimLoad {
-	return &claimLoad{ledgers: ledgers, took: hdrhistogram.New(1, 10_000_000, 3)}
+func newClaimLoad(ledgers []request.Ledger, rate int) *claimLoad {
+	return &claimLoad{ledgers: ledgers, rate: rate, took: hdrhistogram.New(1, 10_000_000, 3)}
 }
 
 // run offers for d and returns when the last claim has its answer.
@@ -46,7 +47,7 @@
 	defer ticker.Stop()
 	for time.Since(start) < d {
 		<-ticker.C
-		for due := int(time.Since(start).Seconds() * claimsASecond); offered < due; offered++ {
+		for due := int(time.Since(start).Seconds() * float64(l.rate)); offered < due; offered++ {
 			ledger := l.ledgers[offered%len(l.ledgers)]
 			group.Go(func() { l.claim(ledger) })
 		}
--- a/test/bench/ledger_test.go
+++ b/test/bench/ledger_test.go
@@ -62,8 +62,8 @@
 }
 
 func measureClaims(name string, ledgers []request.Ledger, store *slowStore) {
-	newClaimLoad(ledgers).run(claimWarmUp)
-	l := newClaimLoad(ledgers)
+	newClaimLoad(ledgers, claimsASecond).run(claimWarmUp)
+	l := newClaimLoad(ledgers, claimsASecond)
 	writes, reads, start := store.writes.Load(), store.reads.Load(), time.Now()
 	l.run(claimPhase)
 	l.report(name, time.Since(start), store.writes.Load()-writes, store.reads.Load()-reads)
--- /dev/null
+++ b/test/bench/session_peers_test.go
@@ -0,0 +1,48 @@
+package bench
+
+import (
+	"context"
+	"sync/atomic"
+
+	"persimmonbay/internal/ledger"
+	"persimmonbay/internal/peer"
+	"persimmonbay/internal/peer/wire"
+	"persimmonbay/internal/problem"
+)
+
+// sessionPeers reaches the other ledgers of this process over yamux sessions,
+// as entries do, and serves what reaches its own. It counts calls.
+type sessionPeers struct {
+	client    *peer.Client
+	live      []string
+	addresses map[string]string // by entry; complete before the first call
+	own       *ledger.Ledger
+	calls     *atomic.Int64
+}
+
+func (p *sessionPeers) Live() []string { return p.live }
+
+func (p *sessionPeers) Forward(ctx context.Context, owner string, operation ledger.Record) (ledger.Verdict, error) {
+	p.calls.Add(1)
+	response, err := p.client.Call(ctx, p.addresses[owner], &wire.Request{Body: &wire.Request_Ledger{Ledger: wire.FromLedgerRecord(operation)}})
+	if err != nil {
+		return ledger.Verdict{}, err
+	}
+	return wire.ToLedgerVerdict(response.GetLedger())
+}
+
+// Handle implements peer.Handler.
+func (p *sessionPeers) Handle(ctx context.Context, request *wire.Request) (*wire.Response, error) {
+	if request.GetLedger() == nil {
+		return nil, problem.New(problem.Invalid, problem.StepPeerCall, request.GetFrom(), "unknown request")
+	}
+	operation, err := wire.ToLedgerRecord(request.GetLedger())
+	if err != nil {
+		return nil, err
+	}
+	verdict, err := p.own.Serve(ctx, operation)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.Response{Body: &wire.Response_Ledger{Ledger: wire.FromLedgerVerdict(verdict)}}, nil
+}
