Keep answers above 4 KB outside the log

Cause: an answer above 4 KB was not kept, so a repeat of a finished key got 409 and unknown in place of the first answer. Now it is a value of its own in the store, written before the outcome that names it, bound to a lease that lapses once its key is refused everywhere. Bounds: 60 writes a second and 512 MiB in the store for the fleet, 2 MiB an entry that wait; above them the word stays "ran to its end once". Seen to fail with every large answer left out: both specs of the ledger and the one of the processes; the budget's spec with no limit. Changed specs: "is answered with the first answer" had 64 KB down as too large to keep; it now demands the same body and fields up to 1 MiB, and unknown above the bound. A fifth of the answers in "at most once" are now 8 KB. Left: services with more than 60 such answers a second.

--- a/internal/entry/ledger.go
+++ b/internal/entry/ledger.go
@@ -19,8 +19,8 @@
 const ledgerCloseTimeout = 5 * time.Second
 
 func (e *Entry) newLedger() *ledger.Ledger {
-	log := ledgerstore.New(e.platform.For(platform.PurposeLedger))
-	l := ledger.New(log, &ledgerPeers{entry: e}, e.clock, ledger.DefaultOptions(e.settings.ID))
+	store := e.platform.For(platform.PurposeLedger)
+	l := ledger.New(ledgerstore.New(store), ledgerstore.NewAnswers(store, store, e.clock), &ledgerPeers{entry: e}, e.clock, ledger.DefaultOptions(e.settings.ID))
 	e.metrics.Publish("ledger", func() any { return l.Counters().Snapshot() })
 	return l
 }
--- a/internal/ledger/convert.go
+++ b/internal/ledger/convert.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"context"
+
 	"github.com/google/uuid"
 
 	"persimmonbay/internal/fleet"
@@ -38,29 +40,27 @@
 	return operation, err
 }
 
-// kept returns the answer as it is kept, or nil when it is too large.
+// kept returns the answer as it is kept, or nil when it is not known whole.
 func kept(a request.Answer) *request.Answer {
 	if a.Rest != nil {
 		return nil
 	}
-	r := Record{Answer: &a}
-	if r.Bytes() > recordBytes+keptAnswerBytes {
-		return nil
-	}
 	return &a
 }
 
-// claimOf turns a verdict into the answer to a claim.
-func claimOf(v Verdict) request.Claim {
+// claimOf turns a verdict into the answer to a claim. A finished request whose
+// answer cannot be given is Unknown to the caller, with words that it ran.
+func (l *Ledger) claimOf(ctx context.Context, v Verdict) request.Claim {
 	claim := request.Claim{State: v.State}
-	switch {
-	case v.State != request.ClaimReplay:
-	case v.Record.Answer != nil:
-		claim.Result = request.Result{Outcome: fleet.Completed, Answer: *v.Record.Answer}
-	default:
-		claim.Result = request.Result{Outcome: fleet.Unknown,
-			Err: problem.New(problem.Conflict, problem.StepClaim, v.Record.Entry, "this request ran to its end once and does not run again; its answer was too large to keep")}
+	if v.State != request.ClaimReplay {
+		return claim
+	}
+	answer, err := l.answers.fetch(ctx, v.Record)
+	if err != nil {
+		claim.Result = request.Result{Outcome: fleet.Unknown, Err: err}
+		return claim
 	}
+	claim.Result = request.Result{Outcome: fleet.Completed, Answer: *answer}
 	return claim
 }
 
--- a/internal/ledger/counters.go
+++ b/internal/ledger/counters.go
@@ -9,21 +9,23 @@
 
 // Names of counters.
 const (
-	countGranted    = "claimsGranted"
-	countReplayed   = "claimsReplayed"
-	countInProgress = "claimsInProgress"
-	countMismatch   = "claimsMismatched"
-	countInDoubt    = "claimsInDoubt"
-	countRefused    = "claimsTombstoned"
-	countFailed     = "claimsFailed"
-	countTombstones = "tombstones"
-	countForwarded  = "forwarded"
-	countPassedOver = "ownersPassedOver"
-	countBatches    = "batches"
-	countConflicts  = "conflicts"
-	countAmbiguous  = "writesAmbiguous"
-	countLoads      = "loads"
-	countFolds      = "folds"
+	countGranted        = "claimsGranted"
+	countReplayed       = "claimsReplayed"
+	countInProgress     = "claimsInProgress"
+	countMismatch       = "claimsMismatched"
+	countInDoubt        = "claimsInDoubt"
+	countRefused        = "claimsTombstoned"
+	countFailed         = "claimsFailed"
+	countTombstones     = "tombstones"
+	countForwarded      = "forwarded"
+	countPassedOver     = "ownersPassedOver"
+	countBatches        = "batches"
+	countConflicts      = "conflicts"
+	countAmbiguous      = "writesAmbiguous"
+	countLoads          = "loads"
+	countFolds          = "folds"
+	countAnswersKept    = "answersKept"
+	countAnswersLeftOut = "answersLeftOut"
 )
 
 // claimCounters names the counter of each claim state.
--- a/internal/ledger/fake_upstream_test.go
+++ b/internal/ledger/fake_upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"persimmonbay/internal/configuration"
@@ -12,6 +13,12 @@
 	"persimmonbay/internal/shard"
 )
 
+// Answers that are too large for the log.
+const (
+	largeShare = 0.2
+	largeBytes = 8 << 10
+)
+
 // fakeUpstream is one entry's way to the upstream, which counts executions by
 // key.
 type fakeUpstream struct {
@@ -35,5 +42,8 @@
 		return request.Answer{}, problem.New(problem.Interrupted, problem.StepReceive, "upstream", "answer lost")
 	}
 	body := fmt.Sprintf("%s ran %d times, for %s", r.Key, n, r.ID)
+	if u.faults.draws(largeShare) {
+		body += strings.Repeat(".", largeBytes)
+	}
 	return request.Answer{Status: 201, Body: []byte(body), Length: int64(len(body))}, nil
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -21,7 +21,7 @@
 	outcomeTimeout      = time.Minute     // for which an outcome is worth keeping
 	maxOutcomes         = 8192            // being kept at once; more make their requests wait
 	suspectFor          = time.Second     // how long a silent owner is passed over
-	keptAnswerBytes     = 4 << 10         // of the largest answer that is kept
+	logAnswerBytes      = 4 << 10         // of the largest answer that is kept in the log
 	defaultClaimTimeout = 10 * time.Second
 )
 
@@ -32,6 +32,7 @@
 	peers    Peers
 	clock    clockwork.Clock
 	counters *Counters
+	answers  *answerKeeper
 	shards   []*Shard
 	suspects *shard.Map[string, time.Time] // owners passed over until then
 	room     *semaphore.Weighted           // for outcomes being kept
@@ -39,13 +40,15 @@
 
 var _ request.Ledger = (*Ledger)(nil)
 
-// New returns the ledger of an entry over the log in store.
-func New(store LogStore, peers Peers, clock clockwork.Clock, options Options) *Ledger {
+// New returns the ledger of an entry over the log in store and the large
+// answers in answers.
+func New(store LogStore, answers AnswerStore, peers Peers, clock clockwork.Clock, options Options) *Ledger {
 	l := &Ledger{
 		options: options, peers: peers, clock: clock, counters: newCounters(),
 		suspects: shard.NewMapOf[string, time.Time](8),
 		room:     semaphore.NewWeighted(maxOutcomes),
 	}
+	l.answers = newAnswerKeeper(answers, clock, options, l.counters)
 	for i := range options.Shards {
 		l.shards = append(l.shards, newShard(i, store, clock, options, l.counters))
 	}
@@ -75,7 +78,7 @@
 		return request.Claim{}, notRun(err)
 	}
 	l.counters.add(claimCounters[verdict.State])
-	return claimOf(verdict), nil
+	return l.claimOf(ctx, verdict), nil
 }
 
 func (l *Ledger) late(ctx context.Context, operation Record) error {
@@ -95,23 +98,27 @@
 	if result.Outcome == fleet.NotRun {
 		return l.refuse(ctx, operation, result)
 	}
+	operation, release := l.answers.admit(operation, len(l.peers.Live()))
 	if !l.room.TryAcquire(1) {
+		defer release()
 		l.keep(ctx, operation)
 		return result
 	}
 	go func() {
 		defer l.room.Release(1)
+		defer release()
 		l.keep(ctx, operation)
 	}()
 	return result
 }
 
-// keep records an outcome. When that fails the key stays claimed and is in
+// keep records an outcome, after its answer if that is kept outside the log:
+// what the log names is there. When that fails the key stays claimed and is in
 // doubt for everyone else.
 func (l *Ledger) keep(ctx context.Context, operation Record) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), outcomeTimeout)
 	defer cancel()
-	_, _ = l.submit(ctx, operation)
+	_, _ = l.submit(ctx, l.answers.keep(ctx, operation))
 }
 
 func (l *Ledger) refuse(ctx context.Context, operation Record, result request.Result) request.Result {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,6 +1,7 @@
 package ledger_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -95,25 +96,26 @@
 	})
 
 	It("is answered with the first answer, or with unknown when that was too large to keep", func() {
-		for _, size := range []int{1 << 10, 64 << 10} {
+		for _, size := range []int{1 << 10, 64 << 10, 1 << 20, 4 << 20} {
 			var replay request.Claim
 			bubble(func(r *run, key request.Key) {
 				first := transfer(key, "first", time.Second)
 				_, err := r.ledgers["entry-1"].Claim(context.Background(), first)
 				Expect(err).NotTo(HaveOccurred())
-				body := make([]byte, size)
-				r.ledgers["entry-1"].Complete(context.Background(), first, request.Result{Outcome: fleet.Completed, Answer: request.Answer{Status: 201, Body: body}})
+				body := bytes.Repeat([]byte("flock "), size/6+1)[:size]
+				r.ledgers["entry-1"].Complete(context.Background(), first, request.Result{Outcome: fleet.Completed, Answer: request.Answer{Status: 201, Body: body, Fields: []request.Field{{Name: "A", Value: "b"}}}})
 				time.Sleep(time.Second)
 				replay, _ = r.ledgers["entry-2"].Claim(context.Background(), transfer(key, "second", time.Second))
 			})
 			Expect(replay.State).To(Equal(request.ClaimReplay), fmt.Sprint(size))
-			if size > 4<<10 {
+			if size > 1<<20 {
 				Expect(replay.Result.Outcome).To(Equal(fleet.Unknown))
 				Expect(replay.Result.Err).To(MatchError(ContainSubstring("too large to keep")))
 				continue
 			}
 			Expect(replay.Result.Outcome).To(Equal(fleet.Completed))
-			Expect(replay.Result.Answer.Body).To(HaveLen(size))
+			Expect(replay.Result.Answer.Fields).To(Equal([]request.Field{{Name: "A", Value: "b"}}))
+			Expect(bytes.Equal(replay.Result.Answer.Body, bytes.Repeat([]byte("flock "), size/6+1)[:size])).To(BeTrue(), fmt.Sprint(size))
 		}
 	})
 
--- a/internal/ledger/options.go
+++ b/internal/ledger/options.go
@@ -11,6 +11,8 @@
 	OutcomeDelay   time.Duration // how long an outcome waits for a batch to ride on
 	ForwardTimeout time.Duration // after which an owner that does not answer is passed over
 	MaxKeys        int           // that one entry keeps track of in a shard
+	AnswerBytes    int           // of all entries' answers outside the log, in the store at once
+	AnswerWrites   float64       // of such answers a second, by all entries
 }
 
 // Defaults. Two shards with a write each 15 ms make 133 batches a second; folds
@@ -21,6 +23,8 @@
 	defaultOutcomeDelay   = 50 * time.Millisecond
 	defaultForwardTimeout = time.Second
 	defaultMaxKeys        = 500_000
+	defaultAnswerBytes    = 512 << 20
+	defaultAnswerWrites   = 60
 )
 
 // DefaultOptions returns the options of the entry called entry.
@@ -32,5 +36,7 @@
 		OutcomeDelay:   defaultOutcomeDelay,
 		ForwardTimeout: defaultForwardTimeout,
 		MaxKeys:        defaultMaxKeys,
+		AnswerBytes:    defaultAnswerBytes,
+		AnswerWrites:   defaultAnswerWrites,
 	}
 }
--- a/internal/ledger/record.go
+++ b/internal/ledger/record.go
@@ -22,7 +22,11 @@
 	Entry    string          // of the attempt
 	Deadline time.Time       // after which a claim without an outcome is in doubt
 	Status   int             // of the upstream's answer; 0 when there is none
-	Answer   *request.Answer // nil when it was not kept
+	Answer   *request.Answer // nil when it is not in the log
+
+	// AnswerParts is the number of values that hold the answer outside the
+	// log; 0 when it is in the log or was not kept.
+	AnswerParts int
 }
 
 // Bytes returns about the encoded size.
@@ -38,6 +42,14 @@
 	return n
 }
 
+// tooLargeForLog reports whether the answer has to be kept outside the log.
+func (r *Record) tooLargeForLog() bool {
+	return r.Answer != nil && r.Bytes() > recordBytes+logAnswerBytes
+}
+
+// AnswerKept reports whether a repeat can be given the answer.
+func (r *Record) AnswerKept() bool { return r.Answer != nil || r.AnswerParts > 0 }
+
 // fieldBytes is the encoding's own part of a header field.
 const fieldBytes = 6
 
--- a/internal/ledger/run_test.go
+++ b/internal/ledger/run_test.go
@@ -68,7 +68,8 @@
 		options := ledger.DefaultOptions(id)
 		options.Interval = 2 * time.Millisecond // many small batches, so that rings fill and fold
 		peers := &fakePeers{entry: id, live: r.entries, all: r.ledgers, faults: r.faults}
-		r.ledgers[id] = ledger.New(ledgerstore.New(&faultyStore{Store: r.store, entry: id, faults: r.faults}), peers, clock, options)
+		store := &faultyStore{Store: r.store, lessor: r.store, entry: id, faults: r.faults}
+		r.ledgers[id] = ledger.New(ledgerstore.New(store), ledgerstore.NewAnswers(store, store, clock), peers, clock, options)
 		var l request.Ledger = r.ledgers[id]
 		if r.wrap != nil {
 			l = r.wrap(l)
--- a/internal/ledgerstore/store.go
+++ b/internal/ledgerstore/store.go
@@ -12,8 +12,11 @@
 	"persimmonbay/internal/problem"
 )
 
-// maxPartBytes is about the size of the largest part of a segment; the
-// platform's values hold a megabyte.
+// maxValueBytes is the size of the largest value that the platform holds.
+const maxValueBytes = 1_000_000
+
+// maxPartBytes is about the size of the largest part of a segment, or of an
+// answer's body; the platform's values hold a megabyte.
 const maxPartBytes = 768 << 10
 
 // Store is the ledger's log in the platform's store. It has no state.
--- a/internal/peer/wire/ledger.go
+++ b/internal/peer/wire/ledger.go
@@ -12,7 +12,7 @@
 
 // FromLedgerRecord converts a plain record to its message.
 func FromLedgerRecord(r ledger.Record) *LedgerRecord {
-	m := &LedgerRecord{Key: r.Key[:], Attempt: uint64(r.Attempt), Phase: uint32(r.Phase), Entry: r.Entry, Status: uint32(r.Status)}
+	m := &LedgerRecord{Key: r.Key[:], Attempt: uint64(r.Attempt), Phase: uint32(r.Phase), Entry: r.Entry, Status: uint32(r.Status), AnswerParts: uint32(r.AnswerParts)}
 	if r.Digest != (ledger.Digest{}) {
 		m.Digest = r.Digest[:]
 	}
@@ -20,17 +20,14 @@
 		m.DeadlineMillis = r.Deadline.UnixMilli()
 	}
 	if r.Answer != nil {
-		m.Answer = &LedgerAnswer{Status: uint32(r.Answer.Status), Body: r.Answer.Body}
-		for _, f := range r.Answer.Fields {
-			m.Answer.Fields = append(m.Answer.Fields, &LedgerField{Name: f.Name, Value: f.Value})
-		}
+		m.Answer = FromLedgerAnswer(r.Answer)
 	}
 	return m
 }
 
 // ToLedgerRecord converts a message to a plain record.
 func ToLedgerRecord(m *LedgerRecord) (ledger.Record, error) {
-	r := ledger.Record{Attempt: ledger.Attempt(m.GetAttempt()), Phase: ledger.Phase(m.GetPhase()), Entry: m.GetEntry(), Status: int(m.GetStatus())}
+	r := ledger.Record{Attempt: ledger.Attempt(m.GetAttempt()), Phase: ledger.Phase(m.GetPhase()), Entry: m.GetEntry(), Status: int(m.GetStatus()), AnswerParts: int(m.GetAnswerParts())}
 	if len(m.GetKey()) != len(uuid.UUID{}) || len(m.GetDigest()) > len(ledger.Digest{}) || r.Phase > ledger.PhaseInDoubt {
 		return r, problem.New(problem.Invalid, problem.StepParse, "", "not a record of the ledger")
 	}
@@ -40,14 +37,29 @@
 		r.Deadline = time.UnixMilli(m.GetDeadlineMillis())
 	}
 	if a := m.GetAnswer(); a != nil {
-		r.Answer = &request.Answer{Status: int(a.GetStatus()), Body: a.GetBody(), Length: int64(len(a.GetBody()))}
-		for _, f := range a.GetFields() {
-			r.Answer.Fields = append(r.Answer.Fields, request.Field{Name: f.GetName(), Value: f.GetValue()})
-		}
+		r.Answer = ToLedgerAnswer(a)
 	}
 	return r, nil
 }
 
+// FromLedgerAnswer converts a plain answer to its message.
+func FromLedgerAnswer(a *request.Answer) *LedgerAnswer {
+	m := &LedgerAnswer{Status: uint32(a.Status), Body: a.Body}
+	for _, f := range a.Fields {
+		m.Fields = append(m.Fields, &LedgerField{Name: f.Name, Value: f.Value})
+	}
+	return m
+}
+
+// ToLedgerAnswer converts a message to a plain answer.
+func ToLedgerAnswer(m *LedgerAnswer) *request.Answer {
+	a := &request.Answer{Status: int(m.GetStatus()), Body: m.GetBody(), Length: int64(len(m.GetBody()))}
+	for _, f := range m.GetFields() {
+		a.Fields = append(a.Fields, request.Field{Name: f.GetName(), Value: f.GetValue()})
+	}
+	return a
+}
+
 // FromLedgerVerdict converts a plain verdict to its message.
 func FromLedgerVerdict(v ledger.Verdict) *LedgerVerdict {
 	return &LedgerVerdict{State: uint32(v.State), Record: FromLedgerRecord(v.Record)}
--- a/test/bench/claim_load_test.go
+++ b/test/bench/claim_load_test.go
@@ -28,6 +28,7 @@
 type claimLoad struct {
 	ledgers []request.Ledger
 	rate    int // claims a second
+	answer  int // bytes of each answer
 	granted atomic.Int64
 	failed  atomic.Int64
 	mu      sync.Mutex
@@ -35,7 +36,7 @@
 }
 
 func newClaimLoad(ledgers []request.Ledger, rate int) *claimLoad {
-	return &claimLoad{ledgers: ledgers, rate: rate, took: hdrhistogram.New(1, 10_000_000, 3)}
+	return &claimLoad{ledgers: ledgers, rate: rate, answer: answerBytes, took: hdrhistogram.New(1, 10_000_000, 3)}
 }
 
 // run offers for d and returns when the last claim has its answer.
@@ -75,7 +76,7 @@
 	l.mu.Lock()
 	_ = l.took.RecordValue(took.Microseconds())
 	l.mu.Unlock()
-	ledger.Complete(context.Background(), r, request.Result{Outcome: fleet.Completed, Answer: request.Answer{Status: 200, Body: make([]byte, answerBytes)}})
+	ledger.Complete(context.Background(), r, request.Result{Outcome: fleet.Completed, Answer: request.Answer{Status: 200, Body: make([]byte, l.answer)}})
 }
 
 // report prints the phase that lasted elapsed.
--- a/test/bench/forwarded_test.go
+++ b/test/bench/forwarded_test.go
@@ -73,7 +73,7 @@
 	var ledgers []request.Ledger
 	for _, id := range live {
 		peers := &sessionPeers{client: peer.NewClient(id, key, 2*time.Second), live: live, addresses: addresses, calls: calls}
-		peers.own = ledger.New(ledgerstore.New(store), peers, clockwork.NewRealClock(), ledger.DefaultOptions(id))
+		peers.own = ledger.New(ledgerstore.New(store), largeAnswers(store), peers, clockwork.NewRealClock(), ledger.DefaultOptions(id))
 		ledgers = append(ledgers, peers.own)
 		go func() { _ = peer.NewServer(peers, key, zap.NewNop()).Serve(ctx, listeners[id]) }()
 	}
--- a/test/bench/ledger_test.go
+++ b/test/bench/ledger_test.go
@@ -50,12 +50,17 @@
 	for _, id := range live {
 		options := ledger.DefaultOptions(id)
 		options.Shards, options.Interval = shards, time.Duration(shards)*time.Second/batchWrites
-		all[id] = ledger.New(ledgerstore.New(store), &nearPeers{live: live, all: all}, clockwork.NewRealClock(), options)
+		all[id] = ledger.New(ledgerstore.New(store), largeAnswers(store), &nearPeers{live: live, all: all}, clockwork.NewRealClock(), options)
 		ledgers = append(ledgers, all[id])
 	}
 	measureClaims(fmt.Sprintf("store %v, %d entries, %d shards", latency, entries, shards), ledgers, store)
 }
 
+// largeAnswers returns the store of large answers beside the log in store.
+func largeAnswers(store *slowStore) *ledgerstore.Answers {
+	return ledgerstore.NewAnswers(store, store.lessor, clockwork.NewRealClock())
+}
+
 func measureSingleWrites(latency time.Duration) {
 	store := newSlowStore(standinplatform.NewStore(clockwork.NewRealClock()), latency)
 	measureClaims(fmt.Sprintf("store %v, one write a claim", latency), []request.Ledger{&singleWrites{store: store}}, store)
--- a/test/bench/slow_store_test.go
+++ b/test/bench/slow_store_test.go
@@ -9,6 +9,7 @@
 
 	"persimmonbay/internal/platform"
 	"persimmonbay/internal/platform/api"
+	standinplatform "persimmonbay/internal/standin/platform"
 )
 
 // The platform's allowance, in writes a second in all.
@@ -21,13 +22,14 @@
 // writes than the platform does. It counts calls.
 type slowStore struct {
 	platform.Store
+	lessor        platform.Lessor
 	latency       time.Duration
 	allowance     *rate.Limiter
 	writes, reads atomic.Int64
 }
 
-func newSlowStore(store platform.Store, latency time.Duration) *slowStore {
-	return &slowStore{Store: store, latency: latency, allowance: rate.NewLimiter(platformWrites, platformBurst)}
+func newSlowStore(store *standinplatform.Store, latency time.Duration) *slowStore {
+	return &slowStore{Store: store, lessor: store, latency: latency, allowance: rate.NewLimiter(platformWrites, platformBurst)}
 }
 
 func (s *slowStore) write(ctx context.Context) error {
--- a/test/ledger_test.go
+++ b/test/ledger_test.go
@@ -1,20 +1,16 @@
 package test
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strings"
 	"syscall"
 
 	"github.com/google/uuid"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/operator/message"
-	"persimmonbay/internal/platform/api"
 	standin "persimmonbay/internal/standin/platform"
 	"persimmonbay/internal/standin/upstream"
 )
@@ -85,6 +81,38 @@
 		fmt.Fprintf(GinkgoWriter, "%d keys ran, words: %v\n", len(executions), outcomes)
 	})
 
+	It("gives a repeat the first answer of up to 1 MiB after its entry was killed and answers of the store were lost", func() {
+		f := startFleet("transfers", 1, 3)
+		f.configure(registryAnswers)
+		callers := &ledgerCallers{}
+		for i := range f.entries {
+			Eventually(func() string { return callers.send(f.callers(i), newKey()).outcome }, patience).Should(Equal("completed"))
+		}
+		f.platformFaults(standin.Faults{LoseAnswers: 0.3, Seed: ledgerSeed})
+		var first []ledgerWord
+		for _, padding := range []int{5 << 10, 300 << 10, 1<<20 - 1<<10} {
+			f.upstreamFaults(0, upstream.Faults{BodyBytes: padding})
+			var word ledgerWord
+			Eventually(func() string {
+				word = callers.send(f.callers(0), newKey())
+				return word.outcome
+			}, patience).Should(Equal("completed"))
+			first = append(first, word)
+		}
+		for _, w := range first {
+			Eventually(func() string { return f.shown(1, w.key).State }, patience).Should(Equal("finished"))
+		}
+		f.signal(0, syscall.SIGKILL)
+		for _, w := range first {
+			for _, entry := range []int{1, 2} {
+				again := callers.send(f.callers(entry), w.key)
+				Expect(again.outcome).To(Equal("completed"))
+				Expect(again.body == w.body).To(BeTrue(), "%d bytes, not the %d of the first answer", len(again.body), len(w.body))
+			}
+			Expect(f.executions()[w.key]).To(Equal(1))
+		}
+	})
+
 	It("answers repeats, other bodies and bad keys, and shows what it knows", func() {
 		f := startFleet("transfers", 1, 2)
 		f.configure(registryAnswers)
@@ -113,10 +141,7 @@
 		Expect(status).To(Equal(http.StatusBadRequest))
 		Expect(header.Get("Persimmonbay-Outcome")).To(Equal("unknown"))
 
-		code, out, stderr := command("request", "show", "-operator", f.operator(1), "-output", "json", key)
-		Expect(code).To(Equal(0), stderr)
-		var entry message.LedgerEntry
-		Expect(json.Unmarshal([]byte(out), &entry)).To(Succeed())
+		entry := f.shown(1, key)
 		Expect(entry.State).To(Equal("finished"))
 		Expect(entry.Status).To(Equal(http.StatusOK))
 	})
@@ -155,95 +180,3 @@
 		Expect(f.executions()).NotTo(HaveKey(key))
 	})
 })
-
-func newKey() string {
-	GinkgoHelper()
-	key, err := uuid.NewV7()
-	Expect(err).NotTo(HaveOccurred())
-	return key.String()
-}
-
-// post sends a keyed transfer through one entry.
-func (f *testFleet) post(entry int, key, body string) (int, http.Header) {
-	GinkgoHelper()
-	request, err := http.NewRequest(http.MethodPost, f.callers(entry)+"/transfers/transfers", strings.NewReader(body))
-	Expect(err).NotTo(HaveOccurred())
-	request.Header.Set("Persimmonbay-Team", "herders")
-	request.Header.Set("Persimmonbay-Timeout", "2000")
-	request.Header.Set("Idempotency-Key", key)
-	response, err := http.DefaultClient.Do(request)
-	Expect(err).NotTo(HaveOccurred())
-	_ = response.Body.Close()
-	return response.StatusCode, response.Header
-}
-
-func (f *testFleet) signal(entry int, signal syscall.Signal) {
-	GinkgoHelper()
-	Expect(f.entries[entry].session.Command.Process.Signal(signal)).To(Succeed())
-}
-
-func (f *testFleet) platformFaults(faults standin.Faults) {
-	GinkgoHelper()
-	f.standin(http.MethodPut, "/standin/faults", faults)
-}
-
-func (f *testFleet) upstreamFaults(i int, faults upstream.Faults) {
-	GinkgoHelper()
-	change(http.MethodPut, "http://"+f.upstreams[i].listening("upstream")+"/standin/faults", faults)
-}
-
-// standin throws a switch of the stand-in platform.
-func (f *testFleet) standin(method, path string, body any) {
-	GinkgoHelper()
-	change(method, f.platformURL()+path, body)
-}
-
-func change(method, url string, body any) {
-	GinkgoHelper()
-	encoded, err := json.Marshal(body)
-	Expect(err).NotTo(HaveOccurred())
-	request, err := http.NewRequest(method, url, bytes.NewReader(encoded))
-	Expect(err).NotTo(HaveOccurred())
-	response, err := http.DefaultClient.Do(request)
-	Expect(err).NotTo(HaveOccurred())
-	_ = response.Body.Close()
-	Expect(response.StatusCode).To(Equal(http.StatusOK))
-}
-
-// registered returns the keys under which entries are registered.
-func (f *testFleet) registered() []string {
-	var listing api.Listing
-	fetch(f.platformURL()+"/v1/kv?prefix=persimmonbay/entries/", &listing)
-	var keys []string
-	for _, item := range listing.Items {
-		keys = append(keys, item.Key)
-	}
-	return keys
-}
-
-func (f *testFleet) listedInstances() []fleet.Instance {
-	var instances []fleet.Instance
-	fetch(f.platformURL()+"/v1/instances", &instances)
-	return instances
-}
-
-// executions returns how often each key ran on all upstreams together.
-func (f *testFleet) executions() map[string]int {
-	counts := map[string]int{}
-	for _, u := range f.upstreams {
-		var executions []upstream.Execution
-		fetch("http://"+u.listening("upstream")+"/standin/executions", &executions)
-		for _, e := range executions {
-			counts[e.Key] += e.Count
-		}
-	}
-	return counts
-}
-
-func fetch(url string, out any) {
-	GinkgoHelper()
-	response, err := http.Get(url)
-	Expect(err).NotTo(HaveOccurred())
-	defer response.Body.Close()
-	Expect(json.NewDecoder(response.Body).Decode(out)).To(Succeed())
-}
