Group the claims and outcomes that wait for one owner

Cause: each forwarded operation took a stream of its own: 1.34 calls a claim. Now an outbox for each owner sends what came within 2 ms of the latest call as one; the first goes at once. One type holds what waits, for the outbox and for the shard's queue. The fakes of Peers take groups now; no check of an existing test changed.

--- a/internal/entry/ledger.go
+++ b/internal/entry/ledger.go
@@ -25,17 +25,14 @@
 	return l
 }
 
-// serveLedger carries out an operation that another entry forwarded.
-func (e *Entry) serveLedger(ctx context.Context, m *wire.LedgerRecord) (*wire.Response, error) {
-	operation, err := wire.ToLedgerRecord(m)
+// serveLedger carries out operations that another entry forwarded.
+func (e *Entry) serveLedger(ctx context.Context, m *wire.LedgerOperations) (*wire.Response, error) {
+	operations, err := wire.ToLedgerRecords(m.GetOperations())
 	if err != nil {
 		return nil, err
 	}
-	verdict, err := e.ledger.Serve(ctx, operation)
-	if err != nil {
-		return nil, err
-	}
-	return &wire.Response{Body: &wire.Response_Ledger{Ledger: wire.FromLedgerVerdict(verdict)}}, nil
+	replies := e.ledger.Serve(ctx, operations)
+	return &wire.Response{Body: &wire.Response_Ledger{Ledger: wire.FromLedgerReplies(replies)}}, nil
 }
 
 // forgetIdleLedger drops the state of idle shards until ctx ends.
--- a/internal/entry/ledger_peers.go
+++ b/internal/entry/ledger_peers.go
@@ -33,15 +33,15 @@
 }
 
 // Forward implements ledger.Peers.
-func (p *ledgerPeers) Forward(ctx context.Context, peer string, operation ledger.Record) (ledger.Verdict, error) {
+func (p *ledgerPeers) Forward(ctx context.Context, peer string, operations []ledger.Record) ([]ledger.Reply, error) {
 	m, ok := p.entry.members.Member(membership.EntryID(peer))
 	if !ok {
-		return ledger.Verdict{}, problem.New(problem.Unavailable, problem.StepPeerCall, peer, "no such member")
+		return nil, problem.New(problem.Unavailable, problem.StepPeerCall, peer, "no such member")
 	}
-	request := &wire.Request{Body: &wire.Request_Ledger{Ledger: wire.FromLedgerRecord(operation)}}
+	request := &wire.Request{Body: &wire.Request_Ledger{Ledger: &wire.LedgerOperations{Operations: wire.FromLedgerRecords(operations)}}}
 	response, err := p.entry.peers.Call(ctx, m.PeerAddress, request)
 	if err != nil {
-		return ledger.Verdict{}, err
+		return nil, err
 	}
-	return wire.ToLedgerVerdict(response.GetLedger())
+	return wire.ToLedgerReplies(peer, response.GetLedger()), nil
 }
--- a/internal/ledger/counters.go
+++ b/internal/ledger/counters.go
@@ -18,6 +18,7 @@
 	countFailed         = "claimsFailed"
 	countTombstones     = "tombstones"
 	countForwarded      = "forwarded"
+	countForwardCalls   = "forwardCalls"
 	countPassedOver     = "ownersPassedOver"
 	countBatches        = "batches"
 	countConflicts      = "conflicts"
--- a/internal/ledger/decisions.go
+++ b/internal/ledger/decisions.go
@@ -13,7 +13,7 @@
 // decisions are the results of a round's operations, to be given out once
 // records are written.
 type decisions struct {
-	results []result
+	results []Reply
 	records []Record
 	open    bool // a later batch may change a verdict
 }
@@ -21,13 +21,13 @@
 // decideAll decides work in order, each operation on what those before it
 // left.
 func (s *Shard) decideAll(ctx context.Context, work []*pending) (decisions, error) {
-	d := decisions{results: make([]result, len(work))}
+	d := decisions{results: make([]Reply, len(work))}
 	changed := make(map[uuid.UUID]Record)
 	read := make(map[uint64]*Segment)
 	now := s.clock.Now()
 	for i, p := range work {
 		if err := s.admit(p.operation, now, len(changed)); err != nil {
-			d.results[i].err = err
+			d.results[i].Err = err
 			continue
 		}
 		current, ok := changed[p.operation.Key]
@@ -38,7 +38,7 @@
 			}
 		}
 		verdict, write := decide(current, p.operation, now)
-		d.results[i].verdict = verdict
+		d.results[i].Verdict = verdict
 		d.open = d.open || claimStateOpen(verdict.State)
 		if write {
 			changed[p.operation.Key] = verdict.Record
--- a/internal/ledger/fake_peers_test.go
+++ b/internal/ledger/fake_peers_test.go
@@ -25,23 +25,23 @@
 
 func (p *fakePeers) Live() []string { return p.live }
 
-func (p *fakePeers) Forward(ctx context.Context, peer string, operation ledger.Record) (ledger.Verdict, error) {
+func (p *fakePeers) Forward(ctx context.Context, peer string, operations []ledger.Record) ([]ledger.Reply, error) {
 	if p.faults.stop(p.entry) || p.unreachable(peer) {
-		return ledger.Verdict{}, problem.New(problem.Unavailable, problem.StepConnect, peer, "cut off")
+		return nil, problem.New(problem.Unavailable, problem.StepConnect, peer, "cut off")
 	}
 	time.Sleep(peerLatency)
-	replies := make(chan peerReply, 1)
-	go p.serve(context.WithoutCancel(ctx), peer, operation, replies) // the other side does not know when this one gives up
+	replies := make(chan []ledger.Reply, 1)
+	go p.serve(context.WithoutCancel(ctx), peer, operations, replies) // the other side does not know when this one gives up
 	select {
 	case r := <-replies:
 		if p.faults.stop(p.entry) || p.unreachable(peer) {
-			return ledger.Verdict{}, problem.New(problem.Interrupted, problem.StepPeerCall, peer, "cut off")
+			return nil, problem.New(problem.Interrupted, problem.StepPeerCall, peer, "cut off")
 		}
-		return r.verdict, r.err
+		return r, nil
 	case <-ctx.Done():
 		p.faults.change(func(f *faults) { f.givenUp++ })
 		p.faults.stop(p.entry)
-		return ledger.Verdict{}, problem.Wrap(problem.Interrupted, problem.StepPeerCall, peer, ctx.Err())
+		return nil, problem.Wrap(problem.Interrupted, problem.StepPeerCall, peer, ctx.Err())
 	}
 }
 
@@ -49,12 +49,12 @@
 	return p.faults.get(func(f *faults) bool { return f.killed[peer] || f.cut[peer] || f.cut[p.entry] })
 }
 
-func (p *fakePeers) serve(ctx context.Context, peer string, operation ledger.Record, replies chan<- peerReply) {
+func (p *fakePeers) serve(ctx context.Context, peer string, operations []ledger.Record, replies chan<- []ledger.Reply) {
 	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
 	defer cancel()
 	p.faults.stop(peer)
-	v, err := p.all[peer].Serve(ctx, operation)
+	r := p.all[peer].Serve(ctx, operations)
 	p.faults.stop(peer)
 	time.Sleep(peerLatency)
-	replies <- peerReply{verdict: v, err: err}
+	replies <- r
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -25,8 +25,8 @@
 	defaultClaimTimeout = 10 * time.Second
 )
 
-// Ledger is the ledger of one entry. Its shards guard themselves; suspects is
-// sharded by entry.
+// Ledger is the ledger of one entry. Its shards and outboxes guard themselves;
+// suspects and outboxes are sharded by entry.
 type Ledger struct {
 	options  Options
 	peers    Peers
@@ -35,6 +35,7 @@
 	answers  *answerKeeper
 	shards   []*Shard
 	suspects *shard.Map[string, time.Time] // owners passed over until then
+	outboxes *shard.Map[string, *outbox]   // by owner
 	room     *semaphore.Weighted           // for outcomes being kept
 }
 
@@ -46,6 +47,7 @@
 	l := &Ledger{
 		options: options, peers: peers, clock: clock, counters: newCounters(),
 		suspects: shard.NewMapOf[string, time.Time](8),
+		outboxes: shard.NewMapOf[string, *outbox](8),
 		room:     semaphore.NewWeighted(maxOutcomes),
 	}
 	l.answers = newAnswerKeeper(answers, clock, options, l.counters)
@@ -133,70 +135,6 @@
 	return result
 }
 
-// submit has the shard's owner carry out operation, or carries it out itself
-// when that one is this entry, cannot be reached or does not agree.
-func (l *Ledger) submit(ctx context.Context, operation Record) (Verdict, error) {
-	number := l.shardOf(operation.Key)
-	owner := Owner(number, l.peers.Live())
-	if owner == l.options.Entry || l.suspected(owner) {
-		return l.shards[number].Do(ctx, operation)
-	}
-	verdict, err := l.forward(ctx, owner, operation)
-	if err == nil {
-		l.counters.add(countForwarded)
-		return verdict, nil
-	}
-	if ctx.Err() != nil {
-		return Verdict{}, problem.Wrap(problem.Timeout, problem.StepClaim, owner, ctx.Err())
-	}
-	l.counters.add(countPassedOver)
-	if !problem.Is(err, problem.Conflict) {
-		l.suspects.Set(owner, l.clock.Now().Add(suspectFor))
-	}
-	return l.shards[number].Do(ctx, operation)
-}
-
-// forward hands operation to owner and waits until ctx ends at most. The call
-// itself goes on: to give it up would break the session that all calls to the
-// owner share.
-func (l *Ledger) forward(ctx context.Context, owner string, operation Record) (Verdict, error) {
-	replies := make(chan result, 1)
-	go func() {
-		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), l.options.ForwardTimeout)
-		defer cancel()
-		verdict, err := l.peers.Forward(callCtx, owner, operation)
-		replies <- result{verdict: verdict, err: err}
-	}()
-	select {
-	case r := <-replies:
-		return r.verdict, r.err
-	case <-ctx.Done():
-		return Verdict{}, ctx.Err()
-	}
-}
-
-func (l *Ledger) suspected(owner string) bool {
-	until, ok := l.suspects.Get(owner)
-	return ok && l.clock.Now().Before(until)
-}
-
-// Serve carries out an operation of another entry. It refuses with kind
-// Conflict when this entry does not take itself for the shard's owner.
-func (l *Ledger) Serve(ctx context.Context, operation Record) (Verdict, error) {
-	number := l.shardOf(operation.Key)
-	if Owner(number, l.peers.Live()) != l.options.Entry {
-		return Verdict{}, problem.New(problem.Conflict, problem.StepClaim, l.options.Entry, "not the owner of this shard")
-	}
-	return l.shards[number].Do(ctx, operation)
-}
-
-// Forget drops the state of shards that have not been used for long.
-func (l *Ledger) Forget() {
-	for _, s := range l.shards {
-		s.forget()
-	}
-}
-
 func (l *Ledger) shardOf(key uuid.UUID) int {
 	return int(xxhash.Sum64(key[:]) % uint64(len(l.shards)))
 }
--- a/internal/ledger/peers.go
+++ b/internal/ledger/peers.go
@@ -6,7 +6,7 @@
 type Peers interface {
 	// Live returns the IDs of the entries that seem alive, this one included.
 	Live() []string
-	// Forward has the entry called peer carry out operation. After an error
-	// nobody knows whether it did.
-	Forward(ctx context.Context, peer string, operation Record) (Verdict, error)
+	// Forward has the entry called peer carry out operations, and returns a
+	// reply to each, in order. After an error nobody knows whether it did.
+	Forward(ctx context.Context, peer string, operations []Record) ([]Reply, error)
 }
--- a/internal/ledger/pending.go
+++ b/internal/ledger/pending.go
@@ -1,17 +1,35 @@
 package ledger
 
-import "context"
+import (
+	"context"
 
-// pending is an operation that waits for its verdict. done holds one result.
+	"persimmonbay/internal/problem"
+)
+
+// pending is an operation that waits for its verdict until ctx ends. done
+// holds one reply.
 type pending struct {
 	ctx       context.Context
 	operation Record
-	done      chan result
+	done      chan Reply
+}
+
+func newPending(ctx context.Context, operation Record) *pending {
+	return &pending{ctx: ctx, operation: operation, done: make(chan Reply, 1)}
 }
 
-// patient reports whether the operation may wait for a batch to ride on.
+// patient reports whether the operation may wait for others to ride with.
 func (p *pending) patient() bool {
 	return p.operation.Phase == PhaseFinished || p.operation.Phase == PhaseInDoubt
 }
 
-func (p *pending) resolve(v Verdict, err error) { p.done <- result{verdict: v, err: err} }
+func (p *pending) resolve(v Verdict, err error) { p.done <- Reply{Verdict: v, Err: err} }
+
+func (p *pending) wait() (Verdict, error) {
+	select {
+	case r := <-p.done:
+		return r.Verdict, r.Err
+	case <-p.ctx.Done():
+		return Verdict{}, problem.Wrap(problem.Timeout, problem.StepClaim, "", p.ctx.Err())
+	}
+}
--- a/internal/ledger/queue.go
+++ b/internal/ledger/queue.go
@@ -9,7 +9,7 @@
 	"persimmonbay/internal/problem"
 )
 
-// Bounds of a queue and of what it gives out at once.
+// Bounds of what waits and of what goes out at once.
 const (
 	maxWaiting    = 16384
 	maxBatchBytes = 64 << 10 // RingSlots of these stay in memory
@@ -24,10 +24,7 @@
 	start func()        // runs the committer
 
 	mu      sync.Mutex
-	waiting []*pending
-	urgent  int  // waiting operations that are not patient
-	due     bool // the patient have waited long enough
-	armed   bool // a timer runs that sets due
+	waiting waitlist
 	running bool
 }
 
@@ -35,26 +32,26 @@
 func (q *queue) put(p *pending) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.waiting) >= maxWaiting {
-		return problem.New(problem.Overloaded, problem.StepClaim, "", "too many operations wait for the ledger; this attempt did not run")
-	}
-	q.waiting = append(q.waiting, p)
-	if !p.patient() {
-		q.urgent++
+	if len(q.waiting.operations) >= maxWaiting {
+		return tooManyWait()
 	}
+	q.waiting.add(p)
 	q.arrange()
 	return nil
 }
 
+func tooManyWait() error {
+	return problem.New(problem.Overloaded, problem.StepClaim, "", "too many operations wait for the ledger; this attempt did not run")
+}
+
 // arrange starts the committer or the timer when either is needed. mu is held.
 func (q *queue) arrange() {
 	switch {
-	case q.running || len(q.waiting) == 0:
-	case q.urgent > 0 || q.due:
+	case q.running:
+	case q.waiting.ready():
 		q.running = true
 		go q.start()
-	case !q.armed:
-		q.armed = true
+	case q.waiting.arm():
 		q.clock.AfterFunc(q.delay, q.fallDue)
 	}
 }
@@ -62,7 +59,7 @@
 func (q *queue) fallDue() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.armed, q.due = false, true
+	q.waiting.fallDue()
 	q.arrange()
 }
 
@@ -71,23 +68,12 @@
 func (q *queue) take() []*pending {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.urgent == 0 && !q.due || len(q.waiting) == 0 {
-		q.running, q.due = false, false
+	if !q.waiting.ready() {
+		q.running, q.waiting.due = false, false
 		q.arrange()
 		return nil
 	}
-	n, bytes := 0, 0
-	for n < len(q.waiting) && (n == 0 || bytes+q.waiting[n].operation.Bytes() <= maxBatchBytes) {
-		bytes += q.waiting[n].operation.Bytes()
-		if !q.waiting[n].patient() {
-			q.urgent--
-		}
-		n++
-	}
-	taken := q.waiting[:n:n]
-	q.waiting = append([]*pending(nil), q.waiting[n:]...)
-	q.due = false
-	return taken
+	return q.waiting.take(maxBatchBytes)
 }
 
 // idle runs work unless a committer runs.
--- a/internal/ledger/round.go
+++ b/internal/ledger/round.go
@@ -31,7 +31,7 @@
 	}
 	s.justRead = false
 	for i, p := range work {
-		p.resolve(d.results[i].verdict, d.results[i].err)
+		p.resolve(d.results[i].Verdict, d.results[i].Err)
 	}
 	return nil
 }
--- a/internal/ledger/shard.go
+++ b/internal/ledger/shard.go
@@ -46,16 +46,11 @@
 
 // Do carries out operation and waits for the verdict until ctx ends.
 func (s *Shard) Do(ctx context.Context, operation Record) (Verdict, error) {
-	p := &pending{ctx: ctx, operation: operation, done: make(chan result, 1)}
+	p := newPending(ctx, operation)
 	if err := s.queue.put(p); err != nil {
 		return Verdict{}, err
 	}
-	select {
-	case r := <-p.done:
-		return r.verdict, r.err
-	case <-ctx.Done():
-		return Verdict{}, problem.Wrap(problem.Timeout, problem.StepClaim, "", ctx.Err())
-	}
+	return p.wait()
 }
 
 // run commits until nothing is left that may not wait.
--- a/test/bench/absent_peers_test.go
+++ b/test/bench/absent_peers_test.go
@@ -14,6 +14,6 @@
 
 func (p *absentPeers) Live() []string { return p.live }
 
-func (p *absentPeers) Forward(_ context.Context, peer string, _ ledger.Record) (ledger.Verdict, error) {
-	return ledger.Verdict{}, problem.New(problem.Unavailable, problem.StepConnect, peer, "absent")
+func (p *absentPeers) Forward(_ context.Context, peer string, _ []ledger.Record) ([]ledger.Reply, error) {
+	return nil, problem.New(problem.Unavailable, problem.StepConnect, peer, "absent")
 }
--- a/test/bench/near_peers_test.go
+++ b/test/bench/near_peers_test.go
@@ -18,9 +18,9 @@
 
 func (p *nearPeers) Live() []string { return p.live }
 
-func (p *nearPeers) Forward(ctx context.Context, peer string, operation ledger.Record) (ledger.Verdict, error) {
+func (p *nearPeers) Forward(ctx context.Context, peer string, operations []ledger.Record) ([]ledger.Reply, error) {
 	time.Sleep(peerHop)
-	verdict, err := p.all[peer].Serve(ctx, operation)
+	replies := p.all[peer].Serve(ctx, operations)
 	time.Sleep(peerHop)
-	return verdict, err
+	return replies, nil
 }
--- a/test/bench/session_peers_test.go
+++ b/test/bench/session_peers_test.go
@@ -22,13 +22,13 @@
 
 func (p *sessionPeers) Live() []string { return p.live }
 
-func (p *sessionPeers) Forward(ctx context.Context, owner string, operation ledger.Record) (ledger.Verdict, error) {
+func (p *sessionPeers) Forward(ctx context.Context, owner string, operations []ledger.Record) ([]ledger.Reply, error) {
 	p.calls.Add(1)
-	response, err := p.client.Call(ctx, p.addresses[owner], &wire.Request{Body: &wire.Request_Ledger{Ledger: wire.FromLedgerRecord(operation)}})
+	response, err := p.client.Call(ctx, p.addresses[owner], &wire.Request{Body: &wire.Request_Ledger{Ledger: &wire.LedgerOperations{Operations: wire.FromLedgerRecords(operations)}}})
 	if err != nil {
-		return ledger.Verdict{}, err
+		return nil, err
 	}
-	return wire.ToLedgerVerdict(response.GetLedger())
+	return wire.ToLedgerReplies(owner, response.GetLedger()), nil
 }
 
 // Handle implements peer.Handler.
@@ -36,13 +36,10 @@
 	if request.GetLedger() == nil {
 		return nil, problem.New(problem.Invalid, problem.StepPeerCall, request.GetFrom(), "unknown request")
 	}
-	operation, err := wire.ToLedgerRecord(request.GetLedger())
-	if err != nil {
-		return nil, err
-	}
-	verdict, err := p.own.Serve(ctx, operation)
+	operations, err := wire.ToLedgerRecords(request.GetLedger().GetOperations())
 	if err != nil {
 		return nil, err
 	}
-	return &wire.Response{Body: &wire.Response_Ledger{Ledger: wire.FromLedgerVerdict(verdict)}}, nil
+	replies := p.own.Serve(ctx, operations)
+	return &wire.Response{Body: &wire.Response_Ledger{Ledger: wire.FromLedgerReplies(replies)}}, nil
 }
