Let a lightly loaded shard write at once: a bucket of writes

Cause: a committer kept 15 ms between two writes, so that two claims within 15 ms made the second wait; that was most of what a key added at light load. Now a shard may write 16 times at once after a quiet time and each 15 ms on average. Seen to fail: with a burst of one, 13 ms in place of 3 in fake time.

--- a/internal/ledger/forwarding_test.go
+++ b/internal/ledger/forwarding_test.go
@@ -18,6 +18,9 @@
 // atOnce is how many claims come together in these specs.
 const atOnce = 200
 
+// callGap is a time after which nothing gathers for a call any more.
+const callGap = 2 * time.Millisecond
+
 // stranger returns an entry that owns no shard.
 func stranger(r *run) string {
 	owners := map[string]bool{}
@@ -72,6 +75,29 @@
 		Expect(calls).To(BeNumerically("<", atOnce/10))
 	})
 
+	It("of a claim takes one write and two hops, also right after another", func() {
+		const storeWrite, hop = 2 * time.Millisecond, peerLatency
+		var took []time.Duration
+		paced := newRun(1)
+		paced.interval = ledger.DefaultOptions("").Interval
+		bubbleOf(paced, func(r *run, _ request.Key) {
+			random := rand.New(rand.NewPCG(1, 8))
+			claimAll(r.ledgers[stranger(r)]) // loads the log
+			time.Sleep(time.Second)
+			for i := range 10 {
+				began := time.Now()
+				claim, err := r.ledgers[stranger(r)].Claim(context.Background(), transfer(newKey(random), fmt.Sprint(i), 5*time.Second))
+				Expect(err).NotTo(HaveOccurred())
+				Expect(claim.State).To(Equal(request.ClaimGranted))
+				took = append(took, time.Since(began))
+				time.Sleep(callGap)
+			}
+		})
+		for _, t := range took {
+			Expect(t).To(BeNumerically("<=", storeWrite+2*hop), "%v", took)
+		}
+	})
+
 	It("grants by itself all that waited for an owner that cannot be reached", func() {
 		var granted int
 		bubble(func(r *run, _ request.Key) {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -20,7 +20,12 @@
 // bubble runs body in fake time over a healthy run of several entries.
 func bubble(body func(r *run, key request.Key)) {
 	GinkgoHelper()
-	r := newRun(1)
+	bubbleOf(newRun(1), body)
+}
+
+// bubbleOf runs body in fake time over r.
+func bubbleOf(r *run, body func(r *run, key request.Key)) {
+	GinkgoHelper()
 	synctest.Test(suite, func(*testing.T) {
 		r.start()
 		body(r, newKey(rand.New(rand.NewPCG(1, 3))))
--- a/internal/ledger/options.go
+++ b/internal/ledger/options.go
@@ -7,7 +7,8 @@
 type Options struct {
 	Entry          string        // this entry's ID
 	Shards         int           // of the log
-	Interval       time.Duration // least time between two writes to a shard by one entry
+	Interval       time.Duration // between two writes to a shard by one entry, on average
+	Burst          int           // writes to a shard at once after a quiet time
 	OutcomeDelay   time.Duration // how long an outcome waits for a batch to ride on
 	ForwardTimeout time.Duration // after which an owner that does not answer is passed over
 	MaxKeys        int           // that one entry keeps track of in a shard
@@ -20,6 +21,7 @@
 const (
 	defaultShards         = 2
 	defaultInterval       = 15 * time.Millisecond
+	defaultBurst          = 16
 	defaultOutcomeDelay   = 50 * time.Millisecond
 	defaultForwardTimeout = time.Second
 	defaultMaxKeys        = 500_000
@@ -33,6 +35,7 @@
 		Entry:          entry,
 		Shards:         defaultShards,
 		Interval:       defaultInterval,
+		Burst:          defaultBurst,
 		OutcomeDelay:   defaultOutcomeDelay,
 		ForwardTimeout: defaultForwardTimeout,
 		MaxKeys:        defaultMaxKeys,
--- a/internal/ledger/round.go
+++ b/internal/ledger/round.go
@@ -58,7 +58,7 @@
 func (s *Shard) append(ctx context.Context, records []Record) error {
 	seq, over := s.state.Next()
 	batch := Batch{Seq: seq, Records: records}
-	s.lastWrite = s.clock.Now()
+	s.pacer.wrote()
 	version, err := s.store.Append(ctx, s.number, batch, over)
 	if err != nil {
 		s.behind = true
--- a/internal/ledger/run_test.go
+++ b/internal/ledger/run_test.go
@@ -29,12 +29,15 @@
 	settling   = time.Minute
 	runTeam    = "herders"
 	runService = "transfers"
+
+	manySmallBatches = 2 * time.Millisecond // so that rings fill and fold
 )
 
 // run is several entries over one store, and callers that repeat their keys
 // through several of them. mu guards words.
 type run struct {
 	seed       uint64
+	interval   time.Duration // between two writes to a shard
 	faults     *faults
 	shed, fail float64
 	wrap       func(request.Ledger) request.Ledger // sabotage; nil for none
@@ -48,7 +51,7 @@
 }
 
 func newRun(seed uint64) *run {
-	return &run{seed: seed, faults: newFaults(seed), servers: map[string]*request.Server{}, ledgers: map[string]*ledger.Ledger{},
+	return &run{seed: seed, interval: manySmallBatches, faults: newFaults(seed), servers: map[string]*request.Server{}, ledgers: map[string]*ledger.Ledger{},
 		executions: shard.NewMap[request.Key, int]()}
 }
 
@@ -66,7 +69,7 @@
 	}
 	for _, id := range r.entries {
 		options := ledger.DefaultOptions(id)
-		options.Interval = 2 * time.Millisecond // many small batches, so that rings fill and fold
+		options.Interval = r.interval
 		peers := &fakePeers{entry: id, live: r.entries, all: r.ledgers, faults: r.faults}
 		store := &faultyStore{Store: r.store, lessor: r.store, entry: id, faults: r.faults}
 		r.ledgers[id] = ledger.New(ledgerstore.New(store), ledgerstore.NewAnswers(store, store, clock), peers, clock, options)
--- a/internal/ledger/shard.go
+++ b/internal/ledger/shard.go
@@ -29,17 +29,18 @@
 	counters *Counters
 	queue    *queue
 
-	state     *State // nil: to be loaded
-	behind    bool   // the store may have batches that state lacks
-	justRead  bool   // nothing was written since the store was read to its end
-	lastWrite time.Time
-	lastUse   time.Time
-	folder    folder
+	state    *State // nil: to be loaded
+	behind   bool   // the store may have batches that state lacks
+	justRead bool   // nothing was written since the store was read to its end
+	pacer    pacer
+	lastUse  time.Time
+	folder   folder
 }
 
 func newShard(number int, store LogStore, clock clockwork.Clock, options Options, counters *Counters) *Shard {
 	s := &Shard{number: number, store: store, clock: clock, options: options, counters: counters}
 	s.folder = folder{shard: number, store: store, counters: counters, done: make(chan folded, 1)}
+	s.pacer = newPacer(clock, options)
 	s.queue = &queue{clock: clock, delay: options.OutcomeDelay, start: s.run}
 	return s
 }
@@ -56,7 +57,7 @@
 // run commits until nothing is left that may not wait.
 func (s *Shard) run() {
 	for {
-		s.pace()
+		s.pacer.wait()
 		work := s.queue.take()
 		if work == nil {
 			return
@@ -66,13 +67,6 @@
 	}
 }
 
-// pace keeps the shard to its share of the store's writes.
-func (s *Shard) pace() {
-	if wait := s.options.Interval - s.clock.Since(s.lastWrite); wait > 0 && !s.lastWrite.IsZero() {
-		<-s.clock.After(wait)
-	}
-}
-
 // commit tries until every operation has its verdict or nobody waits for one.
 func (s *Shard) commit(work []*pending) {
 	wait := firstRetry
--- a/test/bench/forwarded_test.go
+++ b/test/bench/forwarded_test.go
@@ -23,7 +23,7 @@
 const forwardingEntries = 3
 
 // forwardingRates are the claims a second offered to all ledgers together.
-var forwardingRates = []int{200, 1000, claimsASecond}
+var forwardingRates = []int{50, 200, 1000, claimsASecond}
 
 // BenchmarkForwardedClaims offers claims to the ledgers of three entries that
 // forward them over yamux sessions, all in this process, and prints latency,
