Withdraw a claim whose attempt has given up

Cause: a grant that came after its attempt's deadline left the key in doubt for ever, although the request was never sent and nobody else could run it. Now the entry asks the log for a tombstone, at once and for a minute, written only if the key's record is that attempt's claim; the word becomes not-run. Only an attempt whose Claim returned an error is withdrawn: the server sends under a grant only. A claim that never came to stand leaves its key free.

--- a/internal/ledger/at_most_once_test.go
+++ b/internal/ledger/at_most_once_test.go
@@ -27,6 +27,7 @@
 		Expect(all.folds).NotTo(BeZero(), "rings never filled")
 		Expect(all.ambiguous).NotTo(BeZero())
 		Expect(all.passedOver).NotTo(BeZero())
+		Expect(all.withdrawn).NotTo(BeZero())
 		Expect(all.replayed).NotTo(BeZero())
 		Expect(all.notRun).NotTo(BeZero())
 	})
--- a/internal/ledger/counters.go
+++ b/internal/ledger/counters.go
@@ -17,6 +17,7 @@
 	countRefused        = "claimsTombstoned"
 	countFailed         = "claimsFailed"
 	countTombstones     = "tombstones"
+	countWithdrawn      = "claimsWithdrawn"
 	countForwarded      = "forwarded"
 	countForwardCalls   = "forwardCalls"
 	countPassedOver     = "ownersPassedOver"
--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -12,17 +12,18 @@
 // faults are what is wrong in a run. mu guards all fields; choices are drawn
 // from the seed in the order in which the calls come.
 type faults struct {
-	mu          sync.Mutex
-	random      *rand.Rand
-	outage      bool
-	slow        time.Duration            // most that a store call takes longer, before and after its effect
-	lose        float64                  // share of writes whose answer is lost
-	paused      map[string]chan struct{} // by entry, closed when it goes on
-	killed      map[string]bool
-	cut         map[string]bool // entries that no other reaches
-	failAnswers bool            // no read of a large answer succeeds
-	noCheck     bool            // sabotage: the store checks no version
-	givenUp     int             // calls between entries that were given up
+	mu             sync.Mutex
+	random         *rand.Rand
+	outage         bool
+	slow           time.Duration            // most that a store call takes longer, before and after its effect
+	lose           float64                  // share of writes whose answer is lost
+	paused         map[string]chan struct{} // by entry, closed when it goes on
+	killed         map[string]bool
+	cut            map[string]bool // entries that no other reaches
+	downAfterWrite bool            // the next write takes effect, its answer is lost and an outage begins
+	failAnswers    bool            // no read of a large answer succeeds
+	noCheck        bool            // sabotage: the store checks no version
+	givenUp        int             // calls between entries that were given up
 }
 
 func newFaults(seed uint64) *faults {
@@ -103,6 +104,11 @@
 func (f *faults) after(ctx context.Context, entry string, write bool) error {
 	f.delay()
 	lost := write && f.draws(f.loseShare())
+	f.change(func(f *faults) {
+		if write && f.downAfterWrite {
+			f.outage, lost = true, true
+		}
+	})
 	if f.stop(entry) || lost {
 		return problem.New(problem.Interrupted, problem.StepReceive, "platform", "answer lost")
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -28,15 +28,16 @@
 // Ledger is the ledger of one entry. Its shards and outboxes guard themselves;
 // suspects and outboxes are sharded by entry.
 type Ledger struct {
-	options  Options
-	peers    Peers
-	clock    clockwork.Clock
-	counters *Counters
-	answers  *answerKeeper
-	shards   []*Shard
-	suspects *shard.Map[string, time.Time] // owners passed over until then
-	outboxes *shard.Map[string, *outbox]   // by owner
-	room     *semaphore.Weighted           // for outcomes being kept
+	options     Options
+	peers       Peers
+	clock       clockwork.Clock
+	counters    *Counters
+	answers     *answerKeeper
+	shards      []*Shard
+	suspects    *shard.Map[string, time.Time] // owners passed over until then
+	outboxes    *shard.Map[string, *outbox]   // by owner
+	room        *semaphore.Weighted           // for outcomes being kept
+	withdrawals *semaphore.Weighted           // for claims being withdrawn
 }
 
 var _ request.Ledger = (*Ledger)(nil)
@@ -46,9 +47,10 @@
 func New(store LogStore, answers AnswerStore, peers Peers, clock clockwork.Clock, options Options) *Ledger {
 	l := &Ledger{
 		options: options, peers: peers, clock: clock, counters: newCounters(),
-		suspects: shard.NewMapOf[string, time.Time](8),
-		outboxes: shard.NewMapOf[string, *outbox](8),
-		room:     semaphore.NewWeighted(maxOutcomes),
+		suspects:    shard.NewMapOf[string, time.Time](8),
+		outboxes:    shard.NewMapOf[string, *outbox](8),
+		room:        semaphore.NewWeighted(maxOutcomes),
+		withdrawals: semaphore.NewWeighted(maxWithdrawals),
 	}
 	l.answers = newAnswerKeeper(answers, clock, options, l.counters)
 	for i := range options.Shards {
@@ -65,7 +67,8 @@
 func (l *Ledger) Close(ctx context.Context) error { return l.room.Acquire(ctx, maxOutcomes) }
 
 // Claim implements request.Ledger. A grant that comes after the deadline, or
-// after the caller has gone, is not used: the key stays claimed.
+// after the caller has gone, is not used but withdrawn: the key becomes
+// refused.
 func (l *Ledger) Claim(ctx context.Context, r *request.Request) (request.Claim, error) {
 	operation, err := l.operation(r, PhaseClaimed)
 	if err != nil {
@@ -77,6 +80,7 @@
 	}
 	if err != nil {
 		l.counters.add(countFailed)
+		l.withdraw(ctx, operation, err)
 		return request.Claim{}, notRun(err)
 	}
 	l.counters.add(claimCounters[verdict.State])
--- a/internal/ledger/verdicts_test.go
+++ b/internal/ledger/verdicts_test.go
@@ -23,6 +23,7 @@
 	ambiguous   uint64
 	conflicts   uint64
 	passedOver  uint64
+	withdrawn   uint64
 	firstFaults []string
 }
 
@@ -60,6 +61,7 @@
 		v.ambiguous += counts["writesAmbiguous"]
 		v.conflicts += counts["conflicts"]
 		v.passedOver += counts["ownersPassedOver"]
+		v.withdrawn += counts["claimsWithdrawn"]
 	}
 	return v
 }
@@ -99,5 +101,6 @@
 	v.ambiguous += o.ambiguous
 	v.conflicts += o.conflicts
 	v.passedOver += o.passedOver
+	v.withdrawn += o.withdrawn
 	v.firstFaults = append(v.firstFaults, o.firstFaults...)
 }
