Drop a segment's index last, so that a crash leaves nothing behind

Cause: the index went first; an entry killed between the deletes left values that nobody could find again. Now the values go first and the index last: whoever loads the log drops the rest. A segment in part reads as gone, which only concerns expired keys; the list of keys in doubt passes it over in place of failing.

--- a/internal/ledger/in_doubt.go
+++ b/internal/ledger/in_doubt.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/google/uuid"
+
+	"persimmonbay/internal/problem"
 )
 
 // Look returns what the log says of key; PhaseNone stands for nothing.
@@ -50,6 +52,9 @@
 	state := NewState(snapshot)
 	for _, number := range state.Segments() {
 		segment, err := s.store.ReadSegment(ctx, s.number, number)
+		if problem.Is(err, problem.NotFound) {
+			continue // being dropped: its keys have expired
+		}
 		if err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/internal/ledger/in_doubt_test.go
@@ -0,0 +1,52 @@
+package ledger_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/ledger"
+	"persimmonbay/internal/platform"
+	"persimmonbay/internal/request"
+)
+
+var _ = Describe("the list of keys in doubt", func() {
+	It("is given while a segment is dropped in part", func() {
+		var doubtful []ledger.Record
+		bubble(func(r *run, _ request.Key) {
+			ctx, random := context.Background(), rand.New(rand.NewPCG(1, 9))
+			for range 3 * ledger.FoldBatches {
+				Expect(claimed(r, random, newKey(random))).To(Equal(1))
+				time.Sleep(200 * time.Millisecond)
+			}
+			time.Sleep(request.KeyRetention)
+			Expect(dropParts(r)).NotTo(BeZero())
+			_, err := r.ledgers["entry-1"].Claim(ctx, transfer(newKey(random), "doubtful", time.Second))
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(2 * time.Second)
+			doubtful, err = r.ledgers["entry-2"].InDoubt(ctx)
+			Expect(err).NotTo(HaveOccurred())
+		})
+		Expect(doubtful).To(HaveLen(1))
+	})
+})
+
+// dropParts deletes the values of all segments, and leaves their indexes, as
+// entries that are killed do. It returns their number.
+func dropParts(r *run) int {
+	GinkgoHelper()
+	listing, err := r.store.List(context.Background(), "")
+	Expect(err).NotTo(HaveOccurred())
+	n := 0
+	for _, item := range listing.Items {
+		if strings.Contains(item.Key, "/segment/") {
+			Expect(r.store.Delete(context.Background(), item.Key, platform.Any())).To(Succeed())
+			n++
+		}
+	}
+	return n
+}
--- a/internal/ledger/log_store.go
+++ b/internal/ledger/log_store.go
@@ -19,6 +19,8 @@
 	WriteSegment(ctx context.Context, shard int, segment *Segment) error
 	// ReadSegment returns a segment, or an error of kind NotFound.
 	ReadSegment(ctx context.Context, shard int, number uint64) (*Segment, error)
-	// DropSegment removes a segment's index and then the segment.
+	// DropSegment removes a segment and then its index. After an error the
+	// index is left, unless only the last answer was lost, and the segment may
+	// be there in part: it reads as NotFound then.
 	DropSegment(ctx context.Context, shard int, number uint64) error
 }
--- a/internal/ledgerstore/store.go
+++ b/internal/ledgerstore/store.go
@@ -140,12 +140,17 @@
 	return m, decode(item, m)
 }
 
-// DropSegment implements ledger.LogStore. The index goes first, so that no
-// index is left without its segment.
+// DropSegment implements ledger.LogStore. The part that tells the number of
+// parts goes after the others, and the index last: as long as anything is left
+// the index is, and whoever loads it drops the rest.
 func (s *Store) DropSegment(ctx context.Context, shard int, number uint64) error {
-	if err := s.remove(ctx, indexKey(shard, number)); err != nil {
+	if err := s.dropParts(ctx, shard, number); err != nil {
 		return err
 	}
+	return s.remove(ctx, indexKey(shard, number))
+}
+
+func (s *Store) dropParts(ctx context.Context, shard int, number uint64) error {
 	first, err := s.part(ctx, shard, number, 0)
 	if problem.Is(err, problem.NotFound) {
 		return nil
