--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -21,31 +21,38 @@
 	outcomeTimeout      = time.Minute     // for which an outcome is worth keeping
 	maxOutcomes         = 8192            // being kept at once; more make their requests wait
 	suspectFor          = time.Second     // how long a silent owner is passed over
-	keptAnswerBytes     = 4 << 10         // of the largest answer that is kept
+	logAnswerBytes      = 4 << 10         // of the largest answer that is kept in the log
 	defaultClaimTimeout = 10 * time.Second
 )
 
-// Ledger is the ledger of one entry. Its shards guard themselves; suspects is
-// sharded by entry.
+// Ledger is the ledger of one entry. Its shards and outboxes guard themselves;
+// suspects and outboxes are sharded by entry.
 type Ledger struct {
-	options  Options
-	peers    Peers
-	clock    clockwork.Clock
-	counters *Counters
-	shards   []*Shard
-	suspects *shard.Map[string, time.Time] // owners passed over until then
-	room     *semaphore.Weighted           // for outcomes being kept
+	options     Options
+	peers       Peers
+	clock       clockwork.Clock
+	counters    *Counters
+	answers     *answerKeeper
+	shards      []*Shard
+	suspects    *shard.Map[string, time.Time] // owners passed over until then
+	outboxes    *shard.Map[string, *outbox]   // by owner
+	room        *semaphore.Weighted           // for outcomes being kept
+	withdrawals *semaphore.Weighted           // for claims being withdrawn
 }
 
 var _ request.Ledger = (*Ledger)(nil)
 
-// New returns the ledger of an entry over the log in store.
-func New(store LogStore, peers Peers, clock clockwork.Clock, options Options) *Ledger {
+// New returns the ledger of an entry over the log in store and the large
+// answers in answers.
+func New(store LogStore, answers AnswerStore, peers Peers, clock clockwork.Clock, options Options) *Ledger {
 	l := &Ledger{
 		options: options, peers: peers, clock: clock, counters: newCounters(),
-		suspects: shard.NewMapOf[string, time.Time](8),
-		room:     semaphore.NewWeighted(maxOutcomes),
+		suspects:    shard.NewMapOf[string, time.Time](8),
+		outboxes:    shard.NewMapOf[string, *outbox](8),
+		room:        semaphore.NewWeighted(maxOutcomes),
+		withdrawals: semaphore.NewWeighted(maxWithdrawals),
 	}
+	l.answers = newAnswerKeeper(answers, clock, options, l.counters)
 	for i := range options.Shards {
 		l.shards = append(l.shards, newShard(i, store, clock, options, l.counters))
 	}
@@ -60,7 +67,8 @@
 func (l *Ledger) Close(ctx context.Context) error { return l.room.Acquire(ctx, maxOutcomes) }
 
 // Claim implements request.Ledger. A grant that comes after the deadline, or
-// after the caller has gone, is not used: the key stays claimed.
+// after the caller has gone, is not used but withdrawn: the key becomes
+// refused.
 func (l *Ledger) Claim(ctx context.Context, r *request.Request) (request.Claim, error) {
 	operation, err := l.operation(r, PhaseClaimed)
 	if err != nil {
@@ -72,10 +80,11 @@
 	}
 	if err != nil {
 		l.counters.add(countFailed)
+		l.withdraw(ctx, operation, err)
 		return request.Claim{}, notRun(err)
 	}
 	l.counters.add(claimCounters[verdict.State])
-	return claimOf(verdict), nil
+	return l.claimOf(ctx, verdict), nil
 }
 
 func (l *Ledger) late(ctx context.Context, operation Record) error {
@@ -95,23 +104,27 @@
 	if result.Outcome == fleet.NotRun {
 		return l.refuse(ctx, operation, result)
 	}
+	operation, release := l.answers.admit(operation, len(l.peers.Live()))
 	if !l.room.TryAcquire(1) {
+		defer release()
 		l.keep(ctx, operation)
 		return result
 	}
 	go func() {
 		defer l.room.Release(1)
+		defer release()
 		l.keep(ctx, operation)
 	}()
 	return result
 }
 
-// keep records an outcome. When that fails the key stays claimed and is in
+// keep records an outcome, after its answer if that is kept outside the log:
+// what the log names is there. When that fails the key stays claimed and is in
 // doubt for everyone else.
 func (l *Ledger) keep(ctx context.Context, operation Record) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), outcomeTimeout)
 	defer cancel()
-	_, _ = l.submit(ctx, operation)
+	_, _ = l.submit(ctx, l.answers.keep(ctx, operation))
 }
 
 func (l *Ledger) refuse(ctx context.Context, operation Record, result request.Result) request.Result {
@@ -126,70 +139,6 @@
 	return result
 }
 
-// submit has the shard's owner carry out operation, or carries it out itself
-// when that one is this entry, cannot be reached or does not agree.
-func (l *Ledger) submit(ctx context.Context, operation Record) (Verdict, error) {
-	number := l.shardOf(operation.Key)
-	owner := Owner(number, l.peers.Live())
-	if owner == l.options.Entry || l.suspected(owner) {
-		return l.shards[number].Do(ctx, operation)
-	}
-	verdict, err := l.forward(ctx, owner, operation)
-	if err == nil {
-		l.counters.add(countForwarded)
-		return verdict, nil
-	}
-	if ctx.Err() != nil {
-		return Verdict{}, problem.Wrap(problem.Timeout, problem.StepClaim, owner, ctx.Err())
-	}
-	l.counters.add(countPassedOver)
-	if !problem.Is(err, problem.Conflict) {
-		l.suspects.Set(owner, l.clock.Now().Add(suspectFor))
-	}
-	return l.shards[number].Do(ctx, operation)
-}
-
-// forward hands operation to owner and waits until ctx ends at most. The call
-// itself goes on: to give it up would break the session that all calls to the
-// owner share.
-func (l *Ledger) forward(ctx context.Context, owner string, operation Record) (Verdict, error) {
-	replies := make(chan result, 1)
-	go func() {
-		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), l.options.ForwardTimeout)
-		defer cancel()
-		verdict, err := l.peers.Forward(callCtx, owner, operation)
-		replies <- result{verdict: verdict, err: err}
-	}()
-	select {
-	case r := <-replies:
-		return r.verdict, r.err
-	case <-ctx.Done():
-		return Verdict{}, ctx.Err()
-	}
-}
-
-func (l *Ledger) suspected(owner string) bool {
-	until, ok := l.suspects.Get(owner)
-	return ok && l.clock.Now().Before(until)
-}
-
-// Serve carries out an operation of another entry. It refuses with kind
-// Conflict when this entry does not take itself for the shard's owner.
-func (l *Ledger) Serve(ctx context.Context, operation Record) (Verdict, error) {
-	number := l.shardOf(operation.Key)
-	if Owner(number, l.peers.Live()) != l.options.Entry {
-		return Verdict{}, problem.New(problem.Conflict, problem.StepClaim, l.options.Entry, "not the owner of this shard")
-	}
-	return l.shards[number].Do(ctx, operation)
-}
-
-// Forget drops the state of shards that have not been used for long.
-func (l *Ledger) Forget() {
-	for _, s := range l.shards {
-		s.forget()
-	}
-}
-
 func (l *Ledger) shardOf(key uuid.UUID) int {
 	return int(xxhash.Sum64(key[:]) % uint64(len(l.shards)))
 }
--- a/internal/ledger/shard.go
+++ b/internal/ledger/shard.go
@@ -29,39 +29,35 @@
 	counters *Counters
 	queue    *queue
 
-	state     *State // nil: to be loaded
-	behind    bool   // the store may have batches that state lacks
-	justRead  bool   // nothing was written since the store was read to its end
-	lastWrite time.Time
-	lastUse   time.Time
-	folder    folder
+	state    *State // nil: to be loaded
+	behind   bool   // the store may have batches that state lacks
+	justRead bool   // nothing was written since the store was read to its end
+	pacer    pacer
+	lastUse  time.Time
+	folder   folder
 }
 
 func newShard(number int, store LogStore, clock clockwork.Clock, options Options, counters *Counters) *Shard {
 	s := &Shard{number: number, store: store, clock: clock, options: options, counters: counters}
 	s.folder = folder{shard: number, store: store, counters: counters, done: make(chan folded, 1)}
+	s.pacer = newPacer(clock, options)
 	s.queue = &queue{clock: clock, delay: options.OutcomeDelay, start: s.run}
 	return s
 }
 
 // Do carries out operation and waits for the verdict until ctx ends.
 func (s *Shard) Do(ctx context.Context, operation Record) (Verdict, error) {
-	p := &pending{ctx: ctx, operation: operation, done: make(chan result, 1)}
+	p := newPending(ctx, operation)
 	if err := s.queue.put(p); err != nil {
 		return Verdict{}, err
 	}
-	select {
-	case r := <-p.done:
-		return r.verdict, r.err
-	case <-ctx.Done():
-		return Verdict{}, problem.Wrap(problem.Timeout, problem.StepClaim, "", ctx.Err())
-	}
+	return p.wait()
 }
 
 // run commits until nothing is left that may not wait.
 func (s *Shard) run() {
 	for {
-		s.pace()
+		s.pacer.wait()
 		work := s.queue.take()
 		if work == nil {
 			return
@@ -71,13 +67,6 @@
 	}
 }
 
-// pace keeps the shard to its share of the store's writes.
-func (s *Shard) pace() {
-	if wait := s.options.Interval - s.clock.Since(s.lastWrite); wait > 0 && !s.lastWrite.IsZero() {
-		<-s.clock.After(wait)
-	}
-}
-
 // commit tries until every operation has its verdict or nobody waits for one.
 func (s *Shard) commit(work []*pending) {
 	wait := firstRetry
