Ready means that the pools can be served; the controller wakes for lists and configurations

Cause: after the first configuration an entry said at once that it was ready, though no instance had a record yet: requests got not-run, 'no live instance of the service is left to try'. Found: the controller looked for new lists and configurations once a second only; the holder wrote the records one by one; the placer of slots took the routes over in its next round.

Ready now asks too: the list known, a placed-on instance in each pool that has live instances, the fence not fallen. A pool without live instances is no obstacle, nor after 10 s one that nobody assigns while others are assigned; once all were served, no later pool makes an entry unready. An entry started in an outage of the store has no records and is not ready while pools have instances; before, it was and refused all requests.

Ruled out: a default pool for instances without a record (two entries with different configurations could then have one instance in two pools).

Before: test 'an entry that says it is ready completes a request' fails (not-run 0.6 ms after ready). After: it passes.

Changed test: 'takes the newest of all live peers' asked that an entry without a list of instances is ready; it now must not be, and is once the list is known. startIdle of the bench is split, so that a fleet can be had unconfigured.

--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -8,11 +8,11 @@
 // Timing of the controller's loop.
 const (
 	stepEvery = time.Second            // without a change
-	stepPause = 100 * time.Millisecond // between two steps, so that changes gather
+	stepPause = 100 * time.Millisecond // between two steps at least, so that changes gather
 )
 
-// Run steps whenever something may have changed, for as long as lease is held
-// and until ctx ends.
+// Run steps whenever something may have changed, at once after a quiet time, for
+// as long as lease is held and until ctx ends.
 func (c *Controller) Run(ctx context.Context, lease *Lease) {
 	for ctx.Err() == nil {
 		changed := c.Sources.Changed()
@@ -25,13 +25,13 @@
 
 func (c *Controller) wait(ctx context.Context, changed <-chan struct{}) {
 	select {
-	case <-changed:
-	case <-c.Clock.After(stepEvery):
+	case <-c.Clock.After(stepPause):
 	case <-ctx.Done():
 		return
 	}
 	select {
-	case <-c.Clock.After(stepPause):
+	case <-changed:
+	case <-c.Clock.After(stepEvery):
 	case <-ctx.Done():
 	}
 }
--- a/internal/controller/sources.go
+++ b/internal/controller/sources.go
@@ -11,6 +11,7 @@
 	// Snapshot returns what is known now, and false when that is not enough to
 	// plan from.
 	Snapshot(ctx context.Context) (maintenance.Snapshot, bool)
-	// Changed returns a channel that is closed when the records change.
+	// Changed returns a channel that is closed when a plan may have something
+	// new to do: records, list or configuration have changed.
 	Changed() <-chan struct{}
 }
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -23,6 +23,8 @@
 	policy maintenance.Policy
 	steps  *controller.Controller
 	lease  *controller.Lease
+	stirs  *shard.Cell[uint64]    // rises when a plan may have something new to do
+	served *shard.Cell[bool]      // requests have been placed by records of every pool with instances
 	steady *shard.Cell[time.Time] // since when this entry has seen all entries and none go
 }
 
@@ -35,6 +37,8 @@
 		source: newConfirmingStore(pools, e.clock),
 		work:   newWorkCounter(),
 		policy: maintenance.DefaultPolicy(),
+		served: shard.NewCell(false),
+		stirs:  shard.NewCell[uint64](0),
 		steady: shard.NewCell(e.clock.Now()),
 	}
 	c.policy.RebootGrace, c.policy.ReturnTimeout = e.settings.Maintenance.RebootGrace, e.settings.Maintenance.ReturnTimeout
@@ -44,6 +48,11 @@
 	return c
 }
 
+// stir wakes the controller: records, list or configuration have changed.
+func (c *control) stir() {
+	c.stirs.Update(func(n uint64) (uint64, bool) { return n + 1, true })
+}
+
 // entriesChanged notes that an entry has gone, or may have without being seen.
 func (c *control) entriesChanged() {
 	c.steady.Update(func(time.Time) (time.Time, bool) { return c.entry.clock.Now(), true })
--- a/internal/entry/control_run.go
+++ b/internal/entry/control_run.go
@@ -70,6 +70,10 @@
 		c.entry.log.Error("record cannot be read; what was known stays", telemetry.ProblemFields(err)...)
 	}
 	c.router.refresh()
+	c.stir()
+	if !c.served.Get() {
+		c.entry.slots.press() // so that the first placements don't wait for its next round
+	}
 }
 
 // keepRoutes refreshes the routes when the configuration changes, and at times
@@ -82,6 +86,7 @@
 		c.router.refresh()
 		select {
 		case <-changed:
+			c.stir()
 			c.entry.log.Debug("routes follow the configuration", zap.String("step", string(problem.StepRoute)), zap.Uint64("replaced", uint64(inForce.Version)))
 		case <-c.entry.clock.After(refreshEvery):
 		case <-ctx.Done():
--- a/internal/entry/control_snapshot.go
+++ b/internal/entry/control_snapshot.go
@@ -14,7 +14,10 @@
 var _ controller.Sources = (*control)(nil)
 
 // Changed implements controller.Sources.
-func (c *control) Changed() <-chan struct{} { return c.view.Changed() }
+func (c *control) Changed() <-chan struct{} {
+	_, changed := c.stirs.Watch()
+	return changed
+}
 
 // Snapshot implements controller.Sources. The store is only asked for the
 // registered entries while something leaves.
--- a/internal/entry/instances.go
+++ b/internal/entry/instances.go
@@ -50,11 +50,16 @@
 // followInstances acts on the list whenever it is new or fresher, until ctx
 // ends. It alone does, so that an older list never overtakes a newer one.
 func (e *Entry) followInstances(ctx context.Context) {
+	var planned uint64
 	for {
 		list, changed := e.inventory.Watch()
 		if list.Stamp.Generation > 0 {
 			e.control.router.refresh()
 		}
+		if list.Stamp.Generation != planned {
+			planned = list.Stamp.Generation
+			e.control.stir()
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -8,7 +8,6 @@
 	"persimmonbay/internal/configuration"
 	"persimmonbay/internal/operator"
 	"persimmonbay/internal/operator/message"
-	"persimmonbay/internal/problem"
 )
 
 // applyTimeout bounds one change of the configuration with all its retries.
@@ -16,23 +15,6 @@
 
 var _ operator.Backend = (*Entry)(nil)
 
-// Ready implements operator.Backend. An entry that can reach neither the store
-// nor a peer may have missed a configuration and is not ready.
-func (e *Entry) Ready() error {
-	h := e.health.Get()
-	switch {
-	case h.leaving:
-		return problem.New(problem.Unavailable, problem.StepShutdown, "", "this entry is leaving")
-	case e.inForce.Get().Configuration == nil && !h.current():
-		return problem.New(problem.Unavailable, problem.StepConfiguration, "", "no configuration is in force yet, and neither the platform nor a peer can be reached; peers.seeds in the settings lets an entry start without the platform")
-	case e.inForce.Get().Configuration == nil:
-		return problem.New(problem.Unavailable, problem.StepConfiguration, "", "no configuration is in force yet; apply one with 'persimmonbay config apply'")
-	case !h.current():
-		return problem.New(problem.Unavailable, problem.StepConfiguration, "", "neither the platform nor a peer can be reached; look at the network of this entry and at the platform's store")
-	}
-	return nil
-}
-
 // Status implements operator.Backend.
 func (e *Entry) Status() message.Status {
 	status := message.Status{
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -41,6 +41,9 @@
 	e.routes.Replace(serving, e.clock.Now())
 	r.latest.Store(e.clock.Now().UnixNano())
 	r.settle()
+	if r.applied.known.IsZero() && r.knowsAll() {
+		r.applied.known = e.clock.Now()
+	}
 	if state.Revision != r.applied.revision {
 		r.applied.revision, r.applied.at = state.Revision, e.clock.Now()
 	}
@@ -69,3 +72,16 @@
 	r.settle()
 	return r.applied.settled
 }
+
+// knowsAll reports whether configuration, list and records have all been known.
+func (r *router) knowsAll() bool {
+	e := r.control.entry
+	return e.inForce.Get().Configuration != nil && e.inventory.Get().Stamp.Generation > 0 && !r.control.source.confirmed.Get().IsZero()
+}
+
+// following returns which records the routes follow.
+func (r *router) following() applied {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.applied
+}
--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -34,6 +34,7 @@
 	placer   *dispatch.Placer
 	pressed  *shard.Cell[uint64] // counts what a round should not wait for
 	standing *shard.Cell[standing]
+	taken    *shard.Cell[placeable]
 	version  configuration.Version
 	round    int
 	gone     map[membership.EntryID]time.Time
@@ -47,6 +48,7 @@
 		placer:   dispatch.NewPlacer(self, e.settings.AvailabilityZone, e.clock.Now(), newOrder),
 		pressed:  shard.NewCell(uint64(0)),
 		standing: shard.NewCell(standing{}),
+		taken:    shard.NewCell(placeable{}),
 		gone:     make(map[membership.EntryID]time.Time),
 	}
 }
@@ -135,10 +137,15 @@
 		k.placer.Configure(inForce.Configuration)
 		k.version = inForce.Version
 	}
+	revision := k.entry.control.router.following().revision
 	for i := range inForce.Configuration.Services {
 		name := inForce.Configuration.Services[i].Name
 		k.placer.List(name, k.entry.routes.Candidates(name), now)
 	}
+	k.taken.Update(func(old placeable) (placeable, bool) {
+		latest := placeable{version: inForce.Version, revision: revision}
+		return latest, latest != old
+	})
 	k.placer.Trust(k.trustedUntil(now), now)
 	if !k.unsettled(now) {
 		k.see(now, true)
--- a/internal/entry/start_without_store_test.go
+++ b/internal/entry/start_without_store_test.go
@@ -12,6 +12,7 @@
 
 	"persimmonbay/internal/configfile"
 	"persimmonbay/internal/configuration"
+	"persimmonbay/internal/inventory"
 	"persimmonbay/internal/problem"
 	"persimmonbay/internal/settings"
 )
@@ -37,6 +38,8 @@
 		e.heartbeatRound(ctx, everyone)
 		Expect(e.inForce.Get().Version).To(Equal(configuration.Version(9)))
 		Expect(logs.FilterMessage("configuration in force").Len()).To(Equal(1))
+		Expect(e.Ready()).To(MatchError(ContainSubstring("list of instances is not known")))
+		e.inventory.Learn(inventory.List{Stamp: inventory.Stamp{Generation: 1}})
 		Expect(e.Ready()).To(Succeed())
 	})
 
--- /dev/null
+++ b/internal/maintenance/readiness_test.go
@@ -0,0 +1,46 @@
+package maintenance_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/fleet"
+	"persimmonbay/internal/maintenance"
+)
+
+var _ = DescribeTable("an entry's readiness by its pools",
+	func(r maintenance.Readiness, obstacle string) {
+		if obstacle == "" {
+			Expect(r.Obstacle()).To(BeEmpty())
+			return
+		}
+		Expect(r.Obstacle()).To(ContainSubstring(obstacle))
+	},
+	Entry("no list", maintenance.Readiness{MayAct: true}, "not known yet"),
+	Entry("no pool has instances", maintenance.Readiness{ListKnown: true}, ""),
+	Entry("nothing assigned", maintenance.Readiness{ListKnown: true, MayAct: true, Unassigned: []string{"tags"}}, "any of the pools tags"),
+	Entry("nothing assigned, for long", maintenance.Readiness{ListKnown: true, MayAct: true, Unassigned: []string{"tags"}, Waited: time.Hour}, "any of the pools tags"),
+	Entry("one is missing", maintenance.Readiness{ListKnown: true, MayAct: true, Assigned: []string{"tags"}, Unassigned: []string{"rights"}}, "rights"),
+	Entry("one is missing for long", maintenance.Readiness{ListKnown: true, MayAct: true, Assigned: []string{"tags"}, Unassigned: []string{"rights"}, Waited: maintenance.AssignmentWait}, ""),
+	Entry("behind the fence", maintenance.Readiness{ListKnown: true, Assigned: []string{"tags"}}, "not confirmed"),
+	Entry("all assigned", maintenance.Readiness{ListKnown: true, MayAct: true, Assigned: []string{"tags"}}, ""),
+)
+
+var _ = Describe("the assignment of pools", func() {
+	It("passes over pools without a live instance", func() {
+		listed := []fleet.Instance{
+			{ID: "a", Kind: fleet.KindUpstream, Service: "tags", State: fleet.Live},
+			{ID: "b", Kind: fleet.KindUpstream, Service: "rights", State: fleet.Live},
+			{ID: "c", Kind: fleet.KindUpstream, Service: "empty", State: fleet.Leaving},
+			{ID: "d", Kind: fleet.KindUpstream, Service: "unconfigured", State: fleet.Live},
+		}
+		records := map[string]maintenance.Record{"a": {Version: 3}, "unlisted": {Version: 5}}
+		record := func(id string) (maintenance.Record, bool) { r, known := records[id]; return r, known }
+		pools := map[string]string{"tags": "tags", "rights": "rights", "empty": "empty", "none": "none"}
+		assigned, unassigned := maintenance.PoolAssignment(listed, record, pools)
+		Expect(assigned).To(ConsistOf("tags"))
+		Expect(unassigned).To(ConsistOf("rights"))
+	})
+})
--- /dev/null
+++ b/test/bench/first_configuration_test.go
@@ -0,0 +1,101 @@
+package bench
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"persimmonbay/internal/fleet"
+	"persimmonbay/internal/operator/message"
+	standinplatform "persimmonbay/internal/standin/platform"
+)
+
+// Extent of the first configuration that is measured.
+const (
+	firstEntries    = 7
+	firstSlowMillis = 5 // of each call to the platform
+)
+
+// BenchmarkFirstConfiguration prints how long after the first configuration was
+// accepted some pool, and all pools, are assigned on all entries.
+func BenchmarkFirstConfiguration(b *testing.B) {
+	binary := filepath.Join(b.TempDir(), "persimmonbay")
+	if out, err := exec.Command("go", "build", "-o", binary, "persimmonbay/cmd/persimmonbay").CombinedOutput(); err != nil {
+		b.Fatalf("%v: %s", err, out)
+	}
+	for range b.N {
+		fmt.Printf("%8s %10s %12s %12s %12s\n", "pools", "instances", "first", "all", "writes/s")
+		for _, size := range []struct{ pools, instances int }{{6, 50}, {63, 228}, {251, 910}} {
+			measureFirst(b, binary, size.pools, size.instances)
+		}
+	}
+}
+
+func measureFirst(b *testing.B, binary string, pools, instances int) {
+	f := startUnconfigured(b, binary, firstEntries, "1s")
+	defer f.stop()
+	f.put(b, "/standin/faults", standinplatform.Faults{SlowMillis: firstSlowMillis})
+	for i := range instances {
+		id := fmt.Sprintf("instance-%04d", i)
+		f.put(b, "/standin/instances/"+id, fleet.Instance{ID: id, Kind: fleet.KindUpstream, Service: fmt.Sprintf("service-%d", i%(pools-1)), State: fleet.Live})
+	}
+	time.Sleep(5 * time.Second) // until the control lease is held and all know the list
+	f.apply(b, 0, largeDocument(b, pools, 60))
+	before, began := f.calls(b), time.Now()
+	first := f.assigned(b, began, 1)
+	all := f.assigned(b, began, instances)
+	writes := f.calls(b).Writes - before.Writes
+	fmt.Printf("%8d %10d %12v %12v %12.0f\n", pools, instances, first.Round(time.Millisecond), all.Round(time.Millisecond), float64(writes)/all.Seconds())
+}
+
+// assigned waits until every entry knows the pools of so many instances, and
+// returns how long after began that was.
+func (f *idleFleet) assigned(b *testing.B, began time.Time, instances int) time.Duration {
+	for _, operator := range f.operators {
+		for f.assignedOn(b, operator) < instances {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return time.Since(began)
+}
+
+func (f *idleFleet) assignedOn(b *testing.B, operator string) int {
+	response, err := http.Get("http://" + operator + "/v1/instances")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer response.Body.Close()
+	var all []message.InstanceStatus
+	if err := json.NewDecoder(response.Body).Decode(&all); err != nil {
+		b.Fatal(err)
+	}
+	n := 0
+	for _, i := range all {
+		if i.Pool != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// put throws a switch of the stand-in platform.
+func (f *idleFleet) put(b *testing.B, path string, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		b.Fatal(err)
+	}
+	request, err := http.NewRequest(http.MethodPut, "http://"+f.platform+path, bytes.NewReader(body))
+	if err != nil {
+		b.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	_ = response.Body.Close()
+}
--- a/test/bench/idle_fleet_test.go
+++ b/test/bench/idle_fleet_test.go
@@ -19,22 +19,28 @@
 	operators []string // HOST:PORT of each entry
 }
 
-func startIdle(b *testing.B, binary string, n int) *idleFleet {
+// startUnconfigured starts a platform and n entries.
+func startUnconfigured(b *testing.B, binary string, n int, instancesEvery string) *idleFleet {
 	f := &idleFleet{}
 	f.platform = f.start(b, exec.Command(binary, "standin", "platform"), "platform")
-	operator := ""
 	for i := range n {
 		settings := writeFile(b, fmt.Sprintf("entry-%d.yaml", i), fmt.Sprintf(`id: entry-%d
 availabilityZone: az-%d
 platform: {address: "http://%s"}
-limits: {instancesEvery: 1h}
+limits: {instancesEvery: %s}
 secrets: {peerKey: bench-peer-key-0123, operatorToken: bench-operator-token}
-`, i, i%3, f.platform))
+`, i, i%3, f.platform, instancesEvery))
 		entry := exec.Command(binary, "entry", "-config", settings)
-		operator = f.start(b, entry, "operators")
+		f.operators = append(f.operators, f.start(b, entry, "operators"))
 		f.entries = append(f.entries, entry)
-		f.operators = append(f.operators, operator)
 	}
+	return f
+}
+
+// startIdle starts a fleet with a configuration in force.
+func startIdle(b *testing.B, binary string, n int) *idleFleet {
+	f := startUnconfigured(b, binary, n, "1h")
+	operator := f.operators[n-1]
 	configuration := "../../examples/registry/configuration.yaml"
 	if out, err := exec.Command(binary, "config", "apply", "-operator", operator, "-token", "bench-operator-token", configuration).CombinedOutput(); err != nil {
 		b.Fatalf("%v: %s", err, out)
