--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -8,7 +8,7 @@
 // Timing of the controller's loop.
 const (
 	stepEvery = time.Second            // without a change
-	stepPause = 100 * time.Millisecond // between two steps at least, so that changes gather
+	stepPause = 100 * time.Millisecond // between two steps at least while no wave runs, so that changes gather
 )
 
 // Run steps whenever something may have changed, at once after a quiet time, for
@@ -25,7 +25,7 @@
 
 func (c *Controller) wait(ctx context.Context, changed <-chan struct{}) {
 	select {
-	case <-c.Clock.After(stepPause):
+	case <-c.Clock.After(StepPause(c.Sources.State())):
 	case <-ctx.Done():
 		return
 	}
--- a/internal/controller/sim_entry_test.go
+++ b/internal/controller/sim_entry_test.go
@@ -189,6 +189,9 @@
 // Changed implements controller.Sources.
 func (e *simEntry) Changed() <-chan struct{} { return e.view.Changed() }
 
+// State implements controller.Sources.
+func (e *simEntry) State() maintenance.State { return e.view.State() }
+
 // Snapshot implements controller.Sources.
 func (e *simEntry) Snapshot(context.Context) (maintenance.Snapshot, bool) {
 	s := maintenance.Snapshot{Now: e.world.now(), Listed: e.instances, ListedKnown: e.instances != nil,
--- a/internal/controller/sources.go
+++ b/internal/controller/sources.go
@@ -14,4 +14,6 @@
 	// Changed returns a channel that is closed when a plan may have something
 	// new to do: records, list or configuration have changed.
 	Changed() <-chan struct{}
+	// State returns the disruptions and the wave as far as they are known now.
+	State() maintenance.State
 }
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -24,6 +24,7 @@
 	steps  *controller.Controller
 	lease  *controller.Lease
 	stirs  *shard.Cell[uint64]    // rises when a plan may have something new to do
+	hurry  *shard.Cell[uint64]    // rises when an operator's change waits for the latest records
 	served *shard.Cell[bool]      // requests have been placed by records of every pool with instances
 	steady *shard.Cell[time.Time] // since when this entry has seen all entries and none go
 }
@@ -37,6 +38,7 @@
 		source: newConfirmingStore(pools, e.clock),
 		work:   newWorkCounter(),
 		policy: maintenance.DefaultPolicy(),
+		hurry:  shard.NewCell[uint64](0),
 		served: shard.NewCell(false),
 		stirs:  shard.NewCell[uint64](0),
 		steady: shard.NewCell(e.clock.Now()),
@@ -44,7 +46,7 @@
 	c.policy.RebootGrace, c.policy.ReturnTimeout = e.settings.Maintenance.RebootGrace, e.settings.Maintenance.ReturnTimeout
 	c.router = newRouter(c)
 	c.steps = &controller.Controller{Store: c.store, Rebooter: waves, Sources: c, Policy: c.policy, Pace: controller.DefaultPace(), Clock: e.clock, Log: e.log}
-	c.lease = controller.NewLease(waves, waves, e.settings.ID, e.settings.Membership.LeaseTTL, e.settings.Platform.WatchWait, e.clock, e.log)
+	c.lease = controller.NewLease(waves, waves, e.settings.ID, e.settings.Membership.LeaseTTL, controller.LeaseWait(e.settings.Platform.WatchWait), e.clock, e.log)
 	return c
 }
 
--- a/internal/entry/control_run.go
+++ b/internal/entry/control_run.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"persimmonbay/internal/configuration"
+	"persimmonbay/internal/controller"
 	"persimmonbay/internal/fleetstore"
 	"persimmonbay/internal/platform"
 	"persimmonbay/internal/platform/api"
@@ -19,6 +20,7 @@
 const (
 	registeredEvery = 100 * time.Millisecond // between two looks for the own registration
 	refreshEvery    = time.Second            // between two looks at the fence
+	gatherShare     = 6                      // at most one part in so many of the fence is spent gathering changes
 	maxRecordsWait  = 10 * time.Second       // of one watch call, so that the view is confirmed well within the fence
 )
 
@@ -62,6 +64,19 @@
 		Listed:  func(l api.Listing) { c.applied(fleetstore.ApplyListing(c.view, l)) },
 		Changed: func(e api.Event) { c.applied(fleetstore.ApplyEvent(c.view, e)) },
 		Reached: func(bool) {},
+		Pause:   c.gather,
+	}
+}
+
+// gather lets further changes gather while a wave runs, unless an operator's
+// change waits for them. It stays far within the fence.
+func (c *control) gather(ctx context.Context) {
+	_, hurried := c.hurry.Watch()
+	pause := controller.WatchPause(c.view.State(), c.lease.Held(c.entry.clock.Now()))
+	select {
+	case <-c.entry.clock.After(min(pause, c.entry.settings.Maintenance.Fence/gatherShare)):
+	case <-hurried:
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/entry/control_snapshot.go
+++ b/internal/entry/control_snapshot.go
@@ -19,6 +19,9 @@
 	return changed
 }
 
+// State implements controller.Sources.
+func (c *control) State() maintenance.State { return c.view.State() }
+
 // Snapshot implements controller.Sources. The store is only asked for the
 // registered entries while something leaves.
 func (c *control) Snapshot(ctx context.Context) (maintenance.Snapshot, bool) {
--- a/internal/entry/fleet_operators.go
+++ b/internal/entry/fleet_operators.go
@@ -108,6 +108,7 @@
 		if err = try(&s); !forestalled(err) {
 			return err
 		}
+		c.hurry.Update(func(n uint64) (uint64, bool) { return n + 1, true })
 		select {
 		case <-changed:
 		case <-c.entry.clock.After(changeWait):
--- a/internal/maintenance/plan_advance.go
+++ b/internal/maintenance/plan_advance.go
@@ -73,6 +73,8 @@
 		p.serve(r, v.Target)
 	case ForLoan:
 		p.serve(r, v.Target)
+	case ForReboot:
+		p.rebootDrained(v, r)
 	default:
 		r.Target = ""
 		p.write(r.enter(Drained, p.s.Now))
@@ -81,18 +83,26 @@
 
 func (p *planner) advanceDrained(v Reservation, r Record) {
 	switch v.Kind {
-	case ForReboot:
-		if p.s.live(r.Instance) {
-			r.Reboot = Reboot{Attempt: 1, Wave: v.Wave}
-			p.reboot(r)
-		}
-	case ForMove, ForLoan:
+	case ForReboot, ForMove, ForLoan:
 		p.drained(v, r)
 	case ForReturn:
 		p.returned(v, r)
 	}
 }
 
+// rebootDrained has an instance that no entry sends work to rebooted, once it
+// is live. One that leaves meanwhile is noted as drained.
+func (p *planner) rebootDrained(v Reservation, r Record) {
+	switch {
+	case p.s.live(r.Instance):
+		r.Target, r.Reboot = "", Reboot{Attempt: 1, Wave: v.Wave}
+		p.reboot(r)
+	case r.Phase != Drained:
+		r.Target = ""
+		p.write(r.enter(Drained, p.s.Now))
+	}
+}
+
 // returned ends a drain.
 func (p *planner) returned(v Reservation, r Record) {
 	r.Returned = v.Since
--- a/internal/maintenance/plan_wave.go
+++ b/internal/maintenance/plan_wave.go
@@ -18,17 +18,35 @@
 	if p.s.fleetHold(p.policy) != "" {
 		return
 	}
-	away := p.awayFor(w)
+	p.take(w, due)
+	if p.awayFor(w) < w.limit() {
+		p.borrow(due)
+	}
+}
+
+// take reserves what the budgets, the wave and its pace leave room for.
+func (p *planner) take(w Wave, due []Record) {
+	room := min(w.limit()-p.awayFor(w), p.startsLeft(w))
 	for _, r := range due {
-		if away >= w.limit() {
-			return
-		}
-		if p.takes(w, r) {
+		if room > 0 && p.takes(w, r) {
 			p.reserve(Reservation{Instance: r.Instance, Pool: r.Pool, Kind: ForReboot, Wave: w.ID, Since: p.s.Now})
-			away++
+			room--
+		}
+	}
+}
+
+// startsLeft returns how many instances the wave may still take in this window.
+func (p *planner) startsLeft(w Wave) int {
+	if p.policy.StartLimit == 0 {
+		return w.limit()
+	}
+	left := p.policy.StartLimit
+	for _, v := range p.disruptions.Reservations {
+		if v.Kind == ForReboot && v.Wave == w.ID && p.s.Now.Sub(v.Since) < p.policy.StartWindow {
+			left--
 		}
 	}
-	p.borrow(due)
+	return left
 }
 
 // limit is how many instances may be away for the wave at a time.
--- a/internal/maintenance/policy.go
+++ b/internal/maintenance/policy.go
@@ -10,6 +10,8 @@
 	FailureShare  float64       // of all instances; a wave waits while more are missing without a plan
 	FailureFloor  int           // a wave never waits for fewer missing instances than this
 	LendAfter     time.Duration // after which a missing instance is stood in for during a wave
+	StartWindow   time.Duration // in which a wave takes at most StartLimit instances
+	StartLimit    int           // so that the calls to the platform spread over time; 0: no limit
 }
 
 // DefaultPolicy returns the limits of a fleet of today's size.
@@ -21,6 +23,8 @@
 		LendAfter:     2 * time.Minute,
 		FailureShare:  0.1,
 		FailureFloor:  3,
+		StartWindow:   10 * time.Second,
+		StartLimit:    4,
 	}
 }
 
--- a/internal/maintenance/readiness_test.go
+++ b/internal/maintenance/readiness_test.go
@@ -44,3 +44,16 @@
 		Expect(unassigned).To(ConsistOf("rights"))
 	})
 })
+
+var _ = Describe("instances without a record", func() {
+	It("are assigned one of each pool first", func() {
+		r := newReplay(0, 0, 1, 0, nil)
+		r.addPool("a", 3, 1, maintenance.Budget{Share: 1})
+		r.addPool("b", 2, 1, maintenance.Budget{Share: 1})
+		var order []string
+		for _, record := range maintenance.Plan(&r.snapshot, r.policy).Records {
+			order = append(order, record.Instance)
+		}
+		Expect(order).To(Equal([]string{"a-00", "b-00", "a-01", "b-01", "a-02"}))
+	})
+})
--- a/internal/maintenance/replay_test.go
+++ b/internal/maintenance/replay_test.go
@@ -126,15 +126,13 @@
 		r.snapshot.Now = r.snapshot.Now.Add(replayIdle)
 	}
 	if idle && len(r.backAt) > 0 {
+		next := r.snapshot.Now.Add(r.policy.StartWindow) // the wave may take more then
 		for _, at := range r.backAt {
-			r.snapshot.Now = at
-			break
-		}
-		for _, at := range r.backAt {
-			if at.Before(r.snapshot.Now) {
-				r.snapshot.Now = at
+			if at.Before(next) {
+				next = at
 			}
 		}
+		r.snapshot.Now = next
 	}
 	for id, at := range maps.Clone(r.backAt) {
 		if !at.After(r.snapshot.Now) {
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -29,6 +29,9 @@
 	Listed  func(api.Listing)
 	Changed func(api.Event)
 	Reached func(bool) // told after every call whether the store answered
+	// Pause is called after every watch that brought changes, and may wait so
+	// that further ones gather; nil: no pause.
+	Pause func(ctx context.Context)
 }
 
 // Run follows until ctx ends.
@@ -78,5 +81,8 @@
 	for _, e := range changes.Events {
 		f.Changed(e)
 	}
+	if f.Pause != nil && len(changes.Events) > 0 {
+		f.Pause(ctx)
+	}
 	return changes.Revision, nil
 }
