A paused controller's reboot request can't meet an instance that serves again

Cause: between its look at the clock and its request a controller could be paused for any time; meanwhile the list could show the instance down and back by itself, and it served again when the request came.

Now lease, record and clock are looked at right before the request. It ends 15 s (half of rebootGrace) after the record says rebooting, a second before the lease ends if that is sooner. An instance serves again only when its request was answered or rebootGrace is over, not by the list alone.

What remains with the platform's fixed face: a pause between the last look and the bytes leaving, or bytes held back, of more than 15 s.

Test harness: the part of the wave's tick in which entries act is a function of its own, unchanged, so that time can pass for the others during a pause.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -24,6 +24,9 @@
 	Pace     Pace
 	Clock    clockwork.Clock
 	Log      *zap.Logger
+	// HeldUntil returns until when the control lease is surely held; nil when no
+	// lease is needed.
+	HeldUntil func() time.Time
 }
 
 // planLife is how long a plan may be carried out after it was made. A holder
@@ -64,33 +67,12 @@
 	for _, r := range changes.Reboots {
 		if version, ok := written[r.Instance]; ok {
 			r.Version = version
-			c.reboot(ctx, r, planned)
+			c.reboot(ctx, r)
 		}
 	}
 	return made
 }
 
-// reboot asks for the reboot that is written in r, unless so much time has
-// passed since that another controller may have asked for the next.
-func (c *Controller) reboot(ctx context.Context, r maintenance.Record, planned time.Time) {
-	deadline := planned.Add(c.Policy.RebootGrace / 2)
-	if !c.Clock.Now().Before(deadline) {
-		c.Log.Warn("reboot not asked for: too late", zap.String("step", string(problem.StepReboot)), zap.String("peer", r.Instance))
-		return
-	}
-	ctx, cancel := clockwork.WithDeadline(ctx, c.Clock, deadline)
-	defer cancel()
-	err := c.Rebooter.Reboot(ctx, r.Instance)
-	if err != nil && !problem.Is(err, problem.Conflict) {
-		c.Log.Warn("reboot not accepted", telemetry.ProblemFields(err)...)
-		return
-	}
-	c.Log.Info("reboot accepted", zap.String("instance", r.Instance), zap.Int("attempt", r.Reboot.Attempt))
-	r.Reboot.Accepted = true
-	_, err = c.Store.SaveRecord(ctx, r)
-	c.made(r.Instance, err)
-}
-
 // made logs what became of a change and returns 1 when it was made.
 func (c *Controller) made(what string, err error) int {
 	if err == nil {
--- a/internal/controller/counting_store_test.go
+++ b/internal/controller/counting_store_test.go
@@ -82,6 +82,12 @@
 	return c.countingStore.Store.List(ctx, prefix)
 }
 
+// Get implements platform.Store.
+func (c *countedCalls) Get(ctx context.Context, key string) (api.KeyValue, error) {
+	c.count(c.purpose, "read")
+	return c.countingStore.Store.Get(ctx, key)
+}
+
 // Put implements platform.Store.
 func (c *countedCalls) Put(ctx context.Context, key string, value []byte, condition platform.Condition, lease platform.LeaseID) (uint64, error) {
 	c.count(c.purpose, "write")
--- a/internal/controller/faulty_store_test.go
+++ b/internal/controller/faulty_store_test.go
@@ -16,6 +16,7 @@
 	random      *rand.Rand
 	unreachable func() bool
 	loseAnswers float64 // share of writes that take effect but whose answer is lost
+	onGet       func()  // called before and after every Get; may be nil
 	writesLeft  int     // until the process crashes; below zero: no crash
 }
 
@@ -27,6 +28,10 @@
 }
 
 func (s *faultyStore) Get(ctx context.Context, key string) (api.KeyValue, error) {
+	if s.onGet != nil {
+		s.onGet()
+		defer s.onGet()
+	}
 	if err := s.fails(); err != nil {
 		return api.KeyValue{}, err
 	}
--- a/internal/controller/lease.go
+++ b/internal/controller/lease.go
@@ -42,6 +42,10 @@
 // Held reports whether this entry surely holds the lease at now.
 func (l *Lease) Held(now time.Time) bool { return now.Before(l.held.Get().until) }
 
+// HeldUntil returns until when this entry surely holds the lease; the zero time
+// when it does not.
+func (l *Lease) HeldUntil() time.Time { return l.held.Get().until }
+
 // Run tries for the lease, keeps it while it can, and hands it back when ctx
 // ends.
 func (l *Lease) Run(ctx context.Context) {
--- a/internal/controller/sim_wave_test.go
+++ b/internal/controller/sim_wave_test.go
@@ -69,6 +69,18 @@
 		if !faults && (!e.up || e.paused) {
 			e.start()
 		}
+	}
+	w.entriesAct()
+	for id, i := range w.instances {
+		if i.State == fleet.Live {
+			w.lastLive[id] = w.now()
+		}
+	}
+}
+
+// entriesAct has every entry that is up learn what changed; controllers race.
+func (w *simWave) entriesAct() {
+	for _, e := range w.entries {
 		if !e.up || e.paused {
 			continue
 		}
@@ -82,11 +94,6 @@
 			w.step(e)
 		}
 	}
-	for id, i := range w.instances {
-		if i.State == fleet.Live {
-			w.lastLive[id] = w.now()
-		}
-	}
 }
 
 func (w *simWave) endFailures() {
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -47,6 +47,7 @@
 	c.router = newRouter(c)
 	c.steps = &controller.Controller{Store: c.store, Rebooter: waves, Sources: c, Policy: c.policy, Pace: controller.DefaultPace(), Clock: e.clock, Log: e.log}
 	c.lease = controller.NewLease(waves, waves, e.settings.ID, e.settings.Membership.LeaseTTL, controller.LeaseWait(e.settings.Platform.WatchWait), e.clock, e.log)
+	c.steps.HeldUntil = c.lease.HeldUntil
 	return c
 }
 
--- a/internal/fleetstore/read.go
+++ b/internal/fleetstore/read.go
@@ -25,6 +25,15 @@
 	return w, err
 }
 
+// LoadRecord reads the record of an instance as it is now. One that does not
+// exist has version 0.
+func (s *Store) LoadRecord(ctx context.Context, instance string) (maintenance.Record, error) {
+	var r maintenance.Record
+	version, err := s.load(ctx, recordKey(instance), &r)
+	r.Version = version
+	return r, err
+}
+
 // load reads a key, which may be absent, and returns its version.
 func (s *Store) load(ctx context.Context, key string, target any) (uint64, error) {
 	kv, err := s.store.Get(ctx, key)
--- a/internal/maintenance/plan_reboot.go
+++ b/internal/maintenance/plan_reboot.go
@@ -9,7 +9,10 @@
 
 // advanceRebooting follows a reboot until the instance is back. One that the
 // list never showed down has come back faster than the list tells if the
-// platform accepted the request, and is asked for again if nobody knows.
+// platform accepted the request, and is asked for again if nobody knows. It
+// serves again only when the request is known to have ended, by its answer or
+// by its deadline: an instance that failed by itself must not serve again with
+// the request still under way.
 func (p *planner) advanceRebooting(r Record) {
 	live := p.s.live(r.Instance)
 	waited := p.s.Now.Sub(r.Since) > p.policy.RebootGrace
@@ -17,7 +20,7 @@
 	case !live && !r.Reboot.SeenDown:
 		r.Reboot.SeenDown = true
 		p.write(r)
-	case live && (r.Reboot.SeenDown || waited && r.Reboot.Accepted):
+	case live && r.Reboot.SeenDown && (r.Reboot.Accepted || waited), live && waited && r.Reboot.Accepted:
 		p.back(r)
 	case live && waited:
 		r.Reboot.Attempt++
