pool, service and team create; instance create says where instances come from

Cause: the fixed commands name create, but it only refused. Now it adds to the configuration in force, what follows from the same answers as the questionnaire's, and applies that against its version: a change that came first is a conflict.

Checked over the row of fixed commands: each exists with -h, exits with 0, 1 and 2, and reads as JSON or a table.

Ruled out: instance create that tells the platform, which has no call for it.

--- a/cmd/persimmonbay/instance.go
+++ b/cmd/persimmonbay/instance.go
@@ -11,6 +11,7 @@
 	return command{name: "instance", summary: "list, show, move, drain and undrain instances", children: []command{
 		instanceListCommand(),
 		instanceShowCommand(),
+		instanceCreateCommand(),
 		instanceMoveCommand(),
 		instanceChangeCommand("drain", "send the instance no more work, until it is undrained"),
 		instanceChangeCommand("undrain", "put a drained instance to work again"),
--- a/cmd/persimmonbay/pool.go
+++ b/cmd/persimmonbay/pool.go
@@ -10,10 +10,10 @@
 )
 
 func poolCommand() command {
-	return command{name: "pool", summary: "list and show pools", children: []command{
+	return command{name: "pool", summary: "list, show and create pools", children: []command{
 		poolListCommand(),
 		poolShowCommand(),
-		createdByConfigurationCommand("pool"),
+		poolCreateCommand(),
 	}}
 }
 
@@ -67,13 +67,3 @@
 	}
 	return f.show(c, value, row("POOL", "INSTANCES", "SERVING", "NEEDED", "FREE", "SPARE", "SERVICES"), rows)
 }
-
-// createdByConfigurationCommand refuses and says where pools, services and
-// teams come from.
-func createdByConfigurationCommand(what string) command {
-	return command{name: "create", summary: "say how a " + what + " is made", setup: func(*flag.FlagSet) runner {
-		return func(context.Context, console, []string) error {
-			return &usageError{"a " + what + " is part of the configuration: add it to the answers, then 'config generate' and 'config apply'"}
-		}
-	}}
-}
--- a/cmd/persimmonbay/service.go
+++ b/cmd/persimmonbay/service.go
@@ -9,10 +9,10 @@
 )
 
 func serviceCommand() command {
-	return command{name: "service", summary: "list and show services", children: []command{
+	return command{name: "service", summary: "list, show and create services", children: []command{
 		serviceListCommand(),
 		serviceShowCommand(),
-		createdByConfigurationCommand("service"),
+		serviceCreateCommand(),
 	}}
 }
 
--- a/cmd/persimmonbay/team.go
+++ b/cmd/persimmonbay/team.go
@@ -9,10 +9,10 @@
 )
 
 func teamCommand() command {
-	return command{name: "team", summary: "list and show teams", children: []command{
+	return command{name: "team", summary: "list, show and create teams", children: []command{
 		teamListCommand(),
 		teamShowCommand(),
-		createdByConfigurationCommand("team"),
+		teamCreateCommand(),
 	}}
 }
 
--- a/internal/maintenance/operate.go
+++ b/internal/maintenance/operate.go
@@ -15,7 +15,7 @@
 		return Disruptions{}, err
 	}
 	if !s.hasPool(target) {
-		return Disruptions{}, problem.New(problem.NotFound, problem.StepPlan, target, "no such pool; 'pool list' shows them, and a new one is made in the configuration")
+		return Disruptions{}, problem.New(problem.NotFound, problem.StepPlan, target, "no such pool; 'pool list' shows them and 'pool create' makes one")
 	}
 	if r.Pool == target && r.Home == target {
 		return Disruptions{}, problem.New(problem.Conflict, problem.StepPlan, instance, "it is in pool "+target+" already")
