--- a/internal/entry/control_snapshot.go
+++ b/internal/entry/control_snapshot.go
@@ -14,7 +14,13 @@
 var _ controller.Sources = (*control)(nil)
 
 // Changed implements controller.Sources.
-func (c *control) Changed() <-chan struct{} { return c.view.Changed() }
+func (c *control) Changed() <-chan struct{} {
+	_, changed := c.stirs.Watch()
+	return changed
+}
+
+// State implements controller.Sources.
+func (c *control) State() maintenance.State { return c.view.State() }
 
 // Snapshot implements controller.Sources. The store is only asked for the
 // registered entries while something leaves.
--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -33,6 +33,7 @@
 	placer   *dispatch.Placer
 	pressed  *shard.Cell[uint64] // counts what a round should not wait for
 	standing *shard.Cell[standing]
+	taken    *shard.Cell[placeable]
 	version  configuration.Version
 	listed   map[string][]fleet.Instance // by service, as the placer knows them
 	round    int
@@ -47,6 +48,7 @@
 		placer:   dispatch.NewPlacer(self, e.settings.AvailabilityZone, e.clock.Now(), newOrder),
 		pressed:  shard.NewCell(uint64(0)),
 		standing: shard.NewCell(standing{}),
+		taken:    shard.NewCell(placeable{}),
 		gone:     make(map[membership.EntryID]time.Time),
 	}
 }
@@ -135,9 +137,14 @@
 		k.placer.Configure(inForce.Configuration)
 		k.version, k.listed = inForce.Version, make(map[string][]fleet.Instance)
 	}
+	revision := k.entry.control.router.following().revision
 	for i := range inForce.Configuration.Services {
 		k.list(inForce.Configuration.Services[i].Name, now)
 	}
+	k.taken.Update(func(old placeable) (placeable, bool) {
+		latest := placeable{version: inForce.Version, revision: revision}
+		return latest, latest != old
+	})
 	k.placer.Trust(k.trustedUntil(now), now)
 	if !k.unsettled(now) {
 		k.see(now, true)
