Slots: an entry claims by what it holds, and nothing of upstreams that have gone

After the loss of a zone a third of the homes cannot lend for 8 s; the need of an entry was spread evenly over all upstreams, those gone included, whatever it held.

--- a/internal/dispatch/borrow.go
+++ b/internal/dispatch/borrow.go
@@ -45,6 +45,7 @@
 	at.mu.Lock()
 	defer at.mu.Unlock()
 	at.service.members = len(view.Members)
+	fit := at.service.claim(p.self.Entry, now)
 	for _, u := range at.service.upstreams {
 		id := u.instance.ID
 		if home := view.Home(id); home != u.holding.Home() {
@@ -54,12 +55,11 @@
 			}
 			u.holding.Move(home, handover)
 		}
-		wanted := at.service.wanted()
-		if !u.listed || u.health.Ejected(now) {
-			wanted = 0
+		wanted := 0
+		if u.fit(now) {
+			wanted = at.service.wanted(fit)
 		}
-		need := int(at.service.need() + slots.Fraction(id, p.self.Entry))
-		item, due := u.holding.Due(id, min(need, at.service.capacity), wanted, routine)
+		item, due := u.holding.Due(id, u.need, wanted, routine)
 		if !due {
 			continue
 		}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -77,7 +77,18 @@
 			sum += u.holding.Held
 		}
 	}
-	return max(sum, len(s.upstreams))
+	return max(sum, s.listed())
+}
+
+// listed is how many upstreams may receive new work.
+func (s *service) listed() int {
+	n := 0
+	for _, u := range s.upstreams {
+		if u.listed {
+			n++
+		}
+	}
+	return n
 }
 
 func (s *service) choose(tried []string, now time.Time) *upstream {
@@ -210,7 +221,7 @@
 		u.settle(now)
 	}
 	s.distrust(now)
-	s.order.Refresh(s.width(), s.capacity*len(s.upstreams)/max(s.members, 1), now)
+	s.order.Refresh(s.width(), s.capacity*s.listed()/max(s.members, 1), now)
 	s.pump(now)
 }
 
@@ -243,16 +254,3 @@
 	}
 	s.upstreams = slices.DeleteFunc(s.upstreams, func(u *upstream) bool { return !u.listed && u.holding.InUse == 0 })
 }
-
-// need is how many slots of each upstream work within its guaranteed share could
-// use.
-func (s *service) need() float64 { return s.order.Needs() / float64(max(len(s.upstreams), 1)) }
-
-// wanted is how many more slots of each upstream could be used now.
-func (s *service) wanted() int {
-	waiting := s.order.Len() + len(s.retries)
-	if waiting == 0 {
-		return 0
-	}
-	return min((waiting+len(s.upstreams)-1)/len(s.upstreams), s.capacity)
-}
--- a/internal/dispatch/upstream.go
+++ b/internal/dispatch/upstream.go
@@ -14,6 +14,7 @@
 	listed   bool // may receive new work
 	holding  slots.Holding
 	health   routing.Health
+	need     int         // slots that this entry says it needs here
 	unsure   []time.Time // when slots whose request broke off may be used again
 }
 
@@ -27,6 +28,9 @@
 	return min(u.holding.Free(), u.health.Bound(now, u.holding.Held)-u.holding.InUse)
 }
 
+// fit reports whether the upstream can receive new work.
+func (u *upstream) fit(now time.Time) bool { return u.listed && !u.health.Ejected(now) }
+
 // vouched reports whether a home other than this entry heard it lately.
 func (u *upstream) vouched(now time.Time) bool {
 	return now.Sub(u.holding.Acked()) <= slots.VouchedFor
