Order: limits by what is asked for, and a queue as long as its limit works off

Cause: a party counted as flooding by what it used and what waited, so a team whose requests had to wait after a loss of slots was held to its share, while the flood kept a deviation above its own. Now the load counts (work asked for, over about a second); a flood gets its share, and the deviation only while it has had less. The wait at the front ignored the limit: a limited flood queued twice what it could work off and was answered late. Needs of work within its share no longer stop at the share of the slots held, so an entry with most of the load can get back what it lost. Tests seen to fail: limits by occupancy, wait without limits.

--- a/internal/admission/band.go
+++ b/internal/admission/band.go
@@ -1,5 +1,7 @@
 package admission
 
+import "time"
+
 // band is the waiting work of one class.
 type band struct {
 	usage
@@ -28,10 +30,11 @@
 const activeUse = 0.01
 
 // divide shares the class's limit among its teams.
-func (b *band) divide() {
+func (b *band) divide(elapsed time.Duration) {
 	weights := 0.0
 	for _, f := range b.flows {
 		f.sample(f.count)
+		f.measure(elapsed)
 		if f.mean > activeUse {
 			weights += f.weight
 		}
--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -17,13 +17,18 @@
 	virtual float64 // virtual time among the classes
 	service Estimate
 	count   int
-	slots   int // requests that can be at work at once
-	even    int // and if every entry had as many
+	slots   int       // requests that can be at work at once
+	at      time.Time // of the latest refresh
+	even    int       // and if every entry had as many
 }
 
 var _ Order = (*Fair)(nil)
 
 // initialService is taken for the service time before one was measured.
+// leastRate is the least number of slots that a queue is taken to be worked off
+// at.
+const leastRate = 0.1
+
 const initialService = 10 * time.Millisecond
 
 // NewFair returns an order in which nothing waits.
@@ -32,7 +37,7 @@
 	for _, c := range fleet.Classes() {
 		f.bands[c] = band{weight: shares.class(c), flows: make(map[string]*flow)}
 	}
-	f.reserve()
+	f.reserve(0)
 	return f
 }
 
@@ -53,9 +58,17 @@
 	if !forced && !(b.mayStart() && of.mayStart()) {
 		return 0, false
 	}
+	f.ask(b, of)
 	return f.charge(class, of), true
 }
 
+// ask notes that one more request of the team came.
+func (f *Fair) ask(b *band, of *flow) {
+	cost := of.service.Or(f.service.Or(initialService)).Seconds()
+	of.asked += cost
+	b.asked += cost
+}
+
 // Alone implements Order.
 func (f *Fair) Alone(t *Ticket) bool {
 	if f.count == 0 {
@@ -92,6 +105,7 @@
 // Offer implements Order.
 func (f *Fair) Offer(t *Ticket, slots int, now time.Time) Verdict {
 	of, b := f.flow(t.Class, t.Team), &f.bands[t.Class]
+	f.ask(b, of)
 	if f.full(b, of, t) {
 		return Full
 	}
@@ -137,8 +151,9 @@
 			weights += other.weight
 		}
 	}
-	share := b.weight / weights * of.weight / b.waitingWeight(of)
-	return time.Duration(float64(of.count) * float64(service) / (share * float64(max(slots, 1))))
+	class := min(b.weight/weights*float64(slots), b.limit)
+	team := min(class*of.weight/b.waitingWeight(of), of.limit)
+	return time.Duration(float64(of.count) * float64(service) / max(team, leastRate))
 }
 
 func (f *Fair) push(b *band, of *flow, t *Ticket) {
@@ -214,23 +229,25 @@
 func (f *Fair) Refresh(slots, even int, now time.Time) {
 	f.expire(now)
 	f.slots, f.even = slots, even
-	f.reserve()
+	f.reserve(now.Sub(f.at))
+	f.at = now
 }
 
 // reserve keeps for each class, and in it for each team, what it uses lately,
 // within its guaranteed share. Only the rest is lent.
-func (f *Fair) reserve() {
+func (f *Fair) reserve(elapsed time.Duration) {
 	all, weights, sum := float64(max(f.slots, 1)), f.classWeight(), 0.0
 	for c := range f.bands {
 		b := &f.bands[c]
 		b.sample(b.count)
+		b.measure(elapsed)
 		b.usage.reserve(max(all, float64(f.even)) * b.weight / weights)
 		sum += b.reserved
 	}
 	for c := range f.bands {
 		b := &f.bands[c]
 		b.bound(all*b.weight/weights, all, sum)
-		b.divide()
+		b.divide(elapsed)
 	}
 }
 
@@ -258,7 +275,7 @@
 func (f *Fair) Needs() float64 {
 	sum := 0.0
 	for c := range f.bands {
-		sum += f.bands[c].reserved
+		sum += f.bands[c].need
 	}
 	return sum
 }
--- a/internal/admission/fair_test.go
+++ b/internal/admission/fair_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -138,6 +139,56 @@
 	})
 })
 
+// widthInTest is how many slots the orders of the tests with limits have.
+const widthInTest = 10
+
+// busy starts requests of a class that stay at work, so that slots are kept for
+// it, and refreshes f for a second in steps, calling each before every one.
+func busy(f *admission.Fair, class fleet.Class, n int, each func()) {
+	for range n {
+		f.Start(class, "herders", true)
+	}
+	for i := range 50 {
+		each()
+		f.Refresh(widthInTest, widthInTest, now.Add(time.Duration(i)*20*time.Millisecond))
+	}
+}
+
+var _ = Describe("the limits of the fair order", func() {
+	It("let a team work off what had to wait, when it asks for less than its share", func() {
+		f, i := admission.NewFair(shares(), admission.DefaultLimits), 0
+		busy(f, fleet.Urgent, 5, func() {
+			if i++; i%2 == 0 { // 25 a second of 40 ms, one slot's work
+				f.Offer(ticket(fleet.Normal, "inspectors", &testReceiver{}), widthInTest, now)
+			}
+		})
+		Expect(f.Len()).To(Equal(25))
+		started := 0
+		for t, _ := f.Next(now); t != nil && started < widthInTest; t, _ = f.Next(now) {
+			started++
+		}
+		Expect(started).To(Equal(widthInTest))
+	})
+
+	It("queue no more of a flood than its limit works off before the deadline", func() {
+		f := admission.NewFair(shares(), admission.DefaultLimits)
+		charge, _ := f.Start(fleet.Urgent, "inspectors", true)
+		f.Finish(fleet.Urgent, "inspectors", charge, testWork)
+		offer := func() {
+			for range 20 {
+				t := ticket(fleet.Urgent, "inspectors", &testReceiver{})
+				t.Deadline = now.Add(2 * time.Second)
+				f.Offer(t, widthInTest, now)
+			}
+		}
+		busy(f, fleet.Normal, 4, offer)
+		limit := 5 + math.Sqrt(5) // its share of the ten slots and one deviation: none of it is at work
+		left := 2*time.Second - 2*testWork
+		Expect(f.Len()).To(BeNumerically("<=", int(limit*left.Seconds()/testWork.Seconds())+1))
+		Expect(f.Len()).To(BeNumerically(">=", 200)) // its guaranteed share's worth at least
+	})
+})
+
 // BenchmarkStart measures one decision with nobody waiting, and its end.
 func BenchmarkStart(b *testing.B) {
 	f := admission.NewFair(shares(), admission.DefaultLimits)
