--- a/internal/replay/run_test.go
+++ b/internal/replay/run_test.go
@@ -13,6 +13,9 @@
 // traces is where the recorded traces are.
 const traces = "../../traces"
 
+// otherSeeds is how many seeds besides its own each trace is replayed with.
+const otherSeeds = 5
+
 func load(name string) *trace.Trace {
 	GinkgoHelper()
 	t, err := trace.Load(filepath.Join(traces, name))
@@ -32,6 +35,22 @@
 		Entry("a zone lost in a flood", "flood-zone-lost.yaml"),
 	)
 
+	DescribeTable("meets the outcomes stated for the trace with other seeds",
+		func(name string) {
+			t := load(name)
+			for t.Seed = 1; t.Seed <= otherSeeds; t.Seed++ {
+				Expect(replay.Run(t, replay.Chosen).Missed).To(BeEmpty(), "seed %d", t.Seed)
+			}
+		},
+		Entry("floods at five times", "flood-5.yaml"),
+		Entry("floods at twenty times", "flood-20.yaml"),
+		Entry("bursts of each queue in turn", "bursts.yaml"),
+		Entry("two entries with most of the load", "flood-uneven.yaml"),
+		Entry("one team against its own class", "team-flood.yaml"),
+		Entry("sizes off by ten", "sizes-off-by-ten.yaml"),
+		Entry("a zone lost in a flood", "flood-zone-lost.yaml"),
+	)
+
 	DescribeTable("misses them in the ways that were ruled out",
 		func(way replay.Way) { Expect(replay.Run(load("flood-5.yaml"), way).Missed).NotTo(BeEmpty()) },
 		Entry("first come, first served", replay.Way{Order: replay.OrderFirstCome, Slots: replay.SlotsLent}),
