Traces: bursts cover all five services, at once and one at a time

bursts had two of the five services. Now all five demand five times their mean in the same seconds, a team at a time; bursts-in-turn has the 20 queues one after another. The table's entries are listed once for both tests.

--- a/internal/replay/run_test.go
+++ b/internal/replay/run_test.go
@@ -13,6 +13,18 @@
 // traces is where the recorded traces are.
 const traces = "../../traces"
 
+// recorded are all recorded traces.
+var recorded = []TableEntry{
+	Entry("floods at five times", "flood-5.yaml"),
+	Entry("floods at twenty times", "flood-20.yaml"),
+	Entry("bursts of each queue in turn, on five services at once", "bursts.yaml"),
+	Entry("bursts of each queue of five services, one at a time", "bursts-in-turn.yaml"),
+	Entry("two entries with most of the load", "flood-uneven.yaml"),
+	Entry("one team against its own class", "team-flood.yaml"),
+	Entry("sizes off by ten", "sizes-off-by-ten.yaml"),
+	Entry("a zone lost in a flood", "flood-zone-lost.yaml"),
+}
+
 // otherSeeds is how many seeds besides its own each trace is replayed with.
 const otherSeeds = 5
 
@@ -26,13 +38,7 @@
 var _ = Describe("a replay", func() {
 	DescribeTable("meets the outcomes stated for the trace",
 		func(name string) { Expect(replay.Run(load(name), replay.Chosen).Missed).To(BeEmpty()) },
-		Entry("floods at five times", "flood-5.yaml"),
-		Entry("floods at twenty times", "flood-20.yaml"),
-		Entry("bursts of each queue in turn", "bursts.yaml"),
-		Entry("two entries with most of the load", "flood-uneven.yaml"),
-		Entry("one team against its own class", "team-flood.yaml"),
-		Entry("sizes off by ten", "sizes-off-by-ten.yaml"),
-		Entry("a zone lost in a flood", "flood-zone-lost.yaml"),
+		recorded,
 	)
 
 	DescribeTable("meets the outcomes stated for the trace with other seeds",
@@ -42,13 +48,7 @@
 				Expect(replay.Run(t, replay.Chosen).Missed).To(BeEmpty(), "seed %d", t.Seed)
 			}
 		},
-		Entry("floods at five times", "flood-5.yaml"),
-		Entry("floods at twenty times", "flood-20.yaml"),
-		Entry("bursts of each queue in turn", "bursts.yaml"),
-		Entry("two entries with most of the load", "flood-uneven.yaml"),
-		Entry("one team against its own class", "team-flood.yaml"),
-		Entry("sizes off by ten", "sizes-off-by-ten.yaml"),
-		Entry("a zone lost in a flood", "flood-zone-lost.yaml"),
+		recorded,
 	)
 
 	DescribeTable("misses them in the ways that were ruled out",
