--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -18,9 +18,8 @@
 // claimUpstreams is how many upstreams the claims are spread over.
 const claimUpstreams = 8
 
-// claiming returns a placer with one slot of each upstream, all in use, and as
-// many requests waiting as another entry's homes could serve.
-func claiming(now time.Time) (*dispatch.Placer, []fleet.Instance) {
+// idle returns a placer with one free slot of each of claimUpstreams.
+func idle(now time.Time) (*dispatch.Placer, []fleet.Instance) {
 	p := dispatch.NewPlacer(slots.Holder{Entry: "entry-1", Incarnation: 1}, "az-1", now,
 		func(s admission.Shares) admission.Order { return admission.NewFair(s, admission.DefaultLimits) })
 	p.Configure(&configuration.Configuration{
@@ -36,6 +35,12 @@
 	p.See([]membership.EntryID{"entry-1", "entry-2"}, nil, true, now)
 	p.Fix(func(string) int { return 1 })
 	p.Tick(now)
+	return p, instances
+}
+
+// claiming returns an idle placer that was asked for more than its slots take.
+func claiming(now time.Time) (*dispatch.Placer, []fleet.Instance) {
+	p, instances := idle(now)
 	for range claimUpstreams * testSlots {
 		p.Acquire(testService, &admission.Ticket{Team: "herders", Receiver: ignoringReceiver{}}, now)
 	}
--- /dev/null
+++ b/internal/dispatch/recorder_test.go
@@ -0,0 +1,37 @@
+package dispatch_test
+
+import (
+	"sync"
+	"time"
+
+	"persimmonbay/internal/fleet"
+)
+
+// testRecorder counts what a dispatcher records. mu guards its counts.
+type testRecorder struct {
+	mu      sync.Mutex
+	started int
+	refused int
+	longest time.Duration // that a refused request waited
+}
+
+// Waited implements dispatch.Recorder.
+func (r *testRecorder) Waited(_ string, _ fleet.Class, started bool, d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if started {
+		r.started++
+		return
+	}
+	r.refused++
+	r.longest = max(r.longest, d)
+}
+
+// Served implements dispatch.Recorder.
+func (r *testRecorder) Served(string, fleet.Class, bool, time.Duration) {}
+
+func (r *testRecorder) counts() (started, refused int, longest time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.started, r.refused, r.longest
+}
--- a/test/bench/entry_test.go
+++ b/test/bench/entry_test.go
@@ -111,11 +111,11 @@
 // startOne starts a platform, one upstream and one entry in this process and
 // returns the addresses of the upstream and of the entry's callers.
 func startOne(ctx context.Context, b *testing.B) (upstream, callers string) {
-	return startOneWith(ctx, b, 0)
+	return startOneWith(ctx, b, standinupstream.Faults{})
 }
 
-// startOneWith is startOne with answers padded by this many bytes.
-func startOneWith(ctx context.Context, b *testing.B, padding int) (upstream, callers string) {
+// startOneWith is startOne with an upstream that has these faults.
+func startOneWith(ctx context.Context, b *testing.B, faults standinupstream.Faults) (upstream, callers string) {
 	clock := clockwork.NewRealClock()
 	platform := standinplatform.NewServer(clock)
 	platformListener := listen(b)
@@ -124,7 +124,7 @@
 	instance := fleet.Instance{ID: "tags-1", Kind: fleet.KindUpstream, Service: "tags", Address: upstreamListener.Addr().String(), AvailabilityZone: "az-1", Rack: "rack-1", State: fleet.Live}
 	platform.Instances.Put(instance)
 	runner := standinupstream.NewServer(instance, fullWorkers, clock)
-	runner.SetFaults(standinupstream.Faults{BodyBytes: padding})
+	runner.SetFaults(faults)
 	go func() { _ = runner.Serve(ctx, upstreamListener) }()
 	apply(ctx, b, platform, clock)
 	s := settings.DefaultEntry()
--- a/test/bench/memory_test.go
+++ b/test/bench/memory_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"persimmonbay/internal/load"
+	standinupstream "persimmonbay/internal/standin/upstream"
 )
 
 // BenchmarkMemoryInFlight prints the memory of a process that holds a platform,
@@ -19,7 +20,7 @@
 		b.Run(fmt.Sprintf("requests=%d", inFlight), func(b *testing.B) {
 			for range b.N {
 				ctx, stop := context.WithCancel(context.Background())
-				_, callers := startOneWith(ctx, b, 1000)
+				_, callers := startOneWith(ctx, b, standinupstream.Faults{BodyBytes: 1000})
 				p := plan("http://"+callers+"/tags/8812", inFlight, 4*inFlight, 0)
 				before := memory()
 				most := uint64(0)
--- a/test/bench/slopes_test.go
+++ b/test/bench/slopes_test.go
@@ -12,6 +12,8 @@
 
 	"persimmonbay/internal/fleet"
 	standinplatform "persimmonbay/internal/standin/platform"
+
+	standinupstream "persimmonbay/internal/standin/upstream"
 )
 
 // BenchmarkInstanceListBytes prints the size of the platform's list of
@@ -61,7 +63,7 @@
 		b.Run(fmt.Sprintf("answer=%d", size), func(b *testing.B) {
 			for range b.N {
 				ctx, stop := context.WithCancel(context.Background())
-				upstream, callers := startOneWith(ctx, b, size)
+				upstream, callers := startOneWith(ctx, b, standinupstream.Faults{BodyBytes: size})
 				direct := measure(ctx, "http://"+upstream+"/8812", requests)
 				through := measure(ctx, "http://"+callers+"/tags/8812", requests)
 				stop()
