--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"persimmonbay/internal/admission"
-	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/routing"
 )
 
@@ -15,7 +14,7 @@
 
 // service is the state of one service on this entry: who waits, the slots it
 // holds and its upstreams' health. It is not safe for concurrent use; its
-// servicing shard's lock guards it.
+// shard's lock guards it.
 type service struct {
 	zone      string
 	timeout   time.Duration // of the service's requests
@@ -60,37 +59,6 @@
 	return Start{}, admission.Queue
 }
 
-func (s *service) anyLeft(tried []string) bool {
-	for _, u := range s.upstreams {
-		if u.listed && !slices.Contains(tried, u.instance.ID) {
-			return true
-		}
-	}
-	return false
-}
-
-// width is how many requests of this entry can be at work at once.
-func (s *service) width() int {
-	sum := 0
-	for _, u := range s.upstreams {
-		if u.listed {
-			sum += u.holding.Held
-		}
-	}
-	return max(sum, s.listed())
-}
-
-// listed is how many upstreams may receive new work.
-func (s *service) listed() int {
-	n := 0
-	for _, u := range s.upstreams {
-		if u.listed {
-			n++
-		}
-	}
-	return n
-}
-
 func (s *service) choose(tried []string, now time.Time) *upstream {
 	s.scratch = s.scratch[:0]
 	for _, u := range s.upstreams {
@@ -130,79 +98,6 @@
 	s.pump(now)
 }
 
-// judge takes in the upstream's health, and ejects it unless half of the
-// service's upstreams are out already.
-func (s *service) judge(u *upstream, e End, now time.Time) {
-	eject := false
-	if e.Feedback.Failed && !e.Feedback.Canceled {
-		eject = u.health.Failed()
-	} else {
-		eject = u.health.Succeeded(e.Feedback.Took, s.latency.Or(0))
-		s.latency.Add(e.Feedback.Took)
-	}
-	if eject && s.mayEject(now) {
-		u.health.Eject(now)
-	}
-}
-
-func (s *service) mayEject(now time.Time) bool {
-	out, listed := 1, 0
-	for _, u := range s.upstreams {
-		if !u.listed {
-			continue
-		}
-		listed++
-		if u.health.Ejected(now) {
-			out++
-		}
-	}
-	return 2*out <= listed
-}
-
-func (s *service) upstream(id string) *upstream {
-	for _, u := range s.upstreams {
-		if u.instance.ID == id {
-			return u
-		}
-	}
-	return nil
-}
-
-// pump starts what waits while there is room.
-func (s *service) pump(now time.Time) {
-	s.pumpRetries(now)
-	for s.order.Len() > 0 {
-		u := s.choose(nil, now)
-		if u == nil {
-			return
-		}
-		t, charge := s.order.Next(now)
-		if t == nil {
-			return
-		}
-		t.Receiver.Placed(s.start(u, charge).Instance, charge)
-	}
-}
-
-func (s *service) pumpRetries(now time.Time) {
-	if len(s.retries) == 0 {
-		return
-	}
-	s.retries = slices.DeleteFunc(s.retries, func(t *admission.Ticket) bool {
-		if !t.Deadline.IsZero() && !now.Before(t.Deadline) {
-			t.Receiver.Shed()
-			return true
-		}
-		u := s.choose(t.Tried, now)
-		if u == nil {
-			return false
-		}
-		charge, _ := s.order.Start(t.Class, t.Team, true)
-		t.Receiver.Placed(s.start(u, charge).Instance, charge)
-		return true
-	})
-}
-
 // withdraw forgets a ticket whose caller has gone, and reports whether it
 // still waited.
 func (s *service) withdraw(t *admission.Ticket) bool {
@@ -237,20 +132,3 @@
 		}
 	}
 }
-
-// list takes over the instances that may receive new work. One that has gone
-// is kept while requests are at work on it.
-func (s *service) list(instances []fleet.Instance) {
-	for _, u := range s.upstreams {
-		u.listed = false
-	}
-	for _, i := range instances {
-		u := s.upstream(i.ID)
-		if u == nil {
-			u = &upstream{}
-			s.upstreams = append(s.upstreams, u)
-		}
-		u.instance, u.listed = i, true
-	}
-	s.upstreams = slices.DeleteFunc(s.upstreams, func(u *upstream) bool { return !u.listed && u.holding.InUse == 0 })
-}
--- /dev/null
+++ b/internal/dispatch/service_pump.go
@@ -0,0 +1,43 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"persimmonbay/internal/admission"
+)
+
+// pump starts what waits while there is room.
+func (s *service) pump(now time.Time) {
+	s.pumpRetries(now)
+	for s.order.Len() > 0 {
+		u := s.choose(nil, now)
+		if u == nil {
+			return
+		}
+		t, charge := s.order.Next(now)
+		if t == nil {
+			return
+		}
+		t.Receiver.Placed(s.start(u, charge).Instance, charge)
+	}
+}
+
+func (s *service) pumpRetries(now time.Time) {
+	if len(s.retries) == 0 {
+		return
+	}
+	s.retries = slices.DeleteFunc(s.retries, func(t *admission.Ticket) bool {
+		if !t.Deadline.IsZero() && !now.Before(t.Deadline) {
+			t.Receiver.Shed()
+			return true
+		}
+		u := s.choose(t.Tried, now)
+		if u == nil {
+			return false
+		}
+		charge, _ := s.order.Start(t.Class, t.Team, true)
+		t.Receiver.Placed(s.start(u, charge).Instance, charge)
+		return true
+	})
+}
