--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"persimmonbay/internal/membership"
-	"persimmonbay/internal/peer/wire"
 	"persimmonbay/internal/shard"
 	"persimmonbay/internal/telemetry"
 )
@@ -49,6 +48,10 @@
 		return h, changed
 	})
 	e.members.Forget(e.clock.Now())
+	e.beats.Retain(func(id membership.EntryID) bool {
+		_, member := e.members.Member(id)
+		return member
+	})
 	e.routes.Refresh(e.clock.Now())
 }
 
@@ -59,12 +62,13 @@
 	defer cancel()
 	best := shard.NewCell(sighting{})
 	answered := shard.NewCell(false)
+	own := e.ownHeartbeat()
 	var calls sync.WaitGroup
 	for _, m := range e.members.Members() {
 		calls.Go(func() {
 			seen := sighting{version: m.ConfigurationVersion, address: m.PeerAddress}
 			if !spared(m) {
-				theirs, ok := e.exchangeHeartbeat(ctx, m)
+				theirs, ok := e.exchangeHeartbeat(ctx, m, own)
 				if !ok {
 					return
 				}
@@ -78,13 +82,13 @@
 	return best.Get(), answered.Get()
 }
 
-// exchangeHeartbeat returns the answer of m and whether there was one.
-func (e *Entry) exchangeHeartbeat(ctx context.Context, m membership.Member) (membership.Heartbeat, bool) {
-	theirs, err := e.sendHeartbeat(ctx, m, e.ownHeartbeat())
+// exchangeHeartbeat returns the answer of m to the heartbeat of this entry and
+// whether there was one.
+func (e *Entry) exchangeHeartbeat(ctx context.Context, m membership.Member, own membership.Heartbeat) (membership.Heartbeat, bool) {
+	theirs, err := e.sendHeartbeat(ctx, m, own)
 	if err == nil && theirs.Stranger {
-		introduction := e.ownHeartbeat()
-		introduction.Registration = e.ownRegistration()
-		theirs, err = e.sendHeartbeat(ctx, m, introduction)
+		own.Registration = e.ownRegistration()
+		theirs, err = e.sendHeartbeat(ctx, m, own)
 	}
 	if err != nil {
 		e.log.Debug("heartbeat failed", telemetry.ProblemFields(err)...)
@@ -100,14 +104,6 @@
 	return theirs, true
 }
 
-func (e *Entry) sendHeartbeat(ctx context.Context, m membership.Member, own membership.Heartbeat) (membership.Heartbeat, error) {
-	response, err := e.peers.Call(ctx, m.PeerAddress, &wire.Request{Body: &wire.Request_Heartbeat{Heartbeat: wire.FromHeartbeat(own, e.clock.Now())}})
-	if err != nil {
-		return membership.Heartbeat{}, err
-	}
-	return wire.ToHeartbeat(response.GetHeartbeat(), e.clock.Now()), nil
-}
-
 // ownHeartbeat carries this entry's registration while the store cannot show
 // it to the others.
 func (e *Entry) ownHeartbeat() membership.Heartbeat {
--- a/test/bench/claim_load_test.go
+++ b/test/bench/claim_load_test.go
@@ -27,14 +27,16 @@
 // claimLoad offers claims to ledgers in turn. mu guards took.
 type claimLoad struct {
 	ledgers []request.Ledger
+	rate    int // claims a second
+	answer  int // bytes of each answer
 	granted atomic.Int64
 	failed  atomic.Int64
 	mu      sync.Mutex
 	took    *hdrhistogram.Histogram // microseconds of granted claims
 }
 
-func newClaimLoad(ledgers []request.Ledger) *claimLoad {
-	return &claimLoad{ledgers: ledgers, took: hdrhistogram.New(1, 10_000_000, 3)}
+func newClaimLoad(ledgers []request.Ledger, rate int) *claimLoad {
+	return &claimLoad{ledgers: ledgers, rate: rate, answer: answerBytes, took: hdrhistogram.New(1, 10_000_000, 3)}
 }
 
 // run offers for d and returns when the last claim has its answer.
@@ -46,7 +48,7 @@
 	defer ticker.Stop()
 	for time.Since(start) < d {
 		<-ticker.C
-		for due := int(time.Since(start).Seconds() * claimsASecond); offered < due; offered++ {
+		for due := int(time.Since(start).Seconds() * float64(l.rate)); offered < due; offered++ {
 			ledger := l.ledgers[offered%len(l.ledgers)]
 			group.Go(func() { l.claim(ledger) })
 		}
@@ -74,7 +76,7 @@
 	l.mu.Lock()
 	_ = l.took.RecordValue(took.Microseconds())
 	l.mu.Unlock()
-	ledger.Complete(context.Background(), r, request.Result{Outcome: fleet.Completed, Answer: request.Answer{Status: 200, Body: make([]byte, answerBytes)}})
+	ledger.Complete(context.Background(), r, request.Result{Outcome: fleet.Completed, Answer: request.Answer{Status: 200, Body: make([]byte, l.answer)}})
 }
 
 // report prints the phase that lasted elapsed.
