--- a/internal/fleet/instance.go
+++ b/internal/fleet/instance.go
@@ -9,4 +9,5 @@
 	AvailabilityZone string        `json:"availabilityZone"`
 	Rack             string        `json:"rack"`
 	State            InstanceState `json:"state"`
+	Resources        Resources     `json:"resources,omitzero"` // of a worker
 }
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -1,6 +1,7 @@
 package inventory
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,6 +69,10 @@
 			_, _ = d.WriteString(field) // never fails
 			_, _ = d.Write([]byte{0})
 		}
+		for _, amount := range []int{i.Resources.MilliCores, i.Resources.MemoryMB, i.Resources.Accelerators} {
+			_, _ = d.WriteString(strconv.Itoa(amount))
+			_, _ = d.Write([]byte{0})
+		}
 	}
 	return d.Sum64()
 }
--- a/internal/peer/wire/instances.go
+++ b/internal/peer/wire/instances.go
@@ -29,6 +29,7 @@
 		m.Instances[i] = &Instance{
 			Id: in.ID, Kind: string(in.Kind), Service: in.Service, Address: in.Address,
 			AvailabilityZone: in.AvailabilityZone, Rack: in.Rack, State: string(in.State),
+			MilliCores: int64(in.Resources.MilliCores), MemoryMb: int64(in.Resources.MemoryMB), Accelerators: int64(in.Resources.Accelerators),
 		}
 	}
 	return m
@@ -41,6 +42,7 @@
 		l.Instances[i] = fleet.Instance{
 			ID: in.GetId(), Kind: fleet.InstanceKind(in.GetKind()), Service: in.GetService(), Address: in.GetAddress(),
 			AvailabilityZone: in.GetAvailabilityZone(), Rack: in.GetRack(), State: fleet.InstanceState(in.GetState()),
+			Resources: fleet.Resources{MilliCores: int(in.GetMilliCores()), MemoryMB: int(in.GetMemoryMb()), Accelerators: int(in.GetAccelerators())},
 		}
 	}
 	return l
--- /dev/null
+++ b/internal/placement/kind.go
@@ -0,0 +1,7 @@
+package placement
+
+// Kind names the jobs of one team that are taken to be alike.
+type Kind struct {
+	Team string
+	Name string
+}
--- /dev/null
+++ b/internal/placement/observation.go
@@ -0,0 +1,16 @@
+package placement
+
+import (
+	"time"
+
+	"persimmonbay/internal/fleet"
+)
+
+// Observation is the platform's word on the task of a job's latest attempt.
+type Observation struct {
+	Task   string
+	State  fleet.TaskState
+	Usage  fleet.Resources
+	Ran    time.Duration
+	Detail string
+}
--- /dev/null
+++ b/internal/placement/plan_test.go
@@ -0,0 +1,162 @@
+package placement_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/fleet"
+	"persimmonbay/internal/placement"
+)
+
+var _ = Describe("a plan", func() {
+	It("starts urgent jobs first, and leaves alone what fits nowhere", func() {
+		d := plan(snapshot(workers(1, cores(8)), job("a", "t", fleet.Background, cores(6)), job("b", "t", fleet.Urgent, cores(6))))
+		Expect(d.Starts).To(Equal([]placement.Start{{Job: "b", Worker: "w-000"}}))
+		Expect(d.Preemptions).To(BeEmpty())
+	})
+
+	It("keeps accelerators for jobs that need them", func() {
+		accelerated := worker("w-acc", fleet.Resources{MilliCores: 32000, MemoryMB: 65536, Accelerators: 4})
+		plain := worker("w-plain", cores(64))
+		needy := job("needy", "t", fleet.Normal, cores(2))
+		needy.Size.Accelerators = 2
+		s := snapshot([]placement.Worker{accelerated, plain}, job("modest", "t", fleet.Normal, cores(2)), needy)
+		s.Teams["t"] = placement.Team{Quota: fleet.Resources{MilliCores: 1e6, MemoryMB: 1e6, Accelerators: 8}, TopClass: fleet.Urgent}
+		Expect(plan(s).Starts).To(ConsistOf(placement.Start{Job: "modest", Worker: "w-plain"}, placement.Start{Job: "needy", Worker: "w-acc"}))
+	})
+
+	It("holds each team to its quota and gives the team with the smaller share the next place", func() {
+		var jobs []placement.Job
+		for i := range 10 {
+			jobs = append(jobs, job(fmt.Sprintf("big-%d", i), "big", fleet.Normal, cores(2)), job(fmt.Sprintf("small-%d", i), "small", fleet.Normal, cores(2)))
+		}
+		s := snapshot(workers(1, cores(16)), jobs...)
+		s.Teams["big"], s.Teams["small"] = placement.Team{Quota: cores(100)}, placement.Team{Quota: cores(4)}
+		started := map[string]int{}
+		for _, start := range plan(s).Starts {
+			started[start.Job[:3]]++
+		}
+		Expect(started).To(Equal(map[string]int{"big": 7, "sma": 1}))
+		s.Workers = workers(10, cores(16))
+		started = map[string]int{}
+		for _, start := range plan(s).Starts {
+			started[start.Job[:3]]++
+		}
+		Expect(started).To(Equal(map[string]int{"big": 10, "sma": 2}))
+	})
+
+	It("makes room for urgent work by checkpoint, or by throttling what must not be repeated", func() {
+		repeatable, once := on(job("r", "t", fleet.Background, cores(8)), "w-000"), on(job("o", "t", fleet.Background, cores(8)), "w-000")
+		once.Repeatable = false
+		urgent := job("u", "t", fleet.Urgent, cores(6))
+		d := plan(snapshot(workers(1, cores(8)), repeatable, urgent))
+		Expect(d.Preemptions).To(HaveLen(1))
+		Expect(d.Preemptions[0].Way).To(Equal(placement.Checkpoint))
+		Expect(d.Starts).To(BeEmpty(), "the room is not free yet")
+		urgent.Size.MemoryMB = 512
+		once.Size.MemoryMB = 1024
+		d = plan(snapshot(workers(1, cores(8)), once, urgent))
+		Expect(d.Preemptions).To(HaveLen(1))
+		Expect(d.Preemptions[0].Way).To(Equal(placement.Throttle))
+	})
+
+	It("takes no more room for a job that waits for what is leaving, and gives that room to no other", func() {
+		leaving, _ := on(job("l", "t", fleet.Background, cores(8)), "w-000").Preempt(placement.Preemption{Way: placement.Checkpoint}, now)
+		other := on(job("o", "t", fleet.Background, cores(8)), "w-001")
+		s := snapshot(workers(2, cores(10)), leaving, other, job("u", "t", fleet.Urgent, cores(9)), job("n", "t", fleet.Background, cores(2)))
+		d := plan(s)
+		Expect(d.Preemptions).To(BeEmpty())
+		Expect(d.Starts).To(Equal([]placement.Start{{Job: "n", Worker: "w-001"}}))
+	})
+
+	It("counts what tasks are reported to use, above or below what was declared", func() {
+		greedy := on(job("g", "t", fleet.Normal, cores(2)), "w-000")
+		s := snapshot(workers(1, cores(8)), greedy, job("n", "t", fleet.Normal, cores(4)))
+		s.Usage[greedy.Attempt.Task] = placement.Usage{Heard: now, Ran: time.Second, Peak: cores(6)}
+		Expect(plan(s).Starts).To(BeEmpty())
+		modest := on(job("m", "t", fleet.Normal, cores(8)), "w-000")
+		s = snapshot(workers(1, cores(8)), modest, job("n", "t", fleet.Normal, cores(4)))
+		s.Usage[modest.Attempt.Task] = placement.Usage{Heard: now, Ran: 30 * time.Second, Peak: cores(2)}
+		Expect(plan(s).Starts).To(BeEmpty(), "it has not run for long enough to show it")
+		s.Usage[modest.Attempt.Task] = placement.Usage{Heard: now, Ran: 2 * time.Minute, Peak: cores(2)}
+		Expect(plan(s).Starts).To(HaveLen(1))
+	})
+
+	It("takes room back when tasks use more than a worker or a quota has", func() {
+		a, b := on(job("a", "t", fleet.Background, cores(4)), "w-000"), on(job("b", "t", fleet.Normal, cores(4)), "w-000")
+		s := snapshot(workers(1, cores(8)), a, b)
+		s.Usage[b.Attempt.Task] = placement.Usage{Heard: now, Peak: cores(5)}
+		d := plan(s)
+		Expect(d.Preemptions).To(HaveLen(1))
+		Expect(d.Preemptions[0].Job).To(Equal("a"))
+		s.Workers[0].Size = cores(16)
+		Expect(plan(s).Preemptions).To(BeEmpty())
+		s.Teams["t"] = placement.Team{Quota: cores(8), TopClass: fleet.Urgent}
+		Expect(plan(s).Preemptions).To(HaveLen(1))
+	})
+
+	It("lets a job whose deadline is near go before urgent ones", func() {
+		due := job("d", "t", fleet.Normal, cores(8))
+		due.RunTime, due.Deadline = 10*time.Minute, now.Add(20*time.Minute)
+		running := on(job("u", "t", fleet.Urgent, cores(8)), "w-000")
+		d := plan(snapshot(workers(1, cores(8)), running, due, job("v", "t", fleet.Urgent, cores(8))))
+		Expect(d.Preemptions).To(HaveLen(1))
+		Expect(d.Preemptions[0].Job).To(Equal("u"))
+		due.Deadline = now.Add(time.Hour)
+		Expect(plan(snapshot(workers(1, cores(8)), running, due)).Preemptions).To(BeEmpty())
+	})
+
+	It("moves what can be moved off a drained worker, and starts nothing there", func() {
+		moved, once := on(job("m", "t", fleet.Normal, cores(1)), "w-000"), on(job("o", "t", fleet.Normal, cores(1)), "w-000")
+		once.Repeatable = false
+		s := snapshot(workers(2, cores(8)), moved, once, job("q", "t", fleet.Normal, cores(1)))
+		s.Workers[0].Draining = true
+		d := plan(s)
+		Expect(d.Preemptions).To(HaveLen(1))
+		Expect(d.Preemptions[0].Job).To(Equal("m"))
+		Expect(d.Starts).To(Equal([]placement.Start{{Job: "q", Worker: "w-001"}}))
+	})
+})
+
+var _ = Describe("failures", func() {
+	failedOn := func(id, name string, workers ...string) placement.Job {
+		j := job(id, "t", fleet.Normal, cores(1))
+		j.Name = name
+		for _, w := range workers {
+			j.Failures = append(j.Failures, placement.Failure{Worker: w, At: now.Add(-time.Minute)})
+		}
+		return j
+	}
+	finishedOn := func(id, name, worker string) placement.Job {
+		j := on(job(id, "t", fleet.Normal, cores(1)), worker)
+		j.Name, j.Phase, j.Since = name, placement.Finished, now.Add(-2*time.Minute)
+		return j
+	}
+
+	It("quarantine a worker that fails what others run, until the evidence is old", func() {
+		s := snapshot(workers(2, cores(8)), finishedOn("f", "k", "w-001"), failedOn("a", "k", "w-000"), failedOn("b", "k", "w-000"), failedOn("c", "k", "w-000"))
+		d := plan(s)
+		Expect(d.Quarantined).To(Equal([]string{"w-000"}))
+		for _, start := range d.Starts {
+			Expect(start.Worker).To(Equal("w-001"))
+		}
+		s.Now = now.Add(time.Hour)
+		Expect(plan(s).Quarantined).To(BeEmpty())
+	})
+
+	It("of jobs that fail everywhere quarantine no worker and end the job", func() {
+		s := snapshot(workers(4, cores(8)), finishedOn("f0", "good", "w-000"), finishedOn("f1", "good", "w-001"), finishedOn("f2", "good", "w-002"),
+			failedOn("a", "bad", "w-000", "w-001", "w-002"), failedOn("b", "bad", "w-000", "w-001", "w-002"), failedOn("c", "bad", "w-000", "w-001", "w-002"))
+		d := plan(s)
+		Expect(d.Quarantined).To(BeEmpty())
+		Expect(d.Hopeless).To(HaveLen(3))
+	})
+
+	It("keep a job off the worker that failed it", func() {
+		d := plan(snapshot(workers(2, cores(8)), failedOn("a", "k", "w-000")))
+		Expect(d.Starts).To(Equal([]placement.Start{{Job: "a", Worker: "w-001"}}))
+	})
+})
--- /dev/null
+++ b/internal/placement/preemption.go
@@ -0,0 +1,8 @@
+package placement
+
+// Preemption takes room from a job.
+type Preemption struct {
+	Job    string
+	Way    Way
+	Reason string
+}
--- a/internal/problem/step.go
+++ b/internal/problem/step.go
@@ -24,5 +24,7 @@
 	StepPeerCall      Step = "peer-call"
 	StepPlan          Step = "plan"
 	StepReboot        Step = "reboot"
+	StepTask          Step = "task"
+	StepPlace         Step = "place"
 	StepShutdown      Step = "shutdown"
 )
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -22,6 +22,7 @@
 	Store     *Store
 	Instances *Instances
 	Reboots   *Reboots
+	Tasks     *Tasks
 	faults    *shard.Cell[Faults]
 	injector  *injector
 	meter     *meter
@@ -35,6 +36,7 @@
 		Store:     NewStore(clock),
 		Instances: instances,
 		Reboots:   newReboots(clock, instances, faults),
+		Tasks:     NewTasks(clock, instances, dialWorker),
 		faults:    faults,
 		injector:  newInjector(faults, clock),
 		meter:     newMeter(clock),
@@ -62,6 +64,7 @@
 	v1.HandleFunc("/leases/{id}", s.revoke).Methods(http.MethodDelete)
 	v1.HandleFunc("/instances", s.instances).Methods(http.MethodGet)
 	v1.HandleFunc("/instances/{id}/reboot", s.reboot).Methods(http.MethodPost)
+	s.taskRoutes(v1)
 	r.HandleFunc("/standin/faults", s.putFaults).Methods(http.MethodPut)
 	r.HandleFunc("/standin/rates", s.putRates).Methods(http.MethodPut)
 	r.HandleFunc("/standin/calls", s.getCalls).Methods(http.MethodGet)
@@ -182,6 +185,8 @@
 		return http.StatusGone
 	case problem.Invalid:
 		return http.StatusBadRequest
+	case problem.Unavailable, problem.Timeout, problem.Interrupted:
+		return http.StatusServiceUnavailable
 	}
 	return http.StatusInternalServerError
 }
