--- a/internal/placement/give_up.go
+++ b/internal/placement/give_up.go
@@ -1,10 +1,17 @@
 package placement
 
-import "fmt"
+import (
+	"fmt"
+
+	"persimmonbay/internal/fleet"
+)
 
 // hopeless says why j is to be given up, or nothing: it failed on workers that
 // run others, or on very many, or was seen to use more than it can ever get.
 func (p *planner) hopeless(j *Job) string {
+	if len(j.Failures) == 0 && j.Peak == (fleet.Resources{}) {
+		return ""
+	}
 	proven := make(map[string]bool)
 	for _, f := range j.Failures {
 		if p.proven[f.Worker] {
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -21,7 +21,7 @@
 	}
 	for i := range queues {
 		rank := rankDue - rank(i)
-		queues[rank].sort()
+		queues[rank].sort(p.quotaShare)
 		p.placeRank(queues[rank], rank)
 	}
 }
@@ -31,7 +31,7 @@
 func (p *planner) placeRank(q *queue, rank rank) {
 	var missed []fleet.Resources
 	for len(p.decisions.Starts) < p.policy.MaxStarts {
-		j := q.next(p.s.Teams, p.used)
+		j, team := q.next()
 		if j == nil {
 			return
 		}
@@ -39,12 +39,19 @@
 		if !p.used[j.Team].Plus(size).Within(p.s.Teams[j.Team].Quota) || exceedsAny(size, missed) {
 			continue
 		}
-		if !p.placeJob(j, size, rank) && len(j.Failures) == 0 {
+		placed := p.placeJob(j, size, rank)
+		team.share = p.quotaShare(team.team)
+		if !placed && len(j.Failures) == 0 {
 			missed = append(missed, size)
 		}
 	}
 }
 
+// quotaShare returns the share of its quota that a team uses.
+func (p *planner) quotaShare(team string) float64 {
+	return p.used[team].Share(p.s.Teams[team].Quota)
+}
+
 // exceedsAny reports whether size needs at least as much as one that had no
 // room.
 func exceedsAny(size fleet.Resources, missed []fleet.Resources) bool {
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -1,33 +1,32 @@
 package placement
 
-import (
-	"sort"
-
-	"persimmonbay/internal/fleet"
-)
+import "sort"
 
 // queue holds the queued jobs of one rank, by team. The team that uses the
 // smallest share of its quota goes next.
 type queue struct {
-	teams map[string][]*Job // in the order of their starts
-	names []string
+	teams map[string]*teamQueue
+	order []*teamQueue // by team, once sorted
 }
 
-func newQueue() *queue { return &queue{teams: make(map[string][]*Job)} }
+func newQueue() *queue { return &queue{teams: make(map[string]*teamQueue)} }
 
 func (q *queue) add(j *Job) {
-	if _, known := q.teams[j.Team]; !known {
-		q.names = append(q.names, j.Team)
+	t, known := q.teams[j.Team]
+	if !known {
+		t = &teamQueue{team: j.Team}
+		q.teams[j.Team], q.order = t, append(q.order, t)
 	}
-	q.teams[j.Team] = append(q.teams[j.Team], j)
+	t.jobs = append(t.jobs, j)
 }
 
-// sort orders each team's jobs: by deadline, those without last, and then by
-// age.
-func (q *queue) sort() {
-	sort.Strings(q.names)
-	for _, jobs := range q.teams {
-		sort.Slice(jobs, func(a, b int) bool { return earlier(jobs[a], jobs[b]) })
+// sort orders the teams, and each team's jobs by deadline, those without last,
+// and then by age. share returns the share of its quota that a team uses.
+func (q *queue) sort(share func(team string) float64) {
+	sort.Slice(q.order, func(a, b int) bool { return q.order[a].team < q.order[b].team })
+	for _, t := range q.order {
+		t.share = share(t.team)
+		sort.Slice(t.jobs, func(a, b int) bool { return earlier(t.jobs[a], t.jobs[b]) })
 	}
 }
 
@@ -43,22 +42,19 @@
 	return a.ID < b.ID
 }
 
-// next takes out the next job, or returns nil when there is none.
-func (q *queue) next(teams map[string]Team, used map[string]fleet.Resources) *Job {
-	best, least := "", 0.0
-	for _, name := range q.names {
-		if len(q.teams[name]) == 0 {
-			continue
-		}
-		share := used[name].Share(teams[name].Quota)
-		if best == "" || share < least {
-			best, least = name, share
+// next takes out the next job and returns it with its team's queue, or nil when
+// there is none.
+func (q *queue) next() (*Job, *teamQueue) {
+	var best *teamQueue
+	for _, t := range q.order {
+		if len(t.jobs) > 0 && (best == nil || t.share < best.share) {
+			best = t
 		}
 	}
-	if best == "" {
-		return nil
+	if best == nil {
+		return nil, nil
 	}
-	j := q.teams[best][0]
-	q.teams[best] = q.teams[best][1:]
-	return j
+	j := best.jobs[0]
+	best.jobs = best.jobs[1:]
+	return j, best
 }
