--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -15,11 +15,7 @@
 // queuedSize returns the room that a queued j is given: what it declared, until
 // it or its kind has shown what it uses. Accelerators are given as declared.
 func (p *planner) queuedSize(j *Job) fleet.Resources {
-	size := j.Size
-	if kind := p.kinds[j.kind()]; kind != nil && kind.finished > 0 && kind.size.MilliCores > 0 {
-		size = withHeadroom(kind.size, j.Size)
-	}
-	size = p.placeable(j, size.Max(j.Peak))
+	size := p.placeable(j, p.kinds[j.kind()].sizeOf(j.Size).Max(j.Peak))
 	size.Accelerators = j.Size.Accelerators
 	return size
 }
--- a/internal/placement/learned.go
+++ b/internal/placement/learned.go
@@ -6,10 +6,14 @@
 	"persimmonbay/internal/fleet"
 )
 
+// wholePerMille is the ratio of jobs that use what they declared.
+const wholePerMille = 1000
+
 // learned is what jobs of one kind were seen to need.
 type learned struct {
-	size     fleet.Resources // the most that one used
-	runTime  time.Duration   // the longest that one ran
+	cores    int           // the most processors that one used, per mille of what it declared
+	memory   int           // the most memory that one used, per mille of what it declared
+	runTime  time.Duration // the longest that one ran
 	finished int
 	failedOn map[string]bool // workers on which one failed of late
 }
@@ -32,14 +36,34 @@
 	return kinds
 }
 
+// add takes a job into account. One that ended before it can have been reported
+// in full shows no less than what it declared.
 func (k *learned) add(j *Job, now time.Time, p Policy) {
 	for _, f := range j.Failures {
 		if now.Sub(f.At) <= p.EvidenceWindow {
 			k.failedOn[f.Worker] = true
 		}
 	}
-	if j.Phase == Finished {
-		k.finished++
-		k.size, k.runTime = k.size.Max(j.Peak), max(k.runTime, j.Ran)
+	if j.Phase != Finished {
+		return
+	}
+	k.finished++
+	k.runTime = max(k.runTime, j.Ran)
+	used := j.Peak
+	if j.Ran < p.SettleAfter || used.MilliCores == 0 {
+		used = used.Max(j.Size)
+	}
+	k.cores = max(k.cores, perMille(used.MilliCores, j.Size.MilliCores))
+	k.memory = max(k.memory, perMille(used.MemoryMB, j.Size.MemoryMB))
+}
+
+func perMille(part, whole int) int { return part * wholePerMille / max(whole, 1) }
+
+// sizeOf returns what a job that declared size is likely to use.
+func (k *learned) sizeOf(declared fleet.Resources) fleet.Resources {
+	if k == nil || k.finished == 0 {
+		return declared
 	}
+	used := fleet.Resources{MilliCores: declared.MilliCores * k.cores / wholePerMille, MemoryMB: declared.MemoryMB * k.memory / wholePerMille}
+	return withHeadroom(used, declared)
 }
--- a/internal/standin/worker/runner.go
+++ b/internal/standin/worker/runner.go
@@ -102,11 +102,10 @@
 // Load returns what the worker does now and has started.
 func (r *Runner) Load() Load {
 	f, now := r.faults.Get(), r.clock.Now()
-	l := Load{Starts: make(map[string]int)}
+	l := Load{Running: make(map[string]fleet.Resources), Starts: make(map[string]int)}
 	r.tasks.Range(func(_ string, t record) bool {
 		if t = t.after(now, f); t.state == fleet.TaskRunning {
-			l.Running++
-			l.Uses = l.Uses.Plus(t.uses())
+			l.Running[t.job] = l.Running[t.job].Plus(t.uses())
 		}
 		return true
 	})
