Jobs as processes: entries place them, operators submit and cancel them

Made: whichever entry holds the control lease runs jobs.Keeper; operators' /v1/jobs; commands job submit, list, show and cancel; standin worker; the questionnaire's and the configuration's optional section jobs, from which teams' quotas and classes and the pool 'workers' follow. Workers have records like other instances, so drains and waves take them; a worker that leaves is acknowledged only once no job takes up room on it. Ruled out: jobs within each team's answers (it moved every line that existing refusal tests name; the section now stands at the end).

--- a/cmd/persimmonbay/main.go
+++ b/cmd/persimmonbay/main.go
@@ -24,6 +24,7 @@
 		configCommand(),
 		poolCommand(),
 		instanceCommand(),
+		jobCommand(),
 		replayCommand(),
 		requestCommand(),
 		serviceCommand(),
--- a/internal/configfile/refusal_test.go
+++ b/internal/configfile/refusal_test.go
@@ -45,6 +45,9 @@
 	Entry("no spare pool", "spare: true", "spare: false", "23: pools: expected exactly one spare pool, found 0"),
 	Entry("the same team twice", "name: inspectors", "name: herders", `13: teams[1]: expected a name of its own, found "herders" again (first at teams[0])`),
 	Entry("name that cannot stand in a URL", "name: land-offices", "name: land/offices", "16: teams[2].name: expected a name of letters"),
+	Entry("jobs of no team", "- team: inspectors", "- team: inspektors", `83: jobs.teams[0].team: expected the name of a team, found "inspektors"`),
+	Entry("quota below 0", "milliCores: 64000", "milliCores: -1", "86: jobs.teams[0].quota.milliCores: expected a value of at least 0"),
+	Entry("a pool with the name of the workers'", "  - name: rights\n    spare: false", "  - name: workers\n    spare: false", `23: pools: expected no pool "workers"`),
 	Entry("second document", "classes:\n", "---\nclasses:\n", "2: document: expected one document"),
 	Entry("no YAML", "classes:\n", "\tclasses: [\n", "2: "),
 )
@@ -62,6 +65,8 @@
 	Entry("no people", "people: 4000", "people: 0", "6: teams[0].people: expected a value above 0"),
 	Entry("more away than there are", "mayBeAway: 2", "mayBeAway: 12", "19: services[0].mayBeAway: expected less than the 12 runners, found 12"),
 	Entry("name of the spare pool", "name: tags", "name: spare", `17: services[0].name: expected another name than "spare"`),
+	Entry("jobs of a team that has answered nothing else", "- team: reconciliation", "- team: reconciling", `55: jobs[1].team: expected the name of a team, found "reconciling"`),
+	Entry("jobs that need no memory", "memoryGB: 256", "memoryGB: 0", "53: jobs[0].memoryGB: expected a value above 0"),
 	Entry("path without a slash", "[/renewals]", "[renewals]", "29: services[1].mustNotRepeat[0]: expected a value that starts with /"),
 	Entry("bad duration", "answerWithin: 2s", "answerWithin: 2 seconds", "22: services[0].answerWithin: expected a duration"),
 	Entry("the same service twice", "name: renewals", "name: tags", `23: services[1]: expected a name of its own`),
--- a/internal/configuration/check.go
+++ b/internal/configuration/check.go
@@ -15,6 +15,7 @@
 	findings = append(findings, duplicateNames("services", len(c.Services), func(i int) string { return c.Services[i].Name })...)
 	findings = append(findings, duplicateNames("classes", len(c.Classes), func(i int) string { return c.Classes[i].Class.String() })...)
 	findings = append(findings, unknownPools(c)...)
+	findings = append(findings, checkJobs(c)...)
 	return append(findings, sparePools(c)...)
 }
 
--- a/internal/configuration/check_questionnaire.go
+++ b/internal/configuration/check_questionnaire.go
@@ -12,6 +12,7 @@
 	var findings problem.Findings
 	findings = append(findings, duplicateNames("teams", len(q.Teams), func(i int) string { return q.Teams[i].Name })...)
 	findings = append(findings, duplicateNames("services", len(q.Services), func(i int) string { return q.Services[i].Name })...)
+	findings = append(findings, checkJobAnswers(q)...)
 	for i := range q.Services {
 		findings = append(findings, checkServiceAnswers(i, &q.Services[i])...)
 	}
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -7,6 +7,7 @@
 	Teams        []Team       `yaml:"teams" validate:"required,dive"`
 	Pools        []Pool       `yaml:"pools" validate:"required,dive"`
 	Services     []Service    `yaml:"services" validate:"required,dive"`
+	Jobs         *Jobs        `yaml:"jobs,omitempty"` // nil: nobody runs jobs
 }
 
 // Service returns the service with the given name.
--- a/internal/configuration/generate.go
+++ b/internal/configuration/generate.go
@@ -38,18 +38,24 @@
 		c.Services = append(c.Services, generateService(&q.Services[i]))
 	}
 	c.Pools = append(c.Pools, Pool{Name: SparePool, Spare: true})
+	c.Jobs = generateJobs(q.Jobs)
 	return c
 }
 
 func generateTeam(a *TeamAnswers) Team {
-	top := fleet.Background
-	switch a.LateMeans {
+	return Team{Name: a.Name, TopClass: topClass(a.LateMeans), Weight: teamWeight(a.People)}
+}
+
+// topClass returns the most urgent class of those whose answers or work, when
+// late, do what lateMeans says.
+func topClass(lateMeans string) fleet.Class {
+	switch lateMeans {
 	case "harm":
-		top = fleet.Urgent
+		return fleet.Urgent
 	case "annoyance":
-		top = fleet.Normal
+		return fleet.Normal
 	}
-	return Team{Name: a.Name, TopClass: top, Weight: teamWeight(a.People)}
+	return fleet.Background
 }
 
 // teamWeight grows with the logarithm of the people, so that a large team
--- /dev/null
+++ b/internal/configuration/jobs.go
@@ -0,0 +1,7 @@
+package configuration
+
+// Jobs says who may run jobs on the workers.
+type Jobs struct {
+	WorkersMayBeAway float64    `yaml:"workersMayBeAway" validate:"gt=0,lte=1"` // share of the workers that maintenance may take at once
+	Teams            []TeamJobs `yaml:"teams" validate:"required,dive"`
+}
--- a/internal/entry/control_acknowledge.go
+++ b/internal/entry/control_acknowledge.go
@@ -21,7 +21,7 @@
 func (c *control) acknowledged() uint64 {
 	revision := c.router.settledRevision()
 	c.view.Leaving(func(r maintenance.Record) {
-		if c.work.at(r.Instance) > 0 {
+		if c.work.at(r.Instance) > 0 || c.entry.jobs.occupies(r.Instance) {
 			revision = min(revision, r.Version-1)
 		}
 	})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -56,6 +56,7 @@
 	metrics *telemetry.Metrics
 	ledger  *ledger.Ledger
 	control *control
+	jobs    *jobPlacer
 	slots   *slotKeeper
 }
 
@@ -88,6 +89,7 @@
 	}
 	e.sender = upstream.NewSender(s.Limits.WholeBytes, clock, e.upstreamLeaving)
 	e.control = newControl(e)
+	e.jobs = newJobPlacer(e)
 	e.slots = newSlotKeeper(e)
 	e.metrics.Publish("platformCalls", func() any { return client.Counts().Snapshot() })
 	e.metrics.Publish("configurationVersion", func() any { return e.inForce.Get().Version })
@@ -164,5 +166,6 @@
 		e.followInstances,
 		e.forgetIdleLedger,
 		e.control.run,
+		e.jobs.run,
 	}
 }
--- a/internal/jobs/keeper.go
+++ b/internal/jobs/keeper.go
@@ -77,6 +77,22 @@
 	k.View.Forget()
 }
 
+// Occupies reports whether a job may take up room on the worker. Until the jobs
+// are known, one may.
+func (k *Keeper) Occupies(worker string) bool {
+	if !k.View.Listed() {
+		return true
+	}
+	for i := range jobstore.Shards {
+		for _, j := range k.View.Shard(i).Jobs {
+			if j.Phase.Placed() && j.Attempt.Worker == worker {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Await waits for the calls under way.
 func (k *Keeper) Await() { k.calls.Wait() }
 
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -37,6 +37,7 @@
 func (k *Keeper) runTerm(ctx context.Context, store platform.Store, watch time.Duration, held func() bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer k.View.Forget()
 	k.Begin(uuid.NewString())
 	var loops sync.WaitGroup
 	defer k.Await()
--- a/internal/maintenance/budget.go
+++ b/internal/maintenance/budget.go
@@ -8,16 +8,21 @@
 
 // Budget is a pool's availability budget: the strictest of its services'.
 type Budget struct {
-	Pool  string
-	Share float64 // of the pool's instances that may be away at once
-	Spare bool    // its instances may be lent to other pools
+	Pool    string
+	Share   float64 // of the pool's instances that may be away at once
+	Spare   bool    // its instances may be lent to other pools
+	Workers bool    // its instances run jobs, and no other instance can stand in for them
 }
 
 // Allowed returns how many of n instances may be away at once. Of spares it is
-// half, and one at least.
+// half, and of spares and workers one at least.
 func (b Budget) Allowed(n int) int {
 	if b.Spare {
 		return max(1, n/2) // the others are there to be lent
 	}
-	return int(math.Floor(float64(n) * (b.Share + shareRounding)))
+	allowed := int(math.Floor(float64(n) * (b.Share + shareRounding)))
+	if b.Workers {
+		return max(1, allowed)
+	}
+	return allowed
 }
--- a/internal/maintenance/budgets.go
+++ b/internal/maintenance/budgets.go
@@ -2,7 +2,8 @@
 
 import "persimmonbay/internal/configuration"
 
-// Budgets returns the availability budget of each configured pool.
+// Budgets returns the availability budget of each configured pool, and of the
+// workers when teams run jobs.
 func Budgets(c *configuration.Configuration) []Budget {
 	budgets := make([]Budget, 0, len(c.Pools))
 	for _, pool := range c.Pools {
@@ -14,6 +15,9 @@
 		}
 		budgets = append(budgets, b)
 	}
+	if c.Jobs != nil {
+		budgets = append(budgets, Budget{Pool: configuration.WorkersPool, Share: c.Jobs.WorkersMayBeAway, Workers: true})
+	}
 	return budgets
 }
 
--- a/internal/maintenance/plan_loan.go
+++ b/internal/maintenance/plan_loan.go
@@ -8,7 +8,7 @@
 	asked := make(map[string]bool)
 	for _, r := range due {
 		t := p.tallies[r.Home]
-		if t.Spare || asked[r.Home] || t.Free() > 0 || p.underway(r.Home) || !p.short(r.Home, t) {
+		if t.Spare || p.s.budget(r.Home).Workers || asked[r.Home] || t.Free() > 0 || p.underway(r.Home) || !p.short(r.Home, t) {
 			continue
 		}
 		asked[r.Home] = true
--- a/internal/maintenance/plan_observe.go
+++ b/internal/maintenance/plan_observe.go
@@ -1,15 +1,14 @@
 package maintenance
 
-import "persimmonbay/internal/fleet"
-
-// assign gives instances without a record the pool of their service.
+// assign gives instances without a record the pool of their service, or that
+// of the workers.
 func (p *planner) assign() {
 	for _, id := range sortedIDs(p.s.Listed) {
 		instance := p.s.Listed[id]
-		if _, known := p.s.Records[id]; known || instance.Kind != fleet.KindUpstream {
+		if _, known := p.s.Records[id]; known {
 			continue
 		}
-		pool, configured := p.s.ServicePools[instance.Service]
+		pool, configured := p.s.poolOf(instance)
 		if !configured {
 			continue
 		}
--- a/internal/maintenance/snapshot.go
+++ b/internal/maintenance/snapshot.go
@@ -42,6 +42,21 @@
 	return true
 }
 
+// poolOf returns the pool that an instance belongs to by what it is for, and
+// whether that pool is configured.
+func (s *Snapshot) poolOf(instance fleet.Instance) (string, bool) {
+	if instance.Kind == fleet.KindUpstream {
+		pool, configured := s.ServicePools[instance.Service]
+		return pool, configured
+	}
+	for _, b := range s.Budgets {
+		if b.Workers && instance.Kind == fleet.KindWorker {
+			return b.Pool, true
+		}
+	}
+	return "", false
+}
+
 // budget returns the budget of a pool. A pool that is not configured may lose
 // nothing.
 func (s *Snapshot) budget(pool string) Budget {
--- a/internal/operator/backend.go
+++ b/internal/operator/backend.go
@@ -12,6 +12,7 @@
 type Backend interface {
 	LedgerBackend
 	FleetBackend
+	JobsBackend
 	// Ready returns nil when the entry may receive requests, or why not.
 	Ready() error
 	Status() message.Status
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -49,6 +49,7 @@
 	r.HandleFunc("/v1/configuration", s.apply).Methods(http.MethodPut)
 	r.HandleFunc("/v1/configuration/history", s.history).Methods(http.MethodGet)
 	s.routeLedger(r)
+	s.jobRoutes(r)
 	return r
 }
 
