--- a/internal/jobs/sim_entry_test.go
+++ b/internal/jobs/sim_entry_test.go
@@ -8,6 +8,7 @@
 	"persimmonbay/internal/jobs"
 	"persimmonbay/internal/jobstore"
 	"persimmonbay/internal/placement"
+	"persimmonbay/internal/problem"
 )
 
 // simEntry is one entry of a simulated fleet, with its keeper.
@@ -51,8 +52,10 @@
 		return
 	}
 	changes, err := e.platform.Watch(ctx, jobstore.Prefix, e.revision, 0)
-	if err != nil {
+	if problem.Is(err, problem.Compacted) {
 		e.keeper.View.Forget()
+	}
+	if err != nil {
 		return
 	}
 	for _, event := range changes.Events {
