--- a/internal/standin/worker/runner.go
+++ b/internal/standin/worker/runner.go
@@ -99,6 +99,12 @@
 	return problem.Wrap(problem.Timeout, problem.StepTask, "", ctx.Err())
 }
 
+// Started returns how often a task of the job was started.
+func (r *Runner) Started(job string) int {
+	n, _ := r.starts.Get(job)
+	return n
+}
+
 // Load returns what the worker does now and has started.
 func (r *Runner) Load() Load {
 	f, now := r.faults.Get(), r.clock.Now()
