--- a/internal/jobs/effect.go
+++ b/internal/jobs/effect.go
@@ -19,13 +19,13 @@
 // does not wait for the answers, so that a worker that gives none holds nothing
 // up.
 func (k *Keeper) effect(ctx context.Context, lost map[string]bool, held func() bool) (ordering bool) {
-	placed := k.placed()
+	placed, unwritten := k.placed(), k.unwritten()
 	k.forget(placed)
 	for i := range placed {
 		j := &placed[i]
 		call, limiter := k.callFor(j, lost[j.ID])
 		ordering = ordering || limiter == k.orders
-		if !k.begin(j, limiter) {
+		if unwritten[j.ID] || !k.begin(j, limiter) {
 			continue
 		}
 		k.calls.Add(1)
@@ -150,11 +150,13 @@
 	k.View.touch()
 }
 
-// answered takes out the changes that answers have brought.
-func (k *Keeper) answered() []edit {
-	var edits []edit
-	k.answers.Update(func(old []edit) ([]edit, bool) { edits = old; return nil, true })
-	return edits
+// unwritten returns the jobs whose answers no step has written down yet.
+func (k *Keeper) unwritten() map[string]bool {
+	unwritten := make(map[string]bool)
+	for _, e := range k.answers.Get() {
+		unwritten[e.job] = true
+	}
+	return unwritten
 }
 
 // heard notes the platform's word on a task and returns the most that it was
--- a/internal/jobs/keeper.go
+++ b/internal/jobs/keeper.go
@@ -106,7 +106,7 @@
 	if !k.claim(ctx) {
 		return true
 	}
-	complete := k.write(ctx, k.answered(), k.clock.Now())
+	complete := k.writeAnswers(ctx)
 	snapshot, known := k.snapshot()
 	if !known || !held() {
 		return !complete
--- a/internal/jobs/pending.go
+++ b/internal/jobs/pending.go
@@ -9,6 +9,7 @@
 // pending is one shard to be written, with what the write does.
 type pending struct {
 	shard       jobstore.Shard
+	edits       []edit
 	urgent      bool
 	starts      uint64
 	preemptions uint64
--- a/internal/jobs/write.go
+++ b/internal/jobs/write.go
@@ -44,24 +44,44 @@
 	if k.clock.Since(planned) > planLife {
 		return false
 	}
-	missed := shard.NewCell(false)
+	return len(k.writeShards(ctx, edits)) == 0
+}
+
+// writeAnswers writes down what the platform told, and keeps what could not be
+// written for the next step. Calls may add more meanwhile.
+func (k *Keeper) writeAnswers(ctx context.Context) bool {
+	var edits []edit
+	k.answers.Update(func(old []edit) ([]edit, bool) { edits = old; return nil, true })
+	missed := k.writeShards(ctx, edits)
+	k.answers.Update(func(added []edit) ([]edit, bool) { return append(missed, added...), true })
+	return len(missed) == 0
+}
+
+// writeShards makes edits, one write a shard, and returns those that were not
+// made.
+func (k *Keeper) writeShards(ctx context.Context, edits []edit) []edit {
+	missed := shard.NewCell[[]edit](nil)
+	miss := func(p pending) {
+		missed.Update(func(old []edit) ([]edit, bool) { return append(old, p.edits...), true })
+	}
 	var writes sync.WaitGroup
 	for _, p := range k.pending(edits) {
 		if !k.writes.AllowN(k.clock.Now(), 1) {
-			return false
+			miss(p)
+			continue
 		}
 		writes.Add(1)
 		k.Spawn(func() {
 			defer writes.Done()
 			if !k.save(ctx, p.shard) {
-				missed.Update(func(bool) (bool, bool) { return true, true })
+				miss(p)
 				return
 			}
 			k.counts.Update(func(c Counters) (Counters, bool) { return p.count(c), true })
 		})
 	}
 	writes.Wait()
-	return !missed.Get()
+	return missed.Get()
 }
 
 // pending returns the shards that edits change, those with urgent changes
@@ -81,6 +101,7 @@
 			j, ok := e.change(old)
 			if found && ok {
 				changed = append(changed, j)
+				p.edits = append(p.edits, e)
 				p.add(old, j, e.urgent)
 			}
 		}
