--- a/cmd/persimmonbay/dev.go
+++ b/cmd/persimmonbay/dev.go
@@ -65,6 +65,9 @@
 			return err
 		}
 	}
+	if err := startDevWorkers(standinsCtx, group, fleetPlatform, clock); err != nil {
+		return err
+	}
 	log, err := telemetry.NewLogger(c.err, logLevel)
 	if err != nil {
 		return err
@@ -133,4 +136,5 @@
 func printDev(c console, a entry.Addresses, platformAddress string) {
 	fmt.Fprintf(c.out, "callers    http://%s\noperators  http://%s (token %s)\nplatform   http://%s\n\n", a.Callers, a.Operators, devToken, platformAddress)
 	fmt.Fprintf(c.out, "try: curl -i -H 'Persimmonbay-Team: herders' http://%s/tags/8812\n", a.Callers)
+	fmt.Fprintf(c.out, "     persimmonbay job submit -operator %s -token %s -team reconciliation -name rights -work '{\"runMillis\":5000}'\n", a.Operators, devToken)
 }
