--- a/internal/entry/config_follow.go
+++ b/internal/entry/config_follow.go
@@ -7,6 +7,7 @@
 
 	"persimmonbay/internal/configstore"
 	"persimmonbay/internal/configuration"
+	"persimmonbay/internal/packed"
 	"persimmonbay/internal/peer/wire"
 	"persimmonbay/internal/platform"
 	"persimmonbay/internal/platform/api"
@@ -45,9 +46,10 @@
 	e.offer(v)
 }
 
-// offer puts v in force if it is newer.
+// offer puts v in force if it is newer, and has the other entries told.
 func (e *Entry) offer(v configuration.Versioned) {
 	if e.inForce.Offer(v) {
+		e.tellPeers()
 		e.log.Info("configuration in force", zap.Uint64("version", uint64(v.Version)))
 	}
 }
@@ -70,7 +72,11 @@
 		return err
 	}
 	c := response.GetConfiguration()
-	v, err := configstore.Parse(configuration.Version(c.GetVersion()), c.GetSource())
+	source, err := packed.Unpack(c.GetSource())
+	if err != nil {
+		return problem.Wrap(problem.Invalid, problem.StepConfiguration, address, err)
+	}
+	v, err := configstore.Parse(configuration.Version(c.GetVersion()), source)
 	if err != nil {
 		return problem.Wrap(problem.Invalid, problem.StepConfiguration, address, err)
 	}
--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -7,31 +7,12 @@
 	"go.uber.org/zap"
 
 	"persimmonbay/internal/membership"
-	"persimmonbay/internal/peer/wire"
 	"persimmonbay/internal/telemetry"
 )
 
 // catchUpRetry is the wait between two tries to take over a sighted version.
 const catchUpRetry = 200 * time.Millisecond
 
-// announce tells every member at once when a configuration comes in force
-// here, until ctx ends.
-func (e *Entry) announce(ctx context.Context) {
-	var told sighting
-	for {
-		v, changed := e.inForce.Watch()
-		if v.Version > told.version {
-			e.exchangeHeartbeats(ctx, everyone)
-			told.version = v.Version
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // chase takes over newer versions that peers told of, until ctx ends. With
 // nothing in force it leaves that to the round of heartbeats, which looks at
 // all peers first.
@@ -64,8 +45,8 @@
 	return seen.version <= e.inForce.Get().Version
 }
 
-// heartbeatReceived answers the heartbeat of a peer.
-func (e *Entry) heartbeatReceived(theirs membership.Heartbeat) *wire.Response {
+// heartbeatReceived takes over what a peer tells and returns the answer.
+func (e *Entry) heartbeatReceived(theirs membership.Heartbeat) membership.Heartbeat {
 	now := e.clock.Now()
 	if theirs.Registration != nil && theirs.Registration.ID == theirs.Entry {
 		e.members.Announced(*theirs.Registration, now)
@@ -79,7 +60,7 @@
 	if m, ok := e.members.Member(theirs.Entry); ok {
 		e.sight(sighting{version: theirs.ConfigurationVersion, address: m.PeerAddress})
 	}
-	return &wire.Response{Body: &wire.Response_Heartbeat{Heartbeat: wire.FromHeartbeat(own, now)}}
+	return own
 }
 
 // sight notes that a peer has a version; the newest and latest sighting wins.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -122,10 +122,17 @@
 }
 
 // Instances implements InstanceLister.
-func (c *Client) Instances(ctx context.Context) ([]fleet.Instance, error) {
+func (c *Client) Instances(ctx context.Context, known fleet.Listing) (fleet.Listing, error) {
+	condition := &validator{tag: known.Tag}
 	var instances []fleet.Instance
-	err := c.call(ctx, exchange{kind: callRead, step: problem.StepInstances, method: http.MethodGet, path: "/v1/instances", out: &instances})
-	return instances, err
+	err := c.call(ctx, exchange{kind: callRead, step: problem.StepInstances, method: http.MethodGet, path: "/v1/instances", out: &instances, condition: condition})
+	if err != nil {
+		return fleet.Listing{}, err
+	}
+	if condition.unchanged {
+		return known, nil
+	}
+	return fleet.Listing{Tag: condition.tag, Instances: instances}, nil
 }
 
 func keyPath(key string) string { return (&url.URL{Path: "/v1/kv/" + key}).EscapedPath() }
