--- a/internal/maintenance/budget.go
+++ b/internal/maintenance/budget.go
@@ -1,6 +1,10 @@
 package maintenance
 
-import "math"
+import (
+	"math"
+
+	"persimmonbay/internal/configuration"
+)
 
 // shareRounding is how far a configured share may lie below the exact one,
 // since shares are rounded to three decimals.
@@ -8,10 +12,9 @@
 
 // Budget is a pool's availability budget: the strictest of its services'.
 type Budget struct {
-	Pool    string
-	Share   float64 // of the pool's instances that may be away at once
-	Spare   bool    // its instances may be lent to other pools
-	Workers bool    // its instances run jobs, and no other instance can stand in for them
+	Pool  string
+	Share float64 // of the pool's instances that may be away at once
+	Spare bool    // its instances may be lent to other pools
 }
 
 // Allowed returns how many of n instances may be away at once. Of spares it is
@@ -21,8 +24,12 @@
 		return max(1, n/2) // the others are there to be lent
 	}
 	allowed := int(math.Floor(float64(n) * (b.Share + shareRounding)))
-	if b.Workers {
+	if b.workers() {
 		return max(1, allowed)
 	}
 	return allowed
 }
+
+// workers reports whether the pool is that of the workers, for which no other
+// instance can stand in.
+func (b Budget) workers() bool { return b.Pool == configuration.WorkersPool }
--- a/internal/maintenance/budgets.go
+++ b/internal/maintenance/budgets.go
@@ -16,7 +16,7 @@
 		budgets = append(budgets, b)
 	}
 	if c.Jobs != nil {
-		budgets = append(budgets, Budget{Pool: configuration.WorkersPool, Share: c.Jobs.WorkersMayBeAway, Workers: true})
+		budgets = append(budgets, Budget{Pool: configuration.WorkersPool, Share: c.Jobs.WorkersMayBeAway})
 	}
 	return budgets
 }
--- a/internal/maintenance/snapshot.go
+++ b/internal/maintenance/snapshot.go
@@ -50,7 +50,7 @@
 		return pool, configured
 	}
 	for _, b := range s.Budgets {
-		if b.Workers && instance.Kind == fleet.KindWorker {
+		if b.workers() && instance.Kind == fleet.KindWorker {
 			return b.Pool, true
 		}
 	}
--- a/test/bench/idle_fleet_test.go
+++ b/test/bench/idle_fleet_test.go
@@ -25,7 +25,8 @@
 	operators []string // HOST:PORT of each entry
 }
 
-func startIdle(b *testing.B, binary string, size idleSize) *idleFleet {
+// startUnconfigured starts a platform with instances, and entries.
+func startUnconfigured(b *testing.B, binary string, size idleSize, instancesEvery string) *idleFleet {
 	f := &idleFleet{}
 	f.platform = f.start(b, exec.Command(binary, "standin", "platform"), "platform")
 	f.put(b, "/standin/faults", standinplatform.Faults{NoTags: size.noTags})
@@ -33,18 +34,24 @@
 		instance.Service = registryServices[i%len(registryServices)]
 		f.put(b, "/standin/instances/"+instance.ID, instance)
 	}
-	operator := ""
 	for i := range size.entries {
 		settings := writeFile(b, fmt.Sprintf("entry-%d.yaml", i), fmt.Sprintf(`id: entry-%d
 availabilityZone: az-%d
 platform: {address: "http://%s"}
+limits: {instancesEvery: %s}
 secrets: {peerKey: bench-peer-key-0123, operatorToken: bench-operator-token}
-`, i, i%3, f.platform))
+`, i, i%3, f.platform, instancesEvery))
 		entry := exec.Command(binary, "entry", "-config", settings)
-		operator = f.start(b, entry, "operators")
+		f.operators = append(f.operators, f.start(b, entry, "operators"))
 		f.entries = append(f.entries, entry)
-		f.operators = append(f.operators, operator)
 	}
+	return f
+}
+
+// startIdle starts a fleet with a configuration in force.
+func startIdle(b *testing.B, binary string, size idleSize) *idleFleet {
+	f := startUnconfigured(b, binary, size, "1s")
+	operator := f.operators[size.entries-1]
 	configuration := "../../examples/registry/configuration.yaml"
 	if out, err := exec.Command(binary, "config", "apply", "-operator", operator, "-token", "bench-operator-token", configuration).CombinedOutput(); err != nil {
 		b.Fatalf("%v: %s", err, out)
