--- a/internal/peer/wire/instances.go
+++ b/internal/peer/wire/instances.go
@@ -48,6 +48,7 @@
 		messages[i] = &Instance{
 			Id: in.ID, Kind: string(in.Kind), Service: in.Service, Address: in.Address,
 			AvailabilityZone: in.AvailabilityZone, Rack: in.Rack, State: string(in.State),
+			MilliCores: int64(in.Resources.MilliCores), MemoryMb: int64(in.Resources.MemoryMB), Accelerators: int64(in.Resources.Accelerators),
 		}
 	}
 	return messages
@@ -59,6 +60,7 @@
 		list[i] = fleet.Instance{
 			ID: in.GetId(), Kind: fleet.InstanceKind(in.GetKind()), Service: in.GetService(), Address: in.GetAddress(),
 			AvailabilityZone: in.GetAvailabilityZone(), Rack: in.GetRack(), State: fleet.InstanceState(in.GetState()),
+			Resources: fleet.Resources{MilliCores: int(in.GetMilliCores()), MemoryMB: int(in.GetMemoryMb()), Accelerators: int(in.GetAccelerators())},
 		}
 	}
 	return list
