--- a/internal/maintenance/budget.go
+++ b/internal/maintenance/budget.go
@@ -1,6 +1,10 @@
 package maintenance
 
-import "math"
+import (
+	"math"
+
+	"persimmonbay/internal/configuration"
+)
 
 // shareRounding is how far a configured share may lie below the exact one,
 // since shares are rounded to three decimals.
@@ -14,10 +18,18 @@
 }
 
 // Allowed returns how many of n instances may be away at once. Of spares it is
-// half, and one at least.
+// half, and of spares and workers one at least.
 func (b Budget) Allowed(n int) int {
 	if b.Spare {
 		return max(1, n/2) // the others are there to be lent
 	}
-	return int(math.Floor(float64(n) * (b.Share + shareRounding)))
+	allowed := int(math.Floor(float64(n) * (b.Share + shareRounding)))
+	if b.workers() {
+		return max(1, allowed)
+	}
+	return allowed
 }
+
+// workers reports whether the pool is that of the workers, for which no other
+// instance can stand in.
+func (b Budget) workers() bool { return b.Pool == configuration.WorkersPool }
--- a/internal/maintenance/plan_observe.go
+++ b/internal/maintenance/plan_observe.go
@@ -1,22 +1,19 @@
 package maintenance
 
-import (
-	"slices"
+import "slices"
 
-	"persimmonbay/internal/fleet"
-)
-
-// assign gives instances without a record the pool of their service: first one
-// instance of each pool, so that every pool soon has one.
+// assign gives instances without a record the pool of their service, or that
+// of the workers: first one instance of each pool, so that every pool soon has
+// one.
 func (p *planner) assign() {
 	byTurn := make([][]Record, 0)
 	turns := make(map[string]int) // instances so far, by pool
 	for _, id := range sortedIDs(p.s.Listed) {
 		instance := p.s.Listed[id]
-		if _, known := p.s.Records[id]; known || instance.Kind != fleet.KindUpstream {
+		if _, known := p.s.Records[id]; known {
 			continue
 		}
-		pool, configured := p.s.ServicePools[instance.Service]
+		pool, configured := p.s.poolOf(instance)
 		if !configured {
 			continue
 		}
