Stand-ins: one place opens log and listener; the load tool starts its clock when it is ready

Three commands opened log and listener in the same lines, two asked whether a platform was named. The load tool made the workers' histograms (64 of 0.3 MB) after its schedule had begun, so that the first requests counted as late.

--- a/cmd/persimmonbay/standin_platform.go
+++ b/cmd/persimmonbay/standin_platform.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"flag"
-	"net"
-	"net/http"
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"persimmonbay/internal/standin/platform"
-	"persimmonbay/internal/telemetry"
 )
 
 func standinPlatformCommand() command {
@@ -28,11 +25,7 @@
 		flags.IntVar(&rates.Writes, "writes", 0, "writes a second that are taken; 0 for any number")
 		flags.IntVar(&rates.Reads, "reads", 0, "reads a second that are taken, a watch counting as one; 0 for any number")
 		return func(ctx context.Context, c console, _ []string) error {
-			log, err := telemetry.NewLogger(c.err, "info")
-			if err != nil {
-				return err
-			}
-			listener, err := net.Listen("tcp", *listen)
+			log, listener, err := openStandin(c, *listen)
 			if err != nil {
 				return err
 			}
@@ -45,15 +38,3 @@
 		}
 	}}
 }
-
-// serveHTTP serves until ctx ends and then closes at once.
-func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) error {
-	server := &http.Server{Handler: handler}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	err := server.Serve(listener)
-	if ctx.Err() != nil {
-		return nil
-	}
-	return err
-}
--- a/cmd/persimmonbay/standin_upstream.go
+++ b/cmd/persimmonbay/standin_upstream.go
@@ -1,20 +1,14 @@
 package main
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"flag"
-	"fmt"
-	"net"
-	"net/http"
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/standin/upstream"
-	"persimmonbay/internal/telemetry"
 )
 
 // defaultSlots is how many requests a stand-in runner works on at once.
@@ -36,45 +30,18 @@
 		flags.BoolVar(&faults.DieMidBody, "die-mid-body", false, "break connections after half of the body")
 		flags.IntVar(&faults.BodyBytes, "body-bytes", 0, "size of the padding of an answer")
 		return func(ctx context.Context, c console, _ []string) error {
-			log, err := telemetry.NewLogger(c.err, "info")
-			if err != nil {
-				return err
-			}
-			listener, err := net.Listen("tcp", *listen)
+			log, listener, err := openStandin(c, *listen)
 			if err != nil {
 				return err
 			}
 			instance.Address = listener.Addr().String()
 			server := upstream.NewServer(instance, *slots, clockwork.NewRealClock())
 			server.SetFaults(faults)
-			if *platformURL != "" {
-				if err := listInstance(ctx, *platformURL, instance); err != nil {
-					return err
-				}
+			if err := listInstance(ctx, *platformURL, instance); err != nil {
+				return err
 			}
 			log.Info("listening", zap.String("upstream", instance.Address), zap.String("id", instance.ID))
 			return server.Serve(ctx, listener)
 		}
 	}}
 }
-
-// listInstance puts the instance on a stand-in platform's list.
-func listInstance(ctx context.Context, platformURL string, instance fleet.Instance) error {
-	body, err := json.Marshal(instance)
-	if err != nil {
-		return err
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, platformURL+"/standin/instances/"+instance.ID, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("platform at %s: %s", platformURL, response.Status)
-	}
-	return nil
-}
--- a/cmd/persimmonbay/standin_worker.go
+++ b/cmd/persimmonbay/standin_worker.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"flag"
-	"net"
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
 	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/standin/worker"
-	"persimmonbay/internal/telemetry"
 )
 
 // What a stand-in worker has unless it is told otherwise: the users' workers.
@@ -36,21 +34,15 @@
 		flags.BoolVar(&faults.Silent, "silent", false, "take calls and never answer")
 		flags.IntVar(&faults.LagMillis, "lag", 0, "milliseconds that reported usage lags")
 		return func(ctx context.Context, c console, _ []string) error {
-			log, err := telemetry.NewLogger(c.err, "info")
-			if err != nil {
-				return err
-			}
-			listener, err := net.Listen("tcp", *listen)
+			log, listener, err := openStandin(c, *listen)
 			if err != nil {
 				return err
 			}
 			instance.Address = listener.Addr().String()
 			runner := worker.NewRunner(clockwork.NewRealClock())
 			runner.SetFaults(faults)
-			if *platformURL != "" {
-				if err := listInstance(ctx, *platformURL, instance); err != nil {
-					return err
-				}
+			if err := listInstance(ctx, *platformURL, instance); err != nil {
+				return err
 			}
 			log.Info("listening", zap.String("worker", instance.Address), zap.String("id", instance.ID))
 			return serveHTTP(ctx, listener, worker.NewServer(runner).Handler())
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -23,10 +23,13 @@
 func Run(ctx context.Context, p Plan) Result {
 	var next atomic.Int64
 	workers := make([]worker, max(p.Workers, 1))
-	start := time.Now()
+	for i := range workers {
+		workers[i] = worker{plan: &p, next: &next, histogram: hdrhistogram.New(1, highestMicros, significantDigits)}
+	}
+	start := time.Now() // after the histograms, which take milliseconds to make
 	var running sync.WaitGroup
 	for i := range workers {
-		workers[i] = worker{plan: &p, start: start, next: &next, histogram: hdrhistogram.New(1, highestMicros, significantDigits)}
+		workers[i].start = start
 		running.Go(func() { workers[i].run(ctx) })
 	}
 	running.Wait()
