Revert "Merge regions: a roster, so that of two sides of a cut only one moves instances"

By the roster's rule the lost entry may go on by itself unless as many entries as were lost had been there for the fence and a lease before; in a young fleet none had, so moves, drains and reboots waited for up to two hours.

Ruled out: a shorter time than fence and lease (depends on how soon after the start an entry is lost); counting entries of the first roster as known (the holder often writes it alone). What is wanted is evidence that the lost entry knew the others, such as its own heartbeats.

An instance can be in two pools when the greater part of the entries is cut off from the store and the others for more than a minute; CAPACITY says so.

--- a/internal/fleetstore/keys.go
+++ b/internal/fleetstore/keys.go
@@ -7,7 +7,6 @@
 	recordsPrefix  = Prefix + "instances/"
 	disruptionsKey = Prefix + "disruptions"
 	waveKey        = Prefix + "wave"
-	rosterKey      = Prefix + "roster"
 )
 
 func recordKey(instance string) string { return recordsPrefix + instance }
