Confirm the records only once they are applied

Cause: an entry counted its records as confirmed when the store's call had answered, before the answer was applied. Back from an hour's cut it refreshed its routes after each event, with its fence lifted by a view that was still partly an hour old: an instance could be in two pools for as long as applying took. Ruled out: applying all events under one lock; the view stays readable in parts. Before: confirmed at the answer. After: confirmed by the follower once the answer is applied, and an entry whose fence had fallen refreshes then. The wait for further changes comes after the confirmation, so the view is confirmed as early within the fence as before.

--- a/internal/entry/confirming_store.go
+++ b/internal/entry/confirming_store.go
@@ -11,16 +11,18 @@
 	"persimmonbay/internal/shard"
 )
 
-// confirmingStore notes when the latest reading call began that succeeded: what
-// it told is no older than that.
+// confirmingStore notes when the latest reading call began that succeeded, and
+// confirms that time once all that the call told is applied: what this entry
+// knows is no older than that.
 type confirmingStore struct {
 	platform.Store
 	clock     clockwork.Clock
+	answered  *shard.Cell[time.Time] // when the latest call that succeeded began; zero: never
 	confirmed *shard.Cell[time.Time] // zero: never
 }
 
 func newConfirmingStore(store platform.Store, clock clockwork.Clock) *confirmingStore {
-	return &confirmingStore{Store: store, clock: clock, confirmed: shard.NewCell(time.Time{})}
+	return &confirmingStore{Store: store, clock: clock, answered: shard.NewCell(time.Time{}), confirmed: shard.NewCell(time.Time{})}
 }
 
 // List implements platform.Store.
@@ -41,6 +43,17 @@
 
 func (s *confirmingStore) note(begun time.Time, err error) {
 	if err == nil {
-		s.confirmed.Update(func(time.Time) (time.Time, bool) { return begun, true })
+		s.answered.Update(func(time.Time) (time.Time, bool) { return begun, true })
 	}
 }
+
+// confirm notes that all that the store told is applied, and returns for how
+// long the view had not been confirmed before; 0: nothing new was told.
+func (s *confirmingStore) confirm() time.Duration {
+	before, answered := s.confirmed.Get(), s.answered.Get()
+	s.confirmed.Update(func(time.Time) (time.Time, bool) { return answered, true })
+	if answered.Equal(before) {
+		return 0
+	}
+	return answered.Sub(before)
+}
--- a/internal/entry/control_run.go
+++ b/internal/entry/control_run.go
@@ -63,7 +63,7 @@
 		Log:     c.entry.log,
 		Listed:  func(l api.Listing) { c.applied(fleetstore.ApplyListing(c.view, l)) },
 		Changed: func(e api.Event) { c.applied(fleetstore.ApplyEvent(c.view, e)) },
-		Reached: func(bool) {},
+		Reached: func(bool) { c.confirm() },
 		Pause:   c.gather,
 	}
 }
@@ -71,6 +71,7 @@
 // gather lets further changes gather while a wave runs, unless an operator's
 // change waits for them. It stays far within the fence.
 func (c *control) gather(ctx context.Context) {
+	c.confirm()
 	_, hurried := c.hurry.Watch()
 	pause := controller.WatchPause(c.view.State(), c.lease.Held(c.entry.clock.Now()))
 	select {
@@ -80,6 +81,14 @@
 	}
 }
 
+// confirm notes that the view holds all that the store told. An entry whose
+// fence had fallen acts again only then.
+func (c *control) confirm() {
+	if c.source.confirm() > c.entry.settings.Maintenance.Fence {
+		c.applied(nil)
+	}
+}
+
 func (c *control) applied(err error) {
 	if err != nil {
 		c.entry.log.Error("record cannot be read; what was known stays", telemetry.ProblemFields(err)...)
