The roster comes back, and counts who was named with the lost ones

Its cause was that a young fleet which lost an entry held moves, drains and reboots for two hours, as nobody had been there for the fence and a lease before the loss.

An entry in an outage acts by the roster that it last saw, and only if that names it. Entries leave a roster only after the lost one was named, so each such roster names all who were named no later than the lost one: they count as known to it, however young the fleet is. The first roster is written once a configuration is in force and names every registered entry.

Ruled out: a shorter time (depends on how soon an entry is lost).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -51,6 +51,10 @@
 		c.Log.Warn("plan dropped: too old", zap.String("step", string(problem.StepPlan)))
 		return made
 	}
+	if changes.Roster != nil {
+		_, err := c.Store.SaveRoster(ctx, *changes.Roster)
+		made += c.made("roster", err)
+	}
 	if changes.Disruptions != nil {
 		_, err := c.Store.SaveDisruptions(ctx, *changes.Disruptions)
 		made += c.made("disruptions", err)
--- a/internal/controller/fleet_calls_test.go
+++ b/internal/controller/fleet_calls_test.go
@@ -141,6 +141,10 @@
 func (f *callsFleet) Snapshot(context.Context) (maintenance.Snapshot, bool) {
 	s := maintenance.Snapshot{Now: f.now(), Listed: f.listed, ListedKnown: f.listed != nil, Budgets: f.budgets, ServicePools: f.pools}
 	known := f.watchers[0].view.Fill(&s)
+	if s.Roster.Version == 0 && len(s.Records) > 0 {
+		f.store.count("waves", "read")
+		f.fillWords(&s)
+	}
 	for _, r := range s.Records {
 		if r.Phase == maintenance.Leaving {
 			f.store.count("waves", "read") // of who is registered
--- /dev/null
+++ b/internal/controller/regions_test.go
@@ -0,0 +1,44 @@
+package controller_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// Extent of the search for an instance in two pools while regions lose each
+// other.
+const (
+	regionSettle = 3 * time.Minute
+	regionCut    = 65 * time.Minute
+	regionAfter  = 10 * time.Minute
+)
+
+// regionSeeds returns the seeds of the search: one with all drawn faults and
+// one with few.
+func regionSeeds() []uint64 { return []uint64{0, 3} }
+
+var _ = DescribeTable("a cut between regions leaves an instance in one pool, and moves go on afterwards",
+	func(near, far int, movesMeanwhile bool) {
+		for _, seed := range regionSeeds() {
+			r := newRegions(seed, near, far)
+			report := func() string { return seedReport(seed, r.simWorld) }
+			Expect(r.run(regionSettle)).To(BeEmpty(), report)
+			before := r.moves()
+			r.split = true
+			Expect(r.run(regionCut)).To(BeEmpty(), report)
+			meanwhile := r.moves()
+			r.split = false
+			Expect(r.run(regionAfter)).To(BeEmpty(), report)
+			Expect(r.moves()).To(BeNumerically(">", meanwhile), report)
+			if movesMeanwhile {
+				Expect(meanwhile).To(BeNumerically(">", before+1), report)
+			}
+		}
+	},
+	Entry("with 3 entries at the store and 4 cut off", 3, 4, false),
+	Entry("with 4 entries at the store and 3 cut off", 4, 3, true),
+	Entry("with 2 entries at the store and 5 cut off", 2, 5, false),
+	Entry("with 3 entries at the store and 3 cut off", 3, 3, true),
+)
--- a/internal/controller/sim_actions_test.go
+++ b/internal/controller/sim_actions_test.go
@@ -95,7 +95,7 @@
 
 func (w *simWorld) heartbeats(e *simEntry) {
 	for _, other := range w.entries {
-		if other == e || !other.up || other.paused || other.isolated || e.isolated || w.random.IntN(5) == 0 {
+		if other == e || !other.up || other.paused || other.isolated || e.isolated || w.parted(e, other) || w.random.IntN(5) == 0 {
 			continue
 		}
 		e.hear(other)
--- a/internal/controller/sim_entry_test.go
+++ b/internal/controller/sim_entry_test.go
@@ -22,6 +22,7 @@
 	paused         bool
 	cut            bool // from the store
 	isolated       bool // from the other entries
+	remote         bool // in the region without the store
 	leaseUntil     time.Time
 	steady         time.Time
 	known          map[string]bool // entries seen registered
@@ -29,7 +30,8 @@
 	listed         bool
 	revision       uint64 // to watch from
 	pending        []api.Event
-	confirmed      time.Time
+	asked          time.Time // when the latest answer of the store was asked for
+	confirmed      time.Time // up to when all that the store told is applied
 	storeReachable bool
 	heard          map[string]simWord
 	instances      map[string]fleet.Instance // its copy of the platform's list
@@ -44,7 +46,7 @@
 func (w *simWorld) newEntry(id string) *simEntry {
 	e := &simEntry{world: w, id: id}
 	e.store = &faultyStore{Store: w.store, random: w.random, loseAnswers: loseAnswers, writesLeft: -1,
-		unreachable: func() bool { return w.outage || e.cut }}
+		unreachable: func() bool { return w.outage || e.cut || w.split && e.remote }}
 	e.controller = &controller.Controller{Store: fleetstore.New(e.store), Rebooter: w, Sources: e, Policy: w.policy, Clock: w.clock, Log: zap.NewNop()}
 	return e
 }
@@ -54,7 +56,7 @@
 	e.up, e.paused, e.cut, e.isolated = true, false, false, false
 	e.leaseUntil, e.steady, e.known = time.Time{}, e.world.now(), map[string]bool{}
 	e.view, e.listed, e.revision, e.pending = maintenance.NewView(), false, 0, nil
-	e.confirmed, e.storeReachable = time.Time{}, false
+	e.asked, e.confirmed, e.storeReachable = time.Time{}, time.Time{}, false
 	e.heard, e.instances = map[string]simWord{}, nil
 	e.work, e.plan, e.store.writesLeft = nil, nil, -1
 }
@@ -89,6 +91,9 @@
 		e.world.must(fleetstore.ApplyEvent(e.view, event))
 	}
 	e.pending = e.pending[take:]
+	if len(e.pending) == 0 {
+		e.confirmed = e.asked
+	}
 }
 
 func (e *simEntry) ask() {
@@ -98,14 +103,14 @@
 		e.storeReachable = err == nil
 		if err == nil {
 			e.world.must(fleetstore.ApplyListing(e.view, listing))
-			e.listed, e.revision, e.confirmed = true, listing.Revision, begun
+			e.listed, e.revision, e.asked = true, listing.Revision, begun
 		}
 		return
 	}
 	changes, err := e.store.Watch(context.Background(), fleetstore.Prefix, e.revision, 0)
 	e.storeReachable = err == nil
 	if err == nil {
-		e.pending, e.revision, e.confirmed = changes.Events, changes.Revision, begun
+		e.pending, e.revision, e.asked = changes.Events, changes.Revision, begun
 	}
 }
 
@@ -144,9 +149,9 @@
 	var peers []maintenance.PeerWord
 	for id := range e.roster() {
 		w := e.heard[id]
-		peers = append(peers, maintenance.PeerWord{Fresh: e.fresh(w), StoreReachable: w.storeReachable, Revision: w.revision})
+		peers = append(peers, maintenance.PeerWord{Entry: id, Fresh: e.fresh(w), StoreReachable: w.storeReachable, Revision: w.revision})
 	}
-	return maintenance.MayAct(e.world.now(), e.confirmed, fence, e.acknowledged(), peers)
+	return maintenance.MayAct(e.world.now(), e.confirmed, fence, e.acknowledged(), e.id, e.view.State().Roster, peers)
 }
 
 // roster returns the other entries that e knows: those it saw registered last
--- a/internal/controller/sim_world_test.go
+++ b/internal/controller/sim_world_test.go
@@ -38,6 +38,7 @@
 	clock        *clockwork.FakeClock
 	store        *standin.Store
 	outage       bool
+	split        bool                 // the regions have lost each other; the store is in one of them
 	faults       float64              // share of the drawn faults that take place
 	registered   map[string]time.Time // until when, by entry
 	entries      []*simEntry
@@ -78,6 +79,10 @@
 	}
 }
 
+// parted reports whether two entries cannot hear each other since their regions
+// have lost each other.
+func (w *simWorld) parted(a, b *simEntry) bool { return w.split && a.remote != b.remote }
+
 func (w *simWorld) now() time.Time { return w.clock.Now().UTC() }
 
 func (w *simWorld) must(err error) {
--- a/internal/entry/control.go
+++ b/internal/entry/control.go
@@ -44,6 +44,7 @@
 		steady: shard.NewCell(e.clock.Now()),
 	}
 	c.policy.RebootGrace, c.policy.ReturnTimeout = e.settings.Maintenance.RebootGrace, e.settings.Maintenance.ReturnTimeout
+	c.policy.KnownFor = e.settings.Maintenance.Fence + e.settings.Membership.LeaseTTL
 	c.router = newRouter(c)
 	c.steps = &controller.Controller{Store: c.store, Rebooter: waves, Sources: c, Policy: c.policy, Pace: controller.DefaultPace(), Clock: e.clock, Log: e.log}
 	c.lease = controller.NewLease(waves, waves, e.settings.ID, e.settings.Membership.LeaseTTL, controller.LeaseWait(e.settings.Platform.WatchWait), e.clock, e.log)
--- a/internal/entry/control_acknowledge.go
+++ b/internal/entry/control_acknowledge.go
@@ -13,7 +13,7 @@
 	}
 	m, known := e.members.Member(membership.EntryID(id))
 	heard := known && m.Alive(e.clock.Now(), e.settings.Membership.SilentFor)
-	return maintenance.EntryWord{Entry: id, Registered: registered, Heard: heard, Revision: m.MaintenanceRevision}
+	return maintenance.EntryWord{Entry: id, Registered: registered, Heard: heard, Leaving: m.Leaving, Revision: m.MaintenanceRevision}
 }
 
 // acknowledged returns up to which revision this entry acts on the records and
@@ -35,10 +35,11 @@
 	var peers []maintenance.PeerWord
 	for _, m := range e.members.Members() {
 		peers = append(peers, maintenance.PeerWord{
+			Entry:          string(m.ID),
 			Fresh:          m.Alive(now, e.settings.Membership.SilentFor),
 			StoreReachable: e.slots.reachesStore(m, now),
 			Revision:       m.MaintenanceRevision,
 		})
 	}
-	return maintenance.MayAct(now, c.source.confirmed.Get(), e.settings.Maintenance.Fence, revision, peers)
+	return maintenance.MayAct(now, c.source.confirmed.Get(), e.settings.Maintenance.Fence, revision, e.settings.ID, c.view.State().Roster, peers)
 }
--- a/internal/entry/control_snapshot.go
+++ b/internal/entry/control_snapshot.go
@@ -23,19 +23,36 @@
 func (c *control) State() maintenance.State { return c.view.State() }
 
 // Snapshot implements controller.Sources. The store is only asked for the
-// registered entries while something leaves.
+// registered entries while something leaves or the roster may have to change.
 func (c *control) Snapshot(ctx context.Context) (maintenance.Snapshot, bool) {
 	s, known := c.snapshot()
 	if !known {
 		return s, false
 	}
+	if c.somethingLeaves(&s) || c.rosterDue(&s) {
+		c.fillAcknowledgements(ctx, &s)
+	}
+	return s, true
+}
+
+func (c *control) somethingLeaves(s *maintenance.Snapshot) bool {
 	for _, r := range s.Records {
 		if r.Phase == maintenance.Leaving {
-			c.fillAcknowledgements(ctx, &s)
-			break
+			return true
 		}
 	}
-	return s, true
+	return false
+}
+
+// rosterDue reports whether the roster may have to change by what this entry
+// knows of the others.
+func (c *control) rosterDue(s *maintenance.Snapshot) bool {
+	words := []maintenance.EntryWord{c.word(c.entry.settings.ID, true)}
+	for _, m := range c.entry.members.Members() {
+		words = append(words, c.word(string(m.ID), m.Registered))
+	}
+	_, changed := s.Roster.Update(s.Now, words, c.policy.LostFor)
+	return changed
 }
 
 // snapshot returns what this entry knows without asking anyone.
--- a/internal/fleetstore/apply.go
+++ b/internal/fleetstore/apply.go
@@ -37,6 +37,8 @@
 		view.PutDisruptions(maintenance.Disruptions{})
 	case event.Key == waveKey:
 		view.PutWave(maintenance.Wave{})
+	case event.Key == rosterKey:
+		view.PutRoster(maintenance.Roster{})
 	}
 	return nil
 }
@@ -64,6 +66,13 @@
 		}
 		w.Version = kv.Version
 		view.PutWave(w)
+	case kv.Key == rosterKey:
+		var r maintenance.Roster
+		if err := decode(kv, &r); err != nil {
+			return err
+		}
+		r.Version = kv.Version
+		view.PutRoster(r)
 	}
 	return nil
 }
--- a/internal/fleetstore/keys.go
+++ b/internal/fleetstore/keys.go
@@ -7,6 +7,7 @@
 	recordsPrefix  = Prefix + "instances/"
 	disruptionsKey = Prefix + "disruptions"
 	waveKey        = Prefix + "wave"
+	rosterKey      = Prefix + "roster"
 )
 
 func recordKey(instance string) string { return recordsPrefix + instance }
--- a/internal/fleetstore/store.go
+++ b/internal/fleetstore/store.go
@@ -39,6 +39,11 @@
 	return s.save(ctx, waveKey, w, w.Version)
 }
 
+// SaveRoster replaces the version of the roster that r was made from.
+func (s *Store) SaveRoster(ctx context.Context, r maintenance.Roster) (uint64, error) {
+	return s.save(ctx, rosterKey, r, r.Version)
+}
+
 func (s *Store) save(ctx context.Context, key string, value any, version uint64) (uint64, error) {
 	encoded, err := json.Marshal(value)
 	if err != nil {
--- a/internal/maintenance/await.go
+++ b/internal/maintenance/await.go
@@ -8,9 +8,11 @@
 // tells for how long the controller has seen every entry and none go; until
 // that is the fence and a lease's time to live, one may be gone unseen. Most
 // of the entries must be heard in any case: those that take part in an outage
-// of the store are most of them too, so that one of them would know.
+// of the store are most of them too, so that one of them would know. Those that
+// the roster shows as lost must be outnumbered for long enough by the others.
 func (s *Snapshot) Await(words []EntryWord, steadyFor, fence, leaseTTL time.Duration) {
 	heard := 0
+	s.Entries = words
 	if steadyFor < fence+leaseTTL {
 		s.Settle = fence
 	}
@@ -27,5 +29,5 @@
 		}
 		s.Acknowledgements = append(s.Acknowledgements, Acknowledgement{Entry: w.Entry, Revision: w.Revision})
 	}
-	s.Complete = 2*heard > len(words)
+	s.Complete = 2*heard > len(words) && s.Roster.Matches(words) && s.Roster.Outnumbered(fence+leaseTTL)
 }
--- a/internal/maintenance/changes.go
+++ b/internal/maintenance/changes.go
@@ -4,6 +4,7 @@
 // the version it was planned from; they may be made in any order, and any may
 // fail without harm to the others.
 type Changes struct {
+	Roster      *Roster      // to be written; nil: unchanged
 	Records     []Record     // to be written
 	Forgotten   []Record     // to be deleted
 	Disruptions *Disruptions // to be written; nil: unchanged
@@ -13,5 +14,5 @@
 
 // Empty reports whether there is nothing to do.
 func (c Changes) Empty() bool {
-	return len(c.Records) == 0 && len(c.Forgotten) == 0 && c.Disruptions == nil && c.Wave == nil && len(c.Reboots) == 0
+	return c.Roster == nil && len(c.Records) == 0 && len(c.Forgotten) == 0 && c.Disruptions == nil && c.Wave == nil && len(c.Reboots) == 0
 }
--- a/internal/maintenance/hold.go
+++ b/internal/maintenance/hold.go
@@ -11,6 +11,9 @@
 
 // fleetHold says why the whole wave waits, or nothing.
 func (s *Snapshot) fleetHold(p Policy) string {
+	if reason := s.Roster.hold(p); reason != "" {
+		return reason
+	}
 	missing, limit := s.unplanned(p), p.failureLimit(len(s.Records))
 	if missing < limit {
 		return ""
--- a/internal/maintenance/may_act.go
+++ b/internal/maintenance/may_act.go
@@ -6,12 +6,16 @@
 // confirmed at the given time. After the fence it may only while it takes part
 // in an outage of the store: it hears most of the entries that it knows, none
 // of which reaches the store or has newer records. Alone it cannot tell an
-// outage from being cut off.
-func MayAct(now, confirmed time.Time, fence time.Duration, revision uint64, peers []PeerWord) bool {
+// outage from being cut off. The same must hold of the entries that the roster
+// names, self among them: the others count by the roster who is lost.
+func MayAct(now, confirmed time.Time, fence time.Duration, revision uint64, self string, roster Roster, peers []PeerWord) bool {
 	if now.Sub(confirmed) <= fence {
 		return true
 	}
-	heard := 1
+	if !roster.Names(self) {
+		return false
+	}
+	heard, heardNamed := 1, 1
 	for _, p := range peers {
 		if !p.Fresh {
 			continue
@@ -20,6 +24,9 @@
 			return false
 		}
 		heard++
+		if roster.Names(p.Entry) {
+			heardNamed++
+		}
 	}
-	return heard > 1 && 2*heard > 1+len(peers)
+	return heardNamed > 1 && 2*heard > 1+len(peers) && 2*heardNamed > len(roster.Entries)
 }
--- a/internal/maintenance/plan.go
+++ b/internal/maintenance/plan.go
@@ -7,7 +7,7 @@
 // budgets leave room for.
 func Plan(s *Snapshot, p Policy) Changes {
 	if !s.ListedKnown {
-		return Changes{}
+		return Changes{Roster: s.nextRoster(p)}
 	}
 	planner := &planner{s: s, policy: p, disruptions: s.Disruptions, tallies: Tallies(s), written: make(map[string]bool)}
 	planner.assign()
@@ -21,9 +21,21 @@
 		planner.observe(s.Records[id])
 	}
 	planner.continueWave()
+	planner.changes.Roster = s.nextRoster(p)
 	return planner.result()
 }
 
+// nextRoster returns the roster to be written, or nil when it stays.
+func (s *Snapshot) nextRoster(p Policy) *Roster {
+	if s.Entries == nil {
+		return nil
+	}
+	if next, changed := s.Roster.Update(s.Now, s.Entries, p.LostFor); changed {
+		return &next
+	}
+	return nil
+}
+
 func sortedIDs[V any](byID map[string]V) []string {
 	ids := make([]string, 0, len(byID))
 	for id := range byID {
--- a/internal/maintenance/policy.go
+++ b/internal/maintenance/policy.go
@@ -10,6 +10,8 @@
 	FailureShare  float64       // of all instances; a wave waits while more are missing without a plan
 	FailureFloor  int           // a wave never waits for fewer missing instances than this
 	LendAfter     time.Duration // after which a missing instance is stood in for during a wave
+	LostFor       time.Duration // after which a lost entry is dropped from the roster; longer than any cut
+	KnownFor      time.Duration // after which every entry knows a new one or has stopped by itself: the fence and a lease's time to live
 	StartWindow   time.Duration // in which a wave takes at most StartLimit instances
 	StartLimit    int           // so that the calls to the platform spread over time; 0: no limit
 }
@@ -21,6 +23,8 @@
 		ReturnTimeout: 15 * time.Minute,
 		ForgetAfter:   time.Hour,
 		LendAfter:     2 * time.Minute,
+		LostFor:       2 * time.Hour,
+		KnownFor:      35 * time.Second,
 		FailureShare:  0.1,
 		FailureFloor:  3,
 		StartWindow:   10 * time.Second,
--- a/internal/maintenance/snapshot.go
+++ b/internal/maintenance/snapshot.go
@@ -6,7 +6,7 @@
 	"persimmonbay/internal/fleet"
 )
 
-// Snapshot is everything a plan follows from. Records, Disruptions and Wave
+// Snapshot is everything a plan follows from. Records, Disruptions, Wave and Roster
 // are of one revision of the store.
 type Snapshot struct {
 	Now              time.Time
@@ -15,6 +15,8 @@
 	ListedKnown      bool                      // Listed has been read at least once
 	Disruptions      Disruptions
 	Wave             Wave
+	Roster           Roster
+	Entries          []EntryWord       // registered or known; nil: not asked for
 	Budgets          []Budget          // one for each pool
 	ServicePools     map[string]string // the pool of each service
 	Acknowledgements []Acknowledgement // of every entry whose word is needed
--- a/internal/maintenance/view.go
+++ b/internal/maintenance/view.go
@@ -38,6 +38,11 @@
 	v.advance(w.Version, func(s *State) { s.Wave = w })
 }
 
+// PutRoster notes the roster as stored at its version.
+func (v *View) PutRoster(r Roster) {
+	v.advance(r.Version, func(s *State) { s.Roster = r })
+}
+
 // Retain drops every record that is not among the listed, and notes that the
 // view is complete up to revision.
 func (v *View) Retain(listed map[string]bool, revision uint64) {
@@ -93,6 +98,6 @@
 		func() { state = v.state.Get() },
 		func(id string, r Record) { s.Records[id] = r },
 	)
-	s.Disruptions, s.Wave = state.Disruptions, state.Wave
+	s.Disruptions, s.Wave, s.Roster = state.Disruptions, state.Wave, state.Roster
 	return state.Known
 }
