--- a/internal/controller/sim_entry_test.go
+++ b/internal/controller/sim_entry_test.go
@@ -149,9 +149,9 @@
 	var peers []maintenance.PeerWord
 	for id := range e.roster() {
 		w := e.heard[id]
-		peers = append(peers, maintenance.PeerWord{Fresh: e.fresh(w), StoreReachable: w.storeReachable, Revision: w.revision})
+		peers = append(peers, maintenance.PeerWord{Entry: id, Fresh: e.fresh(w), StoreReachable: w.storeReachable, Revision: w.revision})
 	}
-	return maintenance.MayAct(e.world.now(), e.confirmed, fence, e.acknowledged(), peers)
+	return maintenance.MayAct(e.world.now(), e.confirmed, fence, e.acknowledged(), e.id, e.view.State().Roster, peers)
 }
 
 // roster returns the other entries that e knows: those it saw registered last
