Slots: one name for a home that does not know its holder

The same condition stood in Due and Presses; a variable hid the predeclared any; a comment named a method that does not touch the field.

--- a/internal/dispatch/borrow.go
+++ b/internal/dispatch/borrow.go
@@ -42,9 +42,9 @@
 // allowed returns the allowance that a round now is charged to, nil when there
 // is none, and whether the round may tell everything or only what presses.
 func (p *Placer) allowed(now time.Time) (rounds *allowance, every bool) {
-	any, settling := p.rounds.fill(now), p.settling.fill(now)
+	demand, settling := p.rounds.fill(now), p.settling.fill(now)
 	switch {
-	case any:
+	case demand:
 		return &p.rounds, true
 	case settling:
 		return &p.settling, false
--- a/internal/dispatch/placer.go
+++ b/internal/dispatch/placer.go
@@ -26,7 +26,7 @@
 	lenders  *slots.Lenders
 	seq      *shard.Cell[uint64]
 	rounds   allowance // touched by Borrow and Leave alone
-	settling allowance // likewise
+	settling allowance // touched by Borrow alone
 }
 
 // NewPlacer returns a placer without services, of a process that began at
--- a/internal/slots/holding.go
+++ b/internal/slots/holding.go
@@ -87,7 +87,7 @@
 	switch {
 	case h.pending != 0:
 		return item, false
-	case h.term == 0 || h.reported.Term != h.term, h.Held < h.reported.Held, !h.settled && (routine || h.again):
+	case h.unknownToHome(), h.Held < h.reported.Held, !h.settled && (routine || h.again):
 		return item, true
 	case item.Demand > h.Held && (h.again || item.Demand > h.reported.Demand || need > max(h.Held, h.reported.Need)):
 		return item, true
@@ -100,9 +100,13 @@
 // Presses reports whether work may stand still until the home is told: it does
 // not know this holder, or there is no slot for what waits.
 func (h *Holding) Presses(wanted int) bool {
-	return h.term == 0 || h.reported.Term != h.term || !h.settled && h.again || h.Held == 0 && wanted > 0
+	return h.unknownToHome() || !h.settled && h.again || h.Held == 0 && wanted > 0
 }
 
+// unknownToHome reports whether the home has not acknowledged a report of its
+// present term yet.
+func (h *Holding) unknownToHome() bool { return h.term == 0 || h.reported.Term != h.term }
+
 // Sent notes that a report is under way. A routine one forgets the peak.
 func (h *Holding) Sent(seq uint64, routine bool) {
 	h.pending, h.again = seq, false
