--- a/cmd/persimmonbay/main.go
+++ b/cmd/persimmonbay/main.go
@@ -20,6 +20,7 @@
 	return []command{
 		devCommand(),
 		entryCommand(),
+		jobEntryCommand(),
 		standinCommand(),
 		configCommand(),
 		poolCommand(),
--- /dev/null
+++ b/internal/intake/cancel.go
@@ -0,0 +1,43 @@
+package intake
+
+import (
+	"context"
+
+	"persimmonbay/internal/problem"
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/work"
+	"persimmonbay/internal/workstore"
+)
+
+// Cancel ends a job for good and returns once that is kept. The pool's owner
+// learns of it from the store. A job whose course is over stays as it is.
+func (in *Intake) Cancel(ctx context.Context, service, id string) error {
+	for {
+		found, err := in.find(ctx, service, id)
+		if err != nil || found.state.Progress.State.Final() {
+			return err
+		}
+		err = in.cancel(ctx, id, found)
+		if err == nil || !in.pause(ctx) {
+			return err
+		}
+	}
+}
+
+func (in *Intake) cancel(ctx context.Context, id string, found foundState) error {
+	found.state.Progress.State = work.Cancelled
+	found.state.EndedAt = in.clock.Now()
+	state, err := workstore.EncodeState(&found.state)
+	if err != nil {
+		return err
+	}
+	key := workstore.StateKey(found.service, id)
+	_, err = in.store.Commit(ctx, store.Txn{
+		Expected: []store.Expectation{{Key: key, Revision: found.revision}},
+		Writes:   []store.Write{{Key: key, Value: state}, {Key: workstore.CancelKey(found.service, id)}},
+	})
+	if err != nil {
+		return problem.Wrap(problem.KindOf(err), problem.StepStoreWrite, id, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/intake/state.go
@@ -0,0 +1,47 @@
+package intake
+
+import (
+	"context"
+
+	"persimmonbay/internal/problem"
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/work"
+	"persimmonbay/internal/workstore"
+)
+
+// State returns how a job stands. An error of kind NotFound tells that no such
+// job exists.
+func (in *Intake) State(ctx context.Context, service, id string) (work.JobState, error) {
+	found, err := in.find(ctx, service, id)
+	if err != nil {
+		return 0, err
+	}
+	return found.state.Progress.State, nil
+}
+
+// find reads a job's progress, first under the service its queue has now.
+func (in *Intake) find(ctx context.Context, service, id string) (foundState, error) {
+	for _, s := range in.servicesFrom(service) {
+		item, err := in.get(ctx, workstore.StateKey(s, id))
+		if problem.Is(err, problem.NotFound) {
+			continue
+		}
+		if err != nil {
+			return foundState{}, err
+		}
+		state, err := workstore.DecodeState(item.Key, item.Value)
+		return foundState{service: s, revision: item.Revision, state: state}, err
+	}
+	return foundState{}, problem.New(problem.NotFound, problem.StepStoreRead, id, "no such job")
+}
+
+// get reads a key, again and again until the store answers or the caller's
+// time is over.
+func (in *Intake) get(ctx context.Context, key string) (store.Item, error) {
+	for {
+		item, err := in.store.Get(ctx, key)
+		if err == nil || problem.Is(err, problem.NotFound) || !in.pause(ctx) {
+			return item, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/jobentry/bounds.go
@@ -0,0 +1,43 @@
+package jobentry
+
+import (
+	"time"
+
+	"persimmonbay/internal/keeper"
+	"persimmonbay/internal/settings"
+	"persimmonbay/internal/work"
+)
+
+// Times that follow from the store's usual answer of a few milliseconds and
+// from the settings' bounds.
+const (
+	leaseMargin = 200 * time.Millisecond  // for the clocks of both sides and one order on its way
+	settle      = 1200 * time.Millisecond // entries that start together know each other by then
+	steal       = 800 * time.Millisecond  // the assigned owner is several answers late by then
+	watchWait   = time.Second             // bounds how long a silent connection goes unnoticed
+	storeCall   = 900 * time.Millisecond
+	workerOrder = 700 * time.Millisecond
+	lookWait    = time.Second
+	saveEvery   = 20 * time.Millisecond
+	saveLazily  = 80 * time.Millisecond
+	listEvery   = 400 * time.Millisecond
+	clockDrift  = 0.02 // the platform's bound for a worker's steady clock
+	holdReserve = 300 * time.Millisecond
+	suspension  = time.Second
+	maxSuspense = 8 * time.Second
+	pauseMargin = 300 * time.Millisecond
+)
+
+// boundsOf returns the times that the keeper works with.
+func boundsOf(t *settings.JobTiming) keeper.Bounds {
+	lease := max(t.Lease, t.MinLease)
+	return keeper.Bounds{
+		LeaseTTL: lease, LeaseMargin: leaseMargin, Settle: settle, Steal: steal, WatchWait: watchWait, Call: storeCall,
+		Order: workerOrder, LookWait: lookWait, SaveEvery: saveEvery, SaveLazily: saveLazily,
+		HolderPause: t.HolderPause + pauseMargin, ListEvery: listEvery,
+		Work: work.Timing{
+			Hold: t.MaxHold - holdReserve, MaxHold: t.MaxHold, Restart: workerOrder, ClockDrift: clockDrift,
+			StartEarly: t.StartEarly, TakeOver: lease, Suspension: suspension, MaxSuspense: maxSuspense,
+		},
+	}
+}
--- /dev/null
+++ b/internal/jobentry/entry.go
@@ -0,0 +1,139 @@
+package jobentry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"persimmonbay/internal/intake"
+	"persimmonbay/internal/keeper"
+	"persimmonbay/internal/problem"
+	"persimmonbay/internal/settings"
+	"persimmonbay/internal/workconfig"
+	"persimmonbay/platform"
+)
+
+// Entry is one job entry.
+type Entry struct {
+	settings settings.JobEntry
+	clock    clockwork.Clock
+	log      *zap.Logger
+	config   *workconfig.InForce
+	keeper   *keeper.Keeper
+	callers  *http.Server
+	probes   *http.Server
+	draining atomic.Bool
+}
+
+// New returns an entry that does nothing yet.
+func New(s settings.JobEntry, clock clockwork.Clock, log *zap.Logger) (*Entry, error) {
+	codec, err := platform.NewCodec(s.Platform.Codec)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{settings: s, clock: clock, log: log, config: workconfig.NewInForce()}
+	store := platform.NewStore(s.Platform.Store, codec)
+	dependencies := keeper.Dependencies{
+		Store: store, Workers: platform.NewWorkers(codec, clock, log), Directory: platform.NewDirectory(codec),
+		Operators: platform.NewOperators(codec), Clock: clock, SinceBoot: sinceBoot, Log: log,
+	}
+	if s.Platform.Advice != "" {
+		dependencies.Adviser = platform.NewAdviser(s.Platform.Advice, codec)
+	}
+	if s.Platform.Machines != "" {
+		dependencies.Machines = platform.NewMachines(s.Platform.Machines, codec)
+	}
+	e.keeper = keeper.New(s.ID, dependencies, boundsOf(&s.Timing), e.config)
+	in := intake.New(store, e.config, clock, log)
+	e.callers = &http.Server{Handler: platform.NewIngress(in, e.config, codec, clock, log).Handler(), ReadHeaderTimeout: headerTimeout}
+	e.probes = &http.Server{Handler: platform.ReadinessHandler(e.ready), ReadHeaderTimeout: headerTimeout}
+	return e, nil
+}
+
+const (
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 5 * time.Second
+	// heardWithin is how long ago the store may have answered last for this
+	// entry to take connections: two waits of a watch, and its answer.
+	heardWithin = 2500 * time.Millisecond
+	// balancerNotice is how long the balancer takes to send no new connections:
+	// two probes, a second apart, and the time of one more.
+	balancerNotice = 2500 * time.Millisecond
+	// exitReserve is kept from the grace for the end of the process itself.
+	exitReserve = 700 * time.Millisecond
+)
+
+// ready reports whether the balancer may send connections here.
+func (e *Entry) ready() bool {
+	heard := e.keeper.Heard()
+	return !e.draining.Load() && e.config.Get() != nil && !heard.IsZero() && e.clock.Now().Sub(heard) < heardWithin
+}
+
+// Run serves until ctx ends, then drains and returns.
+func (e *Entry) Run(ctx context.Context) error {
+	e.limitMemory()
+	callers, err := listen(e.settings.Listen.Callers)
+	if err != nil {
+		return err
+	}
+	probes, err := listen(e.settings.Listen.Readiness)
+	if err != nil {
+		return errors.Join(err, callers.Close())
+	}
+	e.log.Info("started", zap.String("entry", e.settings.ID), zap.String("callers", e.settings.Listen.Callers))
+	var group errgroup.Group
+	group.Go(func() error { return serve(e.callers, callers) })
+	group.Go(func() error { return serve(e.probes, probes) })
+	group.Go(func() error { e.keeper.Run(ctx); return nil })
+	group.Go(func() error { return e.drain(ctx) })
+	err = group.Wait()
+	e.log.Info("stopped", zap.String("entry", e.settings.ID))
+	return err
+}
+
+// drain waits for the end of ctx, then ends the serving in the order that
+// cuts off nobody: first the balancer learns of it, then calls come to their
+// end.
+func (e *Entry) drain(ctx context.Context) error {
+	<-ctx.Done()
+	e.log.Info("draining")
+	e.draining.Store(true)
+	e.callers.SetKeepAlivesEnabled(false)
+	begun := e.clock.Now()
+	e.clock.Sleep(min(balancerNotice, e.settings.Timing.Grace/2))
+	left := max(e.settings.Timing.Grace-exitReserve-e.clock.Now().Sub(begun), 0)
+	final, cancel := context.WithTimeout(context.WithoutCancel(ctx), left)
+	defer cancel()
+	return errors.Join(e.callers.Shutdown(final), e.probes.Shutdown(final))
+}
+
+// limitMemory keeps the process within its machine's memory, with room for
+// what the runtime does not count.
+func (e *Entry) limitMemory() {
+	if mb := e.settings.Machine.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(mb) << 20 * 7 / 10)
+	}
+}
+
+func listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, problem.Wrap(problem.Unavailable, problem.StepListen, address, err)
+	}
+	return l, nil
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return problem.Wrap(problem.Internal, problem.StepListen, l.Addr().String(), err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/keeper/adviser.go
@@ -0,0 +1,14 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"persimmonbay/internal/work"
+)
+
+// Adviser asks which workers may run a step. The tickets are by worker and
+// valid for the time given.
+type Adviser interface {
+	Advise(ctx context.Context, r work.AdviceRequest) (tickets map[string]string, valid time.Duration, err error)
+}
--- /dev/null
+++ b/internal/keeper/bounds.go
@@ -0,0 +1,24 @@
+package keeper
+
+import (
+	"time"
+
+	"persimmonbay/internal/work"
+)
+
+// Bounds holds the times that the keeper works with.
+type Bounds struct {
+	LeaseTTL    time.Duration // of this entry's lease; comes from the settings
+	LeaseMargin time.Duration // before its end, the lease counts as ended
+	Settle      time.Duration // after the start, before pools are taken
+	Steal       time.Duration // how long a pool stays without owner before others than the assigned one take it
+	WatchWait   time.Duration // how long one watch waits
+	Call        time.Duration // of one call to the store
+	Order       time.Duration // of one order to a worker
+	LookWait    time.Duration // how long a look waits for an end
+	SaveEvery   time.Duration // between two saves that callers wait for
+	SaveLazily  time.Duration // how long progress waits that no caller waits for
+	HolderPause time.Duration // before a new holder orders machines
+	ListEvery   time.Duration // between two reads of the machines in a wave
+	Work        work.Timing
+}
--- /dev/null
+++ b/internal/keeper/dependencies.go
@@ -0,0 +1,23 @@
+package keeper
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/store"
+)
+
+// Dependencies is what a keeper works through.
+type Dependencies struct {
+	Store     store.Store
+	Workers   Workers
+	Adviser   Adviser // nil: no queue needs advice
+	Machines  Machines
+	Directory Directory
+	Operators Operators
+	Clock     clockwork.Clock
+	SinceBoot func() time.Duration // time since the machine started, suspensions included
+	Log       *zap.Logger
+}
--- /dev/null
+++ b/internal/keeper/directory.go
@@ -0,0 +1,14 @@
+package keeper
+
+import (
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/work"
+)
+
+// Directory reads what workers write of themselves into the store.
+type Directory interface {
+	// WorkersPrefix is the prefix of the workers' keys.
+	WorkersPrefix() string
+	// Worker reads one entry; an error tells that it names no worker to use.
+	Worker(item store.Item) (work.WorkerFacts, error)
+}
--- /dev/null
+++ b/internal/keeper/duty.go
@@ -0,0 +1,275 @@
+package keeper
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/problem"
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/telemetry"
+	"persimmonbay/internal/upkeep"
+	"persimmonbay/internal/workstore"
+)
+
+// duty is the tenure of the duty for machines: waves of upkeep. Only its own
+// goroutine uses its state.
+type duty struct {
+	*tenure
+	since    time.Time // when the duty was taken over
+	progress map[int64]upkeep.Progress
+	said     map[int64]bool // waves whose completion operators were told
+	active   map[int64]bool // waves whose beginning operators were told
+}
+
+// keepMachines carries out the duty for machines until it is lost or handed
+// over.
+func (t *tenure) keepMachines() {
+	defer t.cancel()
+	go t.guard()
+	d := &duty{tenure: t, since: t.Clock.Now(), progress: map[int64]upkeep.Progress{}, said: map[int64]bool{}, active: map[int64]bool{}}
+	for t.ctx.Err() == nil && !t.isLeaving() {
+		waves, changed := t.waves.Watch()
+		open := d.openWaves(waves)
+		if len(open) > 0 {
+			d.step(open)
+			changed = nil
+		}
+		timer := t.Clock.NewTimer(t.bounds.ListEvery)
+		expired := timer.Chan()
+		if len(open) == 0 {
+			expired = nil
+		}
+		select {
+		case <-t.ctx.Done():
+		case <-t.leaving:
+			d.release()
+		case <-changed:
+		case <-expired:
+		}
+		timer.Stop()
+	}
+}
+
+// openWaves returns the waves that are not known to be completed, by number.
+func (d *duty) openWaves(v waveView) []upkeep.Wave {
+	var open []upkeep.Wave
+	for _, w := range v.waves {
+		if !d.said[w.Number] {
+			open = append(open, w)
+		}
+	}
+	slices.SortFunc(open, func(a, b upkeep.Wave) int { return int(a.Number - b.Number) })
+	return open
+}
+
+// step carries the open waves on by what can be done now.
+func (d *duty) step(open []upkeep.Wave) {
+	if !d.holds() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(d.ctx, readAllTimeout)
+	defer cancel()
+	listed, err := d.Machines.List(ctx)
+	if err != nil {
+		d.log.Info("machines not read", telemetry.ProblemFields(err)...)
+		return
+	}
+	machines := make(map[string]upkeep.Machine, len(listed))
+	for _, m := range listed {
+		machines[m.ID] = m
+	}
+	for _, w := range open {
+		if err := d.stepWave(ctx, w, machines); err != nil {
+			d.log.Info("wave not carried on", append(telemetry.ProblemFields(err), zap.Int64("wave", w.Number))...)
+		}
+	}
+}
+
+func (d *duty) stepWave(ctx context.Context, w upkeep.Wave, machines map[string]upkeep.Machine) error {
+	progress, err := d.load(ctx, w.Number)
+	if err != nil {
+		return err
+	}
+	if !d.active[w.Number] {
+		if err := d.tell(ctx, w.Number, false); err != nil {
+			return err
+		}
+		d.active[w.Number] = true
+	}
+	snapshot := upkeep.Snapshot{Wave: w, Machines: machines, Empty: d.emptying(), Progress: progress}
+	steps := upkeep.Plan(&snapshot)
+	if err := d.finish(ctx, w.Number, &progress, steps.Back); err != nil {
+		return err
+	}
+	if err := d.ask(ctx, steps.Ask); err != nil {
+		return err
+	}
+	if steps.Completed {
+		if err := d.tell(ctx, w.Number, true); err != nil {
+			return err
+		}
+		d.said[w.Number] = true
+		d.log.Info("wave completed", zap.Int64("wave", w.Number))
+		return nil
+	}
+	return d.order(ctx, w.Number, &progress, steps.Order, machines)
+}
+
+func (d *duty) load(ctx context.Context, wave int64) (upkeep.Progress, error) {
+	if p, ok := d.progress[wave]; ok {
+		return p, nil
+	}
+	key := workstore.UpkeepKey(wave)
+	item, err := d.Store.Get(ctx, key)
+	if problem.Is(err, problem.NotFound) {
+		d.progress[wave] = upkeep.NewProgress()
+		return d.progress[wave], nil
+	}
+	if err != nil {
+		return upkeep.Progress{}, err
+	}
+	p, err := workstore.DecodeUpkeep(key, item.Value)
+	if err == nil {
+		d.progress[wave] = p
+	}
+	return p, err
+}
+
+func (d *duty) emptying() map[string]upkeep.Emptying {
+	states := make(map[string]upkeep.Emptying)
+	for machine, entry := range d.fleet.Get().empty {
+		states[machine] = upkeep.Asked
+		if entry.emptied {
+			states[machine] = upkeep.Emptied
+		}
+	}
+	return states
+}
+
+// keep writes a wave's progress with other changes, as long as the duty is ours.
+func (d *duty) keep(ctx context.Context, wave int64, p *upkeep.Progress, remove []string) error {
+	value, err := workstore.EncodeUpkeep(p)
+	if err != nil {
+		return err
+	}
+	txn := d.guarded()
+	txn.Writes = []store.Write{{Key: workstore.UpkeepKey(wave), Value: value}}
+	txn.Remove = remove
+	return d.commit(ctx, txn)
+}
+
+func (d *duty) guarded() store.Txn {
+	return store.Txn{Expected: []store.Expectation{{Key: workstore.OwnerKey(d.service), Revision: d.token}}}
+}
+
+func (d *duty) commit(ctx context.Context, txn store.Txn) error {
+	_, err := d.Store.Commit(ctx, txn)
+	if problem.Is(err, problem.Conflict) {
+		d.lose("the store names another holder")
+	}
+	return err
+}
+
+// finish takes in machines that are back: they may take work again.
+func (d *duty) finish(ctx context.Context, wave int64, p *upkeep.Progress, back []string) error {
+	for len(back) > 0 {
+		n := min(len(back), store.MaxTxnEntries/2)
+		var remove []string
+		for _, m := range back[:n] {
+			p.Done[m] = true
+			remove = append(remove, workstore.EmptyKey(m))
+		}
+		if err := d.keep(ctx, wave, p, remove); err != nil {
+			return err
+		}
+		back = back[n:]
+	}
+	return nil
+}
+
+func (d *duty) ask(ctx context.Context, machines []string) error {
+	for len(machines) > 0 {
+		n := min(len(machines), store.MaxTxnEntries/2)
+		txn := d.guarded()
+		for _, m := range machines[:n] {
+			txn.Writes = append(txn.Writes, store.Write{Key: workstore.EmptyKey(m), Value: []byte(workstore.EmptyAsked)})
+		}
+		if err := d.commit(ctx, txn); err != nil {
+			return err
+		}
+		machines = machines[n:]
+	}
+	return nil
+}
+
+// order takes machines down. The intention is kept first, so that the next
+// holder counts them.
+func (d *duty) order(ctx context.Context, wave int64, p *upkeep.Progress, ids []string, machines map[string]upkeep.Machine) error {
+	if len(ids) == 0 || d.Clock.Now().Sub(d.since) < d.bounds.HolderPause {
+		return nil
+	}
+	fresh := false
+	for _, m := range ids {
+		if _, ordered := p.Ordered[m]; !ordered {
+			p.Ordered[m] = machines[m].Worker
+			fresh = true
+		}
+	}
+	if fresh {
+		if err := d.keep(ctx, wave, p, nil); err != nil {
+			return err
+		}
+	}
+	for _, m := range ids {
+		if !d.holds() {
+			return nil
+		}
+		d.orderOne(ctx, wave, p, m)
+	}
+	return nil
+}
+
+func (d *duty) orderOne(ctx context.Context, wave int64, p *upkeep.Progress, machine string) {
+	limited, cancel := context.WithTimeout(ctx, d.bounds.Order)
+	defer cancel()
+	err := d.Machines.Upkeep(limited, machine, wave, MachineOrder{Holder: d.node, Token: d.token})
+	switch problem.KindOf(err) {
+	case problem.NotFound:
+		p.Done[machine] = true
+	case problem.Conflict:
+		d.log.Info("machine not taken down yet", append(telemetry.ProblemFields(err), zap.String("machine", machine))...)
+		return
+	default:
+		if err != nil {
+			d.log.Info("upkeep not confirmed", append(telemetry.ProblemFields(err), zap.String("machine", machine))...)
+			return
+		}
+	}
+	p.Begun[machine] = true
+	d.log.Info("machine taken down", zap.String("machine", machine), zap.Int64("wave", wave))
+}
+
+// tell writes a wave's state for operators.
+func (d *duty) tell(ctx context.Context, wave int64, completed bool) error {
+	key, value, err := d.Operators.WaveStatus(wave, completed)
+	if err != nil {
+		return err
+	}
+	txn := d.guarded()
+	txn.Writes = []store.Write{{Key: key, Value: value}}
+	return d.commit(ctx, txn)
+}
+
+// release gives the duty away.
+func (d *duty) release() {
+	ctx, cancel := context.WithTimeout(d.ctx, d.bounds.Call)
+	defer cancel()
+	txn := d.guarded()
+	txn.Remove = []string{workstore.OwnerKey(d.service)}
+	if err := d.commit(ctx, txn); err != nil {
+		d.log.Info("duty ends with its lease", telemetry.ProblemFields(err)...)
+	}
+}
--- /dev/null
+++ b/internal/keeper/fleet_view.go
@@ -0,0 +1,74 @@
+package keeper
+
+import (
+	"maps"
+	"sort"
+	"time"
+
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/workstore"
+)
+
+// fleetView is what the store tells of entries, owners and machines that are
+// to be emptied. It is never changed, only replaced.
+type fleetView struct {
+	members map[string]bool
+	owners  map[string]ownerEntry // by service
+	empty   map[string]emptyEntry // by machine
+	known   bool                  // the store was read
+}
+
+func newFleetView() fleetView {
+	return fleetView{members: map[string]bool{}, owners: map[string]ownerEntry{}, empty: map[string]emptyEntry{}}
+}
+
+// with returns the view after an event.
+func (v fleetView) with(e store.Event, now time.Time) fleetView {
+	next := fleetView{members: maps.Clone(v.members), owners: maps.Clone(v.owners), empty: maps.Clone(v.empty), known: v.known}
+	next.apply(e, now)
+	return next
+}
+
+// apply changes a view that nobody else sees yet.
+func (v *fleetView) apply(e store.Event, now time.Time) {
+	if node, ok := workstore.ParseMember(e.Key); ok {
+		if e.Deleted {
+			delete(v.members, node)
+		} else {
+			v.members[node] = true
+		}
+	}
+	if service, ok := workstore.ParseOwner(e.Key); ok {
+		if e.Deleted {
+			v.owners[service] = ownerEntry{since: now}
+		} else {
+			v.owners[service] = ownerEntry{node: string(e.Value), token: e.Revision, since: now}
+		}
+	}
+	if machine, ok := workstore.ParseEmpty(e.Key); ok {
+		if e.Deleted {
+			delete(v.empty, machine)
+		} else {
+			v.empty[machine] = emptyEntry{revision: e.Revision, emptied: string(e.Value) == workstore.EmptyDone}
+		}
+	}
+}
+
+// leaving returns the machines that are to be emptied, or are.
+func (v *fleetView) leaving() map[string]bool {
+	machines := make(map[string]bool, len(v.empty))
+	for m := range v.empty {
+		machines[m] = true
+	}
+	return machines
+}
+
+// memberNames returns the entries that are alive, sorted.
+func (v *fleetView) memberNames() []string {
+	names := make([]string, 0, len(v.members))
+	for n := range v.members {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/internal/keeper/follower.go
@@ -0,0 +1,103 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/problem"
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/telemetry"
+)
+
+// follower keeps up with all keys of a prefix: it reads them whole, then
+// watches, and reads them whole again when the store has forgotten what came
+// between.
+type follower struct {
+	store  store.Store
+	clock  clockwork.Clock
+	log    *zap.Logger
+	prefix string
+	wait   time.Duration
+	call   time.Duration
+	reset  func(items []store.Item)
+	apply  func(event store.Event)
+	after  func(now time.Time) // after each answer of the store; may be nil
+}
+
+// Bounds of the time between two tries: a few answers of the store, up to what
+// keeps a configuration in time.
+const (
+	firstRetry = 50 * time.Millisecond
+	lastRetry  = 400 * time.Millisecond
+)
+
+// run follows until ctx ends. from is the revision to watch after; 0 reads
+// everything first.
+func (f *follower) run(ctx context.Context, from int64) {
+	retry := firstRetry
+	for ctx.Err() == nil {
+		next, err := f.step(ctx, from)
+		if err == nil {
+			from, retry = next, firstRetry
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if problem.Is(err, problem.Compacted) {
+			from = 0
+		}
+		f.log.Debug("store not followed", append(telemetry.ProblemFields(err), zap.String("prefix", f.prefix))...)
+		sleep(ctx, f.clock, retry)
+		retry = min(2*retry, lastRetry)
+	}
+}
+
+func (f *follower) step(ctx context.Context, from int64) (int64, error) {
+	if from == 0 {
+		return f.readAll(ctx)
+	}
+	limited, cancel := context.WithTimeout(ctx, f.wait+f.call)
+	defer cancel()
+	events, revision, err := f.store.Watch(limited, f.prefix, from, f.wait)
+	if err != nil {
+		return 0, err
+	}
+	for i := range events {
+		f.apply(events[i])
+	}
+	f.answered()
+	return max(from, revision), nil
+}
+
+func (f *follower) readAll(ctx context.Context) (int64, error) {
+	limited, cancel := context.WithTimeout(ctx, readAllTimeout)
+	defer cancel()
+	items, revision, err := f.store.Range(limited, f.prefix)
+	if err != nil {
+		return 0, err
+	}
+	f.reset(items)
+	f.answered()
+	return revision, nil
+}
+
+// readAllTimeout bounds one read of all keys of a prefix, several pages long.
+const readAllTimeout = 3 * time.Second
+
+func (f *follower) answered() {
+	if f.after != nil {
+		f.after(f.clock.Now())
+	}
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, clock clockwork.Clock, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-clock.After(d):
+	}
+}
--- /dev/null
+++ b/internal/keeper/in_flight.go
@@ -0,0 +1,47 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+)
+
+// inFlight counts orders on their way. mu guards the count and idle.
+type inFlight struct {
+	mu    sync.Mutex
+	count int
+	idle  chan struct{} // closed while count is 0; nil: nobody has waited yet
+}
+
+func (f *inFlight) add() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.count++
+}
+
+func (f *inFlight) remove() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.count--
+	if f.count == 0 && f.idle != nil {
+		close(f.idle)
+		f.idle = nil
+	}
+}
+
+// wait returns when nothing is on its way, or ctx ends.
+func (f *inFlight) wait(ctx context.Context) {
+	f.mu.Lock()
+	if f.count == 0 {
+		f.mu.Unlock()
+		return
+	}
+	if f.idle == nil {
+		f.idle = make(chan struct{})
+	}
+	idle := f.idle
+	f.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-idle:
+	}
+}
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,74 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"persimmonbay/internal/shard"
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/work"
+	"persimmonbay/internal/workconfig"
+)
+
+// Keeper holds this entry's lease and the pools it owns. mu guards tenures.
+type Keeper struct {
+	Dependencies
+	node    string
+	bounds  Bounds
+	config  *workconfig.InForce
+	session *session
+	fleet   *shard.Cell[fleetView]
+	workers *shard.Cell[map[string]work.WorkerFacts] // maps are replaced, never changed
+	waves   *shard.Cell[waveView]
+	heard   *shard.Cell[time.Time] // when the store last answered
+	changed signal
+
+	mu      sync.Mutex
+	tenures map[string]*tenure // by service
+}
+
+// New returns a keeper for the entry called node.
+func New(node string, d Dependencies, bounds Bounds, config *workconfig.InForce) *Keeper {
+	return &Keeper{
+		Dependencies: d, node: node, bounds: bounds, config: config,
+		session: newSession(d.Store, d.Clock, d.SinceBoot, d.Log, &bounds, node),
+		fleet:   shard.NewCell(newFleetView()),
+		workers: shard.NewCell(map[string]work.WorkerFacts{}),
+		waves:   shard.NewCell(waveView{}),
+		heard:   shard.NewCell(time.Time{}),
+		changed: newSignal(),
+		tenures: make(map[string]*tenure),
+	}
+}
+
+// Run keeps pools until ctx ends, then hands them over and returns.
+func (k *Keeper) Run(ctx context.Context) {
+	following, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg sync.WaitGroup
+	for _, loop := range []func(context.Context){k.session.run, k.followFleet, k.followOperators, k.followWorkers} {
+		wg.Go(func() { loop(following) })
+	}
+	k.manage(ctx)
+	k.handOver()
+	stop()
+	wg.Wait()
+	final, cancel := context.WithTimeout(context.WithoutCancel(ctx), k.bounds.Call)
+	defer cancel()
+	k.session.end(final)
+}
+
+// Heard returns when the store last answered; zero: never.
+func (k *Keeper) Heard() time.Time { return k.heard.Get() }
+
+func (k *Keeper) hear(now time.Time) {
+	k.heard.Update(func(time.Time) (time.Time, bool) { return now, true })
+}
+
+func (k *Keeper) follower(prefix string, reset func([]store.Item), apply func(store.Event)) *follower {
+	return &follower{
+		store: k.Store, clock: k.Clock, log: k.Log, prefix: prefix,
+		wait: k.bounds.WatchWait, call: k.bounds.Call, reset: reset, apply: apply, after: k.hear,
+	}
+}
--- /dev/null
+++ b/internal/keeper/keeper_manage.go
@@ -0,0 +1,178 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/ownership"
+	"persimmonbay/internal/problem"
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/telemetry"
+	"persimmonbay/internal/workstore"
+)
+
+// manageEvery is how often ownership is looked at when nothing changed: pools
+// without owner become free for others by time alone.
+const manageEvery = 250 * time.Millisecond
+
+// manage registers this entry and takes over pools that nobody owns, until ctx
+// ends.
+func (k *Keeper) manage(ctx context.Context) {
+	started := k.Clock.Now()
+	var registered int64
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.changed:
+		case <-k.Clock.After(manageEvery):
+		}
+		lease, _, ok := k.session.current()
+		if !ok {
+			continue
+		}
+		if registered != lease && k.register(ctx, lease) {
+			registered = lease
+		}
+		if registered == lease && k.Clock.Now().Sub(started) >= k.bounds.Settle {
+			k.takeOver(ctx, lease, started.Add(k.bounds.Settle))
+		}
+	}
+}
+
+func (k *Keeper) register(ctx context.Context, lease int64) bool {
+	limited, cancel := context.WithTimeout(ctx, k.bounds.Call)
+	defer cancel()
+	_, err := k.Store.Commit(limited, store.Txn{Writes: []store.Write{{Key: workstore.MemberKey(k.node), Value: []byte(k.node), Lease: lease}}})
+	if err != nil {
+		k.Log.Info("not registered yet", telemetry.ProblemFields(err)...)
+	}
+	return err == nil
+}
+
+// services returns what has an owner: all pools, and the duty for machines.
+func (k *Keeper) services() []string {
+	config := k.config.Get()
+	if config == nil {
+		return nil
+	}
+	return append(config.Services(), machineDuty)
+}
+
+// machineDuty is the name under which the duty for machines has its owner; no
+// service has it, as names of services hold no blanks.
+const machineDuty = "machine duty"
+
+// takeOver acquires the pools that are free. Since settled, all entries that
+// started with this one should be known.
+func (k *Keeper) takeOver(ctx context.Context, lease int64, settled time.Time) {
+	view := k.fleet.Get()
+	if !view.known {
+		return
+	}
+	services := k.services()
+	assigned := ownership.Assign(services, view.memberNames())
+	for _, service := range services {
+		if k.owns(service) {
+			continue
+		}
+		owner := view.owners[service]
+		stale := owner.node == k.node // left by an earlier life of this entry
+		free := owner.node == "" && (assigned[service] == k.node || k.Clock.Now().Sub(laterOf(owner.since, settled)) > k.bounds.Steal)
+		if stale || free {
+			k.acquire(ctx, service, owner, lease)
+		}
+	}
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (k *Keeper) owns(service string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.tenures[service] != nil
+}
+
+// acquire makes this entry the owner of a pool, if nobody was faster.
+func (k *Keeper) acquire(ctx context.Context, service string, owner ownerEntry, lease int64) {
+	key := workstore.OwnerKey(service)
+	expected := int64(0)
+	if owner.node != "" {
+		expected = owner.token
+	}
+	limited, cancel := context.WithTimeout(ctx, k.bounds.Call)
+	defer cancel()
+	token, err := k.Store.Commit(limited, store.Txn{
+		Expected: []store.Expectation{{Key: key, Revision: expected}},
+		Writes:   []store.Write{{Key: key, Value: []byte(k.node), Lease: lease}},
+	})
+	if store.Uncertain(err) {
+		token, err = k.acquired(ctx, key, lease)
+	}
+	if err != nil {
+		if !problem.Is(err, problem.Conflict) {
+			k.Log.Info("pool not taken over", append(telemetry.ProblemFields(err), zap.String("service", service))...)
+		}
+		return
+	}
+	k.begin(service, token, lease)
+}
+
+// acquired finds out whether an ownership whose write was not answered is ours.
+func (k *Keeper) acquired(ctx context.Context, key string, lease int64) (int64, error) {
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), k.bounds.Call)
+	defer cancel()
+	item, err := k.Store.Get(limited, key)
+	if err != nil {
+		return 0, err
+	}
+	if string(item.Value) != k.node || item.Lease != lease {
+		return 0, problem.New(problem.Conflict, problem.StepLease, key, "another entry owns it")
+	}
+	return item.Revision, nil
+}
+
+// begin starts to keep a pool.
+func (k *Keeper) begin(service string, token, lease int64) {
+	k.Log.Info("pool taken over", zap.String("service", service), zap.Int64("token", token))
+	t := newTenure(k, service, token, lease)
+	k.mu.Lock()
+	k.tenures[service] = t
+	k.mu.Unlock()
+	go func() {
+		defer close(t.done)
+		if service == machineDuty {
+			t.keepMachines()
+		} else {
+			t.keepPool()
+		}
+		k.mu.Lock()
+		delete(k.tenures, service)
+		k.mu.Unlock()
+		k.Log.Info("pool given up", zap.String("service", service), zap.Int64("token", token))
+		k.changed.send()
+	}()
+}
+
+// handOver gives away all pools.
+func (k *Keeper) handOver() {
+	k.mu.Lock()
+	tenures := make([]*tenure, 0, len(k.tenures))
+	for _, t := range k.tenures {
+		tenures = append(tenures, t)
+	}
+	k.mu.Unlock()
+	for _, t := range tenures {
+		t.handOver()
+	}
+	for _, t := range tenures {
+		<-t.done
+	}
+}
--- /dev/null
+++ b/internal/keeper/machine_order.go
@@ -0,0 +1,7 @@
+package keeper
+
+// MachineOrder says who orders a machine.
+type MachineOrder struct {
+	Holder string
+	Token  int64 // fencing token
+}
--- /dev/null
+++ b/internal/keeper/owner_entry.go
@@ -0,0 +1,10 @@
+package keeper
+
+import "time"
+
+// ownerEntry tells who owns a pool.
+type ownerEntry struct {
+	node  string // empty: nobody
+	token int64
+	since time.Time // when this was learned
+}
--- /dev/null
+++ b/internal/keeper/tenure.go
@@ -0,0 +1,83 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/work"
+)
+
+// tenure is the time for which this entry owns one pool. mu guards lookers.
+type tenure struct {
+	*Keeper
+	service string
+	token   int64 // fencing token: the store revision of the ownership
+	lease   int64
+	log     *zap.Logger
+	ctx     context.Context // ends with the tenure
+	cancel  context.CancelFunc
+	done    chan struct{}
+	leaving chan struct{} // closed when the pool is to be handed over
+	leave   sync.Once
+	pool    *work.Pool
+	plan    signal // plan again
+	save    signal // there is progress to keep
+	orders  sync.WaitGroup
+	started inFlight // starts and stops on their way
+	roster  []string // as last kept; only one goroutine uses it
+
+	mu      sync.Mutex
+	lookers map[string]*looker // by worker
+}
+
+func newTenure(k *Keeper, service string, token, lease int64) *tenure {
+	t := &tenure{
+		Keeper: k, service: service, token: token, lease: lease,
+		log:  k.Log.With(zap.String("service", service), zap.Int64("token", token)),
+		done: make(chan struct{}), leaving: make(chan struct{}), plan: newSignal(), save: newSignal(),
+		lookers: make(map[string]*looker),
+	}
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	return t
+}
+
+// holds reports whether the pool is surely still ours: every order asks.
+func (t *tenure) holds() bool { return t.ctx.Err() == nil && t.session.holds(t.lease) }
+
+// lose ends the tenure because another entry has the pool.
+func (t *tenure) lose(why string) {
+	if t.ctx.Err() == nil {
+		t.log.Warn("pool lost", zap.String("why", why))
+	}
+	t.cancel()
+}
+
+// handOver asks that the pool is given away.
+func (t *tenure) handOver() { t.leave.Do(func() { close(t.leaving) }) }
+
+// guard ends the tenure when the lease is given up or the store names another
+// owner.
+func (t *tenure) guard() {
+	_, ended, ok := t.session.current()
+	if !ok && !t.session.holds(t.lease) {
+		ended = nil
+	}
+	for {
+		view, changed := t.fleet.Watch()
+		owner, known := view.owners[t.service]
+		if known && owner.token > t.token {
+			t.lose("the store names a later owner")
+			return
+		}
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-ended:
+			t.lose("the lease has ended")
+			return
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/internal/keeper/tenure_emptied.go
@@ -0,0 +1,32 @@
+package keeper
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/telemetry"
+	"persimmonbay/internal/workstore"
+)
+
+// confirmEmptied tells the holder of the duty for machines which of the
+// machines to be emptied are empty.
+func (t *tenure) confirmEmptied() {
+	view := t.fleet.Get()
+	for machine, entry := range view.empty {
+		if entry.emptied || !t.pool.Emptied(machine) {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(t.ctx, t.bounds.Call)
+		key := workstore.EmptyKey(machine)
+		_, err := t.Store.Commit(ctx, store.Txn{
+			Expected: []store.Expectation{{Key: key, Revision: entry.revision}, {Key: workstore.OwnerKey(t.service), Revision: t.token}},
+			Writes:   []store.Write{{Key: key, Value: []byte(workstore.EmptyDone)}},
+		})
+		cancel()
+		if err != nil {
+			t.log.Info("machine not confirmed as empty", append(telemetry.ProblemFields(err), zap.String("machine", machine))...)
+		}
+	}
+}
--- /dev/null
+++ b/internal/keeper/tenure_pool.go
@@ -0,0 +1,198 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/problem"
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/telemetry"
+	"persimmonbay/internal/work"
+	"persimmonbay/internal/workstore"
+)
+
+// keepPool runs the pool until it is lost or handed over.
+func (t *tenure) keepPool() {
+	defer t.cancel()
+	go t.guard()
+	from, ok := t.load()
+	if !ok {
+		return
+	}
+	t.orders.Go(t.followWorkersOfPool)
+	t.orders.Go(func() { t.followWork(from) })
+	t.orders.Go(t.saveLoop)
+	t.orders.Go(t.planLoop)
+	select {
+	case <-t.ctx.Done():
+	case <-t.leaving:
+		t.release()
+	}
+	t.cancel()
+	t.orders.Wait()
+}
+
+// load reads the pool's jobs and returns the revision after which to watch.
+func (t *tenure) load() (from int64, ok bool) {
+	for t.ctx.Err() == nil {
+		from, err := t.tryLoad()
+		if err == nil {
+			return from, true
+		}
+		t.log.Info("jobs not read yet", telemetry.ProblemFields(err)...)
+		sleep(t.ctx, t.Clock, firstRetry)
+	}
+	return 0, false
+}
+
+func (t *tenure) tryLoad() (int64, error) {
+	ctx, cancel := context.WithTimeout(t.ctx, readAllTimeout)
+	defer cancel()
+	roster, err := t.loadRoster(ctx)
+	if err != nil {
+		return 0, err
+	}
+	jobs, from, err := t.Store.Range(ctx, workstore.WorkPrefix(t.service))
+	if err != nil {
+		return 0, err
+	}
+	states, _, err := t.Store.Range(ctx, workstore.StatePrefix(t.service))
+	if err != nil {
+		return 0, err
+	}
+	now := t.Clock.Now()
+	t.pool = work.NewPool(t.service, t.token, t.bounds.Work, roster, now)
+	t.addJobs(jobs, t.decodeStates(states), now)
+	return from, nil
+}
+
+func (t *tenure) loadRoster(ctx context.Context) ([]string, error) {
+	key := workstore.RosterKey(t.service)
+	item, err := t.Store.Get(ctx, key)
+	if problem.Is(err, problem.NotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return workstore.DecodeRoster(key, item.Value)
+}
+
+func (t *tenure) decodeStates(items []store.Item) map[string]store.Item {
+	states := make(map[string]store.Item, len(items))
+	for _, item := range items {
+		if id, ok := workstore.ParseState(t.service, item.Key); ok {
+			states[id] = item
+		}
+	}
+	return states
+}
+
+func (t *tenure) addJobs(jobs []store.Item, states map[string]store.Item, now time.Time) {
+	added := 0
+	for _, item := range jobs {
+		id, ok := workstore.ParseJob(t.service, item.Key)
+		if !ok {
+			continue
+		}
+		if t.addJob(id, item, states[id], now) {
+			added++
+		}
+	}
+	t.log.Info("pool loaded", zap.Int("jobs", added), zap.Int("kept", len(states)))
+}
+
+// addJob takes in a job with the progress that is kept of it.
+func (t *tenure) addJob(id string, item, kept store.Item, now time.Time) bool {
+	sub, err := workstore.DecodeJob(t.service, id, item.Value)
+	if err != nil {
+		t.log.Error("job not understood", append(telemetry.ProblemFields(err), zap.String("job", id))...)
+		return false
+	}
+	state := workstore.KeptState{}
+	revision := item.Revision
+	if kept.Revision > 0 {
+		if state, err = workstore.DecodeState(kept.Key, kept.Value); err != nil {
+			t.log.Error("progress not understood", append(telemetry.ProblemFields(err), zap.String("job", id))...)
+			return false
+		}
+		revision = kept.Revision
+	}
+	t.pool.Add(sub, item.Created, revision, state.Progress, now)
+	return !state.Progress.State.Final()
+}
+
+// followWork keeps up with jobs accepted and cancelled.
+func (t *tenure) followWork(from int64) {
+	reset := func(items []store.Item) {
+		for _, item := range items {
+			t.takeWork(store.Event{Item: item})
+		}
+	}
+	t.follower(workstore.WorkPrefix(t.service), reset, t.takeWork).run(t.ctx, from)
+}
+
+func (t *tenure) takeWork(e store.Event) {
+	if e.Deleted {
+		return
+	}
+	if id, ok := workstore.ParseJob(t.service, e.Key); ok {
+		t.addJob(id, e.Item, store.Item{}, t.Clock.Now())
+		t.plan.send()
+	}
+	if id, ok := workstore.ParseCancel(t.service, e.Key); ok {
+		t.pool.Cancel(id, e.Revision)
+		t.plan.send()
+	}
+}
+
+// followWorkersOfPool keeps the pool's workers as the platform lists them, and
+// one looker for each.
+func (t *tenure) followWorkersOfPool() {
+	for {
+		all, changed := t.workers.Watch()
+		view, emptied := t.fleet.Watch()
+		var mine []work.WorkerFacts
+		for _, f := range all {
+			if f.Service == t.service {
+				mine = append(mine, f)
+			}
+		}
+		t.pool.SetWorkers(mine, t.Clock.Now())
+		t.pool.SetLeaving(view.leaving())
+		t.keepRoster()
+		t.startLookers(mine)
+		t.plan.send()
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-changed:
+		case <-emptied:
+		}
+	}
+}
+
+func (t *tenure) startLookers(workers []work.WorkerFacts) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range workers {
+		id := workers[i].ID
+		if t.lookers[id] == nil {
+			l := &looker{tenure: t, worker: id, kick: newSignal()}
+			t.lookers[id] = l
+			t.orders.Go(l.run)
+		}
+	}
+}
+
+// kick wakes the looker of a worker.
+func (t *tenure) kick(worker string) {
+	t.mu.Lock()
+	l := t.lookers[worker]
+	t.mu.Unlock()
+	if l != nil {
+		l.kick.send()
+	}
+}
--- /dev/null
+++ b/internal/keeper/tenure_save.go
@@ -0,0 +1,217 @@
+package keeper
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/telemetry"
+	"persimmonbay/internal/work"
+	"persimmonbay/internal/workstore"
+)
+
+// saveBatch is how many jobs one transaction keeps: each takes a condition, a
+// write and up to two removals.
+const saveBatch = (store.MaxTxnEntries - 1) / 4
+
+// saveLoop keeps the progress of jobs until the tenure ends.
+func (t *tenure) saveLoop() {
+	for t.ctx.Err() == nil {
+		pending, urgent := t.pool.Pressing()
+		if !pending {
+			select {
+			case <-t.ctx.Done():
+				return
+			case <-t.save:
+				continue
+			}
+		}
+		if !urgent && !t.gather() {
+			return
+		}
+		if !t.saveOnce(t.ctx) {
+			sleep(t.ctx, t.Clock, firstRetry)
+			continue
+		}
+		sleep(t.ctx, t.Clock, t.bounds.SaveEvery)
+	}
+}
+
+// gather waits for more progress to keep at once, but not once callers wait
+// for some of it.
+func (t *tenure) gather() bool {
+	timer := t.Clock.NewTimer(t.bounds.SaveLazily)
+	defer timer.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return false
+		case <-timer.Chan():
+			return true
+		case <-t.save:
+			if _, urgent := t.pool.Pressing(); urgent {
+				return true
+			}
+		}
+	}
+}
+
+// saveOnce keeps one batch; false when it was not kept.
+func (t *tenure) saveOnce(ctx context.Context) bool {
+	items, _ := t.pool.Unsaved(saveBatch)
+	if len(items) == 0 {
+		return true
+	}
+	txn, err := t.saveTxn(items)
+	if err != nil {
+		t.log.Error("progress not encoded", telemetry.ProblemFields(err)...)
+		t.pool.SaveFailed(items)
+		return false
+	}
+	limited, cancel := context.WithTimeout(ctx, t.bounds.Call)
+	defer cancel()
+	revision, err := t.Store.Commit(limited, txn)
+	var conflict *store.ConflictError
+	switch {
+	case err == nil:
+		t.saved(items, revision)
+		return true
+	case errors.As(err, &conflict):
+		t.settleConflict(items, txn, conflict)
+		return false
+	}
+	t.log.Info("progress not kept yet", telemetry.ProblemFields(err)...)
+	t.pool.SaveFailed(items)
+	return false
+}
+
+func (t *tenure) saved(items []work.SaveItem, revision int64) {
+	t.pool.Saved(items, revision)
+	t.kickAll()
+	for i := range items {
+		if s := items[i].Progress.State; s.Final() && !items[i].Kept {
+			t.log.Info("job ended", zap.String("job", items[i].Job), zap.Uint8("state", uint8(s)))
+		}
+	}
+}
+
+func (t *tenure) saveTxn(items []work.SaveItem) (store.Txn, error) {
+	txn := store.Txn{Expected: []store.Expectation{{Key: workstore.OwnerKey(t.service), Revision: t.token}}}
+	for i := range items {
+		item := &items[i]
+		kept := workstore.KeptState{Queue: item.Queue, Progress: item.Progress}
+		if item.Progress.State.Final() {
+			kept.EndedAt = item.EndedAt
+		}
+		value, err := workstore.EncodeState(&kept)
+		if err != nil {
+			return store.Txn{}, err
+		}
+		key := workstore.StateKey(t.service, item.Job)
+		txn.Expected = append(txn.Expected, store.Expectation{Key: key, Revision: item.Revision})
+		txn.Writes = append(txn.Writes, store.Write{Key: key, Value: value})
+		if item.Remove {
+			txn.Remove = append(txn.Remove, workstore.JobKey(t.service, item.Job), workstore.CancelKey(t.service, item.Job))
+		}
+	}
+	return txn, nil
+}
+
+// settleConflict finds out which condition did not hold: the pool has another
+// owner, an earlier copy of the write was carried out after all, or a caller
+// has cancelled a job.
+func (t *tenure) settleConflict(items []work.SaveItem, txn store.Txn, conflict *store.ConflictError) {
+	if owner, ok := conflict.Find(workstore.OwnerKey(t.service)); !ok || owner.Revision != t.token {
+		t.pool.SaveFailed(items)
+		t.lose("the store names another owner")
+		return
+	}
+	for i := range items {
+		key := workstore.StateKey(t.service, items[i].Job)
+		current, ok := conflict.Find(key)
+		if !ok || current.Revision == items[i].Revision {
+			t.pool.SaveFailed(items[i : i+1])
+			continue
+		}
+		t.settleItem(items[i], current, txn)
+	}
+	t.plan.send()
+}
+
+func (t *tenure) settleItem(item work.SaveItem, current store.Item, txn store.Txn) {
+	written := slices.IndexFunc(txn.Writes, func(w store.Write) bool { return w.Key == current.Key })
+	if written >= 0 && bytes.Equal(txn.Writes[written].Value, current.Value) {
+		t.saved([]work.SaveItem{item}, current.Revision)
+		return
+	}
+	t.pool.SaveFailed([]work.SaveItem{item})
+	kept, err := workstore.DecodeState(current.Key, current.Value)
+	if err != nil {
+		t.log.Error("progress not understood", append(telemetry.ProblemFields(err), zap.String("job", item.Job))...)
+		return
+	}
+	t.pool.Overtaken(item.Job, current.Revision, kept.Progress)
+}
+
+func (t *tenure) kickAll() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, l := range t.lookers {
+		l.kick.send()
+	}
+}
+
+// keepRoster keeps which workers may hold tasks of this owner, for the next.
+func (t *tenure) keepRoster() {
+	roster := t.pool.Roster()
+	slices.Sort(roster)
+	if slices.Equal(roster, t.roster) {
+		return
+	}
+	value, err := workstore.EncodeRoster(roster)
+	if err != nil {
+		t.log.Error("roster not encoded", telemetry.ProblemFields(err)...)
+		return
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, t.bounds.Call)
+	defer cancel()
+	_, err = t.Store.Commit(ctx, store.Txn{
+		Expected: []store.Expectation{{Key: workstore.OwnerKey(t.service), Revision: t.token}},
+		Writes:   []store.Write{{Key: workstore.RosterKey(t.service), Value: value}},
+	})
+	if err != nil {
+		t.log.Info("roster not kept yet", telemetry.ProblemFields(err)...)
+		return
+	}
+	t.roster = roster
+}
+
+// releaseTimeout bounds the hand-over of a pool: orders on their way, one last
+// save and the release itself.
+const releaseTimeout = 1500 * time.Millisecond
+
+// release hands the pool over: no order is on its way any more, and all progress
+// is kept, as far as the time allows.
+func (t *tenure) release() {
+	ctx, cancel := context.WithTimeout(t.ctx, releaseTimeout)
+	defer cancel()
+	t.started.wait(ctx)
+	for pending, _ := t.pool.Pressing(); pending && ctx.Err() == nil; pending, _ = t.pool.Pressing() {
+		if !t.saveOnce(ctx) {
+			sleep(ctx, t.Clock, firstRetry)
+		}
+	}
+	t.cancel()
+	final, stop := context.WithTimeout(context.WithoutCancel(ctx), t.bounds.Call)
+	defer stop()
+	key := workstore.OwnerKey(t.service)
+	_, err := t.Store.Commit(final, store.Txn{Expected: []store.Expectation{{Key: key, Revision: t.token}}, Remove: []string{key}})
+	if err != nil {
+		t.log.Info("pool ends with its lease", telemetry.ProblemFields(err)...)
+	}
+}
--- /dev/null
+++ b/internal/ownership/doc.go
@@ -0,0 +1,2 @@
+// Package ownership decides which entry owns which pool.
+package ownership
--- /dev/null
+++ b/internal/settings/job_entry.go
@@ -0,0 +1,33 @@
+package settings
+
+import (
+	"os"
+
+	"persimmonbay/internal/problem"
+	"persimmonbay/internal/yamlfile"
+)
+
+// JobEntry holds all settings of an entry that serves jobs on the users'
+// platform.
+type JobEntry struct {
+	ID               string      `yaml:"id" validate:"required"`
+	AvailabilityZone string      `yaml:"availabilityZone" validate:"required"`
+	Listen           JobListen   `yaml:"listen"`
+	Platform         JobPlatform `yaml:"platform"`
+	Machine          JobMachine  `yaml:"machine"`
+	Timing           JobTiming   `yaml:"timing"`
+	LogLevel         string      `yaml:"logLevel" validate:"oneof=debug info warn error"`
+}
+
+// LoadJobEntry reads the settings in file. Faults are problem.Findings.
+func LoadJobEntry(file string) (JobEntry, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return JobEntry{}, problem.Wrap(problem.NotFound, problem.StepSettings, "", err)
+	}
+	entry := JobEntry{Timing: DefaultJobTiming(), LogLevel: "info"}
+	if _, err := yamlfile.Decode(file, data, &entry); err != nil {
+		return JobEntry{}, err
+	}
+	return entry, nil
+}
--- /dev/null
+++ b/internal/settings/job_listen.go
@@ -0,0 +1,7 @@
+package settings
+
+// JobListen holds the addresses that a job entry listens on.
+type JobListen struct {
+	Callers   string `yaml:"callers" validate:"required,hostname_port"`
+	Readiness string `yaml:"readiness" validate:"required,hostname_port"`
+}
--- /dev/null
+++ b/internal/upkeep/machine.go
@@ -0,0 +1,11 @@
+package upkeep
+
+// Machine is a machine as the platform lists it.
+type Machine struct {
+	ID     string
+	Pool   string
+	State  MachineState
+	Zone   string
+	Labels []string
+	Worker string // the life that runs on it; empty: none
+}
--- /dev/null
+++ b/internal/upkeep/progress.go
@@ -0,0 +1,24 @@
+package upkeep
+
+// Progress is what is kept of a wave's course.
+type Progress struct {
+	Ordered map[string]string // by machine: the worker on it when its upkeep was ordered
+	Begun   map[string]bool   // machines whose upkeep the platform has confirmed
+	Done    map[string]bool   // machines that are back, or gone
+}
+
+// NewProgress returns the progress of a wave that has not begun.
+func NewProgress() Progress {
+	return Progress{Ordered: map[string]string{}, Begun: map[string]bool{}, Done: map[string]bool{}}
+}
+
+// down counts the machines whose upkeep was ordered and that are not back.
+func (p *Progress) down() int {
+	n := 0
+	for m := range p.Ordered {
+		if !p.Done[m] {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/work/end_row.go
@@ -0,0 +1,10 @@
+package work
+
+// EndRow is one ended run in a worker's answer.
+type EndRow struct {
+	Number     int64 // rises by one with each end of one life of the worker
+	Task       TaskID
+	Attempt    int
+	Kind       EndKind
+	Checkpoint string
+}
--- /dev/null
+++ b/internal/work/job_state.go
@@ -0,0 +1,16 @@
+package work
+
+// JobState is what callers are told of a job.
+type JobState uint8
+
+// The states. A job never leaves the last three.
+const (
+	Queued JobState = iota
+	Active
+	Completed
+	Failed
+	Cancelled
+)
+
+// Final reports whether a job stays in the state for good.
+func (s JobState) Final() bool { return s >= Completed }
--- /dev/null
+++ b/internal/work/pool_answers.go
@@ -0,0 +1,100 @@
+package work
+
+import "time"
+
+// Started takes in a worker's answer to a start. clock is the worker's own, in
+// milliseconds; 0 when it was not told.
+func (p *Pool) Started(o StartOrder, answer Answer, clock int64, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w, ok := p.workers[o.Worker]
+	if !ok {
+		return
+	}
+	if clock > 0 {
+		w.clock = clockReading{at: now, millis: clock}
+		w.reachable = true
+	}
+	r := w.runs[runKey{o.Task, o.Attempt}]
+	if r == nil || r.phase == running {
+		return
+	}
+	p.started(w, r, answer, now)
+}
+
+func (p *Pool) started(w *worker, r *run, answer Answer, now time.Time) {
+	repeated := r.phase == uncertain
+	switch answer {
+	case Accepted:
+		r.phase = running
+		r.answeredAt = now
+		return
+	case OtherLife:
+		p.loseTo(w)
+		return
+	case Unanswered:
+		r.phase = uncertain
+		r.askedAt = now
+		w.block(now.Add(blockAfterFailure))
+		return
+	case Outdated:
+		// An end of this attempt is listed there, or a later attempt ran.
+		r.phase = uncertain
+		r.stoppedAt = now
+		r.task.attempt++
+		return
+	}
+	p.refused(w, r, answer, now)
+	if repeated && answer != TooLate {
+		// The first copy may still be carried out.
+		r.wantStop = true
+		return
+	}
+	p.release(r)
+}
+
+// refused takes in why a worker did not start a task.
+func (p *Pool) refused(w *worker, r *run, answer Answer, now time.Time) {
+	switch answer {
+	case NoRoom:
+		p.counts.Refused++
+		w.block(now.Add(blockAfterRefusal))
+	case NotReached, Unhealthy:
+		w.block(now.Add(blockAfterFailure))
+	case NoTicket:
+		if r.stage != nil {
+			r.stage.tickets.until = now
+		}
+	case Malformed:
+		if r.task != nil {
+			r.task.notBefore = now.Add(retryMalformed)
+		}
+	default:
+	}
+}
+
+// Stopped takes in a worker's answer to a stop.
+func (p *Pool) Stopped(o StopOrder, answer Answer, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w, ok := p.workers[o.Worker]
+	if !ok {
+		return
+	}
+	if answer == OtherLife {
+		p.loseTo(w)
+		return
+	}
+	r := w.runs[runKey{o.Task, o.Attempt}]
+	if r != nil && (answer == Accepted || answer == Outdated) {
+		r.stoppedAt = now
+	}
+}
+
+const (
+	// blockAfterRefusal is how long a worker without room gets no new task:
+	// about the time until one of its tasks ends.
+	blockAfterRefusal = 200 * time.Millisecond
+	// retryMalformed is how long a task waits that a worker did not understand.
+	retryMalformed = 2 * time.Second
+)
--- /dev/null
+++ b/internal/work/pool_jobs.go
@@ -0,0 +1,155 @@
+package work
+
+import "time"
+
+// Add takes in an accepted job, or one that an earlier owner left. created is
+// the store revision at which it was accepted, revision that of progress.
+func (p *Pool) Add(sub Submission, created, revision int64, progress Progress, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, known := p.jobs[sub.ID]; known || progress.State.Final() {
+		return
+	}
+	j := newJob(&sub, created, revision, progress)
+	j.chain = p.learned.chain(&sub)
+	p.jobs[sub.ID] = j
+	p.order = append(p.order, j)
+	p.openDue(j, now)
+}
+
+// openDue opens the occurrences whose time has come.
+func (p *Pool) openDue(j *job, now time.Time) {
+	for len(j.occurrences) < j.sub.Occurrences() {
+		due := j.sub.DueAt(len(j.occurrences))
+		if due.After(now) {
+			return
+		}
+		j.open()
+	}
+}
+
+// Cancel takes in that a job was cancelled; revision is that of its kept state.
+func (p *Pool) Cancel(id string, revision int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	j, ok := p.jobs[id]
+	if !ok || j.progress.State == Cancelled {
+		return
+	}
+	j.revision = max(j.revision, revision)
+	j.progress.State = Cancelled
+	j.endKept, j.endedAt = true, p.wall
+	p.counts.Cancelled++
+	p.end(j)
+	p.change(j, false)
+}
+
+// end stops what still runs of a job whose course is over.
+func (p *Pool) end(j *job) {
+	for _, o := range j.occurrences {
+		for _, s := range o.stages {
+			for _, t := range s.tasks {
+				if t.run != nil {
+					t.run.wantStop = true
+				}
+			}
+		}
+	}
+}
+
+// change notes that the job's progress has to be kept. urgent tells that
+// callers wait for it.
+func (p *Pool) change(j *job, urgent bool) {
+	p.sequence++
+	if j.dirtyFrom == 0 {
+		j.dirtyFrom = p.sequence
+	}
+	j.dirtyTo = p.sequence
+	j.urgentSave = j.urgentSave || urgent
+}
+
+// finish takes in that a task ended done.
+func (p *Pool) finish(t *task) {
+	j := t.stage.job
+	if t.done || j.progress.State.Final() {
+		return
+	}
+	t.done = true
+	t.checkpoint = ""
+	if t.run != nil {
+		t.run.wantStop = true
+	}
+	j.progress.markDone(t.flat)
+	t.stage.left--
+	if t.stage.left == 0 {
+		p.finishStage(t.stage)
+	}
+	p.change(j, j.progress.State.Final())
+}
+
+func (p *Pool) finishStage(s *stage) {
+	j := s.job
+	o := j.occurrences[s.occurrence]
+	o.left--
+	if o.left > 0 {
+		return
+	}
+	j.ended++
+	if j.complete() {
+		j.progress.State = Completed
+		j.endedAt = p.wall
+		p.counts.Completed++
+	}
+}
+
+// failRun takes in that a run of t ended failed on w.
+func (p *Pool) failRun(t *task, attempt int, w *worker, now time.Time) {
+	j, s := t.stage.job, t.stage
+	t.avoid = w.facts.ID
+	p.counts.FailedRuns++
+	w.failed(j.sub.ID, now, &p.timing)
+	if now.Before(w.suspended) {
+		p.counts.Suspended++
+	}
+	if s.step.LongRunning || j.progress.State.Final() {
+		return
+	}
+	counted := t.flat
+	if s.step.Gang {
+		if s.failedAttempt == attempt {
+			return
+		}
+		s.failedAttempt = attempt
+		counted = s.tasks[0].flat
+	}
+	if j.progress.Failures == nil {
+		j.progress.Failures = make(map[int]int)
+	}
+	j.progress.Failures[counted]++
+	if j.sub.MaxFailures > 0 && j.progress.Failures[counted] >= j.sub.MaxFailures {
+		j.progress.State = Failed
+		j.endedAt = p.wall
+		p.counts.FailedJobs++
+		p.end(j)
+	}
+	p.change(j, j.progress.State.Final())
+}
+
+// drop removes jobs whose course is over, of which nothing may run and whose
+// submission is no longer kept.
+func (p *Pool) drop() {
+	kept := p.order[:0]
+	for _, j := range p.order {
+		if j.removeWhenIdle && j.runs == 0 && j.dirtyFrom == 0 {
+			j.removeWhenIdle = false
+			p.change(j, false)
+		}
+		if j.forget && j.runs == 0 && j.dirtyFrom == 0 {
+			delete(p.jobs, j.sub.ID)
+			continue
+		}
+		kept = append(kept, j)
+	}
+	clear(p.order[len(kept):])
+	p.order = kept
+}
--- /dev/null
+++ b/internal/work/pool_look.go
@@ -0,0 +1,249 @@
+package work
+
+import "time"
+
+// LookFor returns what the worker is to be asked, and whether a look is due:
+// something runs there, it has not seen this owner yet, or it can forget ends.
+func (p *Pool) LookFor(id string, now time.Time) (LookRequest, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w, ok := p.workers[id]
+	if !ok || !w.needsLook() {
+		return LookRequest{}, false
+	}
+	req := LookRequest{Worker: id, Address: w.facts.Address, Token: p.token, Observed: w.noted}
+	if w.fenced && w.clock.known() {
+		req.Deadline = w.clock.estimate(now) + p.timing.Hold.Milliseconds()
+	}
+	w.expiresAt = laterOf(w.expiresAt, p.timing.expiry(now))
+	return req, true
+}
+
+// Saving reports whether ends of the worker wait for their change to be kept.
+func (p *Pool) Saving(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w, ok := p.workers[id]
+	return ok && w.applied > w.noted
+}
+
+// Busy reports whether something runs, or may run, on the worker.
+func (p *Pool) Busy(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w, ok := p.workers[id]
+	return ok && len(w.runs) > 0
+}
+
+// Looked takes in a worker's answer.
+func (p *Pool) Looked(l Look) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w, ok := p.workers[l.Worker]
+	if !ok || w.lost || l.Born < w.born {
+		return
+	}
+	p.meet(w, &l)
+	p.applyEnds(w, &l)
+	listed := p.applyRows(w, &l)
+	p.resolve(w, &l, listed)
+	delete(p.awaited, l.Worker)
+}
+
+// meet takes in who answered, and its clock.
+func (p *Pool) meet(w *worker, l *Look) {
+	if w.born != 0 && l.Born > w.born {
+		p.lose(w)
+		p.counts.Reborn++
+		w.applied, w.noted, w.told, w.marks = 0, 0, 0, nil
+	}
+	w.born = l.Born
+	w.clock = clockReading{at: l.ReceivedAt, millis: l.Clock}
+	w.fenced = true
+	w.reachable = true
+	w.told = max(w.told, l.Observed)
+}
+
+func (p *Pool) applyEnds(w *worker, l *Look) {
+	for i := range l.Ends {
+		e := &l.Ends[i]
+		if e.Number <= w.applied {
+			continue
+		}
+		w.applied = e.Number
+		p.applyEnd(w, e, l.ReceivedAt)
+	}
+	if n := len(w.marks); w.applied > w.noted && (n == 0 || w.marks[n-1].number < w.applied) {
+		w.marks = append(w.marks, endMark{change: p.sequence, number: w.applied})
+	}
+	p.note()
+}
+
+func (p *Pool) applyEnd(w *worker, e *EndRow, now time.Time) {
+	r := w.runs[runKey{e.Task, e.Attempt}]
+	if r != nil {
+		p.release(r)
+	}
+	j := p.jobs[e.Task.Job]
+	if j == nil {
+		return
+	}
+	t := j.task(e.Task)
+	if t == nil {
+		return
+	}
+	t.attempt = max(t.attempt, e.Attempt)
+	switch e.Kind {
+	case EndDone:
+		p.applyDone(w, t, r, now)
+	case EndFailed:
+		p.failRun(t, e.Attempt, w, now)
+	case EndLapsed:
+		p.counts.Lapsed++
+	case EndBroken, EndAlone:
+		p.counts.Broken++
+	case EndStopped:
+	}
+	if !t.done && t.stage.step.Checkpointing && e.Checkpoint != "" {
+		t.checkpoint = e.Checkpoint
+	}
+}
+
+func (p *Pool) applyDone(w *worker, t *task, r *run, now time.Time) {
+	p.counts.Done++
+	w.succeeded()
+	s := t.stage
+	if s.step.LongRunning {
+		return
+	}
+	if r != nil && !r.answeredAt.IsZero() {
+		p.learned.learn(s.job.sub.Queue, now.Sub(r.orderedAt))
+	}
+	if !s.step.Gang {
+		p.finish(t)
+		return
+	}
+	for _, member := range s.tasks {
+		p.finish(member)
+	}
+}
+
+// applyRows takes in what runs on w and returns which runs are listed.
+func (p *Pool) applyRows(w *worker, l *Look) map[runKey]bool {
+	listed := make(map[runKey]bool, len(l.Running))
+	for i := range l.Running {
+		row := &l.Running[i]
+		key := runKey{row.Task, row.Attempt}
+		listed[key] = true
+		r := w.runs[key]
+		if r == nil {
+			r = p.meetRun(w, row, l.ReceivedAt)
+		}
+		if r.phase == starting || r.phase == uncertain {
+			r.phase = running
+			r.answeredAt = l.ReceivedAt
+		}
+		r.percent, r.gauge = row.Percent, row.Gauge
+		if r.task != nil && r.stage.step.Checkpointing && row.Checkpoint != "" {
+			r.task.checkpoint = row.Checkpoint
+		}
+	}
+	return listed
+}
+
+// meetRun takes in a run that this owner did not order: it is taken over when
+// its task needs it, and stopped otherwise.
+func (p *Pool) meetRun(w *worker, row *RunRow, now time.Time) *run {
+	r := &run{id: row.Task, attempt: row.Attempt, worker: w, phase: running, orderedAt: now, answeredAt: now, wantStop: true}
+	w.runs[runKey{row.Task, row.Attempt}] = r
+	j := p.jobs[row.Task.Job]
+	if j == nil {
+		return r
+	}
+	t := j.task(row.Task)
+	if t == nil {
+		return r
+	}
+	t.attempt = max(t.attempt, row.Attempt)
+	r.reserved = t.stage.step.reserved()
+	w.used = w.used.Plus(r.reserved)
+	if t.done || t.run != nil || j.progress.State.Final() {
+		return r
+	}
+	p.bind(r, t)
+	r.wantStop = false
+	p.counts.Adopted++
+	return r
+}
+
+// bind makes r the run of t.
+func (p *Pool) bind(r *run, t *task) {
+	r.task, r.stage = t, t.stage
+	t.run = r
+	j := t.stage.job
+	j.runs++
+	if j.progress.State == Queued {
+		j.progress.State = Active
+		p.change(j, false)
+	}
+}
+
+// resolve ends the runs of which the look shows that they are not there and
+// never will be.
+func (p *Pool) resolve(w *worker, l *Look, listed map[runKey]bool) {
+	for key, r := range w.runs {
+		if !listed[key] && absent(r, l) {
+			p.release(r)
+			p.counts.Lost++
+		}
+	}
+}
+
+// absent reports whether a look that does not list r shows that it is over: it
+// was there before the look was sent, it was stopped before that, or its order
+// is too late by now.
+func absent(r *run, l *Look) bool {
+	switch {
+	case !r.answeredAt.IsZero():
+		return l.SentAt.After(r.answeredAt)
+	case r.phase == starting:
+		return false
+	case !r.stoppedAt.IsZero() && l.SentAt.After(r.stoppedAt):
+		return true
+	}
+	return r.deadline > 0 && l.Clock > r.deadline
+}
+
+// LookFailed takes in that a worker did not answer a look.
+func (p *Pool) LookFailed(id string, answer Answer, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w, ok := p.workers[id]
+	if !ok {
+		return
+	}
+	if answer == OtherLife {
+		p.loseTo(w)
+		return
+	}
+	w.reachable = false
+	w.block(now.Add(blockAfterFailure))
+}
+
+// loseTo takes in that another life answers at the worker's address.
+func (p *Pool) loseTo(w *worker) {
+	p.lose(w)
+	w.lost = true
+	w.reachable = false
+}
+
+// blockAfterFailure is how long a worker that did not answer gets no new task:
+// about the time of a retry on a fresh connection.
+const blockAfterFailure = 300 * time.Millisecond
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/work/pool_move_off.go
@@ -0,0 +1,44 @@
+package work
+
+import "time"
+
+// moveOff stops runs on workers that are to be emptied or that leave, so that
+// they start elsewhere: lasting ones as far as their step may miss them, and
+// those that keep a checkpoint.
+func (p *Pool) moveOff(now time.Time, plan *Plan) {
+	for _, w := range p.workers {
+		if !w.leaving && !w.facts.Draining {
+			continue
+		}
+		for _, r := range w.runs {
+			if r.task == nil || r.wantStop || r.phase != running {
+				continue
+			}
+			if p.mayMove(r, w) && p.roomElsewhere(r.task, now) {
+				r.wantStop = true
+			}
+		}
+	}
+}
+
+// mayMove reports whether a run may be stopped only to start elsewhere.
+func (p *Pool) mayMove(r *run, w *worker) bool {
+	step := r.stage.step
+	if !step.LongRunning {
+		return step.Checkpointing && r.task.checkpoint != "" && w.facts.Draining
+	}
+	if w.facts.Draining || r.percent < fullPercent {
+		return true
+	}
+	return r.stage.away(r.task) < max(step.MayMiss, 1)
+}
+
+// roomElsewhere reports whether another worker could take t at once.
+func (p *Pool) roomElsewhere(t *task, now time.Time) bool {
+	for _, w := range p.workers {
+		if w != t.run.worker && p.mayRun(t, w, now) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/work/pool_pace.go
@@ -0,0 +1,61 @@
+package work
+
+import "time"
+
+// planPaces slows down what fills on workers where a serving task comes near
+// its target, and speeds it up again where all have time to spare.
+func (p *Pool) planPaces(now time.Time, plan *Plan) {
+	for _, w := range p.workers {
+		strain := w.strain()
+		for _, r := range w.runs {
+			if r.stage == nil || !r.stage.step.Fills || r.phase != running || r.wantStop {
+				continue
+			}
+			p.pace(r, strain, now, plan)
+		}
+	}
+}
+
+// strain returns the largest share of its target that a serving task on w
+// takes; 0 when none serves there.
+func (w *worker) strain() float64 {
+	most := 0.0
+	for _, r := range w.runs {
+		if r.stage == nil || r.stage.step.Target == 0 || r.phase != running {
+			continue
+		}
+		share := float64(time.Duration(r.gauge)*time.Millisecond) / float64(r.stage.step.Target)
+		most = max(most, share)
+	}
+	return most
+}
+
+func (p *Pool) pace(r *run, strain float64, now time.Time, plan *Plan) {
+	want := r.pace
+	switch {
+	case strain > strainHigh:
+		want = r.pace / 2
+	case strain < strainLow && r.pace < fullPercent:
+		want = min(fullPercent, r.pace+paceStep)
+	}
+	if want == r.pace || now.Before(r.pacedAt.Add(paceEvery)) {
+		return
+	}
+	r.pace, r.pacedAt = want, now
+	p.counts.Paces++
+	plan.Paces = append(plan.Paces, PaceOrder{
+		Worker: r.worker.facts.ID, Address: r.worker.facts.Address, Task: r.id, Attempt: r.attempt, Percent: want, Token: p.token,
+	})
+}
+
+const (
+	// strainHigh and strainLow bound the share of its target that a serving
+	// task's tail latency is kept in.
+	strainHigh = 0.85
+	strainLow  = 0.6
+	// paceStep is by how much a filling task is sped up at once, in percent.
+	paceStep = 20
+	// paceEvery is the least time between two paces of a run: the platform
+	// measures the tail over half a second.
+	paceEvery = 600 * time.Millisecond
+)
--- /dev/null
+++ b/internal/work/pool_place.go
@@ -0,0 +1,60 @@
+package work
+
+import "time"
+
+// place returns the worker on which t starts best at now, or nil.
+func (p *Pool) place(t *task, now time.Time) *worker {
+	var best *worker
+	var bestFit fit
+	for _, w := range p.workers {
+		if !p.mayRun(t, w, now) {
+			continue
+		}
+		f := p.fitOf(t, w)
+		if best == nil || f.before(bestFit) {
+			best, bestFit = w, f
+		}
+	}
+	return best
+}
+
+// mayRun reports whether t may start on w at now.
+func (p *Pool) mayRun(t *task, w *worker, now time.Time) bool {
+	step := t.stage.step
+	if !w.usable(now) || !step.reserved().Fits(w.free()) {
+		return false
+	}
+	if step.Label != "" && !w.facts.HasLabel(step.Label) {
+		return false
+	}
+	if step.MaxPerWorker > 0 && t.stage.runsOn(w) >= step.MaxPerWorker {
+		return false
+	}
+	if t.stage.job.sub.Advice != nil && t.stage.tickets.byWorker[w.facts.ID] == "" {
+		return false
+	}
+	return true
+}
+
+// fitOf judges how well t would stand on w.
+func (p *Pool) fitOf(t *task, w *worker) fit {
+	step := t.stage.step
+	return fit{
+		avoided: t.avoid == w.facts.ID,
+		far:     step.DataRack != "" && !w.facts.HasLabel(step.DataRack),
+		apart:   step.SameRack && !t.stage.sharesRack(w),
+		failing: len(w.failedJobs),
+		left:    w.free().MilliCPU - step.Need.MilliCPU,
+		id:      w.facts.ID,
+	}
+}
+
+// sharesRack reports whether w stands in the rack of the stage's other runs.
+func (s *stage) sharesRack(w *worker) bool {
+	for _, t := range s.tasks {
+		if t.run != nil {
+			return t.run.worker.facts.Rack == w.facts.Rack
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/work/pool_plan.go
@@ -0,0 +1,213 @@
+package work
+
+import (
+	"sort"
+	"time"
+)
+
+// Plan decides what is to be ordered at now. What it returns counts as ordered
+// from then on. wall is the time of day, by which occurrences become due.
+func (p *Pool) Plan(now, wall time.Time) Plan {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var plan Plan
+	p.wall = wall
+	p.sweepWorkers(now)
+	p.drop()
+	p.settle(now, &plan)
+	p.moveOff(now, &plan)
+	p.planStops(now, &plan)
+	p.planRepeats(now, &plan)
+	p.planPaces(now, &plan)
+	p.planStarts(now, wall, &plan)
+	p.planTimers(now, &plan)
+	return plan
+}
+
+// settle finds out whether all that an earlier owner started is known: every
+// worker that may hold such tasks has answered, or its leases have ended.
+func (p *Pool) settle(now time.Time, plan *Plan) {
+	if p.settled {
+		return
+	}
+	until := p.timing.expiry(p.takenAt.Add(p.timing.TakeOver))
+	if now.Before(until) && (len(p.awaited) > 0 || p.anyUnfenced()) {
+		plan.wakeAt(until)
+		return
+	}
+	p.settled = true
+}
+
+func (p *Pool) anyUnfenced() bool {
+	for _, w := range p.workers {
+		if !w.fenced && !w.lost {
+			return true
+		}
+	}
+	return false
+}
+
+// planStops orders the stops that are due, the repeated ones included.
+func (p *Pool) planStops(now time.Time, plan *Plan) {
+	for _, w := range p.workers {
+		for _, r := range w.runs {
+			if !r.wantStop || r.phase == starting || !r.stoppedAt.IsZero() {
+				continue
+			}
+			if again := r.stopSentAt.Add(p.timing.Restart); !r.stopSentAt.IsZero() && now.Before(again) {
+				plan.wakeAt(again)
+				continue
+			}
+			r.stopSentAt = now
+			p.counts.Stops++
+			plan.Stops = append(plan.Stops, StopOrder{Worker: w.facts.ID, Address: w.facts.Address, Task: r.id, Attempt: r.attempt, Token: p.token})
+		}
+	}
+}
+
+// planRepeats orders starts again whose answer was lost.
+func (p *Pool) planRepeats(now time.Time, plan *Plan) {
+	for _, w := range p.workers {
+		for _, r := range w.runs {
+			if r.phase != uncertain || r.wantStop || r.task == nil || !r.stoppedAt.IsZero() {
+				continue
+			}
+			if again := r.askedAt.Add(p.timing.Restart); now.Before(again) {
+				plan.wakeAt(again)
+				continue
+			}
+			r.askedAt = now
+			p.counts.Repeats++
+			plan.Starts = append(plan.Starts, p.startOrder(r))
+		}
+	}
+}
+
+func (p *Pool) startOrder(r *run) StartOrder {
+	return StartOrder{
+		Worker: r.worker.facts.ID, Address: r.worker.facts.Address, Task: r.id, Attempt: r.attempt,
+		Spec: r.stage.job.sub.Spec, Checkpoint: r.checkpoint, Ticket: r.ticket, Token: p.token, Deadline: r.deadline,
+	}
+}
+
+// planStarts starts what may start and fits, the jobs in their order.
+func (p *Pool) planStarts(now, wall time.Time, plan *Plan) {
+	for _, j := range p.ranked(now) {
+		if !p.settled && j.created <= p.token {
+			continue
+		}
+		p.openDue(j, wall.Add(p.timing.StartEarly))
+		for _, o := range j.occurrences {
+			for _, s := range o.stages {
+				if s.left > 0 && o.open(s) {
+					p.planStage(s, now, plan)
+				}
+			}
+		}
+	}
+}
+
+// ranked returns the jobs whose course is not over, those that go first first.
+func (p *Pool) ranked(now time.Time) []*job {
+	jobs := make([]*job, 0, len(p.order))
+	for _, j := range p.order {
+		if !j.progress.State.Final() {
+			jobs = append(jobs, j)
+			j.rank = p.rank(j, now)
+		}
+	}
+	sort.SliceStable(jobs, func(a, b int) bool { return jobs[a].rank.before(jobs[b].rank) })
+	return jobs
+}
+
+func (p *Pool) planStage(s *stage, now time.Time, plan *Plan) {
+	if s.job.sub.Advice != nil && !p.advised(s, now, plan) {
+		return
+	}
+	if s.step.Gang {
+		p.planGang(s, now, plan)
+		return
+	}
+	for _, t := range s.tasks {
+		if !t.startable(now) {
+			continue
+		}
+		w := p.place(t, now)
+		if w == nil && t.avoid == "" {
+			return // the tasks of a step are alike
+		}
+		if w != nil {
+			plan.Starts = append(plan.Starts, p.startOrder(p.start(t, w, t.attempt+1, t.checkpoint, now)))
+		}
+	}
+}
+
+// planGang starts a gang whole or not at all.
+func (p *Pool) planGang(s *stage, now time.Time, plan *Plan) {
+	attempt, checkpoint := 0, ""
+	for _, t := range s.tasks {
+		if !t.startable(now) {
+			return
+		}
+		attempt = max(attempt, t.attempt)
+		if t.checkpoint != "" {
+			checkpoint = t.checkpoint
+		}
+	}
+	runs := make([]*run, 0, len(s.tasks))
+	for _, t := range s.tasks {
+		w := p.place(t, now)
+		if w == nil {
+			for _, r := range runs {
+				p.release(r)
+			}
+			return
+		}
+		runs = append(runs, p.start(t, w, attempt+1, checkpoint, now))
+	}
+	for _, r := range runs {
+		plan.Starts = append(plan.Starts, p.startOrder(r))
+	}
+}
+
+// start notes that t is ordered to start on w.
+func (p *Pool) start(t *task, w *worker, attempt int, checkpoint string, now time.Time) *run {
+	s := t.stage
+	r := &run{
+		id: t.id, attempt: attempt, worker: w, orderedAt: now, reserved: s.step.reserved(), checkpoint: checkpoint,
+		deadline: w.clock.estimate(now) + p.timing.Hold.Milliseconds(), pace: fullPercent, percent: fullPercent,
+		ticket: s.tickets.byWorker[w.facts.ID],
+	}
+	t.attempt = attempt
+	w.runs[runKey{t.id, attempt}] = r
+	w.used = w.used.Plus(r.reserved)
+	w.expiresAt = laterOf(w.expiresAt, p.timing.expiry(now))
+	p.bind(r, t)
+	p.counts.Starts++
+	return r
+}
+
+// planTimers finds when something happens by itself: an occurrence is due, or
+// leases on an unreachable worker end.
+func (p *Pool) planTimers(now time.Time, plan *Plan) {
+	for _, w := range p.workers {
+		if len(w.runs) > 0 && !w.reachable {
+			plan.wakeAt(w.expiresAt)
+		}
+		if now.Before(w.suspended) {
+			plan.wakeAt(w.suspended)
+		}
+		if now.Before(w.blocked) {
+			plan.wakeAt(w.blocked)
+		}
+	}
+	for _, j := range p.order {
+		if len(j.occurrences) < j.sub.Occurrences() && !j.progress.State.Final() {
+			plan.wakeAt(now.Add(dueCheck))
+		}
+	}
+}
+
+// dueCheck is how often jobs with a time are looked at: the time of day may
+// jump, so no timer can be set for it. Well within the bound for an early start.
+const dueCheck = 100 * time.Millisecond
--- /dev/null
+++ b/internal/work/pool_save.go
@@ -0,0 +1,130 @@
+package work
+
+import "sort"
+
+// Unsaved returns at most limit jobs whose progress has to be kept, the oldest
+// changes first, and whether callers wait for one of them. Each stays claimed
+// until Saved, SaveFailed or Overtaken names it.
+func (p *Pool) Unsaved(limit int) (items []SaveItem, urgent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	dirty := p.dirtyJobs()
+	for _, j := range dirty[:min(limit, len(dirty))] {
+		j.saving = true
+		urgent = urgent || j.urgentSave
+		items = append(items, SaveItem{
+			Job: j.sub.ID, Queue: j.sub.Queue, Revision: j.revision, Progress: j.progress.clone(), EndedAt: j.endedAt, Kept: j.endKept,
+			Remove: j.progress.State.Final() && j.runs == 0, upTo: j.dirtyTo,
+		})
+	}
+	return items, urgent
+}
+
+func (p *Pool) dirtyJobs() []*job {
+	var dirty []*job
+	for _, j := range p.order {
+		if j.dirtyFrom > 0 && !j.saving {
+			dirty = append(dirty, j)
+		}
+	}
+	sort.Slice(dirty, func(a, b int) bool { return dirty[a].dirtyFrom < dirty[b].dirtyFrom })
+	return dirty
+}
+
+// Pressing reports whether there is progress to keep, and whether callers wait
+// for it.
+func (p *Pool) Pressing() (any, urgent bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, j := range p.order {
+		if j.dirtyFrom > 0 && !j.saving {
+			any = true
+			urgent = urgent || j.urgentSave
+		}
+	}
+	return any, urgent
+}
+
+// Saved takes in that the items were kept at the store revision given.
+func (p *Pool) Saved(items []SaveItem, revision int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range items {
+		j := p.jobs[items[i].Job]
+		if j == nil {
+			continue
+		}
+		j.saving = false
+		j.revision = revision
+		j.settleSave(&items[i], p.sequence)
+		p.finishSave(j, items[i].Remove)
+	}
+	p.note()
+}
+
+// settleSave takes in which changes are kept now; sequence is the newest one.
+func (j *job) settleSave(item *SaveItem, sequence int64) {
+	if j.dirtyTo <= item.upTo {
+		j.dirtyFrom, j.dirtyTo, j.urgentSave = 0, 0, false
+		return
+	}
+	j.dirtyFrom = item.upTo + 1
+}
+
+// finishSave forgets a job whose submission is removed, and has it removed
+// later where something still ran.
+func (p *Pool) finishSave(j *job, removed bool) {
+	if removed {
+		j.forget = true
+		return
+	}
+	j.endKept = j.progress.State.Final()
+	j.removeWhenIdle = j.endKept
+}
+
+// SaveFailed takes in that the items were not kept.
+func (p *Pool) SaveFailed(items []SaveItem) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range items {
+		if j := p.jobs[items[i].Job]; j != nil {
+			j.saving = false
+		}
+	}
+}
+
+// Overtaken takes in that another writer changed what is kept of a job.
+func (p *Pool) Overtaken(id string, revision int64, kept Progress) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	j := p.jobs[id]
+	if j == nil {
+		return
+	}
+	j.revision = revision
+	if kept.State.Final() && !j.progress.State.Final() {
+		p.counts.Cancelled++
+	}
+	if kept.State.Final() {
+		j.progress.State = kept.State
+		j.endKept, j.endedAt = true, p.wall
+		p.end(j)
+	}
+}
+
+// note advances, for each worker, which ends may be forgotten: those whose
+// changes are all kept.
+func (p *Pool) note() {
+	kept := p.sequence
+	for _, j := range p.order {
+		if j.dirtyFrom > 0 {
+			kept = min(kept, j.dirtyFrom-1)
+		}
+	}
+	for _, w := range p.workers {
+		for len(w.marks) > 0 && w.marks[0].change <= kept {
+			w.noted = w.marks[0].number
+			w.marks = w.marks[1:]
+		}
+	}
+}
--- /dev/null
+++ b/internal/work/pool_workers.go
@@ -0,0 +1,130 @@
+package work
+
+import "time"
+
+// SetWorkers takes in the platform's list of the service's workers.
+func (p *Pool) SetWorkers(facts []WorkerFacts, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	seen := make(map[string]bool, len(facts))
+	for i := range facts {
+		seen[facts[i].ID] = true
+		p.setWorker(facts[i])
+	}
+	for id, w := range p.workers {
+		if !seen[id] && w.listed {
+			w.listed = false
+			w.unlisted = now
+		}
+	}
+}
+
+func (p *Pool) setWorker(facts WorkerFacts) {
+	w, ok := p.workers[facts.ID]
+	if !ok {
+		p.workers[facts.ID] = newWorker(facts)
+		return
+	}
+	if w.lost || (facts.Born != 0 && w.born != 0 && facts.Born > w.born) {
+		p.lose(w)
+		p.counts.Reborn++
+		leaving := w.leaving
+		*w = *newWorker(facts)
+		w.leaving = leaving
+		return
+	}
+	w.facts = facts
+	w.listed = true
+}
+
+// SetLeaving names the machines that are to be emptied. Nothing new starts on
+// their workers.
+func (p *Pool) SetLeaving(machines map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, w := range p.workers {
+		w.leaving = w.facts.Machine != "" && machines[w.facts.Machine]
+	}
+}
+
+// Emptied reports whether the pool has workers on the machine, and nothing runs
+// or will start on any of them.
+func (p *Pool) Emptied(machine string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	found := false
+	for _, w := range p.workers {
+		if w.facts.Machine != machine {
+			continue
+		}
+		if !w.leaving || len(w.runs) > 0 || !w.fenced {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
+// lose takes in that a life of a worker is over: nothing runs there any more.
+func (p *Pool) lose(w *worker) {
+	for _, r := range w.runs {
+		p.release(r)
+		p.counts.Lost++
+	}
+	delete(p.awaited, w.facts.ID)
+}
+
+// release takes in that a run is over, whatever became of it.
+func (p *Pool) release(r *run) {
+	w := r.worker
+	delete(w.runs, runKey{r.id, r.attempt})
+	w.used = w.used.Minus(r.reserved)
+	if r.task == nil {
+		return
+	}
+	r.stage.job.runs--
+	if r.task.run == r {
+		r.task.run = nil
+	}
+}
+
+// Roster returns the workers on which tasks of this owner may run.
+func (p *Pool) Roster() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	roster := make([]string, 0, len(p.workers)+len(p.awaited))
+	for id, w := range p.workers {
+		if !w.lost {
+			roster = append(roster, id)
+		}
+	}
+	for id := range p.awaited {
+		if p.workers[id] == nil {
+			roster = append(roster, id)
+		}
+	}
+	return roster
+}
+
+// sweepWorkers removes workers that are gone: lost, or unlisted with nothing
+// left that could run there.
+func (p *Pool) sweepWorkers(now time.Time) {
+	for id, w := range p.workers {
+		if len(w.runs) > 0 && !w.reachable && w.fenced && now.After(w.expiresAt) {
+			p.expire(w)
+		}
+		if !w.listed && len(w.runs) == 0 && now.After(w.expiresAt) && (w.lost || !w.reachable) {
+			delete(p.workers, id)
+		}
+	}
+}
+
+// expire takes in that the lease of all that runs on an unreachable worker has
+// ended. The worker must be looked at before it is used again.
+func (p *Pool) expire(w *worker) {
+	for _, r := range w.runs {
+		p.release(r)
+		p.counts.Lapsed++
+	}
+	w.fenced = false
+}
--- /dev/null
+++ b/internal/work/run.go
@@ -0,0 +1,27 @@
+package work
+
+import "time"
+
+// run is one attempt of a task on a worker. The pool's lock guards it.
+type run struct {
+	id         TaskID
+	task       *task // nil when the task does not need the run
+	stage      *stage
+	attempt    int
+	worker     *worker
+	phase      runPhase
+	orderedAt  time.Time
+	answeredAt time.Time // when the start was answered, or the run first listed
+	askedAt    time.Time // when the last copy of the start was given up
+	deadline   int64     // of the start, on the worker's clock, in milliseconds
+	reserved   Resources
+	percent    int // share of its speed at which the worker says it works
+	gauge      int
+	wantStop   bool      // a stop must be ordered
+	stopSentAt time.Time // of the last stop; zero: none
+	stoppedAt  time.Time // when a stop was answered; zero: not yet
+	pace       int       // the share last ordered
+	pacedAt    time.Time
+	ticket     string
+	checkpoint string // that the run starts from
+}
--- /dev/null
+++ b/internal/work/run_key.go
@@ -0,0 +1,7 @@
+package work
+
+// runKey names one run.
+type runKey struct {
+	task    TaskID
+	attempt int
+}
--- /dev/null
+++ b/internal/work/run_phase.go
@@ -0,0 +1,10 @@
+package work
+
+// runPhase is where a run stands.
+type runPhase uint8
+
+const (
+	starting  runPhase = iota // ordered, no answer yet
+	uncertain                 // ordered, the answer was lost
+	running
+)
--- /dev/null
+++ b/internal/work/run_row.go
@@ -0,0 +1,10 @@
+package work
+
+// RunRow is one run in a worker's answer.
+type RunRow struct {
+	Task       TaskID
+	Attempt    int
+	Checkpoint string
+	Percent    int // share of its speed at which it was told to work
+	Gauge      int // tail latency in ms of a serving task, else thousandths of a core in use
+}
--- /dev/null
+++ b/internal/work/worker.go
@@ -0,0 +1,75 @@
+package work
+
+import "time"
+
+// worker is one life of a machine that runs tasks. The pool's lock guards it.
+type worker struct {
+	facts      WorkerFacts
+	listed     bool // the platform lists it
+	leaving    bool // its machine is to be emptied
+	fenced     bool // it has seen this owner's token
+	reachable  bool // its last look or order was answered
+	lost       bool // another life answers at its address
+	born       int64
+	clock      clockReading
+	runs       map[runKey]*run
+	used       Resources
+	applied    int64 // ends up to this number were taken in
+	noted      int64 // ends up to this number may be forgotten
+	told       int64 // the worker was told that ends up to this number may be forgotten
+	marks      []endMark
+	expiresAt  time.Time // after it nothing that this owner ordered runs on there
+	blocked    time.Time // no start before it: the worker refused or was not reached
+	suspended  time.Time // no start before it: it fails what it runs
+	suspension time.Duration
+	failedJobs map[string]bool // jobs of which a task failed there since the last that was done
+	unlisted   time.Time       // when the platform stopped listing it
+}
+
+func newWorker(facts WorkerFacts) *worker {
+	return &worker{facts: facts, listed: true, runs: make(map[runKey]*run), failedJobs: make(map[string]bool)}
+}
+
+// free returns the capacity that no run takes.
+func (w *worker) free() Resources { return w.facts.Capacity.Minus(w.used) }
+
+// usable reports whether new tasks may start there at now.
+func (w *worker) usable(now time.Time) bool {
+	return w.listed && !w.facts.Draining && !w.leaving && !w.lost && w.fenced && w.reachable &&
+		!now.Before(w.blocked) && !now.Before(w.suspended)
+}
+
+// needsLook reports whether the worker has to be asked what runs there.
+func (w *worker) needsLook() bool {
+	return !w.lost && (!w.fenced || len(w.runs) > 0 || w.applied > w.told)
+}
+
+// block keeps new tasks away until a time.
+func (w *worker) block(until time.Time) {
+	if until.After(w.blocked) {
+		w.blocked = until
+	}
+}
+
+// succeeded takes in that a task was done there.
+func (w *worker) succeeded() {
+	w.suspension = 0
+	clear(w.failedJobs)
+}
+
+// failed takes in that a task of job failed there, and suspends the worker
+// when tasks of several jobs failed one after the other: a task that fails by
+// its own fault speaks against its job only.
+func (w *worker) failed(job string, now time.Time, timing *Timing) {
+	w.failedJobs[job] = true
+	if len(w.failedJobs) < suspiciousJobs {
+		return
+	}
+	w.suspension = min(max(2*w.suspension, timing.Suspension), timing.MaxSuspense)
+	w.suspended = now.Add(w.suspension)
+	clear(w.failedJobs)
+}
+
+// suspiciousJobs is how many jobs must fail on a worker, with no task done
+// between them, before the fault is taken to be the worker's.
+const suspiciousJobs = 2
--- /dev/null
+++ b/internal/workstore/advice_record.go
@@ -0,0 +1,24 @@
+package workstore
+
+import "persimmonbay/internal/work"
+
+// adviceRecord is a work.AdvicePolicy as kept. Times are in milliseconds.
+type adviceRecord struct {
+	Decide    int64 `cbor:"1,keyasint,omitempty"`
+	PerWorker int64 `cbor:"2,keyasint,omitempty"`
+	Valid     int64 `cbor:"3,keyasint,omitempty"`
+}
+
+func recordAdvice(a *work.AdvicePolicy) *adviceRecord {
+	if a == nil {
+		return nil
+	}
+	return &adviceRecord{a.Decide.Milliseconds(), a.PerWorker.Milliseconds(), a.Valid.Milliseconds()}
+}
+
+func (r *adviceRecord) policy() *work.AdvicePolicy {
+	if r == nil {
+		return nil
+	}
+	return &work.AdvicePolicy{Decide: millis(r.Decide), PerWorker: millis(r.PerWorker), Valid: millis(r.Valid)}
+}
--- /dev/null
+++ b/internal/workstore/codec.go
@@ -0,0 +1,73 @@
+package workstore
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"persimmonbay/internal/problem"
+	"persimmonbay/internal/work"
+)
+
+// EncodeJob returns the value of a job's key.
+func EncodeJob(s *work.Submission) ([]byte, error) { return encode(recordJob(s)) }
+
+// DecodeJob reads the value of the key of the job id.
+func DecodeJob(service, id string, value []byte) (work.Submission, error) {
+	var r jobRecord
+	if err := decode(JobKey(service, id), value, &r); err != nil {
+		return work.Submission{}, err
+	}
+	return r.submission(service, id), nil
+}
+
+// EncodeState returns the value of the key of a job's progress.
+func EncodeState(s *KeptState) ([]byte, error) {
+	return encode(stateRecord{State: s.Progress.State, Queue: s.Queue, Done: s.Progress.Done, Failures: s.Progress.Failures, EndedAt: unixMillis(s.EndedAt)})
+}
+
+// DecodeState reads the value of a key of a job's progress.
+func DecodeState(key string, value []byte) (KeptState, error) {
+	var r stateRecord
+	if err := decode(key, value, &r); err != nil {
+		return KeptState{}, err
+	}
+	return KeptState{
+		Queue:    r.Queue,
+		Progress: work.Progress{State: r.State, Done: r.Done, Failures: r.Failures},
+		EndedAt:  fromUnixMillis(r.EndedAt),
+	}, nil
+}
+
+// EncodeRoster returns the value of the key of a pool's roster.
+func EncodeRoster(workers []string) ([]byte, error) { return encode(workers) }
+
+// DecodeRoster reads the value of the key of a pool's roster.
+func DecodeRoster(key string, value []byte) ([]string, error) {
+	var workers []string
+	err := decode(key, value, &workers)
+	return workers, err
+}
+
+// canonical encodes equal values to equal bytes, so that what is kept can be
+// compared with what was written.
+var canonical = func() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
+func encode(v any) ([]byte, error) {
+	data, err := canonical.Marshal(v)
+	if err != nil {
+		return nil, problem.Wrap(problem.Internal, problem.StepStoreWrite, "", err)
+	}
+	return data, nil
+}
+
+func decode(key string, data []byte, v any) error {
+	if err := cbor.Unmarshal(data, v); err != nil {
+		return problem.Wrap(problem.Internal, problem.StepStoreRead, key, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/workstore/doc.go
@@ -0,0 +1,11 @@
+// Package workstore keeps jobs and ownership in the platform's store: which
+// keys there are, and how their values are encoded.
+//
+//	fleet/member/NODE     an entry that is alive, under its lease
+//	fleet/owner/SERVICE   who owns the service's pool, under its lease
+//	fleet/empty/MACHINE   a machine that is to be emptied
+//	roster/SERVICE        workers on which the owner's tasks may run
+//	work/SERVICE/job/ID   an accepted job; removed once nothing of it runs
+//	work/SERVICE/cancel/ID
+//	state/SERVICE/ID      the job's progress, kept after its end
+package workstore
--- /dev/null
+++ b/internal/workstore/keys.go
@@ -0,0 +1,62 @@
+package workstore
+
+import "strings"
+
+// Prefixes of the keys.
+const (
+	FleetPrefix  = "fleet/"
+	memberPrefix = "fleet/member/"
+	ownerPrefix  = "fleet/owner/"
+	emptyPrefix  = "fleet/empty/"
+)
+
+// MemberKey is the key of an entry that is alive.
+func MemberKey(node string) string { return memberPrefix + node }
+
+// OwnerKey is the key of a pool's owner.
+func OwnerKey(service string) string { return ownerPrefix + service }
+
+// EmptyKey is the key of a machine that is to be emptied.
+func EmptyKey(machine string) string { return emptyPrefix + machine }
+
+// RosterKey is the key of a pool's roster.
+func RosterKey(service string) string { return "roster/" + service }
+
+// WorkPrefix is the prefix of all that a pool's owner has to know of its jobs.
+func WorkPrefix(service string) string { return "work/" + service + "/" }
+
+// JobKey is the key of an accepted job.
+func JobKey(service, id string) string { return WorkPrefix(service) + "job/" + id }
+
+// CancelKey is the key of a job's cancelling.
+func CancelKey(service, id string) string { return WorkPrefix(service) + "cancel/" + id }
+
+// StatePrefix is the prefix of the progress of a pool's jobs.
+func StatePrefix(service string) string { return "state/" + service + "/" }
+
+// StateKey is the key of a job's progress.
+func StateKey(service, id string) string { return StatePrefix(service) + id }
+
+// ParseMember returns the entry that a key names, or false.
+func ParseMember(key string) (node string, ok bool) { return strings.CutPrefix(key, memberPrefix) }
+
+// ParseOwner returns the service that a key names, or false.
+func ParseOwner(key string) (service string, ok bool) { return strings.CutPrefix(key, ownerPrefix) }
+
+// ParseEmpty returns the machine that a key names, or false.
+func ParseEmpty(key string) (machine string, ok bool) { return strings.CutPrefix(key, emptyPrefix) }
+
+// ParseJob returns the job that a key of a pool's work names, or false.
+func ParseJob(service, key string) (id string, ok bool) {
+	return strings.CutPrefix(key, WorkPrefix(service)+"job/")
+}
+
+// ParseCancel returns the job whose cancelling a key names, or false.
+func ParseCancel(service, key string) (id string, ok bool) {
+	return strings.CutPrefix(key, WorkPrefix(service)+"cancel/")
+}
+
+// ParseState returns the job whose progress a key holds, or false.
+func ParseState(service, key string) (id string, ok bool) {
+	return strings.CutPrefix(key, StatePrefix(service))
+}
--- /dev/null
+++ b/internal/workstore/upkeep_record.go
@@ -0,0 +1,35 @@
+package workstore
+
+import (
+	"strconv"
+
+	"persimmonbay/internal/upkeep"
+)
+
+// upkeepRecord is an upkeep.Progress as kept.
+type upkeepRecord struct {
+	Ordered map[string]string `cbor:"1,keyasint,omitempty"`
+	Begun   map[string]bool   `cbor:"2,keyasint,omitempty"`
+	Done    map[string]bool   `cbor:"3,keyasint,omitempty"`
+}
+
+// UpkeepKey is the key of a wave's progress.
+func UpkeepKey(wave int64) string { return "upkeep/" + strconv.FormatInt(wave, 10) }
+
+// EncodeUpkeep returns the value of the key of a wave's progress.
+func EncodeUpkeep(p *upkeep.Progress) ([]byte, error) {
+	return encode(upkeepRecord{Ordered: p.Ordered, Begun: p.Begun, Done: p.Done})
+}
+
+// DecodeUpkeep reads the value of the key of a wave's progress.
+func DecodeUpkeep(key string, value []byte) (upkeep.Progress, error) {
+	r := upkeepRecord(upkeep.NewProgress())
+	err := decode(key, value, &r)
+	return upkeep.Progress(r), err
+}
+
+// The values of the key of a machine that is to be emptied.
+const (
+	EmptyAsked = "asked"
+	EmptyDone  = "emptied"
+)
