--- a/internal/jobentry/bounds.go
+++ b/internal/jobentry/bounds.go
@@ -20,6 +20,7 @@
 	lookWait    = time.Second
 	saveEvery   = 20 * time.Millisecond
 	saveLazily  = 80 * time.Millisecond
+	listPause   = 300 * time.Millisecond // well within the time in which a draining worker must get no more work
 	listEvery   = 400 * time.Millisecond
 	clockDrift  = 0.02 // the platform's bound for a worker's steady clock
 	holdReserve = 300 * time.Millisecond
@@ -34,7 +35,7 @@
 	return keeper.Bounds{
 		LeaseTTL: lease, LeaseMargin: leaseMargin, Settle: settle, Steal: steal, WatchWait: watchWait, Call: storeCall,
 		Order: workerOrder, LookWait: lookWait, SaveEvery: saveEvery, SaveLazily: saveLazily,
-		HolderPause: t.HolderPause + pauseMargin, ListEvery: listEvery,
+		HolderPause: t.HolderPause + pauseMargin, ListEvery: listEvery, ListPause: listPause,
 		Work: work.Timing{
 			Hold: t.MaxHold - holdReserve, MaxHold: t.MaxHold, Restart: workerOrder, ClockDrift: clockDrift,
 			StartEarly: t.StartEarly, TakeOver: lease, Suspension: suspension, MaxSuspense: maxSuspense,
--- a/internal/keeper/bounds.go
+++ b/internal/keeper/bounds.go
@@ -19,6 +19,7 @@
 	SaveEvery   time.Duration // between two saves that callers wait for
 	SaveLazily  time.Duration // how long progress waits that no caller waits for
 	HolderPause time.Duration // before a new holder orders machines
+	ListPause   time.Duration // between two reads of what changed in the list of workers
 	ListEvery   time.Duration // between two reads of the machines in a wave
 	Work        work.Timing
 }
--- a/internal/keeper/follower.go
+++ b/internal/keeper/follower.go
@@ -21,6 +21,7 @@
 	log    *zap.Logger
 	prefix string
 	wait   time.Duration
+	pause  time.Duration // after changes, so that several are read at once
 	call   time.Duration
 	reset  func(items []store.Item)
 	apply  func(event store.Event)
@@ -70,6 +71,9 @@
 		f.apply(events[i])
 	}
 	f.answered()
+	if len(events) > 0 && f.pause > 0 {
+		sleep(ctx, f.clock, f.pause)
+	}
 	return max(from, revision), nil
 }
 
--- a/internal/keeper/keeper_follow.go
+++ b/internal/keeper/keeper_follow.go
@@ -85,7 +85,9 @@
 			return next, true
 		})
 	}
-	k.follower(k.Directory.WorkersPrefix(), reset, apply).run(ctx, 0)
+	f := k.follower(k.Directory.WorkersPrefix(), reset, apply)
+	f.pause = k.bounds.ListPause
+	f.run(ctx, 0)
 }
 
 func (k *Keeper) takeWorker(workers map[string]work.WorkerFacts, e store.Event) {
--- a/internal/keeper/tenure.go
+++ b/internal/keeper/tenure.go
@@ -24,6 +24,7 @@
 	pool    *work.Pool
 	plan    signal // plan again
 	save    signal // there is progress to keep
+	confirm signal // machines may have been emptied
 	orders  sync.WaitGroup
 	started inFlight // starts and stops on their way
 	roster  []string // as last kept; only one goroutine uses it
@@ -36,7 +37,7 @@
 	t := &tenure{
 		Keeper: k, service: service, token: token, lease: lease,
 		log:  k.Log.With(zap.String("service", service), zap.Int64("token", token)),
-		done: make(chan struct{}), leaving: make(chan struct{}), plan: newSignal(), save: newSignal(),
+		done: make(chan struct{}), leaving: make(chan struct{}), plan: newSignal(), save: newSignal(), confirm: newSignal(),
 		lookers: make(map[string]*looker),
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
--- a/internal/keeper/tenure_emptied.go
+++ b/internal/keeper/tenure_emptied.go
@@ -10,12 +10,24 @@
 	"persimmonbay/internal/workstore"
 )
 
-// confirmEmptied tells the holder of the duty for machines which of the
-// machines to be emptied are empty.
-func (t *tenure) confirmEmptied() {
+// confirmLoop tells the holder of the duty for machines which of the machines
+// to be emptied are empty, until the tenure ends.
+func (t *tenure) confirmLoop() {
+	confirmed := make(map[string]int64) // by machine: the revision of the request
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-t.confirm:
+		}
+		t.confirmEmptied(confirmed)
+	}
+}
+
+func (t *tenure) confirmEmptied(confirmed map[string]int64) {
 	view := t.fleet.Get()
 	for machine, entry := range view.empty {
-		if entry.emptied || !t.pool.Emptied(machine) {
+		if entry.emptied || confirmed[machine] == entry.revision || !t.pool.Emptied(machine) {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(t.ctx, t.bounds.Call)
@@ -25,7 +37,9 @@
 			Writes:   []store.Write{{Key: key, Value: []byte(workstore.EmptyDone)}},
 		})
 		cancel()
-		if err != nil {
+		if err == nil {
+			confirmed[machine] = entry.revision
+		} else {
 			t.log.Info("machine not confirmed as empty", append(telemetry.ProblemFields(err), zap.String("machine", machine))...)
 		}
 	}
--- a/internal/keeper/tenure_plan.go
+++ b/internal/keeper/tenure_plan.go
@@ -26,7 +26,7 @@
 				next = min(next, max(plan.Next.Sub(now), time.Millisecond))
 			}
 			t.save.send()
-			t.confirmEmptied()
+			t.confirm.send()
 		} else {
 			next = renewRetry
 		}
--- a/internal/keeper/tenure_pool.go
+++ b/internal/keeper/tenure_pool.go
@@ -25,6 +25,7 @@
 	t.orders.Go(func() { t.followWork(from) })
 	t.orders.Go(t.saveLoop)
 	t.orders.Go(t.planLoop)
+	t.orders.Go(t.confirmLoop)
 	select {
 	case <-t.ctx.Done():
 	case <-t.leaving:
--- a/internal/upkeep/plan.go
+++ b/internal/upkeep/plan.go
@@ -39,7 +39,13 @@
 
 // back reports whether a machine whose upkeep has begun runs again.
 func (s *Snapshot) back(id string, m *Machine) bool {
-	return s.Progress.Begun[id] && m.State == Up && m.Worker != "" && m.Worker != s.Progress.Ordered[id]
+	if !s.Progress.Begun[id] {
+		return false
+	}
+	if s.Progress.Ordered[id] == "" {
+		return m.State != InUpkeep // it is off as before
+	}
+	return m.State == Up && m.Worker != s.Progress.Ordered[id]
 }
 
 // orders picks the machines to take down. Those ordered before, whose order was
--- a/internal/work/pool_answers.go
+++ b/internal/work/pool_answers.go
@@ -59,7 +59,9 @@
 	case NoRoom:
 		p.counts.Refused++
 		w.block(now.Add(blockAfterRefusal))
-	case NotReached, Unhealthy:
+	case NotReached:
+		w.reachable = false
+	case Unhealthy:
 		w.block(now.Add(blockAfterFailure))
 	case NoTicket:
 		if r.stage != nil {
--- a/internal/work/pool_look.go
+++ b/internal/work/pool_look.go
@@ -8,7 +8,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w, ok := p.workers[id]
-	if !ok || !w.needsLook() {
+	if !ok || !w.needsLook() || !w.listed && now.After(w.expiresAt) {
 		return LookRequest{}, false
 	}
 	req := LookRequest{Worker: id, Address: w.facts.Address, Token: p.token, Observed: w.noted}
--- a/internal/work/pool_plan.go
+++ b/internal/work/pool_plan.go
@@ -175,7 +175,7 @@
 	s := t.stage
 	r := &run{
 		id: t.id, attempt: attempt, worker: w, orderedAt: now, reserved: s.step.reserved(), checkpoint: checkpoint,
-		deadline: w.clock.estimate(now) + p.timing.Hold.Milliseconds(), pace: fullPercent, percent: fullPercent,
+		deadline: w.clock.estimate(now) + p.timing.Hold.Milliseconds(), pace: fullPercent,
 		ticket: s.tickets.byWorker[w.facts.ID],
 	}
 	t.attempt = attempt
--- a/internal/work/pool_workers.go
+++ b/internal/work/pool_workers.go
@@ -17,6 +17,27 @@
 			w.unlisted = now
 		}
 	}
+	p.endFormerLives()
+}
+
+// endFormerLives takes in that a machine runs one worker at a time: of several
+// that name the same machine only the one started last is alive.
+func (p *Pool) endFormerLives() {
+	newest := make(map[string]*worker, len(p.workers))
+	for _, w := range p.workers {
+		if w.facts.Machine == "" || w.facts.Born == 0 {
+			continue
+		}
+		other := newest[w.facts.Machine]
+		if other == nil || w.facts.Born > other.facts.Born {
+			newest[w.facts.Machine] = w
+		}
+	}
+	for _, w := range p.workers {
+		if last := newest[w.facts.Machine]; last != nil && w.facts.Born != 0 && w.facts.Born < last.facts.Born && !w.lost {
+			p.loseTo(w)
+		}
+	}
 }
 
 func (p *Pool) setWorker(facts WorkerFacts) {
--- a/internal/work/worker.go
+++ b/internal/work/worker.go
@@ -41,7 +41,7 @@
 
 // needsLook reports whether the worker has to be asked what runs there.
 func (w *worker) needsLook() bool {
-	return !w.lost && (!w.fenced || len(w.runs) > 0 || w.applied > w.told)
+	return !w.lost && (!w.fenced || !w.reachable || len(w.runs) > 0 || w.applied > w.told)
 }
 
 // block keeps new tasks away until a time.
