--- a/internal/jobentry/bounds.go
+++ b/internal/jobentry/bounds.go
@@ -22,8 +22,8 @@
 	saveLazily  = 80 * time.Millisecond
 	listPause   = 300 * time.Millisecond // well within the time in which a draining worker must get no more work
 	listEvery   = 400 * time.Millisecond
-	clockDrift  = 0.02 // the platform's bound for a worker's steady clock
-	holdReserve = 300 * time.Millisecond
+	clockDrift  = 0.02                    // the platform's bound for a worker's steady clock
+	ownerGap    = 1500 * time.Millisecond // from the end of a lost owner's lease to the next owner's looks
 	suspension  = time.Second
 	maxSuspense = 8 * time.Second
 	pauseMargin = 300 * time.Millisecond
@@ -37,8 +37,8 @@
 		Order: workerOrder, LookWait: lookWait, SaveEvery: saveEvery, SaveLazily: saveLazily,
 		HolderPause: t.HolderPause + pauseMargin, ListEvery: listEvery, ListPause: listPause,
 		Work: work.Timing{
-			Hold: t.MaxHold - holdReserve, MaxHold: t.MaxHold, Restart: workerOrder, ClockDrift: clockDrift,
-			StartEarly: t.StartEarly, TakeOver: lease, Suspension: suspension, MaxSuspense: maxSuspense,
+			Hold: min(t.MaxHold, lease+lookWait+ownerGap), Restart: workerOrder, ClockDrift: clockDrift,
+			StartEarly: t.StartEarly, TakeOver: lease, Stop: t.Stop, Suspension: suspension, MaxSuspense: maxSuspense,
 		},
 	}
 }
--- a/internal/keeper/follower.go
+++ b/internal/keeper/follower.go
@@ -23,7 +23,7 @@
 	wait   time.Duration
 	pause  time.Duration // after changes, so that several are read at once
 	call   time.Duration
-	reset  func(items []store.Item)
+	reset  func(ctx context.Context, items []store.Item) error
 	apply  func(event store.Event)
 	after  func(now time.Time) // after each answer of the store; may be nil
 }
@@ -84,7 +84,9 @@
 	if err != nil {
 		return 0, err
 	}
-	f.reset(items)
+	if err := f.reset(limited, items); err != nil {
+		return 0, err
+	}
 	f.answered()
 	return revision, nil
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -66,7 +66,7 @@
 	k.heard.Update(func(time.Time) (time.Time, bool) { return now, true })
 }
 
-func (k *Keeper) follower(prefix string, reset func([]store.Item), apply func(store.Event)) *follower {
+func (k *Keeper) follower(prefix string, reset func(context.Context, []store.Item) error, apply func(store.Event)) *follower {
 	return &follower{
 		store: k.Store, clock: k.Clock, log: k.Log, prefix: prefix,
 		wait: k.bounds.WatchWait, call: k.bounds.Call, reset: reset, apply: apply, after: k.hear,
--- a/internal/keeper/keeper_follow.go
+++ b/internal/keeper/keeper_follow.go
@@ -14,7 +14,7 @@
 
 // followFleet keeps up with entries, owners and machines to be emptied.
 func (k *Keeper) followFleet(ctx context.Context) {
-	reset := func(items []store.Item) {
+	reset := func(_ context.Context, items []store.Item) error {
 		now := k.Clock.Now()
 		k.fleet.Update(func(old fleetView) (fleetView, bool) {
 			next := newFleetView()
@@ -28,6 +28,7 @@
 			return next, true
 		})
 		k.changed.send()
+		return nil
 	}
 	apply := func(e store.Event) {
 		k.fleet.Update(func(old fleetView) (fleetView, bool) { return old.with(e, k.Clock.Now()), true })
@@ -38,11 +39,12 @@
 
 // followOperators keeps up with the configuration and the waves.
 func (k *Keeper) followOperators(ctx context.Context) {
-	reset := func(items []store.Item) {
+	reset := func(_ context.Context, items []store.Item) error {
 		k.waves.Update(func(waveView) (waveView, bool) { return waveView{}, true })
 		for _, item := range items {
 			k.takeOperators(store.Event{Item: item})
 		}
+		return nil
 	}
 	k.follower(k.Operators.OperatorsPrefix(), reset, k.takeOperators).run(ctx, 0)
 }
@@ -71,12 +73,13 @@
 
 // followWorkers keeps up with the platform's list of workers.
 func (k *Keeper) followWorkers(ctx context.Context) {
-	reset := func(items []store.Item) {
+	reset := func(_ context.Context, items []store.Item) error {
 		next := make(map[string]work.WorkerFacts, len(items))
 		for _, item := range items {
 			k.takeWorker(next, store.Event{Item: item})
 		}
 		k.workers.Update(func(map[string]work.WorkerFacts) (map[string]work.WorkerFacts, bool) { return next, true })
+		return nil
 	}
 	apply := func(e store.Event) {
 		k.workers.Update(func(old map[string]work.WorkerFacts) (map[string]work.WorkerFacts, bool) {
--- a/internal/keeper/keeper_manage.go
+++ b/internal/keeper/keeper_manage.go
@@ -36,7 +36,7 @@
 		if registered != lease && k.register(ctx, lease) {
 			registered = lease
 		}
-		if registered == lease && k.Clock.Now().Sub(started) >= k.bounds.Settle {
+		if registered == lease {
 			k.takeOver(ctx, lease, started.Add(k.bounds.Settle))
 		}
 	}
@@ -80,7 +80,7 @@
 		}
 		owner := view.owners[service]
 		stale := owner.node == k.node // left by an earlier life of this entry
-		free := owner.node == "" && (assigned[service] == k.node || k.Clock.Now().Sub(laterOf(owner.since, settled)) > k.bounds.Steal)
+		free := owner.node == "" && k.Clock.Now().After(settled) && (assigned[service] == k.node || k.Clock.Now().Sub(laterOf(owner.since, settled)) > k.bounds.Steal)
 		if stale || free {
 			k.acquire(ctx, service, owner, lease)
 		}
--- a/internal/keeper/tenure.go
+++ b/internal/keeper/tenure.go
@@ -12,22 +12,23 @@
 // tenure is the time for which this entry owns one pool. mu guards lookers.
 type tenure struct {
 	*Keeper
-	service string
-	token   int64 // fencing token: the store revision of the ownership
-	lease   int64
-	log     *zap.Logger
-	ctx     context.Context // ends with the tenure
-	cancel  context.CancelFunc
-	done    chan struct{}
-	leaving chan struct{} // closed when the pool is to be handed over
-	leave   sync.Once
-	pool    *work.Pool
-	plan    signal // plan again
-	save    signal // there is progress to keep
-	confirm signal // machines may have been emptied
-	orders  sync.WaitGroup
-	started inFlight // starts and stops on their way
-	roster  []string // as last kept; only one goroutine uses it
+	service  string
+	token    int64 // fencing token: the store revision of the ownership
+	lease    int64
+	log      *zap.Logger
+	ctx      context.Context // ends with the tenure
+	cancel   context.CancelFunc
+	done     chan struct{}
+	leaving  chan struct{} // closed when the pool is to be handed over
+	leave    sync.Once
+	pool     *work.Pool
+	plan     signal // plan again
+	save     signal // there is progress to keep
+	rostered signal // the roster may have changed
+	confirm  signal // machines may have been emptied
+	orders   sync.WaitGroup
+	started  inFlight // starts and stops on their way
+	roster   []byte   // as last kept; only one goroutine at a time uses it
 
 	mu      sync.Mutex
 	lookers map[string]*looker // by worker
@@ -37,7 +38,7 @@
 	t := &tenure{
 		Keeper: k, service: service, token: token, lease: lease,
 		log:  k.Log.With(zap.String("service", service), zap.Int64("token", token)),
-		done: make(chan struct{}), leaving: make(chan struct{}), plan: newSignal(), save: newSignal(), confirm: newSignal(),
+		done: make(chan struct{}), leaving: make(chan struct{}), plan: newSignal(), save: newSignal(), confirm: newSignal(), rostered: newSignal(),
 		lookers: make(map[string]*looker),
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
--- a/internal/keeper/tenure_pool.go
+++ b/internal/keeper/tenure_pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,6 +27,7 @@
 	t.orders.Go(t.saveLoop)
 	t.orders.Go(t.planLoop)
 	t.orders.Go(t.confirmLoop)
+	t.orders.Go(t.rosterLoop)
 	select {
 	case <-t.ctx.Done():
 	case <-t.leaving:
@@ -55,6 +57,11 @@
 	if err != nil {
 		return 0, err
 	}
+	now := t.Clock.Now()
+	t.pool = work.NewPool(t.service, t.token, t.bounds.Work, roster, now)
+	if err := t.writeRoster(ctx); err != nil {
+		return 0, err
+	}
 	jobs, from, err := t.Store.Range(ctx, workstore.WorkPrefix(t.service))
 	if err != nil {
 		return 0, err
@@ -63,20 +70,18 @@
 	if err != nil {
 		return 0, err
 	}
-	now := t.Clock.Now()
-	t.pool = work.NewPool(t.service, t.token, t.bounds.Work, roster, now)
 	t.addJobs(jobs, t.decodeStates(states), now)
 	return from, nil
 }
 
-func (t *tenure) loadRoster(ctx context.Context) ([]string, error) {
+func (t *tenure) loadRoster(ctx context.Context) (work.Roster, error) {
 	key := workstore.RosterKey(t.service)
 	item, err := t.Store.Get(ctx, key)
 	if problem.Is(err, problem.NotFound) {
-		return nil, nil
+		return work.Roster{}, nil
 	}
 	if err != nil {
-		return nil, err
+		return work.Roster{}, err
 	}
 	return workstore.DecodeRoster(key, item.Value)
 }
@@ -127,12 +132,30 @@
 
 // followWork keeps up with jobs accepted and cancelled.
 func (t *tenure) followWork(from int64) {
-	reset := func(items []store.Item) {
-		for _, item := range items {
-			t.takeWork(store.Event{Item: item})
+	t.follower(workstore.WorkPrefix(t.service), t.resetWork, t.takeWork).run(t.ctx, from)
+}
+
+// resetWork takes in all jobs, after the store has forgotten what came between.
+// Those that are new to the pool may have a past: their progress is read too.
+func (t *tenure) resetWork(ctx context.Context, items []store.Item) error {
+	unknown := slices.ContainsFunc(items, func(i store.Item) bool {
+		id, ok := workstore.ParseJob(t.service, i.Key)
+		return ok && !t.pool.Knows(id)
+	})
+	if unknown {
+		states, _, err := t.Store.Range(ctx, workstore.StatePrefix(t.service))
+		if err != nil {
+			return err
+		}
+		t.addJobs(items, t.decodeStates(states), t.Clock.Now())
+	}
+	for _, item := range items {
+		if id, ok := workstore.ParseCancel(t.service, item.Key); ok {
+			t.pool.Cancel(id, item.Revision)
 		}
 	}
-	t.follower(workstore.WorkPrefix(t.service), reset, t.takeWork).run(t.ctx, from)
+	t.plan.send()
+	return nil
 }
 
 func (t *tenure) takeWork(e store.Event) {
@@ -163,7 +186,7 @@
 		}
 		t.pool.SetWorkers(mine, t.Clock.Now())
 		t.pool.SetLeaving(view.leaving())
-		t.keepRoster()
+		t.rostered.send()
 		t.startLookers(mine)
 		t.plan.send()
 		select {
--- /dev/null
+++ b/internal/keeper/tenure_roster.go
@@ -0,0 +1,59 @@
+package keeper
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/telemetry"
+	"persimmonbay/internal/workstore"
+)
+
+// rosterEvery is how often the roster is compared with what was kept: a worker
+// that was down long before its owner is lost holds up nobody.
+const rosterEvery = 250 * time.Millisecond
+
+// rosterLoop keeps which workers may hold tasks of this owner, for the next,
+// until the tenure ends.
+func (t *tenure) rosterLoop() {
+	for t.ctx.Err() == nil {
+		timer := t.Clock.NewTimer(rosterEvery)
+		select {
+		case <-t.ctx.Done():
+		case <-t.rostered:
+		case <-timer.Chan():
+		}
+		timer.Stop()
+		ctx, cancel := context.WithTimeout(t.ctx, t.bounds.Call)
+		if err := t.writeRoster(ctx); err != nil && t.ctx.Err() == nil {
+			t.log.Info("roster not kept yet", telemetry.ProblemFields(err)...)
+		}
+		cancel()
+	}
+}
+
+// writeRoster keeps the pool's roster, unless the same was kept last.
+func (t *tenure) writeRoster(ctx context.Context) error {
+	roster := t.pool.Roster()
+	value, err := workstore.EncodeRoster(&roster)
+	if err != nil {
+		return err
+	}
+	if bytes.Equal(value, t.roster) {
+		t.pool.RosterKept(roster)
+		return nil
+	}
+	_, err = t.Store.Commit(ctx, store.Txn{
+		Expected: []store.Expectation{{Key: workstore.OwnerKey(t.service), Revision: t.token}},
+		Writes:   []store.Write{{Key: workstore.RosterKey(t.service), Value: value}},
+	})
+	if err != nil {
+		t.roster = nil // nobody knows which one is kept
+		return err
+	}
+	t.roster = value
+	t.pool.RosterKept(roster)
+	t.plan.send()
+	return nil
+}
--- a/internal/keeper/tenure_save.go
+++ b/internal/keeper/tenure_save.go
@@ -166,31 +166,6 @@
 	}
 }
 
-// keepRoster keeps which workers may hold tasks of this owner, for the next.
-func (t *tenure) keepRoster() {
-	roster := t.pool.Roster()
-	slices.Sort(roster)
-	if slices.Equal(roster, t.roster) {
-		return
-	}
-	value, err := workstore.EncodeRoster(roster)
-	if err != nil {
-		t.log.Error("roster not encoded", telemetry.ProblemFields(err)...)
-		return
-	}
-	ctx, cancel := context.WithTimeout(t.ctx, t.bounds.Call)
-	defer cancel()
-	_, err = t.Store.Commit(ctx, store.Txn{
-		Expected: []store.Expectation{{Key: workstore.OwnerKey(t.service), Revision: t.token}},
-		Writes:   []store.Write{{Key: workstore.RosterKey(t.service), Value: value}},
-	})
-	if err != nil {
-		t.log.Info("roster not kept yet", telemetry.ProblemFields(err)...)
-		return
-	}
-	t.roster = roster
-}
-
 // releaseTimeout bounds the hand-over of a pool: orders on their way, one last
 // save and the release itself.
 const releaseTimeout = 1500 * time.Millisecond
@@ -207,10 +182,20 @@
 		}
 	}
 	t.cancel()
+	roster := t.pool.Roster()
+	roster.Released = true
+	value, err := workstore.EncodeRoster(&roster)
+	if err != nil {
+		t.log.Error("roster not encoded", telemetry.ProblemFields(err)...)
+	}
 	final, stop := context.WithTimeout(context.WithoutCancel(ctx), t.bounds.Call)
 	defer stop()
 	key := workstore.OwnerKey(t.service)
-	_, err := t.Store.Commit(final, store.Txn{Expected: []store.Expectation{{Key: key, Revision: t.token}}, Remove: []string{key}})
+	_, err = t.Store.Commit(final, store.Txn{
+		Expected: []store.Expectation{{Key: key, Revision: t.token}},
+		Writes:   []store.Write{{Key: workstore.RosterKey(t.service), Value: value}},
+		Remove:   []string{key},
+	})
 	if err != nil {
 		t.log.Info("pool ends with its lease", telemetry.ProblemFields(err)...)
 	}
--- a/internal/settings/job_timing.go
+++ b/internal/settings/job_timing.go
@@ -10,7 +10,7 @@
 	DefaultGrace       = 6 * time.Second
 	DefaultStartEarly  = 200 * time.Millisecond
 	DefaultRetention   = 2 * time.Minute
-	DefaultJobLease    = 3 * time.Second
+	DefaultJobLease    = 2 * time.Second
 	DefaultMinLease    = time.Second
 )
 
--- a/internal/work/clock_reading.go
+++ b/internal/work/clock_reading.go
@@ -11,5 +11,11 @@
 // known reports whether the clock was ever read.
 func (c clockReading) known() bool { return !c.at.IsZero() }
 
-// estimate returns what the worker's clock shows at now.
-func (c clockReading) estimate(now time.Time) int64 { return c.millis + now.Sub(c.at).Milliseconds() }
+// ahead returns the time on the worker's clock up to which a lease given at now
+// holds. The worker's clock may be slow, so the longer ago it was read the less
+// is granted: the worker never goes on for longer than this process expects.
+func (c clockReading) ahead(now time.Time, timing *Timing) int64 {
+	since := now.Sub(c.at)
+	doubt := time.Duration(timing.ClockDrift * float64(since))
+	return c.millis + (since - doubt + timing.Hold).Milliseconds()
+}
--- a/internal/work/job.go
+++ b/internal/work/job.go
@@ -12,6 +12,7 @@
 	ended          int           // occurrences that are complete
 	offsets        []int         // flat number of each step's first task in an occurrence
 	runs           int           // runs that may go on on a worker
+	firstAttempt   int           // attempts up to it may have been used by earlier owners
 	dirtyFrom      int64         // sequence of the oldest change that is not kept; 0: none
 	dirtyTo        int64         // sequence of the newest one
 	saving         bool          // a batch with its progress is on its way
@@ -62,6 +63,7 @@
 	for i := range step.Count {
 		t := &task{id: TaskID{j.sub.ID, k, s, i}, flat: j.flat(k, s, i), stage: st}
 		t.done = j.progress.isDone(t.flat)
+		t.attempt = j.firstAttempt
 		if !t.done {
 			st.left++
 		}
--- a/internal/work/pool.go
+++ b/internal/work/pool.go
@@ -6,16 +6,18 @@
 )
 
 // Pool is the work of one service's workers under one owner. mu guards all
-// other fields but service, token and timing, which never change.
+// other fields but service, token, timing and tenure, which never change.
 type Pool struct {
 	service string
 	token   int64
 	timing  Timing
+	tenure  int // counts the pool's owners
 
 	mu       sync.Mutex
 	takenAt  time.Time
-	settled  bool            // all that an earlier owner may have started is known or has ended
-	awaited  map[string]bool // workers on which an earlier owner may have started tasks
+	settleBy time.Time           // by then, all that an earlier owner started has ended or answered
+	settled  bool                // all that an earlier owner may have started is known or has ended
+	awaited  map[string]*awaited // by worker: what an earlier owner may have started
 	jobs     map[string]*job
 	order    []*job // the jobs by acceptance
 	workers  map[string]*worker
@@ -23,18 +25,23 @@
 	sequence int64     // of the last change that has to be kept
 	learned  *durations
 	counts   Counts
+	ended    map[string]time.Time // jobs seen to their end, and when they were dropped
 }
 
 // NewPool returns the pool of service for the owner with the given fencing
-// token. Workers in roster may hold tasks of an earlier owner.
-func NewPool(service string, token int64, timing Timing, roster []string, now time.Time) *Pool {
+// token, which takes over what roster says.
+func NewPool(service string, token int64, timing Timing, roster Roster, now time.Time) *Pool {
 	p := &Pool{
-		service: service, token: token, timing: timing, takenAt: now,
-		awaited: make(map[string]bool), jobs: make(map[string]*job), workers: make(map[string]*worker),
-		learned: newDurations(),
+		service: service, token: token, timing: timing, tenure: roster.Tenure + 1, takenAt: now,
+		awaited: make(map[string]*awaited), jobs: make(map[string]*job), workers: make(map[string]*worker),
+		learned: newDurations(), ended: make(map[string]time.Time),
 	}
-	for _, id := range roster {
-		p.awaited[id] = true
+	p.settleBy = now.Add(timing.granted())
+	if !roster.Released {
+		p.settleBy = p.settleBy.Add(timing.TakeOver)
+	}
+	for i := range roster.Workers {
+		p.awaited[roster.Workers[i].ID] = newAwaited(&roster.Workers[i])
 	}
 	return p
 }
--- a/internal/work/pool_jobs.go
+++ b/internal/work/pool_jobs.go
@@ -7,16 +7,35 @@
 func (p *Pool) Add(sub Submission, created, revision int64, progress Progress, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, known := p.jobs[sub.ID]; known || progress.State.Final() {
+	if _, known := p.jobs[sub.ID]; known {
 		return
 	}
+	if _, over := p.ended[sub.ID]; over {
+		return // read from the store before its removal
+	}
 	j := newJob(&sub, created, revision, progress)
 	j.chain = p.learned.chain(&sub)
+	if created <= p.token {
+		j.firstAttempt = (p.tenure - 1) * attemptsPerTenure
+	}
 	p.jobs[sub.ID] = j
 	p.order = append(p.order, j)
+	if progress.State.Final() {
+		j.endKept, j.removeWhenIdle, j.endedAt = true, true, now
+		return
+	}
 	p.openDue(j, now)
 }
 
+// Knows reports whether the pool has the job, or has seen it to its end.
+func (p *Pool) Knows(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, known := p.jobs[id]
+	_, over := p.ended[id]
+	return known || over
+}
+
 // openDue opens the occurrences whose time has come.
 func (p *Pool) openDue(j *job, now time.Time) {
 	for len(j.occurrences) < j.sub.Occurrences() {
@@ -116,17 +135,13 @@
 	}
 	counted := t.flat
 	if s.step.Gang {
-		if s.failedAttempt == attempt {
-			return
-		}
-		s.failedAttempt = attempt
 		counted = s.tasks[0].flat
 	}
-	if j.progress.Failures == nil {
-		j.progress.Failures = make(map[int]int)
+	failures, noted := j.progress.markFailed(counted, attempt)
+	if !noted {
+		return
 	}
-	j.progress.Failures[counted]++
-	if j.sub.MaxFailures > 0 && j.progress.Failures[counted] >= j.sub.MaxFailures {
+	if j.sub.MaxFailures > 0 && failures >= j.sub.MaxFailures {
 		j.progress.State = Failed
 		j.endedAt = p.wall
 		p.counts.FailedJobs++
@@ -137,7 +152,12 @@
 
 // drop removes jobs whose course is over, of which nothing may run and whose
 // submission is no longer kept.
-func (p *Pool) drop() {
+func (p *Pool) drop(now time.Time) {
+	for id, at := range p.ended {
+		if now.Sub(at) > rememberEnded {
+			delete(p.ended, id)
+		}
+	}
 	kept := p.order[:0]
 	for _, j := range p.order {
 		if j.removeWhenIdle && j.runs == 0 && j.dirtyFrom == 0 {
@@ -146,6 +166,7 @@
 		}
 		if j.forget && j.runs == 0 && j.dirtyFrom == 0 {
 			delete(p.jobs, j.sub.ID)
+			p.ended[j.sub.ID] = now
 			continue
 		}
 		kept = append(kept, j)
@@ -153,3 +174,12 @@
 	clear(p.order[len(kept):])
 	p.order = kept
 }
+
+// rememberEnded is how long a job that is over is remembered: longer than a
+// read of the store that still shows it may take.
+const rememberEnded = 30 * time.Second
+
+// attemptsPerTenure keeps the attempts of one owner apart from those of the
+// next, who does not know which were used on workers that are gone. No owner
+// comes near it: a task may fail only a few times.
+const attemptsPerTenure = 1000
--- a/internal/work/pool_look.go
+++ b/internal/work/pool_look.go
@@ -13,9 +13,9 @@
 	}
 	req := LookRequest{Worker: id, Address: w.facts.Address, Token: p.token, Observed: w.noted}
 	if w.fenced && w.clock.known() {
-		req.Deadline = w.clock.estimate(now) + p.timing.Hold.Milliseconds()
+		req.Deadline = w.clock.ahead(now, &p.timing)
 	}
-	w.expiresAt = laterOf(w.expiresAt, p.timing.expiry(now))
+	w.expiresAt = laterOf(w.expiresAt, now.Add(p.timing.granted()))
 	return req, true
 }
 
--- a/internal/work/pool_move_off.go
+++ b/internal/work/pool_move_off.go
@@ -6,6 +6,10 @@
 // they start elsewhere: lasting ones as far as their step may miss them, and
 // those that keep a checkpoint.
 func (p *Pool) moveOff(now time.Time, plan *Plan) {
+	if quiet := p.takenAt.Add(p.timing.Stop + stopMargin); now.Before(quiet) || !p.settled {
+		plan.wakeAt(quiet)
+		return // stops of an earlier owner may not be over
+	}
 	for _, w := range p.workers {
 		if !w.leaving && !w.facts.Draining {
 			continue
@@ -42,3 +46,6 @@
 	}
 	return false
 }
+
+// stopMargin is added to the time of a stop for its way to the worker and back.
+const stopMargin = 300 * time.Millisecond
--- a/internal/work/pool_plan.go
+++ b/internal/work/pool_plan.go
@@ -13,7 +13,7 @@
 	var plan Plan
 	p.wall = wall
 	p.sweepWorkers(now)
-	p.drop()
+	p.drop(now)
 	p.settle(now, &plan)
 	p.moveOff(now, &plan)
 	p.planStops(now, &plan)
@@ -30,17 +30,34 @@
 	if p.settled {
 		return
 	}
-	until := p.timing.expiry(p.takenAt.Add(p.timing.TakeOver))
-	if now.Before(until) && (len(p.awaited) > 0 || p.anyUnfenced()) {
-		plan.wakeAt(until)
+	p.awaitListed()
+	if now.Before(p.settleBy) && len(p.awaited) > 0 {
+		plan.wakeAt(p.settleBy)
 		return
 	}
 	p.settled = true
+	clear(p.awaited)
 }
 
-func (p *Pool) anyUnfenced() bool {
-	for _, w := range p.workers {
-		if !w.fenced && !w.lost {
+// awaitListed adds the workers that have not answered yet to those that the
+// roster names, and takes out those that are gone.
+func (p *Pool) awaitListed() {
+	for id, w := range p.workers {
+		if w.fenced || w.lost {
+			delete(p.awaited, id)
+		} else if p.awaited[id] == nil {
+			p.awaited[id] = &awaited{}
+		}
+	}
+}
+
+// unsettled reports whether an earlier owner's run of the task may go on.
+func (p *Pool) unsettled(t *task) bool {
+	if p.settled || t.stage.job.created > p.token {
+		return false
+	}
+	for _, a := range p.awaited {
+		if a.mayHold(t.id) {
 			return true
 		}
 	}
@@ -93,9 +110,6 @@
 // planStarts starts what may start and fits, the jobs in their order.
 func (p *Pool) planStarts(now, wall time.Time, plan *Plan) {
 	for _, j := range p.ranked(now) {
-		if !p.settled && j.created <= p.token {
-			continue
-		}
 		p.openDue(j, wall.Add(p.timing.StartEarly))
 		for _, o := range j.occurrences {
 			for _, s := range o.stages {
@@ -129,7 +143,7 @@
 		return
 	}
 	for _, t := range s.tasks {
-		if !t.startable(now) {
+		if !t.startable(now) || p.unsettled(t) {
 			continue
 		}
 		w := p.place(t, now)
@@ -146,7 +160,7 @@
 func (p *Pool) planGang(s *stage, now time.Time, plan *Plan) {
 	attempt, checkpoint := 0, ""
 	for _, t := range s.tasks {
-		if !t.startable(now) {
+		if !t.startable(now) || p.unsettled(t) {
 			return
 		}
 		attempt = max(attempt, t.attempt)
@@ -175,13 +189,13 @@
 	s := t.stage
 	r := &run{
 		id: t.id, attempt: attempt, worker: w, orderedAt: now, reserved: s.step.reserved(), checkpoint: checkpoint,
-		deadline: w.clock.estimate(now) + p.timing.Hold.Milliseconds(), pace: fullPercent,
+		deadline: w.clock.ahead(now, &p.timing), pace: fullPercent,
 		ticket: s.tickets.byWorker[w.facts.ID],
 	}
 	t.attempt = attempt
 	w.runs[runKey{t.id, attempt}] = r
 	w.used = w.used.Plus(r.reserved)
-	w.expiresAt = laterOf(w.expiresAt, p.timing.expiry(now))
+	w.expiresAt = laterOf(w.expiresAt, now.Add(p.timing.granted()))
 	p.bind(r, t)
 	p.counts.Starts++
 	return r
--- a/internal/work/pool_workers.go
+++ b/internal/work/pool_workers.go
@@ -1,6 +1,10 @@
 package work
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // SetWorkers takes in the platform's list of the service's workers.
 func (p *Pool) SetWorkers(facts []WorkerFacts, now time.Time) {
@@ -109,22 +113,60 @@
 	}
 }
 
-// Roster returns the workers on which tasks of this owner may run.
-func (p *Pool) Roster() []string {
+// Roster returns what the next owner would have to know now.
+func (p *Pool) Roster() Roster {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	roster := make([]string, 0, len(p.workers)+len(p.awaited))
+	r := Roster{Tenure: p.tenure}
 	for id, w := range p.workers {
 		if !w.lost {
-			roster = append(roster, id)
+			r.Workers = append(r.Workers, w.roster(p.awaited[id]))
 		}
 	}
-	for id := range p.awaited {
+	for id, a := range p.awaited {
 		if p.workers[id] == nil {
-			roster = append(roster, id)
+			r.Workers = append(r.Workers, a.roster(id))
 		}
 	}
-	return roster
+	slices.SortFunc(r.Workers, func(a, b RosterWorker) int { return strings.Compare(a.ID, b.ID) })
+	return r
+}
+
+// RosterKept takes in that the roster is kept. From then on new tasks may start
+// on the workers that it names as up.
+func (p *Pool) RosterKept(r Roster) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range r.Workers {
+		if w := p.workers[r.Workers[i].ID]; w != nil && !r.Workers[i].Down {
+			w.rostered = true
+		}
+	}
+}
+
+// roster describes the worker for the next owner; a is what an earlier one may
+// have left there, nil if nothing. While it is said to be down, nothing new
+// starts there.
+func (w *worker) roster(a *awaited) RosterWorker {
+	r := RosterWorker{ID: w.facts.ID, Down: w.fenced && !w.reachable}
+	if a != nil || !r.Down {
+		return RosterWorker{ID: w.facts.ID}
+	}
+	w.rostered = false
+	for _, run := range w.runs {
+		r.Tasks = append(r.Tasks, run.id)
+	}
+	slices.SortFunc(r.Tasks, TaskID.compare)
+	return r
+}
+
+func (a *awaited) roster(id string) RosterWorker {
+	r := RosterWorker{ID: id, Down: a.known}
+	for t := range a.tasks {
+		r.Tasks = append(r.Tasks, t)
+	}
+	slices.SortFunc(r.Tasks, TaskID.compare)
+	return r
 }
 
 // sweepWorkers removes workers that are gone: lost, or unlisted with nothing
--- /dev/null
+++ b/internal/work/roster_worker.go
@@ -0,0 +1,8 @@
+package work
+
+// RosterWorker is a worker on which an owner's tasks may run.
+type RosterWorker struct {
+	ID    string
+	Down  bool     // it did not answer, and nothing was started there since
+	Tasks []TaskID // that may run there, if it is down
+}
--- /dev/null
+++ b/internal/work/scene_test.go
@@ -0,0 +1,147 @@
+package work_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/work"
+)
+
+// token is the fencing token of the pool under test; jobs created up to it may
+// have been started by an earlier owner.
+const token = 100
+
+// timing is that of the users' sites.
+var timing = work.Timing{
+	Hold: 4500 * time.Millisecond, Restart: 700 * time.Millisecond, ClockDrift: 0.02,
+	StartEarly: 200 * time.Millisecond, TakeOver: 2 * time.Second, Stop: 400 * time.Millisecond,
+	Suspension: time.Second, MaxSuspense: 8 * time.Second,
+}
+
+// scene drives a pool by hand, with a time of its own.
+type scene struct {
+	pool  *work.Pool
+	now   time.Time
+	clock int64 // of all workers, in milliseconds
+	ends  map[string]int64
+}
+
+func newScene(workers ...work.WorkerFacts) *scene {
+	s := &scene{now: time.Unix(1_700_000_000, 0), clock: 1000, ends: map[string]int64{}}
+	s.pool = work.NewPool("tags", token, timing, work.Roster{}, s.now)
+	s.setWorkers(workers...)
+	for _, w := range workers {
+		s.look(w.ID, nil)
+	}
+	return s
+}
+
+// setWorkers has the platform list the workers, and the roster kept.
+func (s *scene) setWorkers(workers ...work.WorkerFacts) {
+	s.pool.SetWorkers(workers, s.now)
+	s.pool.RosterKept(s.pool.Roster())
+}
+
+// worker returns the facts of a worker of 32 cores and 128 GB.
+func worker(id string) work.WorkerFacts {
+	return work.WorkerFacts{ID: id, Service: "tags", Address: id + ":1", Machine: "m-" + id, Capacity: work.Resources{MilliCPU: 32000, MemoryMB: 131072}, Born: 1}
+}
+
+// tasks returns a job of one step of n tasks.
+func tasks(id string, n int) work.Submission {
+	return work.Submission{
+		ID: id, Queue: "checks", Service: "tags", MaxFailures: 4, Stretch: 1.6, Objective: 600 * time.Millisecond,
+		Steps: []work.Step{{Count: n, Need: work.Resources{MilliCPU: 2000, MemoryMB: 1000}, Estimate: time.Second}},
+	}
+}
+
+// lasting returns a job of n tasks that last, of which one may be missed.
+func lasting(id string, n int) work.Submission {
+	sub := tasks(id, n)
+	sub.Steps[0].LongRunning = true
+	sub.Steps[0].MaxPerWorker = 1
+	sub.Steps[0].MayMiss = 1
+	return sub
+}
+
+func (s *scene) add(sub work.Submission) { s.addKept(sub, token+1, work.Progress{}) }
+
+func (s *scene) addKept(sub work.Submission, created int64, p work.Progress) {
+	sub.AcceptedAt = s.now
+	s.pool.Add(sub, created, created, p, s.now)
+}
+
+func (s *scene) pass(d time.Duration) {
+	s.now = s.now.Add(d)
+	s.clock += d.Milliseconds()
+}
+
+// plan returns what the pool orders now.
+func (s *scene) plan() work.Plan { return s.pool.Plan(s.now, s.now) }
+
+// startAll plans, and has all starts accepted.
+func (s *scene) startAll() []work.StartOrder {
+	plan := s.plan()
+	for _, o := range plan.Starts {
+		s.pool.Started(o, work.Accepted, s.clock, s.now)
+	}
+	s.pass(time.Millisecond)
+	return plan.Starts
+}
+
+// look has a worker answer with what runs there and what ended since the last
+// look.
+func (s *scene) look(id string, running []work.RunRow, ends ...work.EndRow) {
+	req, due := s.pool.LookFor(id, s.now)
+	if !due {
+		req.Worker = id
+	}
+	s.answer(id, running, ends, req)
+}
+
+func (s *scene) answer(id string, running []work.RunRow, ends []work.EndRow, req work.LookRequest) {
+	sent := s.now
+	s.pass(time.Millisecond)
+	for i := range ends {
+		if ends[i].Number == 0 {
+			s.ends[id]++
+			ends[i].Number = s.ends[id]
+		}
+	}
+	s.pool.Looked(work.Look{Worker: id, SentAt: sent, ReceivedAt: s.now, Observed: req.Observed, Born: 1, Clock: s.clock, Running: running, Ends: ends})
+}
+
+func ended(o work.StartOrder, kind work.EndKind) work.EndRow {
+	return work.EndRow{Task: o.Task, Attempt: o.Attempt, Kind: kind}
+}
+
+func runs(o work.StartOrder) work.RunRow {
+	return work.RunRow{Task: o.Task, Attempt: o.Attempt, Percent: 100}
+}
+
+// save has all progress kept and returns it by job.
+func (s *scene) save(revision int64) map[string]work.SaveItem {
+	kept := map[string]work.SaveItem{}
+	items, _ := s.pool.Unsaved(100)
+	s.pool.Saved(items, revision)
+	for _, i := range items {
+		kept[i.Job] = i
+	}
+	return kept
+}
+
+func names(orders []work.StartOrder) []string {
+	var n []string
+	for _, o := range orders {
+		n = append(n, fmt.Sprintf("%s/%d@%s#%d", o.Task.Job, o.Task.Index, o.Worker, o.Attempt))
+	}
+	return n
+}
+
+// only returns the single element of a list.
+func only[T any](list []T) T {
+	ExpectWithOffset(1, list).To(HaveLen(1))
+	return list[0]
+}
--- a/internal/work/stage.go
+++ b/internal/work/stage.go
@@ -2,14 +2,13 @@
 
 // stage is one step of one occurrence. The pool's lock guards it.
 type stage struct {
-	job           *job
-	step          *Step
-	index         int
-	occurrence    int
-	tasks         []*task
-	left          int // tasks that have not ended done
-	failedAttempt int // the gang's attempt that last counted as failed
-	tickets       tickets
+	job        *job
+	step       *Step
+	index      int
+	occurrence int
+	tasks      []*task
+	left       int // tasks that have not ended done
+	tickets    tickets
 }
 
 // runsOn returns how many tasks of the stage run, or may run, on w.
--- a/internal/work/task.go
+++ b/internal/work/task.go
@@ -22,7 +22,7 @@
 
 // atWork reports whether the task is known to run at its full speed.
 func (t *task) atWork() bool {
-	return t.run != nil && t.run.phase == running && !t.run.wantStop && t.run.percent >= fullPercent
+	return t.run != nil && t.run.phase == running && !t.run.wantStop && t.run.percent >= fullPercent && t.run.worker.reachable
 }
 
 // fullPercent is the share of its speed at which a task is at work.
--- a/internal/work/task_id.go
+++ b/internal/work/task_id.go
@@ -1,5 +1,10 @@
 package work
 
+import (
+	"cmp"
+	"strings"
+)
+
 // TaskID names one task of a job.
 type TaskID struct {
 	Job        string
@@ -7,3 +12,8 @@
 	Step       int
 	Index      int
 }
+
+// compare orders tasks by job, occurrence, step and index.
+func (t TaskID) compare(o TaskID) int {
+	return cmp.Or(strings.Compare(t.Job, o.Job), cmp.Compare(t.Occurrence, o.Occurrence), cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index))
+}
--- a/internal/work/worker.go
+++ b/internal/work/worker.go
@@ -7,6 +7,7 @@
 	facts      WorkerFacts
 	listed     bool // the platform lists it
 	leaving    bool // its machine is to be emptied
+	rostered   bool // the next owner would know that anything may run there
 	fenced     bool // it has seen this owner's token
 	reachable  bool // its last look or order was answered
 	lost       bool // another life answers at its address
@@ -35,7 +36,7 @@
 
 // usable reports whether new tasks may start there at now.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && !w.facts.Draining && !w.leaving && !w.lost && w.fenced && w.reachable &&
+	return w.listed && !w.facts.Draining && !w.leaving && !w.lost && w.fenced && w.reachable && w.rostered &&
 		!now.Before(w.blocked) && !now.Before(w.suspended)
 }
 
--- a/internal/workstore/codec.go
+++ b/internal/workstore/codec.go
@@ -38,13 +38,13 @@
 }
 
 // EncodeRoster returns the value of the key of a pool's roster.
-func EncodeRoster(workers []string) ([]byte, error) { return encode(workers) }
+func EncodeRoster(r *work.Roster) ([]byte, error) { return encode(r) }
 
 // DecodeRoster reads the value of the key of a pool's roster.
-func DecodeRoster(key string, value []byte) ([]string, error) {
-	var workers []string
-	err := decode(key, value, &workers)
-	return workers, err
+func DecodeRoster(key string, value []byte) (work.Roster, error) {
+	var r work.Roster
+	err := decode(key, value, &r)
+	return r, err
 }
 
 // canonical encodes equal values to equal bytes, so that what is kept can be
