--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -8,48 +8,71 @@
 	"go.uber.org/zap"
 
 	"persimmonbay/internal/problem"
+	"persimmonbay/internal/shard"
 	"persimmonbay/internal/store"
 	"persimmonbay/internal/telemetry"
 	"persimmonbay/internal/upkeep"
 	"persimmonbay/internal/workstore"
 )
 
-// duty is the tenure of the duty for machines: waves of upkeep. Only its own
-// goroutine uses its state.
+// duty is the tenure of the duty for machines: waves of upkeep, and moves
+// between pools. Only its own goroutine uses its state, but for view.
 type duty struct {
 	*tenure
 	since    time.Time // when the duty was taken over
 	progress map[int64]upkeep.Progress
 	said     map[int64]bool // waves whose completion operators were told
 	active   map[int64]bool // waves whose beginning operators were told
+	moving   map[string]*onTheWay
+	view     *shard.Cell[dutyView]
 }
 
+// dutyPause is the least time between two steps: what changes meanwhile is
+// taken in at once.
+const dutyPause = 50 * time.Millisecond
+
 // keepMachines carries out the duty for machines until it is lost or handed
 // over.
 func (t *tenure) keepMachines() {
 	defer t.cancel()
 	go t.guard()
-	d := &duty{tenure: t, since: t.Clock.Now(), progress: map[int64]upkeep.Progress{}, said: map[int64]bool{}, active: map[int64]bool{}}
+	d := &duty{
+		tenure: t, since: t.Clock.Now(), progress: map[int64]upkeep.Progress{}, said: map[int64]bool{}, active: map[int64]bool{},
+		moving: map[string]*onTheWay{}, view: shard.NewCell(newDutyView()),
+	}
+	t.orders.Go(d.followDuty)
 	for t.ctx.Err() == nil && !t.isLeaving() {
-		waves, changed := t.waves.Watch()
+		waves, wavesChanged := t.waves.Watch()
+		view, viewChanged := d.view.Watch()
 		open := d.openWaves(waves)
-		if len(open) > 0 {
+		busy := len(open) > 0 || len(d.moving) > 0 || len(view.needs) > 0 || len(view.offers) > 0
+		if busy {
 			d.step(open)
-			changed = nil
-		}
-		timer := t.Clock.NewTimer(t.bounds.ListEvery)
-		expired := timer.Chan()
-		if len(open) == 0 {
-			expired = nil
 		}
-		select {
-		case <-t.ctx.Done():
-		case <-t.leaving:
-			d.release()
-		case <-changed:
-		case <-expired:
-		}
-		timer.Stop()
+		sleep(t.ctx, t.Clock, dutyPause)
+		d.await(busy, wavesChanged, viewChanged)
+	}
+	if t.isLeaving() {
+		d.release()
+	}
+	t.cancel()
+	t.orders.Wait()
+}
+
+// await waits for a change; while there is something to do, not for long.
+func (d *duty) await(busy bool, changes ...<-chan struct{}) {
+	timer := d.Clock.NewTimer(d.bounds.ListEvery)
+	defer timer.Stop()
+	expired := timer.Chan()
+	if !busy {
+		expired = nil
+	}
+	select {
+	case <-d.ctx.Done():
+	case <-d.leaving:
+	case <-changes[0]:
+	case <-changes[1]:
+	case <-expired:
 	}
 }
 
@@ -81,6 +104,9 @@
 	for _, m := range listed {
 		machines[m.ID] = m
 	}
+	if err := d.lend(ctx, machines); err != nil {
+		d.log.Info("machines not moved", telemetry.ProblemFields(err)...)
+	}
 	for _, w := range open {
 		if err := d.stepWave(ctx, w, machines); err != nil {
 			d.log.Info("wave not carried on", append(telemetry.ProblemFields(err), zap.Int64("wave", w.Number))...)
@@ -104,7 +130,7 @@
 	if err := d.finish(ctx, w.Number, &progress, steps.Back); err != nil {
 		return err
 	}
-	if err := d.ask(ctx, steps.Ask); err != nil {
+	if err := d.ask(ctx, steps.Ask, progress.Since.Add(w.Within-askMargin)); err != nil {
 		return err
 	}
 	if steps.Completed {
@@ -125,8 +151,10 @@
 	key := workstore.UpkeepKey(wave)
 	item, err := d.Store.Get(ctx, key)
 	if problem.Is(err, problem.NotFound) {
-		d.progress[wave] = upkeep.NewProgress()
-		return d.progress[wave], nil
+		p := upkeep.NewProgress()
+		p.Since = d.Clock.Now()
+		d.progress[wave] = p
+		return p, nil
 	}
 	if err != nil {
 		return upkeep.Progress{}, err
@@ -161,9 +189,7 @@
 	return d.commit(ctx, txn)
 }
 
-func (d *duty) guarded() store.Txn {
-	return store.Txn{Expected: []store.Expectation{{Key: workstore.OwnerKey(d.service), Revision: d.token}}}
-}
+func (d *duty) guarded() store.Txn { return d.guardedTxn() }
 
 func (d *duty) commit(ctx context.Context, txn store.Txn) error {
 	_, err := d.Store.Commit(ctx, txn)
@@ -190,12 +216,19 @@
 	return nil
 }
 
-func (d *duty) ask(ctx context.Context, machines []string) error {
+// askMargin is kept from a wave's time for the last machine to come back.
+const askMargin = 1500 * time.Millisecond
+
+func (d *duty) ask(ctx context.Context, machines []string, by time.Time) error {
+	value, err := workstore.EncodeEmpty(by, false)
+	if err != nil {
+		return err
+	}
 	for len(machines) > 0 {
 		n := min(len(machines), store.MaxTxnEntries/2)
 		txn := d.guarded()
 		for _, m := range machines[:n] {
-			txn.Writes = append(txn.Writes, store.Write{Key: workstore.EmptyKey(m), Value: []byte(workstore.EmptyAsked)})
+			txn.Writes = append(txn.Writes, store.Write{Key: workstore.EmptyKey(m), Value: value})
 		}
 		if err := d.commit(ctx, txn); err != nil {
 			return err
--- /dev/null
+++ b/internal/keeper/duty_lend.go
@@ -0,0 +1,235 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"persimmonbay/internal/lending"
+	"persimmonbay/internal/problem"
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/telemetry"
+	"persimmonbay/internal/upkeep"
+	"persimmonbay/internal/workstore"
+)
+
+// arrivalTime is how long a machine that has joined a pool still counts as on
+// its way: until the pool has looked at it and says anew what it needs.
+const arrivalTime = 600 * time.Millisecond
+
+// followDuty keeps up with what pools need and offer.
+func (d *duty) followDuty() {
+	reset := func(_ context.Context, items []store.Item) error {
+		next := newDutyView()
+		for _, item := range items {
+			d.takeDuty(&next, store.Event{Item: item})
+		}
+		d.view.Update(func(dutyView) (dutyView, bool) { return next, true })
+		return nil
+	}
+	apply := func(e store.Event) {
+		d.view.Update(func(old dutyView) (dutyView, bool) {
+			next := old.clone()
+			d.takeDuty(&next, e)
+			return next, true
+		})
+	}
+	d.follower(workstore.DutyPrefix, reset, apply).run(d.ctx, 0)
+}
+
+func (d *duty) takeDuty(v *dutyView, e store.Event) {
+	if err := v.apply(e); err != nil {
+		d.log.Error("entry of a pool not understood", zap.String("key", e.Key), zap.Error(err))
+	}
+}
+
+// lend moves machines to where they are needed.
+func (d *duty) lend(ctx context.Context, machines map[string]upkeep.Machine) error {
+	view := d.view.Get()
+	if err := d.arrive(ctx, machines, view); err != nil {
+		return err
+	}
+	if d.Clock.Now().Sub(d.since) < d.bounds.HolderPause {
+		return nil
+	}
+	moves := d.unfinished(machines, view)
+	planned := lending.Plan(&lending.Snapshot{
+		Needs: view.needs, Offers: view.offers, Machines: machines, Standby: d.standby(), OnTheWay: d.targets(), Asked: d.askedMachines(),
+	})
+	taken, err := d.take(ctx, planned, view)
+	if err != nil {
+		return err
+	}
+	d.moveAll(ctx, append(moves, taken...))
+	return nil
+}
+
+// moveAll orders moves side by side, and takes in their answers.
+func (d *duty) moveAll(ctx context.Context, moves []lending.Move) {
+	answers := make([]error, len(moves))
+	var group errgroup.Group
+	group.SetLimit(movesAtOnce)
+	for i, m := range moves {
+		group.Go(func() error {
+			answers[i] = d.move(ctx, m)
+			return nil
+		})
+	}
+	_ = group.Wait() // the answers are in their own list
+	for i, m := range moves {
+		d.moved(ctx, m, answers[i])
+	}
+}
+
+// movesAtOnce is how many moves are ordered at once: the platform takes a few
+// dozen orders a second.
+const movesAtOnce = 8
+
+// arrive takes in which machines have joined their new pool.
+func (d *duty) arrive(ctx context.Context, machines map[string]upkeep.Machine, view dutyView) error {
+	now := d.Clock.Now()
+	txn := d.guarded()
+	for id, way := range d.moving {
+		m, listed := machines[id]
+		switch {
+		case listed && (m.Pool != way.target || m.State == upkeep.Moving):
+			continue
+		case way.arrived.IsZero():
+			way.arrived = now
+			if view.revisions[id] != 0 {
+				txn.Remove = append(txn.Remove, workstore.OfferKey(id))
+			}
+		case now.Sub(way.arrived) > arrivalTime:
+			delete(d.moving, id)
+		}
+		if txn.Entries() == store.MaxTxnEntries {
+			break
+		}
+	}
+	if len(txn.Remove) == 0 {
+		return nil
+	}
+	return d.commit(ctx, txn)
+}
+
+// unfinished returns moves that were begun, by this holder or an earlier one,
+// and whose order has to be repeated.
+func (d *duty) unfinished(machines map[string]upkeep.Machine, view dutyView) []lending.Move {
+	var moves []lending.Move
+	for id, offer := range view.offers {
+		m, listed := machines[id]
+		if offer.Target == "" || !listed || m.State != upkeep.Up || m.Pool == offer.Target {
+			continue
+		}
+		moves = append(moves, lending.Move{Machine: id, Target: offer.Target, Offered: true})
+	}
+	for id, offer := range view.offers {
+		m := machines[id]
+		if offer.Target != "" && m.Pool == offer.Target && d.moving[id] == nil {
+			d.moving[id] = &onTheWay{target: offer.Target}
+		}
+	}
+	return moves
+}
+
+// take claims the offers of the planned moves, so that their pools can no
+// longer take them back. It returns the moves that may be ordered.
+func (d *duty) take(ctx context.Context, moves []lending.Move, view dutyView) ([]lending.Move, error) {
+	var ready []lending.Move
+	txn := d.guarded()
+	var claimed []lending.Move
+	for _, m := range moves {
+		if !m.Offered {
+			ready = append(ready, m)
+			continue
+		}
+		value, err := workstore.EncodeOffer(lending.Offer{Pool: view.offers[m.Machine].Pool, Target: m.Target})
+		if err != nil {
+			return nil, err
+		}
+		if txn.Entries()+2 > store.MaxTxnEntries {
+			break // the rest with the next step
+		}
+		key := workstore.OfferKey(m.Machine)
+		txn.Expected = append(txn.Expected, store.Expectation{Key: key, Revision: view.revisions[m.Machine]})
+		txn.Writes = append(txn.Writes, store.Write{Key: key, Value: value})
+		claimed = append(claimed, m)
+	}
+	if len(claimed) == 0 {
+		return ready, nil
+	}
+	_, err := d.Store.Commit(ctx, txn)
+	if problem.Is(err, problem.Conflict) {
+		d.log.Info("an offer was taken back", telemetry.ProblemFields(err)...)
+		return ready, nil // the view shows it soon
+	}
+	if err != nil {
+		return nil, err
+	}
+	return append(ready, claimed...), nil
+}
+
+func (d *duty) move(ctx context.Context, m lending.Move) error {
+	if !d.holds() {
+		return problem.New(problem.Unavailable, problem.StepLease, m.Machine, "the duty may have ended")
+	}
+	limited, cancel := context.WithTimeout(ctx, d.bounds.Order)
+	defer cancel()
+	return d.Machines.Move(limited, m.Machine, m.Target, MachineOrder{Holder: d.node, Token: d.token})
+}
+
+func (d *duty) moved(ctx context.Context, m lending.Move, err error) {
+	if err == nil {
+		d.log.Info("machine moved", zap.String("machine", m.Machine), zap.String("target", m.Target))
+		d.moving[m.Machine] = &onTheWay{target: m.Target}
+		return
+	}
+	d.log.Info("machine not moved", append(telemetry.ProblemFields(err), zap.String("machine", m.Machine))...)
+	if !problem.Is(err, problem.NotFound) || !m.Offered {
+		return
+	}
+	txn := d.guarded()
+	txn.Remove = []string{workstore.OfferKey(m.Machine)}
+	if err := d.commit(ctx, txn); err != nil {
+		d.log.Info("offer not given back", telemetry.ProblemFields(err)...)
+	}
+}
+
+func (d *duty) targets() map[string]string {
+	targets := make(map[string]string, len(d.moving))
+	for id, way := range d.moving {
+		targets[id] = way.target
+	}
+	return targets
+}
+
+// standby returns the pools whose machines are off.
+func (d *duty) standby() map[string]bool {
+	pools := make(map[string]bool)
+	if config := d.config.Get(); config != nil {
+		for i := range config.Pools {
+			if config.Pools[i].Standby {
+				pools[config.Pools[i].Service] = true
+			}
+		}
+	}
+	return pools
+}
+
+// askedMachines returns the machines that wait for their upkeep.
+func (d *duty) askedMachines() map[string]bool {
+	asked := make(map[string]bool)
+	for m := range d.fleet.Get().empty {
+		asked[m] = true
+	}
+	for _, w := range d.waves.Get().waves {
+		for _, m := range w.Machines {
+			if !d.said[w.Number] && !d.progress[w.Number].Done[m] {
+				asked[m] = true
+			}
+		}
+	}
+	return asked
+}
--- /dev/null
+++ b/internal/keeper/duty_view.go
@@ -0,0 +1,55 @@
+package keeper
+
+import (
+	"maps"
+	"strconv"
+
+	"persimmonbay/internal/lending"
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/workstore"
+)
+
+// dutyView is what pools tell the holder of the duty for machines. It is never
+// changed, only replaced.
+type dutyView struct {
+	needs     map[string]int
+	offers    map[string]lending.Offer // by machine
+	revisions map[string]int64         // of the offers
+}
+
+func newDutyView() dutyView {
+	return dutyView{needs: map[string]int{}, offers: map[string]lending.Offer{}, revisions: map[string]int64{}}
+}
+
+func (v dutyView) clone() dutyView {
+	return dutyView{needs: maps.Clone(v.needs), offers: maps.Clone(v.offers), revisions: maps.Clone(v.revisions)}
+}
+
+// apply changes a view that nobody else sees yet.
+func (v *dutyView) apply(e store.Event) error {
+	if service, ok := workstore.ParseNeed(e.Key); ok {
+		delete(v.needs, service)
+		if e.Deleted {
+			return nil
+		}
+		n, err := strconv.Atoi(string(e.Value))
+		if err == nil && n > 0 {
+			v.needs[service] = n
+		}
+		return err
+	}
+	machine, ok := workstore.ParseOffer(e.Key)
+	if !ok {
+		return nil
+	}
+	delete(v.offers, machine)
+	delete(v.revisions, machine)
+	if e.Deleted {
+		return nil
+	}
+	offer, err := workstore.DecodeOffer(e.Key, e.Value)
+	if err == nil {
+		v.offers[machine], v.revisions[machine] = offer, e.Revision
+	}
+	return err
+}
--- a/internal/keeper/fleet_view.go
+++ b/internal/keeper/fleet_view.go
@@ -46,19 +46,27 @@
 		}
 	}
 	if machine, ok := workstore.ParseEmpty(e.Key); ok {
-		if e.Deleted {
-			delete(v.empty, machine)
-		} else {
-			v.empty[machine] = emptyEntry{revision: e.Revision, emptied: string(e.Value) == workstore.EmptyDone}
-		}
+		v.applyEmpty(machine, e)
+	}
+}
+
+func (v *fleetView) applyEmpty(machine string, e store.Event) {
+	if e.Deleted {
+		delete(v.empty, machine)
+		return
+	}
+	by, emptied, err := workstore.DecodeEmpty(e.Key, e.Value)
+	if err != nil {
+		return // a later version's entry: its holder sees that nobody empties the machine
 	}
+	v.empty[machine] = emptyEntry{revision: e.Revision, by: by, emptied: emptied}
 }
 
-// leaving returns the machines that are to be emptied, or are.
-func (v *fleetView) leaving() map[string]bool {
-	machines := make(map[string]bool, len(v.empty))
-	for m := range v.empty {
-		machines[m] = true
+// asked returns the machines that are to be emptied, or are, and by when.
+func (v *fleetView) asked() map[string]time.Time {
+	machines := make(map[string]time.Time, len(v.empty))
+	for m, entry := range v.empty {
+		machines[m] = entry.by
 	}
 	return machines
 }
--- /dev/null
+++ b/internal/keeper/on_the_way.go
@@ -0,0 +1,9 @@
+package keeper
+
+import "time"
+
+// onTheWay is a machine that was ordered into a pool.
+type onTheWay struct {
+	target  string
+	arrived time.Time // when it was first listed there; zero: not yet
+}
--- /dev/null
+++ b/internal/keeper/tenure_balance.go
@@ -0,0 +1,132 @@
+package keeper
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/lending"
+	"persimmonbay/internal/problem"
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/telemetry"
+	"persimmonbay/internal/workstore"
+)
+
+// balanceEvery is how often the pool's load is compared with its machines: well
+// below the time of a move.
+const balanceEvery = 60 * time.Millisecond
+
+// balanceLoop tells the holder of the duty for machines what the pool needs and
+// can spare, until the tenure ends.
+func (t *tenure) balanceLoop(offered map[string]int64) {
+	b := &balancer{tenure: t, offered: offered, said: -1}
+	for t.ctx.Err() == nil {
+		sleep(t.ctx, t.Clock, balanceEvery)
+		if !t.holds() || t.isLeaving() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(t.ctx, t.bounds.Call)
+		if err := b.step(ctx); err != nil && t.ctx.Err() == nil {
+			t.log.Info("balance not told", telemetry.ProblemFields(err)...)
+		}
+		cancel()
+	}
+}
+
+// loadOffers reads which of the pool's machines an earlier owner has offered:
+// they may be taken at any time.
+func (t *tenure) loadOffers(ctx context.Context) (map[string]int64, error) {
+	items, _, err := t.Store.Range(ctx, workstore.OfferPrefix)
+	if err != nil {
+		return nil, err
+	}
+	offered := make(map[string]int64)
+	var machines []string
+	for _, item := range items {
+		machine, _ := workstore.ParseOffer(item.Key)
+		offer, err := workstore.DecodeOffer(item.Key, item.Value)
+		if err != nil {
+			return nil, err
+		}
+		if offer.Pool == t.service {
+			offered[machine] = item.Revision
+			machines = append(machines, machine)
+		}
+	}
+	t.pool.Offered(machines)
+	return offered, nil
+}
+
+// guardedTxn is a change that is made only while the pool is ours.
+func (t *tenure) guardedTxn() store.Txn {
+	return store.Txn{Expected: []store.Expectation{{Key: workstore.OwnerKey(t.service), Revision: t.token}}}
+}
+
+// offer tells that the machines can be spared.
+func (b *balancer) offer(ctx context.Context, machines []string) error {
+	value, err := workstore.EncodeOffer(lending.Offer{Pool: b.service})
+	if err != nil {
+		return err
+	}
+	txn := b.guardedTxn()
+	for _, m := range machines {
+		if txn.Entries()+2 > store.MaxTxnEntries {
+			break // the rest with the next step
+		}
+		key := workstore.OfferKey(m)
+		txn.Expected = append(txn.Expected, store.Expectation{Key: key})
+		txn.Writes = append(txn.Writes, store.Write{Key: key, Value: value})
+	}
+	revision, err := b.Store.Commit(ctx, txn)
+	if err != nil {
+		return err
+	}
+	for _, w := range txn.Writes {
+		machine, _ := workstore.ParseOffer(w.Key)
+		b.offered[machine] = revision
+	}
+	return nil
+}
+
+// takeBack withdraws an offer, unless it was taken.
+func (b *balancer) takeBack(ctx context.Context, machine string) (bool, error) {
+	key := workstore.OfferKey(machine)
+	txn := b.guardedTxn()
+	txn.Expected = append(txn.Expected, store.Expectation{Key: key, Revision: b.offered[machine]})
+	txn.Remove = []string{key}
+	_, err := b.Store.Commit(ctx, txn)
+	if err == nil {
+		return b.reclaim(machine), nil
+	}
+	if !problem.Is(err, problem.Conflict) {
+		return false, err
+	}
+	item, err := b.Store.Get(ctx, key)
+	if problem.Is(err, problem.NotFound) {
+		return b.reclaim(machine), nil // moved, or given back
+	}
+	if err == nil {
+		b.offered[machine] = item.Revision
+		b.log.Info("offered machine was taken", zap.String("machine", machine))
+	}
+	return false, err
+}
+
+func (b *balancer) reclaim(machine string) bool {
+	delete(b.offered, machine)
+	b.pool.Reclaim(machine)
+	b.plan.send()
+	return true
+}
+
+func (b *balancer) tellNeed(ctx context.Context, need int) error {
+	txn := b.guardedTxn()
+	txn.Writes = []store.Write{{Key: workstore.NeedKey(b.service), Value: []byte(strconv.Itoa(need))}}
+	_, err := b.Store.Commit(ctx, txn)
+	if err == nil {
+		b.said = need
+	}
+	return err
+}
--- a/internal/keeper/tenure_emptied.go
+++ b/internal/keeper/tenure_emptied.go
@@ -30,11 +30,16 @@
 		if entry.emptied || confirmed[machine] == entry.revision || !t.pool.Emptied(machine) {
 			continue
 		}
+		value, err := workstore.EncodeEmpty(entry.by, true)
+		if err != nil {
+			t.log.Error("machine not confirmed as empty", telemetry.ProblemFields(err)...)
+			continue
+		}
 		ctx, cancel := context.WithTimeout(t.ctx, t.bounds.Call)
 		key := workstore.EmptyKey(machine)
-		_, err := t.Store.Commit(ctx, store.Txn{
+		_, err = t.Store.Commit(ctx, store.Txn{
 			Expected: []store.Expectation{{Key: key, Revision: entry.revision}, {Key: workstore.OwnerKey(t.service), Revision: t.token}},
-			Writes:   []store.Write{{Key: key, Value: []byte(workstore.EmptyDone)}},
+			Writes:   []store.Write{{Key: key, Value: value}},
 		})
 		cancel()
 		if err == nil {
--- a/internal/keeper/tenure_pool.go
+++ b/internal/keeper/tenure_pool.go
@@ -18,7 +18,7 @@
 func (t *tenure) keepPool() {
 	defer t.cancel()
 	go t.guard()
-	from, ok := t.load()
+	from, offered, ok := t.load()
 	if !ok {
 		return
 	}
@@ -27,6 +27,7 @@
 	t.orders.Go(t.saveLoop)
 	t.orders.Go(t.planLoop)
 	t.orders.Go(t.confirmLoop)
+	t.orders.Go(func() { t.balanceLoop(offered) })
 	t.orders.Go(t.rosterLoop)
 	select {
 	case <-t.ctx.Done():
@@ -37,41 +38,46 @@
 	t.orders.Wait()
 }
 
-// load reads the pool's jobs and returns the revision after which to watch.
-func (t *tenure) load() (from int64, ok bool) {
+// load reads the pool's jobs. It returns the revision after which to watch, and
+// the machines that an earlier owner has offered.
+func (t *tenure) load() (from int64, offered map[string]int64, ok bool) {
 	for t.ctx.Err() == nil {
-		from, err := t.tryLoad()
+		from, offered, err := t.tryLoad()
 		if err == nil {
-			return from, true
+			return from, offered, true
 		}
 		t.log.Info("jobs not read yet", telemetry.ProblemFields(err)...)
 		sleep(t.ctx, t.Clock, firstRetry)
 	}
-	return 0, false
+	return 0, nil, false
 }
 
-func (t *tenure) tryLoad() (int64, error) {
+func (t *tenure) tryLoad() (int64, map[string]int64, error) {
 	ctx, cancel := context.WithTimeout(t.ctx, readAllTimeout)
 	defer cancel()
 	roster, err := t.loadRoster(ctx)
 	if err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	now := t.Clock.Now()
 	t.pool = work.NewPool(t.service, t.token, t.bounds.Work, roster, now)
 	if err := t.writeRoster(ctx); err != nil {
-		return 0, err
+		return 0, nil, err
+	}
+	offered, err := t.loadOffers(ctx)
+	if err != nil {
+		return 0, nil, err
 	}
 	jobs, from, err := t.Store.Range(ctx, workstore.WorkPrefix(t.service))
 	if err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	states, _, err := t.Store.Range(ctx, workstore.StatePrefix(t.service))
 	if err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	t.addJobs(jobs, t.decodeStates(states), now)
-	return from, nil
+	return from, offered, nil
 }
 
 func (t *tenure) loadRoster(ctx context.Context) (work.Roster, error) {
@@ -185,7 +191,7 @@
 			}
 		}
 		t.pool.SetWorkers(mine, t.Clock.Now())
-		t.pool.SetLeaving(view.leaving())
+		t.pool.SetAsked(view.asked())
 		t.rostered.send()
 		t.startLookers(mine)
 		t.plan.send()
--- a/internal/upkeep/machine_state.go
+++ b/internal/upkeep/machine_state.go
@@ -9,4 +9,5 @@
 	Moving
 	InUpkeep
 	Down
+	Off // on standby
 )
--- a/internal/upkeep/plan.go
+++ b/internal/upkeep/plan.go
@@ -1,38 +1,27 @@
 package upkeep
 
-import "sort"
-
-// Plan returns the next steps. Machines are emptied one bound ahead of those
-// that are down, those of the pools with the fewest affected first.
+// Plan returns the next steps. All machines are asked for at once: their pools
+// decide when they can spare them.
 func Plan(s *Snapshot) Steps {
 	var steps Steps
 	down := s.Progress.down()
-	waiting := 0
-	affected := make(map[string]int) // machines asked or down, by pool
 	var open []string
 	for _, id := range s.Wave.Machines {
 		machine, listed := s.Machines[id]
 		switch {
 		case s.Progress.Done[id]:
-			continue
 		case !listed || s.back(id, &machine):
 			steps.Back = append(steps.Back, id)
-			if s.Progress.Ordered[id] != "" || s.Progress.Begun[id] {
+			if _, ordered := s.Progress.Ordered[id]; ordered {
 				down--
 			}
-			continue
 		case s.Progress.Begun[id]:
-			affected[machine.Pool]++
-		case s.Empty[id] == Emptied || machine.Worker == "" && machine.State == Up:
+		case s.Empty[id] == Emptied || machine.Worker == "" && (machine.State == Up || machine.State == Off):
 			open = append(open, id)
-			affected[machine.Pool]++
-		case s.Empty[id] == Asked:
-			waiting++
-			affected[machine.Pool]++
 		}
 	}
 	steps.Order = s.orders(open, down)
-	s.ask(&steps, affected, waiting+len(open)-len(steps.Order))
+	steps.Ask = s.ask()
 	steps.Completed = len(s.Progress.Done)+len(steps.Back) >= len(s.Wave.Machines)
 	return steps
 }
@@ -66,24 +55,16 @@
 	return picked
 }
 
-// ask adds the machines to be emptied next.
-func (s *Snapshot) ask(steps *Steps, affected map[string]int, waiting int) {
+// ask returns the machines that their pools have not been asked to empty.
+func (s *Snapshot) ask() []string {
 	var rest []string
 	for _, id := range s.Wave.Machines {
 		m, listed := s.Machines[id]
-		if listed && m.State == Up && m.Worker != "" && !s.Progress.Done[id] && !s.Progress.Begun[id] && s.Empty[id] == NotAsked {
+		if listed && m.Worker != "" && !s.Progress.Done[id] && !s.Progress.Begun[id] && s.Empty[id] == NotAsked {
 			rest = append(rest, id)
 		}
 	}
-	for waiting < s.cap() && len(rest) > 0 {
-		sort.SliceStable(rest, func(a, b int) bool {
-			return affected[s.Machines[rest[a]].Pool] < affected[s.Machines[rest[b]].Pool]
-		})
-		steps.Ask = append(steps.Ask, rest[0])
-		affected[s.Machines[rest[0]].Pool]++
-		rest = rest[1:]
-		waiting++
-	}
+	return rest
 }
 
 func (s *Snapshot) cap() int { return max(s.Wave.Cap, 1) }
--- a/internal/upkeep/progress.go
+++ b/internal/upkeep/progress.go
@@ -1,10 +1,13 @@
 package upkeep
 
+import "time"
+
 // Progress is what is kept of a wave's course.
 type Progress struct {
 	Ordered map[string]string // by machine: the worker on it when its upkeep was ordered
 	Begun   map[string]bool   // machines whose upkeep the platform has confirmed
 	Done    map[string]bool   // machines that are back, or gone
+	Since   time.Time         // time of day at which the wave was first seen
 }
 
 // NewProgress returns the progress of a wave that has not begun.
--- a/internal/work/pool.go
+++ b/internal/work/pool.go
@@ -13,19 +13,25 @@
 	timing  Timing
 	tenure  int // counts the pool's owners
 
-	mu       sync.Mutex
-	takenAt  time.Time
-	settleBy time.Time           // by then, all that an earlier owner started has ended or answered
-	settled  bool                // all that an earlier owner may have started is known or has ended
-	awaited  map[string]*awaited // by worker: what an earlier owner may have started
-	jobs     map[string]*job
-	order    []*job // the jobs by acceptance
-	workers  map[string]*worker
-	wall     time.Time // time of day at the last plan
-	sequence int64     // of the last change that has to be kept
-	learned  *durations
-	counts   Counts
-	ended    map[string]time.Time // jobs seen to their end, and when they were dropped
+	mu            sync.Mutex
+	takenAt       time.Time
+	settleBy      time.Time           // by then, all that an earlier owner started has ended or answered
+	settled       bool                // all that an earlier owner may have started is known or has ended
+	awaited       map[string]*awaited // by worker: what an earlier owner may have started
+	jobs          map[string]*job
+	order         []*job // the jobs by acceptance
+	workers       map[string]*worker
+	wall          time.Time // time of day at the last plan
+	sequence      int64     // of the last change that has to be kept
+	learned       *durations
+	counts        Counts
+	asked         map[string]time.Time // machines to be emptied, and by when
+	offeredBefore map[string]bool      // machines that an earlier owner offered
+	lastUnit      Resources            // capacity of a usual machine when some were last listed
+	peak          float64              // recent peak of the load, in machines
+	longPeak      float64              // highest load of the last while, in machines
+	peakAt        time.Time
+	ended         map[string]time.Time // jobs seen to their end, and when they were dropped
 }
 
 // NewPool returns the pool of service for the owner with the given fencing
@@ -34,7 +40,7 @@
 	p := &Pool{
 		service: service, token: token, timing: timing, tenure: roster.Tenure + 1, takenAt: now,
 		awaited: make(map[string]*awaited), jobs: make(map[string]*job), workers: make(map[string]*worker),
-		learned: newDurations(), ended: make(map[string]time.Time),
+		learned: newDurations(), ended: make(map[string]time.Time), offeredBefore: make(map[string]bool),
 	}
 	p.settleBy = now.Add(timing.granted())
 	if !roster.Released {
--- /dev/null
+++ b/internal/work/pool_leaving.go
@@ -0,0 +1,78 @@
+package work
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// SetAsked names the machines that are to be emptied, with the time of day by
+// which their upkeep should be over.
+func (p *Pool) SetAsked(machines map[string]time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.asked = machines
+	for _, w := range p.workers {
+		if p.asked[w.facts.Machine].IsZero() {
+			w.leaving = false
+		}
+	}
+}
+
+// chooseLeaving begins to empty machines that are asked for: as many as the
+// pool can spare now, and at least so many that all are over in time.
+func (p *Pool) chooseLeaving(now, wall time.Time) {
+	var open []*worker
+	leaving := 0
+	soonest := time.Time{}
+	for _, w := range p.workers {
+		by := p.asked[w.facts.Machine]
+		if w.facts.Machine == "" || by.IsZero() || !w.listed || w.lost {
+			continue
+		}
+		if w.leaving {
+			leaving++
+			continue
+		}
+		open = append(open, w)
+		if soonest.IsZero() || by.Before(soonest) {
+			soonest = by
+		}
+	}
+	if len(open) == 0 {
+		return
+	}
+	slices.SortFunc(open, func(a, b *worker) int {
+		if a.used.MilliCPU != b.used.MilliCPU {
+			return a.used.MilliCPU - b.used.MilliCPU
+		}
+		return compareIDs(a, b)
+	})
+	allowed := max(due(len(open)+leaving, soonest.Sub(wall)), p.sparable(now)+leaving)
+	for _, w := range open {
+		if leaving >= allowed {
+			return
+		}
+		w.leaving = true
+		leaving++
+	}
+}
+
+// due returns how many of n machines must be down at once to be over in time.
+func due(n int, left time.Duration) int {
+	return min(n, int(float64(n)*upkeepTime.Seconds()/max(left-upkeepTime/2, upkeepTime/4).Seconds()))
+}
+
+// sparable returns how many machines the recent peak leaves free.
+func (p *Pool) sparable(now time.Time) int {
+	l := p.measure(now)
+	p.follow(&l, now)
+	return max(int(math.Floor(l.Have-max(p.peak*headroom, float64(l.Widest)))), 0)
+}
+
+func compareIDs(a, b *worker) int { return strings.Compare(a.facts.ID, b.facts.ID) }
+
+// upkeepTime is how long a machine is away for its upkeep: emptied, down, and
+// back with its first look.
+const upkeepTime = 4500 * time.Millisecond
--- /dev/null
+++ b/internal/work/pool_load.go
@@ -0,0 +1,113 @@
+package work
+
+import (
+	"math"
+	"time"
+)
+
+// unit is the capacity of one usual machine of the pool.
+func (p *Pool) unit() Resources {
+	var sum Resources
+	n := 0
+	for _, w := range p.workers {
+		if w.listed && !w.lost {
+			sum = sum.Plus(w.facts.Capacity)
+			n++
+		}
+	}
+	if n == 0 {
+		return p.lastUnit
+	}
+	p.lastUnit = Resources{MilliCPU: sum.MilliCPU / n, MemoryMB: sum.MemoryMB / n, Accelerators: sum.Accelerators / n}
+	return p.lastUnit
+}
+
+// share returns which part of unit r takes, by what is scarcest.
+func (r Resources) share(unit Resources) float64 {
+	part := func(need, have int) float64 {
+		if need <= 0 || have <= 0 {
+			return 0
+		}
+		return float64(need) / float64(have)
+	}
+	return max(part(r.MilliCPU, unit.MilliCPU), part(r.MemoryMB, unit.MemoryMB), part(r.Accelerators, unit.Accelerators))
+}
+
+// measure sums up the pool's load at now.
+func (p *Pool) measure(now time.Time) Load {
+	unit := p.unit()
+	var l Load
+	for _, w := range p.workers {
+		if w.inService() {
+			l.Have += max(w.facts.Capacity.share(unit), smallestShare)
+		}
+		for _, r := range w.runs {
+			l.Used += r.reserved.share(unit)
+		}
+	}
+	for _, j := range p.order {
+		if j.progress.State.Final() || j.rank.class >= hopeless {
+			continue
+		}
+		p.measureJob(j, unit, now, &l)
+	}
+	return l
+}
+
+// smallestShare counts for a machine that offers next to nothing.
+const smallestShare = 0.01
+
+func (p *Pool) measureJob(j *job, unit Resources, now time.Time, l *Load) {
+	for _, o := range j.occurrences {
+		for _, s := range o.stages {
+			if s.left == 0 {
+				continue
+			}
+			each := s.step.reserved().share(unit)
+			if s.step.LongRunning {
+				l.Widest = max(l.Widest, s.machines())
+			} else {
+				l.Backlog += float64(s.left) * each * p.learned.expected(j.sub.Queue, s.step.Estimate).Seconds()
+			}
+			if !o.open(s) {
+				continue
+			}
+			for _, t := range s.tasks {
+				if t.startable(now) {
+					l.Waiting += each
+				}
+			}
+		}
+	}
+}
+
+// machines returns how many machines the stage needs because it limits its
+// tasks on one.
+func (s *stage) machines() int {
+	if s.step.MaxPerWorker == 0 {
+		return 1
+	}
+	return (s.step.Count + s.step.MaxPerWorker - 1) / s.step.MaxPerWorker
+}
+
+// follow moves the recent peaks of the load on: they rise at once and fall by
+// half in their half-lives.
+func (p *Pool) follow(l *Load, now time.Time) {
+	current := l.Used + l.Waiting
+	if p.peakAt.IsZero() {
+		p.peakAt, p.longPeak = now, l.Have // nothing is known yet
+	}
+	since := float64(now.Sub(p.peakAt))
+	p.peak = max(current, p.peak*math.Exp2(-since/float64(peakHalfLife)))
+	p.longPeak = max(min(current, l.Have), p.longPeak*math.Exp2(-since/float64(longHalfLife)))
+	p.peakAt = now
+}
+
+const (
+	// peakHalfLife is how long a machine stays after the load that it was
+	// needed for: about as long as its move there and back takes.
+	peakHalfLife = 400 * time.Millisecond
+	// longHalfLife is how long a burst is remembered: bursts of a queue come
+	// tens of seconds apart.
+	longHalfLife = 30 * time.Second
+)
--- a/internal/work/pool_plan.go
+++ b/internal/work/pool_plan.go
@@ -15,6 +15,7 @@
 	p.sweepWorkers(now)
 	p.drop(now)
 	p.settle(now, &plan)
+	p.chooseLeaving(now, wall)
 	p.moveOff(now, &plan)
 	p.planStops(now, &plan)
 	p.planRepeats(now, &plan)
--- a/internal/work/pool_test.go
+++ b/internal/work/pool_test.go
@@ -93,7 +93,7 @@
 	It("stops lasting tasks for a machine's sake only once an earlier owner's stops are over", func() {
 		s := newScene(worker("a"), worker("b"), worker("c"))
 		s.addKept(lasting("j", 2), token-1, work.Progress{})
-		s.pool.SetLeaving(map[string]bool{"m-a": true})
+		s.pool.SetAsked(map[string]time.Time{"m-a": s.now})
 		row := work.RunRow{Task: work.TaskID{Job: "j"}, Attempt: 1, Percent: 100}
 		s.look("a", []work.RunRow{row})
 		row.Task.Index = 1
@@ -114,7 +114,7 @@
 		}
 		s.pass(timing.Stop + time.Second)
 		s.pool.LookFailed(started[0].Worker, work.Unanswered, s.now)
-		s.pool.SetLeaving(map[string]bool{"m-" + started[1].Worker: true})
+		s.pool.SetAsked(map[string]time.Time{"m-" + started[1].Worker: s.now})
 		Expect(s.plan().Stops).To(BeEmpty())
 	})
 
@@ -126,7 +126,7 @@
 			s.look(o.Worker, []work.RunRow{runs(o)})
 		}
 		s.pass(timing.Stop + time.Second)
-		s.pool.SetLeaving(map[string]bool{"m-" + started[0].Worker: true, "m-" + started[1].Worker: true})
+		s.pool.SetAsked(map[string]time.Time{"m-" + started[0].Worker: s.now, "m-" + started[1].Worker: s.now})
 		first := only(s.plan().Stops)
 		s.pool.Stopped(first, work.Accepted, s.now)
 		s.look(first.Worker, nil, work.EndRow{Task: first.Task, Attempt: first.Attempt, Kind: work.EndStopped})
--- a/internal/work/pool_workers.go
+++ b/internal/work/pool_workers.go
@@ -13,7 +13,7 @@
 	seen := make(map[string]bool, len(facts))
 	for i := range facts {
 		seen[facts[i].ID] = true
-		p.setWorker(facts[i])
+		p.setWorker(facts[i], now)
 	}
 	for id, w := range p.workers {
 		if !seen[id] && w.listed {
@@ -44,34 +44,27 @@
 	}
 }
 
-func (p *Pool) setWorker(facts WorkerFacts) {
+func (p *Pool) setWorker(facts WorkerFacts, now time.Time) {
 	w, ok := p.workers[facts.ID]
 	if !ok {
-		p.workers[facts.ID] = newWorker(facts)
+		w = newWorker(facts)
+		w.since = now
+		w.offered = p.offeredBefore[facts.Machine]
+		p.workers[facts.ID] = w
 		return
 	}
 	if w.lost || (facts.Born != 0 && w.born != 0 && facts.Born > w.born) {
 		p.lose(w)
 		p.counts.Reborn++
-		leaving := w.leaving
+		leaving, offered := w.leaving, w.offered
 		*w = *newWorker(facts)
-		w.leaving = leaving
+		w.leaving, w.offered, w.since = leaving, offered, now
 		return
 	}
 	w.facts = facts
 	w.listed = true
 }
 
-// SetLeaving names the machines that are to be emptied. Nothing new starts on
-// their workers.
-func (p *Pool) SetLeaving(machines map[string]bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, w := range p.workers {
-		w.leaving = w.facts.Machine != "" && machines[w.facts.Machine]
-	}
-}
-
 // Emptied reports whether the pool has workers on the machine, and nothing runs
 // or will start on any of them.
 func (p *Pool) Emptied(machine string) bool {
@@ -82,7 +75,7 @@
 		if w.facts.Machine != machine {
 			continue
 		}
-		if !w.leaving || len(w.runs) > 0 || !w.fenced {
+		if !w.held() || len(w.runs) > 0 || !w.fenced {
 			return false
 		}
 		found = true
--- a/internal/work/worker.go
+++ b/internal/work/worker.go
@@ -5,12 +5,14 @@
 // worker is one life of a machine that runs tasks. The pool's lock guards it.
 type worker struct {
 	facts      WorkerFacts
-	listed     bool // the platform lists it
-	leaving    bool // its machine is to be emptied
-	rostered   bool // the next owner would know that anything may run there
-	fenced     bool // it has seen this owner's token
-	reachable  bool // its last look or order was answered
-	lost       bool // another life answers at its address
+	listed     bool      // the platform lists it
+	leaving    bool      // its machine is being emptied
+	offered    bool      // its machine is offered to other pools
+	since      time.Time // when it was first listed
+	rostered   bool      // the next owner would know that anything may run there
+	fenced     bool      // it has seen this owner's token
+	reachable  bool      // its last look or order was answered
+	lost       bool      // another life answers at its address
 	born       int64
 	clock      clockReading
 	runs       map[runKey]*run
@@ -36,10 +38,19 @@
 
 // usable reports whether new tasks may start there at now.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && !w.facts.Draining && !w.leaving && !w.lost && w.fenced && w.reachable && w.rostered &&
+	return w.listed && !w.facts.Draining && !w.held() && !w.lost && w.fenced && w.reachable && w.rostered &&
 		!now.Before(w.blocked) && !now.Before(w.suspended)
 }
 
+// held reports whether nothing new may start there for its machine's sake.
+func (w *worker) held() bool { return w.leaving || w.offered }
+
+// inService reports whether the worker counts among those that the pool works
+// with, also while it takes nothing for a moment.
+func (w *worker) inService() bool {
+	return w.listed && !w.facts.Draining && !w.held() && !w.lost && w.fenced && w.reachable
+}
+
 // needsLook reports whether the worker has to be asked what runs there.
 func (w *worker) needsLook() bool {
 	return !w.lost && (!w.fenced || !w.reachable || len(w.runs) > 0 || w.applied > w.told)
--- a/internal/workstore/doc.go
+++ b/internal/workstore/doc.go
@@ -4,6 +4,9 @@
 //	fleet/member/NODE     an entry that is alive, under its lease
 //	fleet/owner/SERVICE   who owns the service's pool, under its lease
 //	fleet/empty/MACHINE   a machine that is to be emptied
+//	duty/need/SERVICE     how many more machines a pool could use
+//	duty/offer/MACHINE    a machine that its pool can spare
+//	upkeep/WAVE           the course of a wave of upkeep
 //	roster/SERVICE        workers on which the owner's tasks may run
 //	work/SERVICE/job/ID   an accepted job; removed once nothing of it runs
 //	work/SERVICE/cancel/ID
--- /dev/null
+++ b/internal/workstore/empty_record.go
@@ -0,0 +1,22 @@
+package workstore
+
+import "time"
+
+// emptyRecord is the request to empty a machine, as kept.
+type emptyRecord struct {
+	By      int64 `cbor:"1,keyasint"` // Unix time in milliseconds
+	Emptied bool  `cbor:"2,keyasint,omitempty"`
+}
+
+// EncodeEmpty returns the value of the key of a machine that is to be emptied by
+// a time, or has been.
+func EncodeEmpty(by time.Time, emptied bool) ([]byte, error) {
+	return encode(emptyRecord{By: unixMillis(by), Emptied: emptied})
+}
+
+// DecodeEmpty reads the value of the key of a machine that is to be emptied.
+func DecodeEmpty(key string, value []byte) (by time.Time, emptied bool, err error) {
+	var r emptyRecord
+	err = decode(key, value, &r)
+	return fromUnixMillis(r.By), r.Emptied, err
+}
--- a/internal/workstore/keys.go
+++ b/internal/workstore/keys.go
@@ -10,6 +10,29 @@
 	emptyPrefix  = "fleet/empty/"
 )
 
+// DutyPrefix is the prefix of what pools tell the holder of the duty for
+// machines.
+const (
+	DutyPrefix  = "duty/"
+	needPrefix  = "duty/need/"
+	offerPrefix = "duty/offer/"
+)
+
+// NeedKey is the key of how many more machines a pool could use.
+func NeedKey(service string) string { return needPrefix + service }
+
+// OfferKey is the key of a machine that its pool can spare.
+func OfferKey(machine string) string { return offerPrefix + machine }
+
+// OfferPrefix is the prefix of the machines that pools can spare.
+const OfferPrefix = offerPrefix
+
+// ParseNeed returns the service that a key names, or false.
+func ParseNeed(key string) (service string, ok bool) { return strings.CutPrefix(key, needPrefix) }
+
+// ParseOffer returns the machine that a key names, or false.
+func ParseOffer(key string) (machine string, ok bool) { return strings.CutPrefix(key, offerPrefix) }
+
 // MemberKey is the key of an entry that is alive.
 func MemberKey(node string) string { return memberPrefix + node }
 
--- /dev/null
+++ b/internal/workstore/offer_record.go
@@ -0,0 +1,19 @@
+package workstore
+
+import "persimmonbay/internal/lending"
+
+// offerRecord is a lending.Offer as kept.
+type offerRecord struct {
+	Pool   string `cbor:"1,keyasint"`
+	Target string `cbor:"2,keyasint,omitempty"`
+}
+
+// EncodeOffer returns the value of the key of an offered machine.
+func EncodeOffer(o lending.Offer) ([]byte, error) { return encode(offerRecord(o)) }
+
+// DecodeOffer reads the value of the key of an offered machine.
+func DecodeOffer(key string, value []byte) (lending.Offer, error) {
+	var r offerRecord
+	err := decode(key, value, &r)
+	return lending.Offer(r), err
+}
--- a/internal/workstore/upkeep_record.go
+++ b/internal/workstore/upkeep_record.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"persimmonbay/internal/upkeep"
 )
@@ -11,6 +12,7 @@
 	Ordered map[string]string `cbor:"1,keyasint,omitempty"`
 	Begun   map[string]bool   `cbor:"2,keyasint,omitempty"`
 	Done    map[string]bool   `cbor:"3,keyasint,omitempty"`
+	Since   time.Time         `cbor:"4,keyasint,omitempty"`
 }
 
 // UpkeepKey is the key of a wave's progress.
@@ -27,9 +29,3 @@
 	err := decode(key, value, &r)
 	return upkeep.Progress(r), err
 }
-
-// The values of the key of a machine that is to be emptied.
-const (
-	EmptyAsked = "asked"
-	EmptyDone  = "emptied"
-)
