--- a/internal/intake/cancel.go
+++ b/internal/intake/cancel.go
@@ -32,12 +32,13 @@
 		return err
 	}
 	key := workstore.StateKey(found.service, id)
-	_, err = in.store.Commit(ctx, store.Txn{
+	revision, err := in.store.Commit(ctx, store.Txn{
 		Expected: []store.Expectation{{Key: key, Revision: found.revision}},
 		Writes:   []store.Write{{Key: key, Value: state}, {Key: workstore.CancelKey(found.service, id)}},
 	})
 	if err != nil {
 		return problem.Wrap(problem.KindOf(err), problem.StepStoreWrite, id, err)
 	}
+	in.owners.Cancelled(found.service, id, revision)
 	return nil
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -20,13 +20,14 @@
 type Intake struct {
 	store  store.Store
 	config *workconfig.InForce
+	owners Announcer
 	clock  clockwork.Clock
 	log    *zap.Logger
 }
 
 // New returns an intake.
-func New(s store.Store, config *workconfig.InForce, clock clockwork.Clock, log *zap.Logger) *Intake {
-	return &Intake{store: s, config: config, clock: clock, log: log}
+func New(s store.Store, config *workconfig.InForce, owners Announcer, clock clockwork.Clock, log *zap.Logger) *Intake {
+	return &Intake{store: s, config: config, owners: owners, clock: clock, log: log}
 }
 
 // retryEvery is how long a call to the store that failed at once waits for its
@@ -44,10 +45,14 @@
 	}
 	uncertain := false
 	for {
-		_, err := in.store.Commit(ctx, txn)
-		if err == nil || problem.Is(err, problem.Conflict) {
+		revision, err := in.store.Commit(ctx, txn)
+		if err == nil {
+			in.owners.Accepted(sub.Service, sub.ID, txn.Writes[0].Value, revision)
 			return nil
 		}
+		if problem.Is(err, problem.Conflict) {
+			return nil // it was accepted before
+		}
 		uncertain = uncertain || store.Uncertain(err)
 		if !in.pause(ctx) {
 			return in.notAccepted(sub.ID, uncertain, err)
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -51,8 +51,8 @@
 	if s.Platform.Machines != "" {
 		dependencies.Machines = platform.NewMachines(s.Platform.Machines, codec)
 	}
-	e.keeper = keeper.New(s.ID, dependencies, boundsOf(&s.Timing), e.config)
-	in := intake.New(store, e.config, clock, log)
+	e.keeper = keeper.New(s.ID, s.Listen.Peers, dependencies, boundsOf(&s.Timing), e.config)
+	in := intake.New(store, e.config, announcer{e.keeper}, clock, log)
 	e.callers = &http.Server{Handler: platform.NewIngress(in, e.config, codec, clock, log).Handler(), ReadHeaderTimeout: headerTimeout}
 	e.probes = &http.Server{Handler: platform.ReadinessHandler(e.ready), ReadHeaderTimeout: headerTimeout}
 	return e, nil
@@ -93,6 +93,7 @@
 	group.Go(func() error { return serve(e.callers, callers) })
 	group.Go(func() error { return serve(e.probes, probes) })
 	group.Go(func() error { e.keeper.Run(ctx); return nil })
+	group.Go(func() error { return e.servePeers(ctx) })
 	group.Go(func() error { return e.drain(ctx) })
 	err = group.Wait()
 	e.log.Info("stopped", zap.String("entry", e.settings.ID))
--- /dev/null
+++ b/internal/jobentry/peers.go
@@ -0,0 +1,37 @@
+package jobentry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/peer"
+	"persimmonbay/internal/peerwork"
+)
+
+// peerTimeout bounds one call to another entry.
+const peerTimeout = 500 * time.Millisecond
+
+// servePeers takes in the notices of other entries and sends ours, once the
+// secret that entries share is known.
+func (e *Entry) servePeers(ctx context.Context) error {
+	secret, changed := e.keeper.Secret()
+	for secret == nil {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+		secret, changed = e.keeper.Secret()
+	}
+	listener, err := listen(e.settings.Listen.Peers)
+	if err != nil {
+		return err
+	}
+	client := peer.NewClient(e.settings.ID, secret, peerTimeout)
+	defer client.Close()
+	e.keeper.UsePeers(peerwork.NewClient(client))
+	e.log.Info("peers served", zap.String("peers", e.settings.Listen.Peers))
+	return peer.NewServer(peerwork.NewHandler(e.keeper), secret, e.log).Serve(ctx, listener)
+}
--- a/internal/keeper/balancer.go
+++ b/internal/keeper/balancer.go
@@ -25,7 +25,7 @@
 	}
 	need := now.Need
 	for m := range b.offered {
-		if need == 0 {
+		if need == 0 || now.Recalled > 0 {
 			break
 		}
 		back, err := b.takeBack(ctx, m)
@@ -37,7 +37,7 @@
 		}
 	}
 	fresh := slices.DeleteFunc(now.Offers, func(m string) bool { return b.offered[m] != 0 })
-	if now.Need == 0 && len(fresh) > 0 {
+	if (now.Need == 0 || now.Recalled > 0) && len(fresh) > 0 {
 		if err := b.offer(ctx, fresh); err != nil {
 			return err
 		}
--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -24,6 +24,7 @@
 	said     map[int64]bool // waves whose completion operators were told
 	active   map[int64]bool // waves whose beginning operators were told
 	moving   map[string]*onTheWay
+	recalls  map[string]int // as last told
 	view     *shard.Cell[dutyView]
 }
 
@@ -38,14 +39,14 @@
 	go t.guard()
 	d := &duty{
 		tenure: t, since: t.Clock.Now(), progress: map[int64]upkeep.Progress{}, said: map[int64]bool{}, active: map[int64]bool{},
-		moving: map[string]*onTheWay{}, view: shard.NewCell(newDutyView()),
+		moving: map[string]*onTheWay{}, recalls: map[string]int{}, view: shard.NewCell(newDutyView()),
 	}
 	t.orders.Go(d.followDuty)
 	for t.ctx.Err() == nil && !t.isLeaving() {
 		waves, wavesChanged := t.waves.Watch()
 		view, viewChanged := d.view.Watch()
 		open := d.openWaves(waves)
-		busy := len(open) > 0 || len(d.moving) > 0 || len(view.needs) > 0 || len(view.offers) > 0
+		busy := len(open) > 0 || t.fleet.Get().home == nil || len(d.moving) > 0 || len(view.needs) > 0 || len(view.offers) > 0
 		if busy {
 			d.step(open)
 		}
@@ -104,6 +105,15 @@
 	for _, m := range listed {
 		machines[m.ID] = m
 	}
+	if err := d.keepHome(ctx, machines); err != nil {
+		d.log.Info("pools' own machines not kept", telemetry.ProblemFields(err)...)
+	}
+	for _, w := range open {
+		if _, err := d.load(ctx, w.Number); err != nil {
+			d.log.Info("wave not read", append(telemetry.ProblemFields(err), zap.Int64("wave", w.Number))...)
+			return
+		}
+	}
 	if err := d.lend(ctx, machines); err != nil {
 		d.log.Info("machines not moved", telemetry.ProblemFields(err)...)
 	}
@@ -126,6 +136,8 @@
 		d.active[w.Number] = true
 	}
 	snapshot := upkeep.Snapshot{Wave: w, Machines: machines, Empty: d.emptying(), Progress: progress}
+	snapshot.Busy = len(d.view.Get().needs) > 0
+	snapshot.Left = progress.Since.Add(w.Within - askMargin).Sub(d.Clock.Now())
 	steps := upkeep.Plan(&snapshot)
 	if err := d.finish(ctx, w.Number, &progress, steps.Back); err != nil {
 		return err
@@ -241,13 +253,16 @@
 // order takes machines down. The intention is kept first, so that the next
 // holder counts them.
 func (d *duty) order(ctx context.Context, wave int64, p *upkeep.Progress, ids []string, machines map[string]upkeep.Machine) error {
-	if len(ids) == 0 || d.Clock.Now().Sub(d.since) < d.bounds.HolderPause {
+	recent := d.recent()
+	ids = slices.DeleteFunc(ids, func(m string) bool { return recent[m] })
+	if len(ids) == 0 {
 		return nil
 	}
 	fresh := false
 	for _, m := range ids {
 		if _, ordered := p.Ordered[m]; !ordered {
 			p.Ordered[m] = machines[m].Worker
+			p.At[m] = d.Clock.Now()
 			fresh = true
 		}
 	}
--- a/internal/keeper/duty_lend.go
+++ b/internal/keeper/duty_lend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -51,14 +52,16 @@
 	if err := d.arrive(ctx, machines, view); err != nil {
 		return err
 	}
-	if d.Clock.Now().Sub(d.since) < d.bounds.HolderPause {
-		return nil
-	}
-	moves := d.unfinished(machines, view)
-	planned := lending.Plan(&lending.Snapshot{
-		Needs: view.needs, Offers: view.offers, Machines: machines, Standby: d.standby(), OnTheWay: d.targets(), Asked: d.askedMachines(),
+	recent := d.recent()
+	moves := d.unfinished(machines, view, recent)
+	steps := lending.Plan(&lending.Snapshot{
+		Needs: view.needs, Home: d.fleet.Get().home, Offers: view.offers, Machines: machines, Standby: d.standby(),
+		OnTheWay: d.targets(), Asked: d.askedMachines(), Recent: recent,
 	})
-	taken, err := d.take(ctx, planned, view)
+	if err := d.tellRecalls(ctx, steps.Recalls); err != nil {
+		return err
+	}
+	taken, err := d.take(ctx, steps.Moves, machines, view)
 	if err != nil {
 		return err
 	}
@@ -66,6 +69,25 @@
 	return nil
 }
 
+// tellRecalls tells pools how many machines they have to give up.
+func (d *duty) tellRecalls(ctx context.Context, recalls map[string]int) error {
+	txn := d.guarded()
+	for pool := range d.fleet.Get().home {
+		if recalls[pool] == d.recalls[pool] || txn.Entries() == store.MaxTxnEntries {
+			continue
+		}
+		txn.Writes = append(txn.Writes, store.Write{Key: workstore.RecallKey(pool), Value: []byte(strconv.Itoa(recalls[pool]))})
+	}
+	if len(txn.Writes) == 0 {
+		return nil
+	}
+	if err := d.commit(ctx, txn); err != nil {
+		return err
+	}
+	d.recalls = recalls
+	return nil
+}
+
 // moveAll orders moves side by side, and takes in their answers.
 func (d *duty) moveAll(ctx context.Context, moves []lending.Move) {
 	answers := make([]error, len(moves))
@@ -87,26 +109,28 @@
 // dozen orders a second.
 const movesAtOnce = 8
 
-// arrive takes in which machines have joined their new pool.
+// arrive takes in which machines have joined their new pool. Their records go
+// once no next holder needs to know of the order any more.
 func (d *duty) arrive(ctx context.Context, machines map[string]upkeep.Machine, view dutyView) error {
 	now := d.Clock.Now()
 	txn := d.guarded()
 	for id, way := range d.moving {
 		m, listed := machines[id]
-		switch {
-		case listed && (m.Pool != way.target || m.State == upkeep.Moving):
-			continue
-		case way.arrived.IsZero():
+		there := !listed || (m.Pool == way.target && m.State != upkeep.Moving)
+		if there && way.arrived.IsZero() {
 			way.arrived = now
-			if view.revisions[id] != 0 {
-				txn.Remove = append(txn.Remove, workstore.OfferKey(id))
-			}
-		case now.Sub(way.arrived) > arrivalTime:
-			delete(d.moving, id)
 		}
-		if txn.Entries() == store.MaxTxnEntries {
-			break
+		if way.arrived.IsZero() || now.Sub(way.arrived) < arrivalTime {
+			continue
+		}
+		way.joined = true
+		if now.Sub(way.ordered) < d.bounds.HolderPause || txn.Entries() == store.MaxTxnEntries {
+			continue
 		}
+		if view.revisions[id] != 0 {
+			txn.Remove = append(txn.Remove, workstore.OfferKey(id))
+		}
+		delete(d.moving, id)
 	}
 	if len(txn.Remove) == 0 {
 		return nil
@@ -116,36 +140,31 @@
 
 // unfinished returns moves that were begun, by this holder or an earlier one,
 // and whose order has to be repeated.
-func (d *duty) unfinished(machines map[string]upkeep.Machine, view dutyView) []lending.Move {
+func (d *duty) unfinished(machines map[string]upkeep.Machine, view dutyView, recent map[string]bool) []lending.Move {
 	var moves []lending.Move
 	for id, offer := range view.offers {
 		m, listed := machines[id]
-		if offer.Target == "" || !listed || m.State != upkeep.Up || m.Pool == offer.Target {
-			continue
-		}
-		moves = append(moves, lending.Move{Machine: id, Target: offer.Target, Offered: true})
-	}
-	for id, offer := range view.offers {
-		m := machines[id]
-		if offer.Target != "" && m.Pool == offer.Target && d.moving[id] == nil {
-			d.moving[id] = &onTheWay{target: offer.Target}
+		switch {
+		case offer.Target == "":
+		case !listed || m.Pool == offer.Target || m.State == upkeep.Moving:
+			if d.moving[id] == nil {
+				d.moving[id] = &onTheWay{target: offer.Target, ordered: d.Clock.Now()}
+			}
+		case m.State == upkeep.Up && !recent[id]:
+			moves = append(moves, lending.Move{Machine: id, Target: offer.Target})
 		}
 	}
 	return moves
 }
 
-// take claims the offers of the planned moves, so that their pools can no
-// longer take them back. It returns the moves that may be ordered.
-func (d *duty) take(ctx context.Context, moves []lending.Move, view dutyView) ([]lending.Move, error) {
-	var ready []lending.Move
+// take claims the machines of the planned moves, so that their pools can no
+// longer take them back and the next holder knows of the orders. It returns the
+// moves that may be ordered.
+func (d *duty) take(ctx context.Context, moves []lending.Move, machines map[string]upkeep.Machine, view dutyView) ([]lending.Move, error) {
 	txn := d.guarded()
 	var claimed []lending.Move
 	for _, m := range moves {
-		if !m.Offered {
-			ready = append(ready, m)
-			continue
-		}
-		value, err := workstore.EncodeOffer(lending.Offer{Pool: view.offers[m.Machine].Pool, Target: m.Target})
+		value, err := workstore.EncodeOffer(lending.Offer{Pool: machines[m.Machine].Pool, Target: m.Target, At: d.Clock.Now()})
 		if err != nil {
 			return nil, err
 		}
@@ -158,17 +177,14 @@
 		claimed = append(claimed, m)
 	}
 	if len(claimed) == 0 {
-		return ready, nil
+		return nil, nil
 	}
 	_, err := d.Store.Commit(ctx, txn)
 	if problem.Is(err, problem.Conflict) {
 		d.log.Info("an offer was taken back", telemetry.ProblemFields(err)...)
-		return ready, nil // the view shows it soon
-	}
-	if err != nil {
-		return nil, err
+		return nil, nil // the view shows it soon
 	}
-	return append(ready, claimed...), nil
+	return claimed, err
 }
 
 func (d *duty) move(ctx context.Context, m lending.Move) error {
@@ -183,11 +199,11 @@
 func (d *duty) moved(ctx context.Context, m lending.Move, err error) {
 	if err == nil {
 		d.log.Info("machine moved", zap.String("machine", m.Machine), zap.String("target", m.Target))
-		d.moving[m.Machine] = &onTheWay{target: m.Target}
+		d.moving[m.Machine] = &onTheWay{target: m.Target, ordered: d.Clock.Now()}
 		return
 	}
 	d.log.Info("machine not moved", append(telemetry.ProblemFields(err), zap.String("machine", m.Machine))...)
-	if !problem.Is(err, problem.NotFound) || !m.Offered {
+	if !problem.Is(err, problem.NotFound) {
 		return
 	}
 	txn := d.guarded()
@@ -200,7 +216,9 @@
 func (d *duty) targets() map[string]string {
 	targets := make(map[string]string, len(d.moving))
 	for id, way := range d.moving {
-		targets[id] = way.target
+		if !way.joined {
+			targets[id] = way.target
+		}
 	}
 	return targets
 }
--- a/internal/keeper/fleet_view.go
+++ b/internal/keeper/fleet_view.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"sort"
+	"strconv"
 	"time"
 
 	"persimmonbay/internal/store"
@@ -12,19 +13,22 @@
 // fleetView is what the store tells of entries, owners and machines that are
 // to be emptied. It is never changed, only replaced.
 type fleetView struct {
-	members map[string]bool
+	members map[string]string     // entries that are alive, with their peer address
+	home    map[string]int        // how many machines are each pool's own; nil: not kept yet
+	recalls map[string]int        // machines that pools have to give up
+	secret  []byte                // that entries share; nil: none yet
 	owners  map[string]ownerEntry // by service
 	empty   map[string]emptyEntry // by machine
 	known   bool                  // the store was read
 }
 
 func newFleetView() fleetView {
-	return fleetView{members: map[string]bool{}, owners: map[string]ownerEntry{}, empty: map[string]emptyEntry{}}
+	return fleetView{members: map[string]string{}, owners: map[string]ownerEntry{}, empty: map[string]emptyEntry{}, recalls: map[string]int{}}
 }
 
 // with returns the view after an event.
 func (v fleetView) with(e store.Event, now time.Time) fleetView {
-	next := fleetView{members: maps.Clone(v.members), owners: maps.Clone(v.owners), empty: maps.Clone(v.empty), known: v.known}
+	next := fleetView{members: maps.Clone(v.members), owners: maps.Clone(v.owners), empty: maps.Clone(v.empty), known: v.known, secret: v.secret, home: v.home, recalls: maps.Clone(v.recalls)}
 	next.apply(e, now)
 	return next
 }
@@ -32,11 +36,10 @@
 // apply changes a view that nobody else sees yet.
 func (v *fleetView) apply(e store.Event, now time.Time) {
 	if node, ok := workstore.ParseMember(e.Key); ok {
-		if e.Deleted {
-			delete(v.members, node)
-		} else {
-			v.members[node] = true
-		}
+		v.applyMember(node, e)
+	}
+	if e.Key == workstore.SecretKey && !e.Deleted {
+		v.secret = e.Value
 	}
 	if service, ok := workstore.ParseOwner(e.Key); ok {
 		if e.Deleted {
@@ -45,11 +48,33 @@
 			v.owners[service] = ownerEntry{node: string(e.Value), token: e.Revision, since: now}
 		}
 	}
+	if service, ok := workstore.ParseRecall(e.Key); ok {
+		n, err := strconv.Atoi(string(e.Value))
+		if e.Deleted || err != nil {
+			n = 0
+		}
+		v.recalls[service] = n
+	}
+	if home, err := workstore.DecodeHome(e.Key, e.Value); e.Key == workstore.HomeKey && err == nil {
+		v.home = home
+	}
 	if machine, ok := workstore.ParseEmpty(e.Key); ok {
 		v.applyEmpty(machine, e)
 	}
 }
 
+func (v *fleetView) applyMember(node string, e store.Event) {
+	if e.Deleted {
+		delete(v.members, node)
+		return
+	}
+	address, err := workstore.DecodeMember(e.Key, e.Value)
+	if err != nil {
+		address = "" // it is alive, and gets no notices
+	}
+	v.members[node] = address
+}
+
 func (v *fleetView) applyEmpty(machine string, e store.Event) {
 	if e.Deleted {
 		delete(v.empty, machine)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -15,6 +15,7 @@
 type Keeper struct {
 	Dependencies
 	node    string
+	address string // on which other entries reach this one
 	bounds  Bounds
 	config  *workconfig.InForce
 	session *session
@@ -22,16 +23,18 @@
 	workers *shard.Cell[map[string]work.WorkerFacts] // maps are replaced, never changed
 	waves   *shard.Cell[waveView]
 	heard   *shard.Cell[time.Time] // when the store last answered
+	peers   *shard.Cell[Peers]     // nil until known
 	changed signal
 
 	mu      sync.Mutex
 	tenures map[string]*tenure // by service
 }
 
-// New returns a keeper for the entry called node.
-func New(node string, d Dependencies, bounds Bounds, config *workconfig.InForce) *Keeper {
+// New returns a keeper for the entry called node, which other entries reach at
+// address.
+func New(node, address string, d Dependencies, bounds Bounds, config *workconfig.InForce) *Keeper {
 	return &Keeper{
-		Dependencies: d, node: node, bounds: bounds, config: config,
+		Dependencies: d, node: node, address: address, bounds: bounds, peers: shard.NewCell[Peers](nil), config: config,
 		session: newSession(d.Store, d.Clock, d.SinceBoot, d.Log, &bounds, node),
 		fleet:   shard.NewCell(newFleetView()),
 		workers: shard.NewCell(map[string]work.WorkerFacts{}),
--- a/internal/keeper/keeper_manage.go
+++ b/internal/keeper/keeper_manage.go
@@ -36,6 +36,7 @@
 		if registered != lease && k.register(ctx, lease) {
 			registered = lease
 		}
+		k.makeSecret(ctx)
 		if registered == lease {
 			k.takeOver(ctx, lease, started.Add(k.bounds.Settle))
 		}
@@ -45,7 +46,12 @@
 func (k *Keeper) register(ctx context.Context, lease int64) bool {
 	limited, cancel := context.WithTimeout(ctx, k.bounds.Call)
 	defer cancel()
-	_, err := k.Store.Commit(limited, store.Txn{Writes: []store.Write{{Key: workstore.MemberKey(k.node), Value: []byte(k.node), Lease: lease}}})
+	value, err := workstore.EncodeMember(k.address)
+	if err != nil {
+		k.Log.Error("not registered", telemetry.ProblemFields(err)...)
+		return false
+	}
+	_, err = k.Store.Commit(limited, store.Txn{Writes: []store.Write{{Key: workstore.MemberKey(k.node), Value: value, Lease: lease}}})
 	if err != nil {
 		k.Log.Info("not registered yet", telemetry.ProblemFields(err)...)
 	}
--- /dev/null
+++ b/internal/keeper/keeper_notices.go
@@ -0,0 +1,76 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/telemetry"
+	"persimmonbay/internal/workstore"
+)
+
+// noticeTimeout bounds one notice: the watch of the store is as quick by then.
+const noticeTimeout = 500 * time.Millisecond
+
+// Announce tells the pool's owner of a change that the store has kept. It does
+// not wait for the owner.
+func (k *Keeper) Announce(n Notice) {
+	view := k.fleet.Get()
+	owner := view.owners[n.Service].node
+	if owner == k.node || owner == "" {
+		k.Notified(n)
+		return
+	}
+	peers, address := k.peers.Get(), view.members[owner]
+	if peers == nil || address == "" {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
+		defer cancel()
+		if err := peers.Notify(ctx, address, n); err != nil {
+			k.Log.Debug("owner not notified", append(telemetry.ProblemFields(err), zap.String("job", n.Job))...)
+		}
+	}()
+}
+
+// Notified takes in a notice for a pool that may be ours.
+func (k *Keeper) Notified(n Notice) {
+	k.mu.Lock()
+	t := k.tenures[n.Service]
+	k.mu.Unlock()
+	if t == nil || !t.loaded.Load() {
+		return
+	}
+	t.notified(n)
+}
+
+// notified takes in a change that came after the pool was taken over. Of one
+// that came before, the store knows more than the notice does.
+func (t *tenure) notified(n Notice) {
+	if n.Revision <= t.token {
+		return
+	}
+	if n.Cancelled {
+		t.pool.Cancel(n.Job, n.Revision)
+	} else {
+		item := store.Item{Key: workstore.JobKey(t.service, n.Job), Value: n.Value, Revision: n.Revision, Created: n.Revision}
+		t.addJob(n.Job, item, store.Item{}, t.Clock.Now())
+	}
+	t.plan.send()
+}
+
+// UsePeers gives the way to other entries, once it is known.
+func (k *Keeper) UsePeers(p Peers) {
+	k.peers.Update(func(Peers) (Peers, bool) { return p, true })
+}
+
+// Secret returns what entries prove themselves to each other with, and a channel
+// that is closed when it may have changed; nil until it is known. It lies in the
+// store, which only entries and operators reach.
+func (k *Keeper) Secret() ([]byte, <-chan struct{}) {
+	view, changed := k.fleet.Watch()
+	return view.secret, changed
+}
--- a/internal/keeper/on_the_way.go
+++ b/internal/keeper/on_the_way.go
@@ -5,5 +5,7 @@
 // onTheWay is a machine that was ordered into a pool.
 type onTheWay struct {
 	target  string
+	ordered time.Time
 	arrived time.Time // when it was first listed there; zero: not yet
+	joined  bool      // its pool works with it by now
 }
--- a/internal/keeper/tenure.go
+++ b/internal/keeper/tenure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"go.uber.org/zap"
 
@@ -21,7 +22,8 @@
 	done     chan struct{}
 	leaving  chan struct{} // closed when the pool is to be handed over
 	leave    sync.Once
-	pool     *work.Pool
+	pool     *work.Pool // set once loaded is
+	loaded   atomic.Bool
 	plan     signal // plan again
 	save     signal // there is progress to keep
 	rostered signal // the roster may have changed
--- a/internal/keeper/tenure_pool.go
+++ b/internal/keeper/tenure_pool.go
@@ -22,6 +22,7 @@
 	if !ok {
 		return
 	}
+	t.loaded.Store(true)
 	t.orders.Go(t.followWorkersOfPool)
 	t.orders.Go(func() { t.followWork(from) })
 	t.orders.Go(t.saveLoop)
@@ -192,6 +193,7 @@
 		}
 		t.pool.SetWorkers(mine, t.Clock.Now())
 		t.pool.SetAsked(view.asked())
+		t.pool.SetShare(view.home[t.service], view.recalls[t.service])
 		t.rostered.send()
 		t.startLookers(mine)
 		t.plan.send()
--- a/internal/lending/move.go
+++ b/internal/lending/move.go
@@ -4,5 +4,4 @@
 type Move struct {
 	Machine string
 	Target  string
-	Offered bool // by the pool that it leaves; else it comes from standby
 }
--- a/internal/lending/offer.go
+++ b/internal/lending/offer.go
@@ -1,7 +1,10 @@
 package lending
 
-// Offer is a machine that its pool can spare.
+import "time"
+
+// Offer is a machine that its pool can spare, or that was taken from standby.
 type Offer struct {
-	Pool   string // that offers it
-	Target string // the pool for which it was taken; empty: not taken
+	Pool   string
+	Target string    // the pool for which it was taken; empty: not taken
+	At     time.Time // time of day at which it was taken
 }
--- a/internal/lending/plan.go
+++ b/internal/lending/plan.go
@@ -7,53 +7,41 @@
 	"persimmonbay/internal/upkeep"
 )
 
-// Plan returns the moves to order now: machines go where they are needed, first
-// those that other pools offer; what nobody needs goes on standby, where it
-// costs nothing.
-func Plan(s *Snapshot) []Move {
-	left := s.open()
-	offered, standby := s.offered(), s.onStandby()
-	var moves []Move
+// Plan returns the moves to order now, and how many machines each pool has to
+// give up. Machines go first to pools that have fewer than their own and need
+// them, then to the pools that have the fewest for their size. What nobody needs
+// goes on standby, where it costs nothing. A pool that has more than its own
+// gives them up when another lacks some of its own.
+func Plan(s *Snapshot) Steps {
+	b := newBook(s)
+	steps := Steps{Recalls: make(map[string]int)}
 	for {
-		pool := mostInNeed(left)
+		pool := b.nextInNeed()
 		if pool == "" {
 			break
 		}
-		left[pool]--
-		machine := takeFrom(&offered, func(m string) bool { return s.Offers[m].Pool != pool })
-		isOffered := machine != ""
-		if machine == "" {
-			machine = takeFrom(&standby, func(string) bool { return true })
-		}
-		if machine == "" {
-			delete(left, pool)
+		move, found := b.takeFor(pool)
+		if !found {
+			b.recall(pool, steps.Recalls)
 			continue
 		}
-		moves = append(moves, Move{Machine: machine, Target: pool, Offered: isOffered})
+		steps.Moves = append(steps.Moves, move)
 	}
 	if park := s.parking(); park != "" {
-		for _, m := range offered {
-			moves = append(moves, Move{Machine: m, Target: park, Offered: true})
+		for _, m := range b.offered {
+			steps.Moves = append(steps.Moves, Move{Machine: m, Target: park})
 		}
 	}
-	return moves
-}
-
-// open returns the needs that no machine on its way will meet.
-func (s *Snapshot) open() map[string]int {
-	left := maps.Clone(s.Needs)
-	for _, pool := range s.OnTheWay {
-		left[pool]--
-	}
-	return left
+	return steps
 }
 
-// offered returns the machines that were offered and not taken, in order.
-func (s *Snapshot) offered() []string {
+// offeredMachines returns the machines that were offered and not taken, in
+// order.
+func (s *Snapshot) offeredMachines() []string {
 	var ids []string
 	for id, offer := range s.Offers {
 		m, listed := s.Machines[id]
-		if offer.Target == "" && listed && m.State == upkeep.Up && m.Pool == offer.Pool && !s.Asked[id] {
+		if offer.Target == "" && listed && m.State == upkeep.Up && m.Pool == offer.Pool && !s.Asked[id] && !s.Recent[id] {
 			ids = append(ids, id)
 		}
 	}
@@ -61,11 +49,12 @@
 	return ids
 }
 
-// onStandby returns the machines on standby that can be used, in order.
-func (s *Snapshot) onStandby() []string {
+// standbyMachines returns the machines on standby that can be used, in order.
+func (s *Snapshot) standbyMachines() []string {
 	var ids []string
 	for id, m := range s.Machines {
-		if s.Standby[m.Pool] && (m.State == upkeep.Up || m.State == upkeep.Off) && s.OnTheWay[id] == "" && !s.Asked[id] {
+		_, claimed := s.Offers[id]
+		if s.Standby[m.Pool] && m.State == upkeep.Up && s.OnTheWay[id] == "" && !claimed && !s.Asked[id] && !s.Recent[id] {
 			ids = append(ids, id)
 		}
 	}
@@ -75,8 +64,7 @@
 
 // parking returns the first standby pool by name, or nothing.
 func (s *Snapshot) parking() string {
-	names := slices.Sorted(maps.Keys(s.Standby))
-	for _, n := range names {
+	for _, n := range slices.Sorted(maps.Keys(s.Standby)) {
 		if s.Standby[n] {
 			return n
 		}
@@ -84,17 +72,6 @@
 	return ""
 }
 
-// mostInNeed returns the pool with the largest need, or nothing.
-func mostInNeed(left map[string]int) string {
-	best := ""
-	for _, pool := range slices.Sorted(maps.Keys(left)) {
-		if left[pool] > 0 && (best == "" || left[pool] > left[best]) {
-			best = pool
-		}
-	}
-	return best
-}
-
 // takeFrom removes and returns the first machine that fits, or nothing.
 func takeFrom(ids *[]string, fits func(string) bool) string {
 	i := slices.IndexFunc(*ids, fits)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -71,7 +71,7 @@
 // streams are worth keeping. What ends such a call says less: a peer that stops
 // closes kept streams, and the call cannot tell that from a lost answer.
 func regular(request *wire.Request) bool {
-	return request.GetHeartbeat() != nil || request.GetSlots() != nil
+	return request.GetHeartbeat() != nil || request.GetSlots() != nil || request.GetWork() != nil
 }
 
 // exchange gives up when ctx ends. reusable says that the answer is whole and
--- /dev/null
+++ b/internal/peerwork/doc.go
@@ -0,0 +1,3 @@
+// Package peerwork carries notices of jobs between entries, over the sessions of
+// package peer.
+package peerwork
--- /dev/null
+++ b/internal/peerwork/handler.go
@@ -0,0 +1,32 @@
+package peerwork
+
+import (
+	"context"
+
+	"persimmonbay/internal/keeper"
+	"persimmonbay/internal/peer"
+	"persimmonbay/internal/peer/wire"
+	"persimmonbay/internal/problem"
+)
+
+// Handler takes in the notices of other entries.
+type Handler struct {
+	keeper *keeper.Keeper
+}
+
+var _ peer.Handler = (*Handler)(nil)
+
+// NewHandler returns a handler that hands notices to k.
+func NewHandler(k *keeper.Keeper) *Handler { return &Handler{keeper: k} }
+
+// Handle serves one call. Anything but a notice is refused.
+func (h *Handler) Handle(_ context.Context, request *wire.Request) (*wire.Response, error) {
+	n := request.GetWork()
+	if n == nil {
+		return nil, problem.New(problem.Invalid, problem.StepPeerCall, request.GetFrom(), "expected a notice of work")
+	}
+	h.keeper.Notified(keeper.Notice{
+		Service: n.GetService(), Job: n.GetJob(), Value: n.GetValue(), Revision: n.GetRevision(), Cancelled: n.GetCancelled(),
+	})
+	return &wire.Response{Body: &wire.Response_Work{Work: &wire.WorkNoted{}}}, nil
+}
--- a/internal/work/balance.go
+++ b/internal/work/balance.go
@@ -2,7 +2,8 @@
 
 // Balance is what a pool says of its machines.
 type Balance struct {
-	Need   int      // more machines that would be of use now
-	Load   Load     // that it was decided by
-	Offers []string // machines on which nothing runs and nothing will start
+	Need     int      // more machines that would be of use now
+	Recalled int      // machines that the pool has to give up
+	Load     Load     // that it was decided by
+	Offers   []string // machines on which nothing runs and nothing will start
 }
--- a/internal/work/pool.go
+++ b/internal/work/pool.go
@@ -30,6 +30,8 @@
 	lastUnit      Resources            // capacity of a usual machine when some were last listed
 	peak          float64              // recent peak of the load, in machines
 	longPeak      float64              // highest load of the last while, in machines
+	home          int                  // machines that are the pool's own; 0: not known
+	recalled      int                  // machines that the pool has to give up
 	peakAt        time.Time
 	ended         map[string]time.Time // jobs seen to their end, and when they were dropped
 }
--- a/internal/work/pool_balance.go
+++ b/internal/work/pool_balance.go
@@ -13,13 +13,13 @@
 	defer p.mu.Unlock()
 	l := p.measure(now)
 	p.follow(&l, now)
-	b := Balance{Load: l}
+	b := Balance{Load: l, Recalled: p.recalled}
 	if p.settled {
 		b.Need = p.need(&l)
 		p.offer(&l, now)
 	}
 	for _, w := range p.workers {
-		if w.offered && w.listed {
+		if w.offered && w.listed && len(w.runs) == 0 {
 			b.Offers = append(b.Offers, w.facts.Machine)
 		}
 	}
@@ -30,7 +30,7 @@
 // need returns how many more machines would be busy for long enough to be worth
 // their move.
 func (p *Pool) need(l *Load) int {
-	missing := max(float64(l.Widest)-l.Have, 0)
+	missing := max(float64(l.Widest)-l.Have, math.Floor(p.own()*reserve-l.Have), 0)
 	if l.Waiting > l.Have-l.Used {
 		room := max(l.Have-l.Used, 0)
 		byTasks := l.Waiting - room
@@ -43,9 +43,11 @@
 	return int(math.Ceil(max(missing, 0)))
 }
 
-// offer holds back idle machines that the pool can do without.
+// offer holds back idle machines that the pool can do without, and those that
+// it has to give up.
 func (p *Pool) offer(l *Load, now time.Time) {
-	keep := max(p.peak*headroom+1, p.longPeak*reserve, float64(l.Widest)+1)
+	p.giveUp()
+	keep := max(p.peak*headroom+1, p.own()*reserve, float64(l.Widest)+1)
 	spare := int(math.Floor(l.Have - keep))
 	for _, w := range p.idleWorkers(now) {
 		if spare <= 0 {
@@ -56,6 +58,51 @@
 	}
 }
 
+// giveUp holds back the least used machines, as many as are recalled: what runs
+// there ends first. Lasting tasks stay where they are.
+func (p *Pool) giveUp() {
+	held := 0
+	var busy []*worker
+	for _, w := range p.workers {
+		switch {
+		case w.offered && w.listed && !w.lost:
+			held++
+			if len(w.runs) > 0 && p.recalled == 0 {
+				w.offered = false
+			}
+		case w.inService() && w.facts.Machine != "" && !w.lasting() && p.asked[w.facts.Machine].IsZero():
+			busy = append(busy, w)
+		}
+	}
+	slices.SortFunc(busy, func(a, b *worker) int {
+		if a.used.MilliCPU != b.used.MilliCPU {
+			return a.used.MilliCPU - b.used.MilliCPU
+		}
+		return compareIDs(a, b)
+	})
+	for i := 0; i < len(busy) && held < p.recalled; i++ {
+		busy[i].offered = true
+		held++
+	}
+}
+
+// own returns how many machines are the pool's own: as the fleet says, or as it
+// has now while nothing is said.
+func (p *Pool) own() float64 {
+	if p.home > 0 {
+		return float64(p.home)
+	}
+	return p.longPeak
+}
+
+// SetShare tells how many machines are the pool's own, 0 if that is not known,
+// and how many it has to give up.
+func (p *Pool) SetShare(home, recalled int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.home, p.recalled = home, recalled
+}
+
 // idleWorkers returns the workers that could be offered at now, by ID.
 func (p *Pool) idleWorkers(now time.Time) []*worker {
 	var idle []*worker
@@ -94,12 +141,12 @@
 	// headroom is the room kept above the recent peak, for what comes while
 	// another machine would be on its way.
 	headroom = 1.25
-	// reserve is the part of the highest load of the last while that stays in
-	// the pool: it carries the next burst until more machines arrive.
-	reserve = 0.45
+	// reserve is the part of its own machines that stays in the pool: it carries
+	// the next burst until more arrive.
+	reserve = 0.6
 	// worthwhile is how long a machine should be busy for its move to pay: a
 	// move costs the users about a second of a machine.
 	worthwhile = time.Second
 	// freshFor is how long a machine stays after its arrival.
-	freshFor = 1500 * time.Millisecond
+	freshFor = 2 * time.Second
 )
--- a/internal/work/pool_jobs.go
+++ b/internal/work/pool_jobs.go
@@ -176,8 +176,8 @@
 }
 
 // rememberEnded is how long a job that is over is remembered: longer than a
-// read of the store that still shows it may take.
-const rememberEnded = 30 * time.Second
+// read of the store or a notice that still shows it may take.
+const rememberEnded = 2 * time.Minute
 
 // attemptsPerTenure keeps the attempts of one owner apart from those of the
 // next, who does not know which were used on workers that are gone. No owner
--- a/internal/work/pool_move_off.go
+++ b/internal/work/pool_move_off.go
@@ -31,7 +31,7 @@
 	if !step.LongRunning {
 		return step.Checkpointing && r.task.checkpoint != "" && w.facts.Draining
 	}
-	if w.facts.Draining || r.percent < fullPercent {
+	if w.facts.Draining {
 		return true
 	}
 	return r.stage.away(r.task) < max(step.MayMiss, 1)
--- a/internal/work/worker.go
+++ b/internal/work/worker.go
@@ -51,6 +51,16 @@
 	return w.listed && !w.facts.Draining && !w.held() && !w.lost && w.fenced && w.reachable
 }
 
+// lasting reports whether a task that lasts runs there.
+func (w *worker) lasting() bool {
+	for _, r := range w.runs {
+		if r.stage == nil || r.stage.step.LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
 // needsLook reports whether the worker has to be asked what runs there.
 func (w *worker) needsLook() bool {
 	return !w.lost && (!w.fenced || !w.reachable || len(w.runs) > 0 || w.applied > w.told)
--- a/internal/workstore/codec.go
+++ b/internal/workstore/codec.go
@@ -50,7 +50,9 @@
 // canonical encodes equal values to equal bytes, so that what is kept can be
 // compared with what was written.
 var canonical = func() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
+	options := cbor.CoreDetEncOptions()
+	options.Time = cbor.TimeRFC3339Nano
+	mode, err := options.EncMode()
 	if err != nil {
 		panic(err) // the options are constant
 	}
--- a/internal/workstore/doc.go
+++ b/internal/workstore/doc.go
@@ -4,6 +4,8 @@
 //	fleet/member/NODE     an entry that is alive, under its lease
 //	fleet/owner/SERVICE   who owns the service's pool, under its lease
 //	fleet/empty/MACHINE   a machine that is to be emptied
+//	fleet/home            how many machines are each pool's own
+//	fleet/recall/SERVICE  how many machines a pool has to give up
 //	duty/need/SERVICE     how many more machines a pool could use
 //	duty/offer/MACHINE    a machine that its pool can spare
 //	upkeep/WAVE           the course of a wave of upkeep
--- a/internal/workstore/keys.go
+++ b/internal/workstore/keys.go
@@ -33,6 +33,20 @@
 // ParseOffer returns the machine that a key names, or false.
 func ParseOffer(key string) (machine string, ok bool) { return strings.CutPrefix(key, offerPrefix) }
 
+// SecretKey is the key of what entries prove themselves to each other with.
+const SecretKey = "fleet/secret"
+
+// HomeKey is the key of how many machines are each pool's own.
+const HomeKey = "fleet/home"
+
+const recallPrefix = "fleet/recall/"
+
+// RecallKey is the key of how many machines a pool has to give up.
+func RecallKey(service string) string { return recallPrefix + service }
+
+// ParseRecall returns the service that a key names, or false.
+func ParseRecall(key string) (service string, ok bool) { return strings.CutPrefix(key, recallPrefix) }
+
 // MemberKey is the key of an entry that is alive.
 func MemberKey(node string) string { return memberPrefix + node }
 
--- a/internal/workstore/upkeep_record.go
+++ b/internal/workstore/upkeep_record.go
@@ -9,10 +9,11 @@
 
 // upkeepRecord is an upkeep.Progress as kept.
 type upkeepRecord struct {
-	Ordered map[string]string `cbor:"1,keyasint,omitempty"`
-	Begun   map[string]bool   `cbor:"2,keyasint,omitempty"`
-	Done    map[string]bool   `cbor:"3,keyasint,omitempty"`
-	Since   time.Time         `cbor:"4,keyasint,omitempty"`
+	Ordered map[string]string    `cbor:"1,keyasint,omitempty"`
+	At      map[string]time.Time `cbor:"5,keyasint,omitempty"`
+	Begun   map[string]bool      `cbor:"2,keyasint,omitempty"`
+	Done    map[string]bool      `cbor:"3,keyasint,omitempty"`
+	Since   time.Time            `cbor:"4,keyasint,omitempty"`
 }
 
 // UpkeepKey is the key of a wave's progress.
