--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -136,8 +136,6 @@
 		d.active[w.Number] = true
 	}
 	snapshot := upkeep.Snapshot{Wave: w, Machines: machines, Empty: d.emptying(), Progress: progress}
-	snapshot.Busy = len(d.view.Get().needs) > 0
-	snapshot.Left = progress.Since.Add(w.Within - askMargin).Sub(d.Clock.Now())
 	steps := upkeep.Plan(&snapshot)
 	if err := d.finish(ctx, w.Number, &progress, steps.Back); err != nil {
 		return err
--- a/internal/upkeep/plan.go
+++ b/internal/upkeep/plan.go
@@ -1,7 +1,5 @@
 package upkeep
 
-import "time"
-
 // Plan returns the next steps. All machines are asked for at once: their pools
 // decide when they can spare them.
 func Plan(s *Snapshot) Steps {
@@ -49,7 +47,7 @@
 		}
 	}
 	for _, id := range open {
-		if _, ordered := s.Progress.Ordered[id]; !ordered && down < s.bound() {
+		if _, ordered := s.Progress.Ordered[id]; !ordered && down < s.cap() {
 			picked = append(picked, id)
 			down++
 		}
@@ -69,24 +67,4 @@
 	return rest
 }
 
-// bound returns how many machines may be down at once now: while pools lack
-// machines, only as many as must be to be over in time.
-func (s *Snapshot) bound() int {
-	if !s.Busy {
-		return s.cap()
-	}
-	left := 0
-	for _, id := range s.Wave.Machines {
-		if !s.Progress.Done[id] {
-			left++
-		}
-	}
-	must := int(float64(left) * machineTime.Seconds() / max(s.Left, machineTime).Seconds())
-	return min(must, s.cap())
-}
-
-// machineTime is how long a machine is down, with the reading of the list that
-// shows it back.
-const machineTime = 3 * time.Second
-
 func (s *Snapshot) cap() int { return max(s.Wave.Cap, 1) }
--- a/internal/work/pool_balance.go
+++ b/internal/work/pool_balance.go
@@ -143,7 +143,7 @@
 	headroom = 1.25
 	// reserve is the part of its own machines that stays in the pool: it carries
 	// the next burst until more arrive.
-	reserve = 0.6
+	reserve = 0.35
 	// worthwhile is how long a machine should be busy for its move to pay: a
 	// move costs the users about a second of a machine.
 	worthwhile = time.Second
