Dead workers are told apart by the platform's list of machines

After the closing fault every pool stood still for 7 s. Now a pool in doubt has the platform's list of machines read: a worker whose machine runs another life, or none, has ended; an owner's own earlier life needs no time to give up. Ruled out: the lease of the store (taken over 1.7 s after the loss).

--- a/internal/keeper/keeper_manage.go
+++ b/internal/keeper/keeper_manage.go
@@ -128,7 +128,7 @@
 		}
 		return
 	}
-	k.begin(service, token, lease)
+	k.begin(service, token, lease, owner.node == k.node)
 }
 
 // acquired finds out whether an ownership whose write was not answered is ours.
@@ -145,10 +145,12 @@
 	return item.Revision, nil
 }
 
-// begin starts to keep a pool.
-func (k *Keeper) begin(service string, token, lease int64) {
+// begin starts to keep a pool. ownPast tells that its last owner was an earlier
+// life of this entry, which orders nothing any more.
+func (k *Keeper) begin(service string, token, lease int64, ownPast bool) {
 	k.Log.Info("pool taken over", zap.String("service", service), zap.Int64("token", token))
 	t := newTenure(k, service, token, lease)
+	t.ownPast = ownPast
 	k.mu.Lock()
 	k.tenures[service] = t
 	k.mu.Unlock()
--- a/internal/keeper/tenure.go
+++ b/internal/keeper/tenure.go
@@ -19,6 +19,7 @@
 	log      *zap.Logger
 	ctx      context.Context // ends with the tenure
 	cancel   context.CancelFunc
+	ownPast  bool // the last owner was an earlier life of this entry
 	done     chan struct{}
 	leaving  chan struct{} // closed when the pool is to be handed over
 	leave    sync.Once
--- a/internal/keeper/tenure_pool.go
+++ b/internal/keeper/tenure_pool.go
@@ -30,6 +30,7 @@
 	t.orders.Go(t.confirmLoop)
 	t.orders.Go(func() { t.balanceLoop(offered) })
 	t.orders.Go(t.rosterLoop)
+	t.orders.Go(t.livesLoop)
 	select {
 	case <-t.ctx.Done():
 	case <-t.leaving:
@@ -61,6 +62,7 @@
 		return 0, nil, err
 	}
 	now := t.Clock.Now()
+	roster.Released = roster.Released || t.ownPast
 	t.pool = work.NewPool(t.service, t.token, t.bounds.Work, roster, now)
 	if err := t.writeRoster(ctx); err != nil {
 		return 0, nil, err
--- a/internal/work/pool_answers.go
+++ b/internal/work/pool_answers.go
@@ -13,7 +13,7 @@
 	}
 	if clock > 0 {
 		w.clock = clockReading{at: now, millis: clock}
-		w.reachable = true
+		w.reachable, w.silent = true, false
 	}
 	r := w.runs[runKey{o.Task, o.Attempt}]
 	if r == nil || r.phase == running {
@@ -28,6 +28,7 @@
 	case Accepted:
 		r.phase = running
 		r.answeredAt = now
+		p.begun(r.stage.job)
 		return
 	case OtherLife:
 		p.loseTo(w)
@@ -60,7 +61,7 @@
 		p.counts.Refused++
 		w.block(now.Add(blockAfterRefusal))
 	case NotReached:
-		w.reachable = false
+		w.reachable, w.silent = false, true
 	case Unhealthy:
 		w.block(now.Add(blockAfterFailure))
 	case NoTicket:
--- /dev/null
+++ b/internal/work/pool_lives.go
@@ -0,0 +1,37 @@
+package work
+
+// Doubts reports whether the pool would gain from knowing which workers are
+// alive: some do not answer and may hold tasks.
+func (p *Pool) Doubts() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id := range p.awaited {
+		if w := p.workers[id]; w == nil || w.silent {
+			return true
+		}
+	}
+	for _, w := range p.workers {
+		if w.silent && !w.lost && len(w.runs) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// SetLives takes in which worker runs on each machine; empty: none. What ran on
+// a worker that does not answer has ended when its machine runs another, or
+// none.
+func (p *Pool) SetLives(lives map[string]string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, a := range p.awaited {
+		if current, known := lives[a.machine]; known && current != id && p.workers[id] == nil {
+			delete(p.awaited, id)
+		}
+	}
+	for id, w := range p.workers {
+		if current, known := lives[w.facts.Machine]; known && current != id && w.silent && !w.lost {
+			p.loseTo(w)
+		}
+	}
+}
--- a/internal/work/pool_look.go
+++ b/internal/work/pool_look.go
@@ -60,7 +60,7 @@
 	w.born = l.Born
 	w.clock = clockReading{at: l.ReceivedAt, millis: l.Clock}
 	w.fenced = true
-	w.reachable = true
+	w.reachable, w.silent = true, false
 	w.told = max(w.told, l.Observed)
 }
 
@@ -93,6 +93,7 @@
 		return
 	}
 	t.attempt = max(t.attempt, e.Attempt)
+	p.begun(j)
 	switch e.Kind {
 	case EndDone:
 		p.applyDone(w, t, r, now)
@@ -143,6 +144,9 @@
 			r.phase = running
 			r.answeredAt = l.ReceivedAt
 		}
+		if r.stage != nil {
+			p.begun(r.stage.job)
+		}
 		r.percent, r.gauge = row.Percent, row.Gauge
 		if r.task != nil && r.stage.step.Checkpointing && row.Checkpoint != "" {
 			r.task.checkpoint = row.Checkpoint
@@ -180,8 +184,11 @@
 func (p *Pool) bind(r *run, t *task) {
 	r.task, r.stage = t, t.stage
 	t.run = r
-	j := t.stage.job
-	j.runs++
+	t.stage.job.runs++
+}
+
+// begun takes in that a worker has taken a task of the job.
+func (p *Pool) begun(j *job) {
 	if j.progress.State == Queued {
 		j.progress.State = Active
 		p.change(j, false)
@@ -226,7 +233,7 @@
 		p.loseTo(w)
 		return
 	}
-	w.reachable = false
+	w.reachable, w.silent = false, true
 	w.block(now.Add(blockAfterFailure))
 }
 
--- a/internal/work/pool_test.go
+++ b/internal/work/pool_test.go
@@ -29,6 +29,17 @@
 		Expect(last.Revision).To(BeEquivalentTo(201))
 	})
 
+	// trouble-3 of the Registry: 0 jobs were said to wait, and 4 did.
+	It("counts as begun only once a worker has taken a task", func() {
+		s := newScene(worker("a"))
+		s.add(tasks("j", 1))
+		s.pool.Started(only(s.plan().Starts), work.NoRoom, s.clock, s.now)
+		Expect(s.save(201)).To(BeEmpty())
+		s.pass(time.Second)
+		s.startAll()
+		Expect(s.save(202)["j"].Progress.State).To(Equal(work.Active))
+	})
+
 	It("starts a step only after all tasks of the steps before it", func() {
 		s := newScene(worker("a"))
 		sub := tasks("j", 2)
@@ -274,6 +285,24 @@
 		Expect(s.pool.Knows("over")).To(BeTrue())
 	})
 
+	// trouble-3 of the Registry: the earlier owner's machines had moved to other
+	// pools or were off, and their workers were waited for in vain.
+	It("does not wait for workers whose machines run another life by now, or none", func() {
+		s := newScene()
+		roster := work.Roster{Workers: []work.RosterWorker{{ID: "a", Machine: "m-a"}, {ID: "gone", Machine: "m-gone"}}}
+		s.pool = work.NewPool("tags", token, timing, roster, s.now)
+		s.setWorkers(worker("a"), worker("b"))
+		s.look("b", nil)
+		s.addKept(tasks("j", 1), token-1, work.Progress{})
+		s.pool.LookFailed("a", work.Unanswered, s.now)
+		Expect(s.startAll()).To(BeEmpty())
+		Expect(s.pool.Doubts()).To(BeTrue())
+		s.pool.SetLives(map[string]string{"m-a": "", "m-b": "b", "m-gone": "c"})
+		Expect(only(s.startAll()).Worker).To(Equal("b"))
+		s.setWorkers(worker("a"), worker("b"))
+		Expect(s.pool.Doubts()).To(BeFalse(), "a is listed for a while after its end")
+	})
+
 	It("stops runs of jobs that are over", func() {
 		s := newScene(worker("a"))
 		s.look("a", []work.RunRow{{Task: work.TaskID{Job: "over"}, Attempt: 1, Percent: 100}})
@@ -321,6 +350,17 @@
 		Expect(only(s.startAll()).Worker).To(Equal("b"))
 	})
 
+	It("that does not answer frees its tasks once its machine runs no worker", func() {
+		s := newScene(worker("a"), worker("b"))
+		s.add(tasks("j", 1))
+		lost := only(s.startAll())
+		s.pool.LookFailed(lost.Worker, work.Unanswered, s.now)
+		s.pool.SetLives(map[string]string{"m-a": "a", "m-b": "b"})
+		Expect(s.startAll()).To(BeEmpty(), "it may be cut off and run on")
+		s.pool.SetLives(map[string]string{"m-" + lost.Worker: ""})
+		Expect(only(s.startAll()).Attempt).To(Equal(2))
+	})
+
 	It("that refuses the connection gets nothing until it has answered", func() {
 		s := newScene(worker("a"))
 		s.add(tasks("j", 1))
--- a/internal/work/pool_workers.go
+++ b/internal/work/pool_workers.go
@@ -53,7 +53,7 @@
 		p.workers[facts.ID] = w
 		return
 	}
-	if w.lost || (facts.Born != 0 && w.born != 0 && facts.Born > w.born) {
+	if (w.lost && (facts.Born == 0 || facts.Born > w.facts.Born)) || (facts.Born != 0 && w.born != 0 && facts.Born > w.born) {
 		p.lose(w)
 		p.counts.Reborn++
 		leaving, offered := w.leaving, w.offered
@@ -141,9 +141,10 @@
 // have left there, nil if nothing. While it is said to be down, nothing new
 // starts there.
 func (w *worker) roster(a *awaited) RosterWorker {
-	r := RosterWorker{ID: w.facts.ID, Down: w.fenced && !w.reachable}
+	r := RosterWorker{ID: w.facts.ID, Machine: w.facts.Machine, Down: w.fenced && !w.reachable}
 	if a != nil || !r.Down {
-		return RosterWorker{ID: w.facts.ID}
+		r.Down = false
+		return r
 	}
 	w.rostered = false
 	for _, run := range w.runs {
@@ -154,7 +155,7 @@
 }
 
 func (a *awaited) roster(id string) RosterWorker {
-	r := RosterWorker{ID: id, Down: a.known}
+	r := RosterWorker{ID: id, Machine: a.machine, Down: a.known}
 	for t := range a.tasks {
 		r.Tasks = append(r.Tasks, t)
 	}
--- a/internal/work/roster_worker.go
+++ b/internal/work/roster_worker.go
@@ -2,7 +2,8 @@
 
 // RosterWorker is a worker on which an owner's tasks may run.
 type RosterWorker struct {
-	ID    string
-	Down  bool     // it did not answer, and nothing was started there since
-	Tasks []TaskID // that may run there, if it is down
+	ID      string
+	Machine string   // the machine that it is one life of; empty: not told
+	Down    bool     // it did not answer, and nothing was started there since
+	Tasks   []TaskID // that may run there, if it is down
 }
--- a/internal/work/worker.go
+++ b/internal/work/worker.go
@@ -12,6 +12,7 @@
 	rostered   bool      // the next owner would know that anything may run there
 	fenced     bool      // it has seen this owner's token
 	reachable  bool      // its last look or order was answered
+	silent     bool      // its last look or order was not answered
 	lost       bool      // another life answers at its address
 	born       int64
 	clock      clockReading
