--- a/internal/work/pool_look.go
+++ b/internal/work/pool_look.go
@@ -12,10 +12,10 @@
 		return LookRequest{}, false
 	}
 	req := LookRequest{Worker: id, Address: w.facts.Address, Token: p.token, Observed: w.noted}
-	if w.fenced && w.clock.known() {
+	if w.fenced && !w.silent && w.clock.known() {
 		req.Deadline = w.clock.ahead(now, &p.timing)
+		w.expiresAt = laterOf(w.expiresAt, now.Add(p.timing.granted()))
 	}
-	w.expiresAt = laterOf(w.expiresAt, now.Add(p.timing.granted()))
 	return req, true
 }
 
@@ -176,6 +176,7 @@
 	}
 	p.bind(r, t)
 	r.wantStop = false
+	w.expiresAt = laterOf(w.expiresAt, now.Add(p.timing.granted())) // by the earlier owner
 	p.counts.Adopted++
 	return r
 }
--- a/internal/work/pool_test.go
+++ b/internal/work/pool_test.go
@@ -203,6 +203,17 @@
 		Expect(only(s.startAll()).Task).To(Equal(work.TaskID{Job: "old"}))
 	})
 
+	It("gives what it took over the time that the earlier owner granted", func() {
+		s := newScene(worker("a"), worker("b"))
+		s.addKept(tasks("j", 1), token-1, work.Progress{})
+		s.look("a", []work.RunRow{{Task: work.TaskID{Job: "j"}, Attempt: 1, Percent: 100}})
+		s.pool.LookFailed("a", work.Unanswered, s.now)
+		s.pass(timing.Hold)
+		Expect(s.startAll()).To(BeEmpty())
+		s.pass(time.Second)
+		Expect(s.startAll()).To(HaveLen(1))
+	})
+
 	It("waits for workers of the roster that the platform does not list, until their leases have ended", func() {
 		s := newScene(worker("a"))
 		s.pool = work.NewPool("tags", token, timing, work.Roster{Workers: []work.RosterWorker{{ID: "gone"}}}, s.now)
@@ -350,6 +361,26 @@
 		Expect(only(s.startAll()).Worker).To(Equal("b"))
 	})
 
+	// Days of the Registry (mix, seeds 1034025713845 and 54835174418): workers
+	// that were gone for good were asked again and again, and each time counted
+	// as granted more time.
+	It("that is gone gets no more time by being asked", func() {
+		s := newScene(worker("a"), worker("b"))
+		s.add(tasks("j", 1))
+		lost := only(s.startAll())
+		s.setWorkers(worker("b"))
+		for range 20 {
+			req, due := s.pool.LookFor(lost.Worker, s.now)
+			if due {
+				Expect(req.Deadline == 0 || s.now.Sub(time.Unix(1_700_000_000, 0)) < time.Second).To(BeTrue())
+				s.pool.LookFailed(lost.Worker, work.Unanswered, s.now)
+			}
+			s.pass(400 * time.Millisecond)
+			s.look("b", nil)
+		}
+		Expect(only(s.startAll()).Attempt).To(Equal(2))
+	})
+
 	It("that does not answer frees its tasks once its machine runs no worker", func() {
 		s := newScene(worker("a"), worker("b"))
 		s.add(tasks("j", 1))
