--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -51,7 +51,7 @@
 	if s.Platform.Machines != "" {
 		dependencies.Machines = platform.NewMachines(s.Platform.Machines, codec)
 	}
-	e.keeper = keeper.New(s.ID, s.Listen.Peers, dependencies, boundsOf(&s.Timing), e.config)
+	e.keeper = keeper.New(s.ID, s.Listen.Peers, s.Machine.Cores, dependencies, boundsOf(&s.Timing), e.config)
 	in := intake.New(store, e.config, announcer{e.keeper}, clock, log)
 	e.callers = &http.Server{Handler: platform.NewIngress(in, e.config, codec, clock, log).Handler(), ReadHeaderTimeout: headerTimeout}
 	e.probes = &http.Server{Handler: platform.ReadinessHandler(e.ready), ReadHeaderTimeout: headerTimeout}
--- a/internal/keeper/fleet_view.go
+++ b/internal/keeper/fleet_view.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"persimmonbay/internal/ownership"
 	"persimmonbay/internal/store"
 	"persimmonbay/internal/workstore"
 )
@@ -13,17 +14,17 @@
 // fleetView is what the store tells of entries, owners and machines that are
 // to be emptied. It is never changed, only replaced.
 type fleetView struct {
-	members map[string]string     // entries that are alive, with their peer address
-	home    map[string]int        // how many machines are each pool's own; nil: not kept yet
-	recalls map[string]int        // machines that pools have to give up
-	secret  []byte                // that entries share; nil: none yet
-	owners  map[string]ownerEntry // by service
-	empty   map[string]emptyEntry // by machine
-	known   bool                  // the store was read
+	members map[string]memberEntry // entries that are alive
+	home    map[string]int         // how many machines are each pool's own; nil: not kept yet
+	recalls map[string]int         // machines that pools have to give up
+	secret  []byte                 // that entries share; nil: none yet
+	owners  map[string]ownerEntry  // by service
+	empty   map[string]emptyEntry  // by machine
+	known   bool                   // the store was read
 }
 
 func newFleetView() fleetView {
-	return fleetView{members: map[string]string{}, owners: map[string]ownerEntry{}, empty: map[string]emptyEntry{}, recalls: map[string]int{}}
+	return fleetView{members: map[string]memberEntry{}, owners: map[string]ownerEntry{}, empty: map[string]emptyEntry{}, recalls: map[string]int{}}
 }
 
 // with returns the view after an event.
@@ -68,11 +69,11 @@
 		delete(v.members, node)
 		return
 	}
-	address, err := workstore.DecodeMember(e.Key, e.Value)
+	address, weight, err := workstore.DecodeMember(e.Key, e.Value)
 	if err != nil {
-		address = "" // it is alive, and gets no notices
+		address, weight = "", 0 // it is alive, and gets no notices
 	}
-	v.members[node] = address
+	v.members[node] = memberEntry{address: address, weight: weight}
 }
 
 func (v *fleetView) applyEmpty(machine string, e store.Event) {
@@ -96,12 +97,12 @@
 	return machines
 }
 
-// memberNames returns the entries that are alive, sorted.
-func (v *fleetView) memberNames() []string {
-	names := make([]string, 0, len(v.members))
-	for n := range v.members {
-		names = append(names, n)
+// alive returns the entries that are alive, by name.
+func (v *fleetView) alive() []ownership.Member {
+	members := make([]ownership.Member, 0, len(v.members))
+	for name, m := range v.members {
+		members = append(members, ownership.Member{Name: name, Weight: m.weight})
 	}
-	sort.Strings(names)
-	return names
+	sort.Slice(members, func(a, b int) bool { return members[a].Name < members[b].Name })
+	return members
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -15,7 +15,8 @@
 type Keeper struct {
 	Dependencies
 	node    string
-	address string // on which other entries reach this one
+	address string  // on which other entries reach this one
+	weight  float64 // what it can carry, in cores
 	bounds  Bounds
 	config  *workconfig.InForce
 	session *session
@@ -31,10 +32,10 @@
 }
 
 // New returns a keeper for the entry called node, which other entries reach at
-// address.
-func New(node, address string, d Dependencies, bounds Bounds, config *workconfig.InForce) *Keeper {
+// address and which can carry weight, in cores.
+func New(node, address string, weight float64, d Dependencies, bounds Bounds, config *workconfig.InForce) *Keeper {
 	return &Keeper{
-		Dependencies: d, node: node, address: address, bounds: bounds, peers: shard.NewCell[Peers](nil), config: config,
+		Dependencies: d, node: node, address: address, weight: weight, bounds: bounds, peers: shard.NewCell[Peers](nil), config: config,
 		session: newSession(d.Store, d.Clock, d.SinceBoot, d.Log, &bounds, node),
 		fleet:   shard.NewCell(newFleetView()),
 		workers: shard.NewCell(map[string]work.WorkerFacts{}),
--- a/internal/keeper/keeper_manage.go
+++ b/internal/keeper/keeper_manage.go
@@ -46,7 +46,7 @@
 func (k *Keeper) register(ctx context.Context, lease int64) bool {
 	limited, cancel := context.WithTimeout(ctx, k.bounds.Call)
 	defer cancel()
-	value, err := workstore.EncodeMember(k.address)
+	value, err := workstore.EncodeMember(k.address, k.weight)
 	if err != nil {
 		k.Log.Error("not registered", telemetry.ProblemFields(err)...)
 		return false
@@ -79,7 +79,7 @@
 		return
 	}
 	services := k.services()
-	assigned := ownership.Assign(services, view.memberNames())
+	assigned := ownership.Assign(services, view.alive())
 	for _, service := range services {
 		if k.owns(service) {
 			continue
--- a/internal/keeper/keeper_notices.go
+++ b/internal/keeper/keeper_notices.go
@@ -23,7 +23,7 @@
 		k.Notified(n)
 		return
 	}
-	peers, address := k.peers.Get(), view.members[owner]
+	peers, address := k.peers.Get(), view.members[owner].address
 	if peers == nil || address == "" {
 		return
 	}
--- a/internal/work/pool_answers.go
+++ b/internal/work/pool_answers.go
@@ -46,12 +46,14 @@
 		return
 	}
 	p.refused(w, r, answer, now)
-	if repeated && answer != TooLate {
-		// The first copy may still be carried out.
-		r.wantStop = true
-		return
+	switch {
+	case !repeated:
+		p.release(r)
+	case answer == TooLate:
+		r.stoppedAt = now // the first copy has run, or never will: the next look tells
+	default:
+		r.wantStop = true // the first copy may still be carried out
 	}
-	p.release(r)
 }
 
 // refused takes in why a worker did not start a task.
--- a/internal/work/pool_test.go
+++ b/internal/work/pool_test.go
@@ -163,6 +163,21 @@
 		s.look("b", nil)
 	})
 
+	// A calm day of the grown Registry: an owner short of CPU repeated a start
+	// whose first copy had run and ended, and was told that it was too late.
+	It("is not taken as never carried out because a repeat comes too late", func() {
+		s := newScene(worker("a"))
+		s.add(tasks("j", 1))
+		first := only(s.plan().Starts)
+		s.pool.Started(first, work.Unanswered, 0, s.now)
+		s.pass(timing.Restart)
+		s.pool.Started(only(s.plan().Starts), work.TooLate, s.clock, s.now)
+		s.pass(time.Millisecond)
+		Expect(s.plan().Starts).To(BeEmpty())
+		s.look("a", nil, ended(first, work.EndDone))
+		Expect(s.save(201)["j"].Progress.State).To(Equal(work.Completed))
+	})
+
 	It("keeps its room until the worker shows that it can no longer be carried out", func() {
 		s := newScene(worker("a"))
 		s.add(tasks("j", 16))
--- a/internal/workstore/member_record.go
+++ b/internal/workstore/member_record.go
@@ -2,17 +2,19 @@
 
 // memberRecord is an entry that is alive, as kept.
 type memberRecord struct {
-	PeerAddress string `cbor:"1,keyasint,omitempty"`
+	PeerAddress string  `cbor:"1,keyasint,omitempty"`
+	Weight      float64 `cbor:"2,keyasint,omitempty"`
 }
 
-// EncodeMember returns the value of the key of an entry that is alive.
-func EncodeMember(peerAddress string) ([]byte, error) {
-	return encode(memberRecord{PeerAddress: peerAddress})
+// EncodeMember returns the value of the key of an entry that is alive. weight is
+// what it can carry, in cores.
+func EncodeMember(peerAddress string, weight float64) ([]byte, error) {
+	return encode(memberRecord{PeerAddress: peerAddress, Weight: weight})
 }
 
 // DecodeMember reads the value of the key of an entry that is alive.
-func DecodeMember(key string, value []byte) (peerAddress string, err error) {
+func DecodeMember(key string, value []byte) (peerAddress string, weight float64, err error) {
 	var r memberRecord
 	err = decode(key, value, &r)
-	return r.PeerAddress, err
+	return r.PeerAddress, r.Weight, err
 }
