The whole path is tested against a stand-in of the platform; names stay in platform/

The stand-in (store, workers) lives in the tests of platform/ and uses its wire types. It found that an entry without machines to order ended itself: no duty for machines is taken then. test/shape fails when a name of the platform's stands outside platform/, or platform/ imports more than it translates to.

--- a/internal/keeper/dependencies.go
+++ b/internal/keeper/dependencies.go
@@ -13,8 +13,8 @@
 type Dependencies struct {
 	Store     store.Store
 	Workers   Workers
-	Adviser   Adviser // nil: no queue needs advice
-	Machines  Machines
+	Adviser   Adviser  // nil: no queue needs advice
+	Machines  Machines // nil: no machines can be ordered
 	Directory Directory
 	Operators Operators
 	Clock     clockwork.Clock
--- a/internal/keeper/keeper_manage.go
+++ b/internal/keeper/keeper_manage.go
@@ -58,12 +58,16 @@
 	return err == nil
 }
 
-// services returns what has an owner: all pools, and the duty for machines.
+// services returns what has an owner: all pools, and the duty for machines where
+// the platform lets them be ordered.
 func (k *Keeper) services() []string {
 	config := k.config.Get()
 	if config == nil {
 		return nil
 	}
+	if k.Machines == nil {
+		return config.Services()
+	}
 	return append(config.Services(), machineDuty)
 }
 
--- a/test/shape/shape_test.go
+++ b/test/shape/shape_test.go
@@ -22,7 +22,19 @@
 // decisionPackages know no encoding and no transport.
 var decisionPackages = []string{
 	"admission", "configuration", "dispatch", "fleet", "inventory", "ledger", "maintenance", "membership",
-	"placement", "problem", "request", "routing", "shard", "slots",
+	"lending", "ownership", "placement", "problem", "request", "routing", "shard", "slots", "upkeep", "work", "workconfig",
+}
+
+// platformNames are words that only the users' platform uses.
+var platformNames = []string{
+	"/-/run-start", "/-/run-stop", "/-/hold", "/-/pace", "/-/advise", "/-/kv-", "/-/machine", "X-Expect-Instance", "X-Lease-Holder",
+	"X-Fencing-Token", "X-Deadline-Ms", "fencing_token", "clock_ms", "mem_mb", "target_latency_ms", "max_attempts", "admission_check",
+	"anti_affinity", "op/config", "op/wave", "status/wave", "servers/", "PERSIMMONBAY_BOOT",
+}
+
+// platformMayImport are the product's packages that platform translates to.
+var platformMayImport = []string{
+	"intake", "keeper", "problem", "shard", "store", "telemetry", "upkeep", "work", "workconfig",
 }
 
 // forbiddenImports are the encodings and transports, by prefix.
@@ -55,6 +67,31 @@
 	})
 })
 
+var _ = Describe("the adapter to the users' platform", func() {
+	It("is the only place that knows the platform's names", func() {
+		for _, name := range sources(root) {
+			if strings.HasPrefix(name, filepath.Join(root, "platform")) || strings.Contains(name, "standin") {
+				continue
+			}
+			text, err := os.ReadFile(name)
+			Expect(err).NotTo(HaveOccurred())
+			for _, word := range platformNames {
+				Expect(string(text)).NotTo(ContainSubstring(`"`+word), name)
+			}
+		}
+	})
+
+	It("imports only what it translates to", func() {
+		for _, name := range sources(filepath.Join(root, "platform")) {
+			for _, path := range imports(name) {
+				if inner, ok := strings.CutPrefix(path, "persimmonbay/internal/"); ok {
+					Expect(platformMayImport).To(ContainElement(inner), name)
+				}
+			}
+		}
+	})
+})
+
 // sources returns the hand-written Go files below dir that are no tests.
 func sources(dir string) []string {
 	var names []string
