--- a/internal/jobentry/bounds.go
+++ b/internal/jobentry/bounds.go
@@ -11,22 +11,23 @@
 // Times that follow from the store's usual answer of a few milliseconds and
 // from the settings' bounds.
 const (
-	leaseMargin = 200 * time.Millisecond  // for the clocks of both sides and one order on its way
-	settle      = 1200 * time.Millisecond // entries that start together know each other by then
-	steal       = 800 * time.Millisecond  // the assigned owner is several answers late by then
-	watchWait   = time.Second             // bounds how long a silent connection goes unnoticed
-	storeCall   = 900 * time.Millisecond
-	workerOrder = 700 * time.Millisecond
-	lookWait    = time.Second
-	saveEvery   = 20 * time.Millisecond
-	saveLazily  = 80 * time.Millisecond
-	listPause   = 300 * time.Millisecond // well within the time in which a draining worker must get no more work
-	listEvery   = 400 * time.Millisecond
-	clockDrift  = 0.02                    // the platform's bound for a worker's steady clock
-	ownerGap    = 1500 * time.Millisecond // from the end of a lost owner's lease to the next owner's looks
-	suspension  = time.Second
-	maxSuspense = 8 * time.Second
-	pauseMargin = 300 * time.Millisecond
+	leaseMargin     = 200 * time.Millisecond  // for the clocks of both sides and one order on its way
+	settle          = 1200 * time.Millisecond // entries that start together know each other by then
+	steal           = 800 * time.Millisecond  // the assigned owner is several answers late by then
+	watchWait       = time.Second             // bounds how long a silent connection goes unnoticed
+	storeCall       = 900 * time.Millisecond
+	workerOrder     = 700 * time.Millisecond
+	lookWait        = time.Second
+	saveEvery       = 20 * time.Millisecond
+	saveLazily      = 80 * time.Millisecond
+	listPause       = 300 * time.Millisecond // well within the time in which a draining worker must get no more work
+	listEvery       = 400 * time.Millisecond
+	retentionFactor = 2                       // the times of day of entries may differ
+	clockDrift      = 0.02                    // the platform's bound for a worker's steady clock
+	ownerGap        = 1500 * time.Millisecond // from the end of a lost owner's lease to the next owner's looks
+	suspension      = time.Second
+	maxSuspense     = 8 * time.Second
+	pauseMargin     = 300 * time.Millisecond
 )
 
 // boundsOf returns the times that the keeper works with.
@@ -35,7 +36,7 @@
 	return keeper.Bounds{
 		LeaseTTL: lease, LeaseMargin: leaseMargin, Settle: settle, Steal: steal, WatchWait: watchWait, Call: storeCall,
 		Order: workerOrder, LookWait: lookWait, SaveEvery: saveEvery, SaveLazily: saveLazily,
-		HolderPause: t.HolderPause + pauseMargin, ListEvery: listEvery, ListPause: listPause,
+		Retention: retentionFactor * t.Retention, HolderPause: t.HolderPause + pauseMargin, ListEvery: listEvery, ListPause: listPause,
 		Work: work.Timing{
 			Hold: min(t.MaxHold, lease+lookWait+ownerGap), Restart: workerOrder, ClockDrift: clockDrift,
 			StartEarly: t.StartEarly, TakeOver: lease, Stop: t.Stop, Suspension: suspension, MaxSuspense: maxSuspense,
--- a/internal/keeper/bounds.go
+++ b/internal/keeper/bounds.go
@@ -18,6 +18,7 @@
 	LookWait    time.Duration // how long a look waits for an end
 	SaveEvery   time.Duration // between two saves that callers wait for
 	SaveLazily  time.Duration // how long progress waits that no caller waits for
+	Retention   time.Duration // how long the state of a job is told after its end
 	HolderPause time.Duration // before a new holder orders machines
 	ListPause   time.Duration // between two reads of what changed in the list of workers
 	ListEvery   time.Duration // between two reads of the machines in a wave
--- a/internal/keeper/tenure_pool.go
+++ b/internal/keeper/tenure_pool.go
@@ -31,6 +31,7 @@
 	t.orders.Go(func() { t.balanceLoop(offered) })
 	t.orders.Go(t.rosterLoop)
 	t.orders.Go(t.livesLoop)
+	t.orders.Go(t.sweepLoop)
 	select {
 	case <-t.ctx.Done():
 	case <-t.leaving:
--- /dev/null
+++ b/internal/keeper/tenure_sweep.go
@@ -0,0 +1,69 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/telemetry"
+	"persimmonbay/internal/workstore"
+)
+
+// sweepEvery is how often states that need not be told any more are removed: a
+// read of all of them should stay rare.
+const sweepEvery = time.Minute
+
+// sweepLoop removes the states of jobs that ended long ago, until the tenure
+// ends.
+func (t *tenure) sweepLoop() {
+	for t.ctx.Err() == nil {
+		sleep(t.ctx, t.Clock, sweepEvery)
+		if !t.holds() {
+			continue
+		}
+		if err := t.sweep(t.ctx); err != nil && t.ctx.Err() == nil {
+			t.log.Info("states not swept", telemetry.ProblemFields(err)...)
+		}
+	}
+}
+
+func (t *tenure) sweep(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, readAllTimeout)
+	defer cancel()
+	items, _, err := t.Store.Range(limited, workstore.StatePrefix(t.service))
+	if err != nil {
+		return err
+	}
+	old := t.outdated(items)
+	for len(old) > 0 {
+		txn := t.guardedTxn()
+		n := min(len(old), (store.MaxTxnEntries-1)/2)
+		for _, item := range old[:n] {
+			txn.Expected = append(txn.Expected, store.Expectation{Key: item.Key, Revision: item.Revision})
+			txn.Remove = append(txn.Remove, item.Key)
+		}
+		if _, err := t.Store.Commit(limited, txn); err != nil {
+			return err
+		}
+		old = old[n:]
+	}
+	return nil
+}
+
+// outdated returns the states that ended longer ago than they have to be told.
+func (t *tenure) outdated(items []store.Item) []store.Item {
+	var old []store.Item
+	for _, item := range items {
+		state, err := workstore.DecodeState(item.Key, item.Value)
+		if err != nil {
+			t.log.Error("progress not understood", append(telemetry.ProblemFields(err), zap.String("key", item.Key))...)
+			continue
+		}
+		if !state.EndedAt.IsZero() && t.Clock.Now().Sub(state.EndedAt) > t.bounds.Retention {
+			old = append(old, item)
+		}
+	}
+	return old
+}
--- /dev/null
+++ b/internal/upkeep/plan_test.go
@@ -0,0 +1,69 @@
+package upkeep_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/upkeep"
+)
+
+// wave returns a wave of machines that are up, of which two may be down at once.
+func wave(machines ...string) *upkeep.Snapshot {
+	s := &upkeep.Snapshot{
+		Wave: upkeep.Wave{Number: 1, Machines: machines, Cap: 2}, Machines: map[string]upkeep.Machine{},
+		Empty: map[string]upkeep.Emptying{}, Progress: upkeep.NewProgress(),
+	}
+	for _, m := range machines {
+		s.Machines[m] = upkeep.Machine{ID: m, Pool: "tags", Worker: "w-" + m}
+	}
+	return s
+}
+
+var _ = Describe("a wave", func() {
+	It("asks for all machines at once, and takes down only empty ones within the bound", func() {
+		s := wave("a", "b", "c", "d")
+		Expect(upkeep.Plan(s).Ask).To(Equal([]string{"a", "b", "c", "d"}))
+		Expect(upkeep.Plan(s).Order).To(BeEmpty())
+		s.Empty["a"], s.Empty["b"], s.Empty["c"], s.Empty["d"] = upkeep.Emptied, upkeep.Emptied, upkeep.Emptied, upkeep.Asked
+		steps := upkeep.Plan(s)
+		Expect(steps.Order).To(Equal([]string{"a", "b"}))
+		Expect(steps.Ask).To(BeEmpty())
+	})
+
+	It("counts machines ordered by an earlier holder as down, and repeats their orders", func() {
+		s := wave("a", "b", "c")
+		s.Progress.Ordered["a"] = "w-a"
+		s.Empty["a"], s.Empty["b"], s.Empty["c"] = upkeep.Emptied, upkeep.Emptied, upkeep.Emptied
+		Expect(upkeep.Plan(s).Order).To(Equal([]string{"a", "b"}))
+	})
+
+	It("takes a machine as back only with another worker, and is completed when all are", func() {
+		s := wave("a")
+		s.Progress.Ordered["a"], s.Progress.Begun["a"] = "w-a", true
+		Expect(upkeep.Plan(s).Back).To(BeEmpty())
+		s.Machines["a"] = upkeep.Machine{ID: "a", State: upkeep.InUpkeep}
+		Expect(upkeep.Plan(s).Completed).To(BeFalse())
+		s.Machines["a"] = upkeep.Machine{ID: "a", Worker: "w-new"}
+		steps := upkeep.Plan(s)
+		Expect(steps.Back).To(Equal([]string{"a"}))
+		Expect(steps.Completed).To(BeTrue())
+	})
+
+	// quiet-1 of the Registry: the wave was never said to be completed.
+	It("takes a machine on standby, which has no worker, as back once its upkeep is over", func() {
+		s := wave("a")
+		s.Machines["a"] = upkeep.Machine{ID: "a", Pool: "spare"}
+		Expect(upkeep.Plan(s).Order).To(Equal([]string{"a"}))
+		s.Progress.Ordered["a"], s.Progress.Begun["a"] = "", true
+		s.Machines["a"] = upkeep.Machine{ID: "a", Pool: "spare", State: upkeep.InUpkeep}
+		Expect(upkeep.Plan(s).Completed).To(BeFalse())
+		s.Machines["a"] = upkeep.Machine{ID: "a", Pool: "spare"}
+		Expect(upkeep.Plan(s).Completed).To(BeTrue())
+	})
+
+	It("does not wait for machines that are gone", func() {
+		s := wave("a")
+		delete(s.Machines, "a")
+		Expect(upkeep.Plan(s).Completed).To(BeTrue())
+	})
+})
