--- a/internal/work/sim_test.go
+++ b/internal/work/sim_test.go
@@ -41,23 +41,36 @@
 	token   int64
 	done    map[work.TaskID]bool // ended done, and kept
 	failed  map[work.TaskID]int  // ended failed, and kept
+	noted   map[work.TaskID]bool // ended done, and a worker forgot it
+	ended   map[work.TaskID]int  // failed ends of all workers
+	fails   map[work.TaskID]int  // failed ends that workers forgot
 	calm    bool
 }
 
 func newSim(seed int64) *sim {
 	s := &sim{
 		random: rand.New(rand.NewSource(seed)), now: time.Unix(1_700_000_000, 0), workers: map[string]*simWorker{}, kept: map[string]work.Progress{},
-		subs: map[string]work.Submission{}, created: map[string]int64{}, token: 1, done: map[work.TaskID]bool{}, failed: map[work.TaskID]int{},
+		subs: map[string]work.Submission{}, created: map[string]int64{}, token: 1, done: map[work.TaskID]bool{}, failed: map[work.TaskID]int{}, noted: map[work.TaskID]bool{}, fails: map[work.TaskID]int{}, ended: map[work.TaskID]int{},
 	}
 	for i := range 4 {
 		id := fmt.Sprint("w", i)
 		s.order = append(s.order, id)
-		s.workers[id] = newSimWorker(worker(id), s.now)
+		s.workers[id] = newSimWorker(worker(id), s.now, s.ended, s.note)
 	}
 	s.takeOver()
 	return s
 }
 
+// note takes in that a worker may forget an end.
+func (s *sim) note(e work.EndRow) {
+	switch e.Kind {
+	case work.EndDone:
+		s.noted[e.Task] = true
+	case work.EndFailed:
+		s.fails[e.Task]++
+	}
+}
+
 func (s *sim) takeOver() {
 	s.token += 10
 	o := &simOwner{pool: work.NewPool("tags", s.token, timing, s.roster, s.now), until: s.now.Add(time.Hour)}
@@ -134,7 +147,7 @@
 		s.workers[id].cut = s.now.Add(time.Duration(s.random.Intn(9000)) * time.Millisecond)
 	}
 	if s.random.Intn(400) == 0 && !s.calm {
-		s.workers[id] = newSimWorker(worker(id), s.now)
+		s.workers[id] = newSimWorker(worker(id), s.now, s.ended, s.note)
 		s.list()
 	}
 	if s.random.Intn(300) == 0 && !s.calm {
@@ -184,6 +197,8 @@
 	}
 	Expect(running).To(Equal(1), "%v runs %d times", o.Task, running)
 	Expect(s.done[o.Task] && !stale).To(BeFalse(), "%v starts again after its end was kept", o.Task)
+	Expect(s.noted[o.Task] && !stale).To(BeFalse(), "%v starts again after its end was noted", o.Task)
+	Expect(s.fails[o.Task]).To(BeNumerically("<", s.subs[o.Task.Job].MaxFailures), "%v starts after %d failures", o.Task, s.fails[o.Task])
 	Expect(s.failed[o.Task]).To(BeNumerically("<", s.subs[o.Task.Job].MaxFailures), "%v starts again", o.Task)
 }
 
@@ -218,6 +233,7 @@
 }
 
 func (s *sim) noteKept(i work.SaveItem) {
+	s.checkFailed(i)
 	for n := range s.subs[i.Job].Steps[0].Count {
 		id := work.TaskID{Job: i.Job, Index: n}
 		s.done[id] = n/8 < len(i.Progress.Done) && i.Progress.Done[n/8]&(1<<(n%8)) != 0
@@ -225,6 +241,19 @@
 	}
 }
 
+// checkFailed demands that a job is only said to have failed when a task has
+// failed so often: by ends that were noted, or are still listed.
+func (s *sim) checkFailed(i work.SaveItem) {
+	if i.Progress.State != work.Failed {
+		return
+	}
+	most := 0
+	for n := range s.subs[i.Job].Steps[0].Count {
+		most = max(most, s.ended[work.TaskID{Job: i.Job, Index: n}])
+	}
+	Expect(most).To(BeNumerically(">=", s.subs[i.Job].MaxFailures), "%s is said to have failed", i.Job)
+}
+
 func (s *sim) add(id string) {
 	sub := tasks(id, 1+s.random.Intn(6))
 	sub.Steps[0].Need = simTask
--- a/internal/work/sim_worker_test.go
+++ b/internal/work/sim_worker_test.go
@@ -18,22 +18,24 @@
 // simWorker is a worker in virtual time, after the platform's pages: it has a
 // lease, a fence, a list of ends, and takes nothing older than it has ended.
 type simWorker struct {
-	facts   work.WorkerFacts
-	born    time.Time
-	token   int64
-	lease   time.Time
-	running map[work.TaskID]simRun
-	highest map[work.TaskID]int
-	ends    []work.EndRow
-	ended   int64
-	cut     time.Time // it reaches nobody before
-	lapsed  bool
-	stale   map[work.TaskID]bool // ended done, and its lease lapsed before anybody took note
+	facts    work.WorkerFacts
+	born     time.Time
+	token    int64
+	lease    time.Time
+	running  map[work.TaskID]simRun
+	highest  map[work.TaskID]int
+	ends     []work.EndRow
+	ended    int64
+	cut      time.Time // it reaches nobody before
+	lapsed   bool
+	noted    func(work.EndRow)
+	failures map[work.TaskID]int  // failed ends of all workers
+	stale    map[work.TaskID]bool // ended done, and its lease lapsed before anybody took note
 }
 
-func newSimWorker(facts work.WorkerFacts, now time.Time) *simWorker {
+func newSimWorker(facts work.WorkerFacts, now time.Time, failures map[work.TaskID]int, noted func(work.EndRow)) *simWorker {
 	facts.Born = now.UnixMilli()
-	return &simWorker{facts: facts, born: now, running: map[work.TaskID]simRun{}, highest: map[work.TaskID]int{}, stale: map[work.TaskID]bool{}}
+	return &simWorker{noted: noted, failures: failures, facts: facts, born: now, running: map[work.TaskID]simRun{}, highest: map[work.TaskID]int{}, stale: map[work.TaskID]bool{}}
 }
 
 func (w *simWorker) clock(now time.Time) int64 { return now.Sub(w.born).Milliseconds() + 1 }
@@ -80,6 +82,9 @@
 func (w *simWorker) end(id work.TaskID, kind work.EndKind) {
 	r := w.running[id]
 	delete(w.running, id)
+	if kind == work.EndFailed {
+		w.failures[id]++
+	}
 	w.highest[id] = max(w.highest[id], r.attempt)
 	w.ended++
 	w.ends = append(w.ends, work.EndRow{Number: w.ended, Task: id, Attempt: r.attempt, Kind: kind})
@@ -145,6 +150,7 @@
 		w.extend(r.Deadline)
 	}
 	for len(w.ends) > 0 && w.ends[0].Number <= r.Observed {
+		w.noted(w.ends[0])
 		w.ends = w.ends[1:]
 	}
 	l := work.Look{Worker: r.Worker, SentAt: sent, ReceivedAt: now, Observed: r.Observed, Born: w.born.UnixMilli(), Clock: w.clock(now), Ends: append([]work.EndRow(nil), w.ends...)}
