--- a/internal/keeper/balancer.go
+++ b/internal/keeper/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 )
@@ -11,8 +12,9 @@
 // it.
 type balancer struct {
 	*tenure
-	offered map[string]int64 // by machine: the revision of the offer
-	said    int              // the need last told
+	offered    map[string]int64 // by machine: the revision of the offer
+	said       int              // the need last told
+	offerAfter time.Time        // no offer before: the last one came too early
 }
 
 // step tells what has changed.
@@ -37,17 +39,17 @@
 		}
 	}
 	fresh := slices.DeleteFunc(now.Offers, func(m string) bool { return b.offered[m] != 0 })
-	if (now.Need == 0 || now.Recalled > 0) && len(fresh) > 0 {
-		if err := b.offer(ctx, fresh); err != nil {
-			return err
-		}
-	}
 	if need != b.said || len(fresh) > 0 {
 		b.log.Info("balance", zap.Int("need", need), zap.Int("offers", len(fresh)), zap.Float64("used", now.Load.Used),
 			zap.Float64("waiting", now.Load.Waiting), zap.Float64("backlog", now.Load.Backlog), zap.Float64("have", now.Load.Have))
 	}
 	if need != b.said {
-		return b.tellNeed(ctx, need)
+		if err := b.tellNeed(ctx, need); err != nil {
+			return err
+		}
+	}
+	if (now.Need == 0 || now.Recalled > 0) && len(fresh) > 0 && b.Clock.Now().After(b.offerAfter) {
+		return b.offer(ctx, fresh)
 	}
 	return nil
 }
--- a/internal/keeper/tenure_balance.go
+++ b/internal/keeper/tenure_balance.go
@@ -18,6 +18,10 @@
 // below the time of a move.
 const balanceEvery = 60 * time.Millisecond
 
+// offerAgain is how long to wait after an offer that was refused: the record of
+// a move goes within a few seconds.
+const offerAgain = 500 * time.Millisecond
+
 // balanceLoop tells the holder of the duty for machines what the pool needs and
 // can spare, until the tenure ends.
 func (t *tenure) balanceLoop(offered map[string]int64) {
@@ -80,6 +84,10 @@
 		txn.Writes = append(txn.Writes, store.Write{Key: key, Value: value})
 	}
 	revision, err := b.Store.Commit(ctx, txn)
+	if problem.Is(err, problem.Conflict) {
+		// The record of a machine's last move is still there.
+		b.offerAfter = b.Clock.Now().Add(offerAgain)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/work/pool_balance.go
+++ b/internal/work/pool_balance.go
@@ -148,5 +148,5 @@
 	// move costs the users about a second of a machine.
 	worthwhile = time.Second
 	// freshFor is how long a machine stays after its arrival.
-	freshFor = 2 * time.Second
+	freshFor = 3 * time.Second
 )
