Machines that are offered or empty are held in their next life too

The same reading showed that an offer taken by the holder of the duty could be taken back by a second try, and that an offer whose write was not answered was forgotten.

--- a/internal/keeper/balancer.go
+++ b/internal/keeper/balancer.go
@@ -13,6 +13,8 @@
 type balancer struct {
 	*tenure
 	offered    map[string]int64 // by machine: the revision of the offer
+	taken      map[string]bool  // offered machines that are to be moved
+	takenAt    time.Time        // when these were last looked after
 	said       int              // the need last told
 	offerAfter time.Time        // no offer before: the last one came too early
 }
@@ -20,25 +22,24 @@
 // step tells what has changed.
 func (b *balancer) step(ctx context.Context) error {
 	now := b.pool.Balance(b.Clock.Now())
-	for m := range b.offered {
-		if !slices.Contains(now.Offers, m) {
-			delete(b.offered, m) // its worker is gone: it was moved
-		}
+	if err := b.settleTaken(ctx); err != nil {
+		return err
 	}
 	need := now.Need
 	for m := range b.offered {
-		if need == 0 || now.Recalled > 0 {
-			break
+		gone := !slices.Contains(now.Offers, m) // its worker ended
+		if !gone && (need == 0 || now.Recalled > 0) {
+			continue
 		}
 		back, err := b.takeBack(ctx, m)
 		if err != nil {
 			return err
 		}
-		if back {
+		if back && !gone && need > 0 {
 			need--
 		}
 	}
-	fresh := slices.DeleteFunc(now.Offers, func(m string) bool { return b.offered[m] != 0 })
+	fresh := slices.DeleteFunc(now.Offers, func(m string) bool { return b.offered[m] != 0 || b.taken[m] })
 	if need != b.said || len(fresh) > 0 {
 		b.log.Info("balance", zap.Int("need", need), zap.Int("offers", len(fresh)), zap.Float64("used", now.Load.Used),
 			zap.Float64("waiting", now.Load.Waiting), zap.Float64("backlog", now.Load.Backlog), zap.Float64("have", now.Load.Have))
--- a/internal/keeper/fleet_view.go
+++ b/internal/keeper/fleet_view.go
@@ -97,6 +97,17 @@
 	return machines
 }
 
+// emptied returns the machines that their pools have said to be empty.
+func (v *fleetView) emptied() map[string]bool {
+	machines := make(map[string]bool)
+	for m, entry := range v.empty {
+		if entry.emptied {
+			machines[m] = true
+		}
+	}
+	return machines
+}
+
 // alive returns the entries that are alive, by name.
 func (v *fleetView) alive() []ownership.Member {
 	members := make([]ownership.Member, 0, len(v.members))
--- a/internal/keeper/tenure_balance.go
+++ b/internal/keeper/tenure_balance.go
@@ -5,8 +5,6 @@
 	"strconv"
 	"time"
 
-	"go.uber.org/zap"
-
 	"persimmonbay/internal/lending"
 	"persimmonbay/internal/problem"
 	"persimmonbay/internal/store"
@@ -18,6 +16,10 @@
 // below the time of a move.
 const balanceEvery = 60 * time.Millisecond
 
+// unknownRevision stands for the revision of an offer whose write was not
+// answered: taking it back shows what is kept.
+const unknownRevision = -1
+
 // offerAgain is how long to wait after an offer that was refused: the record of
 // a move goes within a few seconds.
 const offerAgain = 500 * time.Millisecond
@@ -25,7 +27,7 @@
 // balanceLoop tells the holder of the duty for machines what the pool needs and
 // can spare, until the tenure ends.
 func (t *tenure) balanceLoop(offered map[string]int64) {
-	b := &balancer{tenure: t, offered: offered, said: -1}
+	b := &balancer{tenure: t, offered: offered, taken: map[string]bool{}, said: -1}
 	for t.ctx.Err() == nil {
 		sleep(t.ctx, t.Clock, balanceEvery)
 		if !t.holds() || t.isLeaving() {
@@ -75,6 +77,7 @@
 		return err
 	}
 	txn := b.guardedTxn()
+	var told []string
 	for _, m := range machines {
 		if txn.Entries()+2 > store.MaxTxnEntries {
 			break // the rest with the next step
@@ -82,22 +85,35 @@
 		key := workstore.OfferKey(m)
 		txn.Expected = append(txn.Expected, store.Expectation{Key: key})
 		txn.Writes = append(txn.Writes, store.Write{Key: key, Value: value})
+		told = append(told, m)
 	}
+	b.pool.Offered(told)
 	revision, err := b.Store.Commit(ctx, txn)
-	if problem.Is(err, problem.Conflict) {
-		// The record of a machine's last move is still there.
-		b.offerAfter = b.Clock.Now().Add(offerAgain)
-	}
 	if err != nil {
+		b.notOffered(told, err)
 		return err
 	}
-	for _, w := range txn.Writes {
-		machine, _ := workstore.ParseOffer(w.Key)
-		b.offered[machine] = revision
+	for _, m := range told {
+		b.offered[m] = revision
 	}
 	return nil
 }
 
+// notOffered takes in that an offer was not made, or that nobody knows.
+func (b *balancer) notOffered(machines []string, err error) {
+	if problem.Is(err, problem.Conflict) {
+		// The record of a machine's last move is still there.
+		b.offerAfter = b.Clock.Now().Add(offerAgain)
+	}
+	for _, m := range machines {
+		if store.Uncertain(err) {
+			b.offered[m] = unknownRevision
+		} else {
+			b.pool.Reclaim(m)
+		}
+	}
+}
+
 // takeBack withdraws an offer, unless it was taken.
 func (b *balancer) takeBack(ctx context.Context, machine string) (bool, error) {
 	key := workstore.OfferKey(machine)
@@ -111,19 +127,54 @@
 	if !problem.Is(err, problem.Conflict) {
 		return false, err
 	}
+	return b.lookAfter(ctx, machine)
+}
+
+// lookAfter finds out what became of an offer that could not be taken back;
+// true when the machine stays.
+func (b *balancer) lookAfter(ctx context.Context, machine string) (bool, error) {
+	key := workstore.OfferKey(machine)
 	item, err := b.Store.Get(ctx, key)
 	if problem.Is(err, problem.NotFound) {
 		return b.reclaim(machine), nil // moved, or given back
 	}
-	if err == nil {
+	if err != nil {
+		return false, err
+	}
+	offer, err := workstore.DecodeOffer(key, item.Value)
+	if err != nil {
+		return false, err
+	}
+	if offer.Target == "" {
 		b.offered[machine] = item.Revision
-		b.log.Info("offered machine was taken", zap.String("machine", machine))
+		return false, nil
 	}
-	return false, err
+	delete(b.offered, machine)
+	b.taken[machine] = true
+	return false, nil
+}
+
+// takenEvery is how often machines that are to be moved are looked after: a move
+// takes a few seconds.
+const takenEvery = time.Second
+
+// settleTaken finds out which of the machines that were taken have gone.
+func (b *balancer) settleTaken(ctx context.Context) error {
+	if len(b.taken) == 0 || b.Clock.Now().Sub(b.takenAt) < takenEvery {
+		return nil
+	}
+	b.takenAt = b.Clock.Now()
+	for m := range b.taken {
+		if _, err := b.lookAfter(ctx, m); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (b *balancer) reclaim(machine string) bool {
 	delete(b.offered, machine)
+	delete(b.taken, machine)
 	b.pool.Reclaim(machine)
 	b.plan.send()
 	return true
--- a/internal/keeper/tenure_pool.go
+++ b/internal/keeper/tenure_pool.go
@@ -195,7 +195,7 @@
 			}
 		}
 		t.pool.SetWorkers(mine, t.Clock.Now())
-		t.pool.SetAsked(view.asked())
+		t.pool.SetAsked(view.asked(), view.emptied())
 		t.pool.SetShare(view.home[t.service], view.recalls[t.service])
 		t.rostered.send()
 		t.startLookers(mine)
--- a/internal/work/pool.go
+++ b/internal/work/pool.go
@@ -13,27 +13,28 @@
 	timing  Timing
 	tenure  int // counts the pool's owners
 
-	mu            sync.Mutex
-	takenAt       time.Time
-	settleBy      time.Time           // by then, all that an earlier owner started has ended or answered
-	settled       bool                // all that an earlier owner may have started is known or has ended
-	awaited       map[string]*awaited // by worker: what an earlier owner may have started
-	jobs          map[string]*job
-	order         []*job // the jobs by acceptance
-	workers       map[string]*worker
-	wall          time.Time // time of day at the last plan
-	sequence      int64     // of the last change that has to be kept
-	learned       *durations
-	counts        Counts
-	asked         map[string]time.Time // machines to be emptied, and by when
-	offeredBefore map[string]bool      // machines that an earlier owner offered
-	lastUnit      Resources            // capacity of a usual machine when some were last listed
-	peak          float64              // recent peak of the load, in machines
-	longPeak      float64              // highest load of the last while, in machines
-	home          int                  // machines that are the pool's own; 0: not known
-	recalled      int                  // machines that the pool has to give up
-	peakAt        time.Time
-	ended         map[string]time.Time // jobs seen to their end, and when they were dropped
+	mu        sync.Mutex
+	takenAt   time.Time
+	settleBy  time.Time           // by then, all that an earlier owner started has ended or answered
+	settled   bool                // all that an earlier owner may have started is known or has ended
+	awaited   map[string]*awaited // by worker: what an earlier owner may have started
+	jobs      map[string]*job
+	order     []*job // the jobs by acceptance
+	workers   map[string]*worker
+	wall      time.Time // time of day at the last plan
+	sequence  int64     // of the last change that has to be kept
+	learned   *durations
+	counts    Counts
+	asked     map[string]time.Time // machines to be emptied, and by when
+	emptied   map[string]bool      // machines that were said to be empty
+	published map[string]bool      // machines that are offered in the store: they may be taken at any time
+	lastUnit  Resources            // capacity of a usual machine when some were last listed
+	peak      float64              // recent peak of the load, in machines
+	longPeak  float64              // highest load of the last while, in machines
+	home      int                  // machines that are the pool's own; 0: not known
+	recalled  int                  // machines that the pool has to give up
+	peakAt    time.Time
+	ended     map[string]time.Time // jobs seen to their end, and when they were dropped
 }
 
 // NewPool returns the pool of service for the owner with the given fencing
@@ -42,7 +43,7 @@
 	p := &Pool{
 		service: service, token: token, timing: timing, tenure: roster.Tenure + 1, takenAt: now,
 		awaited: make(map[string]*awaited), jobs: make(map[string]*job), workers: make(map[string]*worker),
-		learned: newDurations(), ended: make(map[string]time.Time), offeredBefore: make(map[string]bool),
+		learned: newDurations(), ended: make(map[string]time.Time), published: make(map[string]bool),
 	}
 	p.settleBy = now.Add(timing.granted())
 	if !roster.Released {
--- a/internal/work/pool_balance.go
+++ b/internal/work/pool_balance.go
@@ -124,16 +124,19 @@
 			w.offered = false
 		}
 	}
-	delete(p.offeredBefore, machine)
+	delete(p.published, machine)
 }
 
-// Offered takes in which machines an earlier owner has offered: they may be
-// taken at any time.
+// Offered takes in which machines are offered, by this owner or an earlier one:
+// they may be taken at any time, so nothing starts on any life of theirs.
 func (p *Pool) Offered(machines []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, m := range machines {
-		p.offeredBefore[m] = true
+		p.published[m] = true
+	}
+	for _, w := range p.workers {
+		w.offered = w.offered || p.published[w.facts.Machine]
 	}
 }
 
@@ -148,5 +151,5 @@
 	// move costs the users about a second of a machine.
 	worthwhile = time.Second
 	// freshFor is how long a machine stays after its arrival.
-	freshFor = 3 * time.Second
+	freshFor = 2 * time.Second
 )
--- a/internal/work/pool_leaving.go
+++ b/internal/work/pool_leaving.go
@@ -8,15 +8,17 @@
 )
 
 // SetAsked names the machines that are to be emptied, with the time of day by
-// which their upkeep should be over.
-func (p *Pool) SetAsked(machines map[string]time.Time) {
+// which their upkeep should be over, and those that were said to be empty: they
+// may be taken down at any time, so nothing starts on any life of theirs.
+func (p *Pool) SetAsked(machines map[string]time.Time, emptied map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.asked = machines
+	p.asked, p.emptied = machines, emptied
 	for _, w := range p.workers {
 		if p.asked[w.facts.Machine].IsZero() {
 			w.leaving = false
 		}
+		w.leaving = w.leaving || emptied[w.facts.Machine]
 	}
 }
 
--- a/internal/work/pool_test.go
+++ b/internal/work/pool_test.go
@@ -104,7 +104,7 @@
 	It("stops lasting tasks for a machine's sake only once an earlier owner's stops are over", func() {
 		s := newScene(worker("a"), worker("b"), worker("c"))
 		s.addKept(lasting("j", 2), token-1, work.Progress{})
-		s.pool.SetAsked(map[string]time.Time{"m-a": s.now})
+		s.pool.SetAsked(map[string]time.Time{"m-a": s.now}, nil)
 		row := work.RunRow{Task: work.TaskID{Job: "j"}, Attempt: 1, Percent: 100}
 		s.look("a", []work.RunRow{row})
 		row.Task.Index = 1
@@ -125,7 +125,7 @@
 		}
 		s.pass(timing.Stop + time.Second)
 		s.pool.LookFailed(started[0].Worker, work.Unanswered, s.now)
-		s.pool.SetAsked(map[string]time.Time{"m-" + started[1].Worker: s.now})
+		s.pool.SetAsked(map[string]time.Time{"m-" + started[1].Worker: s.now}, nil)
 		Expect(s.plan().Stops).To(BeEmpty())
 	})
 
@@ -137,7 +137,7 @@
 			s.look(o.Worker, []work.RunRow{runs(o)})
 		}
 		s.pass(timing.Stop + time.Second)
-		s.pool.SetAsked(map[string]time.Time{"m-" + started[0].Worker: s.now, "m-" + started[1].Worker: s.now})
+		s.pool.SetAsked(map[string]time.Time{"m-" + started[0].Worker: s.now, "m-" + started[1].Worker: s.now}, nil)
 		first := only(s.plan().Stops)
 		s.pool.Stopped(first, work.Accepted, s.now)
 		s.look(first.Worker, nil, work.EndRow{Task: first.Task, Attempt: first.Attempt, Kind: work.EndStopped})
@@ -360,6 +360,23 @@
 		Expect(only(s.startAll()).Attempt).To(Equal(2))
 	})
 
+	// scale-1 of the grown Registry: a machine that was said to be empty crashed,
+	// its next life got tasks, and the upkeep ended them.
+	It("gets no new task on a machine that was said to be empty, or is offered, in its next life either", func() {
+		s := newScene(worker("a"), worker("b"))
+		s.pool.SetAsked(map[string]time.Time{"m-a": s.now}, map[string]bool{"m-a": true})
+		s.pool.Offered([]string{"m-b"})
+		nextA, nextB := worker("a2"), worker("b2")
+		nextA.Machine, nextA.Born, nextB.Machine, nextB.Born = "m-a", 2, "m-b", 2
+		s.setWorkers(nextA, nextB)
+		s.look("a2", nil)
+		s.look("b2", nil)
+		s.add(tasks("j", 1))
+		Expect(s.startAll()).To(BeEmpty())
+		s.pool.Reclaim("m-b")
+		Expect(only(s.startAll()).Worker).To(Equal("b2"))
+	})
+
 	It("gets no new task while it drains", func() {
 		leaving := worker("a")
 		leaving.Draining = true
--- a/internal/work/pool_workers.go
+++ b/internal/work/pool_workers.go
@@ -49,7 +49,7 @@
 	if !ok {
 		w = newWorker(facts)
 		w.since = now
-		w.offered = p.offeredBefore[facts.Machine]
+		w.offered, w.leaving = p.published[facts.Machine], p.emptied[facts.Machine]
 		p.workers[facts.ID] = w
 		return
 	}
