--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -17,6 +17,7 @@
 	"persimmonbay/internal/keeper"
 	"persimmonbay/internal/problem"
 	"persimmonbay/internal/settings"
+	"persimmonbay/internal/telemetry"
 	"persimmonbay/internal/workconfig"
 	"persimmonbay/platform"
 )
@@ -43,7 +44,7 @@
 	store := platform.NewStore(s.Platform.Store, codec)
 	dependencies := keeper.Dependencies{
 		Store: store, Workers: platform.NewWorkers(codec, clock, log), Directory: platform.NewDirectory(codec),
-		Operators: platform.NewOperators(codec), Clock: clock, SinceBoot: sinceBoot, Log: log,
+		Operators: platform.NewOperators(codec), Clock: clock, SinceBoot: sinceBoot, Log: log, Metrics: telemetry.NewMetrics(),
 	}
 	if s.Platform.Advice != "" {
 		dependencies.Adviser = platform.NewAdviser(s.Platform.Advice, codec)
@@ -52,9 +53,10 @@
 		dependencies.Machines = platform.NewMachines(s.Platform.Machines, codec)
 	}
 	e.keeper = keeper.New(s.ID, s.Listen.Peers, s.Machine.Cores, dependencies, boundsOf(&s.Timing), e.config)
+	dependencies.Metrics.Publish("pools", func() any { return e.keeper.Counts() })
 	in := intake.New(store, e.config, announcer{e.keeper}, clock, log)
 	e.callers = &http.Server{Handler: platform.NewIngress(in, e.config, codec, clock, log).Handler(), ReadHeaderTimeout: headerTimeout}
-	e.probes = &http.Server{Handler: platform.ReadinessHandler(e.ready), ReadHeaderTimeout: headerTimeout}
+	e.probes = &http.Server{Handler: platform.ReadinessHandler(e.ready, dependencies.Metrics), ReadHeaderTimeout: headerTimeout}
 	return e, nil
 }
 
--- a/internal/keeper/dependencies.go
+++ b/internal/keeper/dependencies.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"persimmonbay/internal/store"
+	"persimmonbay/internal/telemetry"
 )
 
 // Dependencies is what a keeper works through.
@@ -20,4 +21,5 @@
 	Clock     clockwork.Clock
 	SinceBoot func() time.Duration // time since the machine started, suspensions included
 	Log       *zap.Logger
+	Metrics   *telemetry.Metrics
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -76,3 +76,16 @@
 		wait: k.bounds.WatchWait, call: k.bounds.Call, reset: reset, apply: apply, after: k.hear,
 	}
 }
+
+// Counts returns what the pools that this entry owns have done, by service.
+func (k *Keeper) Counts() map[string]work.Counts {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	counts := make(map[string]work.Counts, len(k.tenures))
+	for service, t := range k.tenures {
+		if service != machineDuty && t.loaded.Load() {
+			counts[service] = t.pool.Counts()
+		}
+	}
+	return counts
+}
--- a/internal/keeper/tenure_save.go
+++ b/internal/keeper/tenure_save.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/store"
 	"persimmonbay/internal/telemetry"
 	"persimmonbay/internal/work"
@@ -95,7 +96,9 @@
 	t.kickAll()
 	for i := range items {
 		if s := items[i].Progress.State; s.Final() && !items[i].Kept {
-			t.log.Info("job ended", zap.String("job", items[i].Job), zap.Uint8("state", uint8(s)))
+			took := items[i].EndedAt.Sub(items[i].AcceptedAt)
+			t.log.Info("job ended", zap.String("job", items[i].Job), zap.String("queue", items[i].Queue), zap.Stringer("state", s), zap.Duration("took", took))
+			t.Metrics.Record(items[i].Queue, fleet.Normal, fleet.Outcome(s.String()), telemetry.MeasureTotal, took)
 		}
 	}
 }
--- a/internal/work/job_state.go
+++ b/internal/work/job_state.go
@@ -12,5 +12,10 @@
 	Cancelled
 )
 
+var stateNames = [...]string{"queued", "active", "completed", "failed", "cancelled"}
+
+// String returns the state's name in logs and metrics.
+func (s JobState) String() string { return stateNames[s] }
+
 // Final reports whether a job stays in the state for good.
 func (s JobState) Final() bool { return s >= Completed }
--- a/internal/work/pool_save.go
+++ b/internal/work/pool_save.go
@@ -13,7 +13,7 @@
 		j.saving = true
 		urgent = urgent || j.urgentSave
 		items = append(items, SaveItem{
-			Job: j.sub.ID, Queue: j.sub.Queue, Revision: j.revision, Progress: j.progress.clone(), EndedAt: j.endedAt, Kept: j.endKept,
+			Job: j.sub.ID, Queue: j.sub.Queue, Revision: j.revision, Progress: j.progress.clone(), AcceptedAt: j.sub.AcceptedAt, EndedAt: j.endedAt, Kept: j.endKept,
 			Remove: j.progress.State.Final() && j.runs == 0, upTo: j.dirtyTo,
 		})
 	}
--- a/internal/work/save_item.go
+++ b/internal/work/save_item.go
@@ -4,12 +4,13 @@
 
 // SaveItem is a job's progress that has to be kept.
 type SaveItem struct {
-	Job      string
-	Revision int64 // the store revision that it replaces
-	Queue    string
-	Progress Progress
-	EndedAt  time.Time // zero: the course is not over
-	Kept     bool      // its end was kept before
-	Remove   bool      // the submission is no longer needed
-	upTo     int64
+	Job        string
+	Revision   int64 // the store revision that it replaces
+	Queue      string
+	Progress   Progress
+	AcceptedAt time.Time
+	EndedAt    time.Time // zero: the course is not over
+	Kept       bool      // its end was kept before
+	Remove     bool      // the submission is no longer needed
+	upTo       int64
 }
