Slots of a greater side that is cut off are not lent anew

Now what holders have that went together as the greater part, without a word, is kept until they are back, and no new home settles meanwhile. Ruled out: a time limit on the far side, as an outage of the store may last for hours. Left: an entry restarted during such a cut does not know who went.

--- a/internal/admission/fair_front.go
+++ b/internal/admission/fair_front.go
@@ -31,8 +31,18 @@
 }
 
 // wait estimates how long a new ticket of the team waits: its queue is worked
-// off at the team's share among those that wait now.
+// off at the team's share among those that wait now. Slots that this entry has
+// lent come back for a team that asks for less than its share of an even part.
 func (f *Fair) wait(b *band, of *flow, slots int, service time.Duration) time.Duration {
+	team := f.share(b, of, slots)
+	if guaranteed := f.share(b, of, f.even); !of.exceeds(guaranteed) {
+		team = max(team, guaranteed)
+	}
+	return time.Duration(float64(of.count) * float64(service) / max(min(team, of.limit), leastRate))
+}
+
+// share is how many of the slots the team gets among those that wait now.
+func (f *Fair) share(b *band, of *flow, slots int) float64 {
 	weights := b.weight
 	for i := range f.bands {
 		if other := &f.bands[i]; other != b && other.count > 0 {
@@ -40,8 +50,7 @@
 		}
 	}
 	class := min(b.weight/weights*float64(slots), b.limit)
-	team := min(class*of.weight/b.waitingWeight(of), of.limit)
-	return time.Duration(float64(of.count) * float64(service) / max(team, leastRate))
+	return class * of.weight / b.waitingWeight(of)
 }
 
 func (f *Fair) push(b *band, of *flow, t *Ticket) {
--- a/internal/dispatch/claim_test.go
+++ b/internal/dispatch/claim_test.go
@@ -32,7 +32,7 @@
 	}
 	p.List(testService, instances, now)
 	p.Trust(now.Add(time.Hour), now)
-	p.See([]membership.EntryID{"entry-1", "entry-2"}, nil, true, now)
+	p.See(slots.View{Members: []membership.EntryID{"entry-1", "entry-2"}, Clean: true}, now)
 	p.Fix(func(string) int { return 1 })
 	p.Tick(now)
 	return p, instances
--- a/internal/dispatch/node_test.go
+++ b/internal/dispatch/node_test.go
@@ -95,7 +95,7 @@
 				gone[id] = last
 			}
 		}
-		n.placer.See(members, gone, n.clean, now)
+		n.placer.See(slots.View{Members: members, Gone: gone, Clean: n.clean}, now)
 	}
 	n.placer.Trust(n.seen.Add(testStoreTTL/2), now)
 }
--- a/internal/dispatch/placer.go
+++ b/internal/dispatch/placer.go
@@ -6,7 +6,6 @@
 	"persimmonbay/internal/admission"
 	"persimmonbay/internal/configuration"
 	"persimmonbay/internal/fleet"
-	"persimmonbay/internal/membership"
 	"persimmonbay/internal/shard"
 	"persimmonbay/internal/slots"
 )
@@ -163,10 +162,8 @@
 	})
 }
 
-// See takes over who the entries are. gone tells when those that went were
-// last registered or heard; clean, that no earlier run of this entry was
-// registered when it began.
-func (p *Placer) See(members []membership.EntryID, gone map[membership.EntryID]time.Time, clean bool, now time.Time) {
-	view := &slots.View{Self: p.self.Entry, Age: now.Sub(p.born), Clean: clean, Members: members, Gone: gone}
-	p.view.Update(func(*slots.View) (*slots.View, bool) { return view, true })
+// See takes over who the entries are. Who sees, and its age, are filled in here.
+func (p *Placer) See(view slots.View, now time.Time) {
+	view.Self, view.Age = p.self.Entry, now.Sub(p.born)
+	p.view.Update(func(*slots.View) (*slots.View, bool) { return &view, true })
 }
--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -27,7 +27,7 @@
 
 // slotKeeper runs the placer of an entry: it tells it of the configuration,
 // the instances and the members, and carries its batches to other entries.
-// Only its own goroutine touches version, listed, round and gone.
+// Only its own goroutine touches version, listed, round, gone and left.
 type slotKeeper struct {
 	entry    *Entry
 	placer   *dispatch.Placer
@@ -37,7 +37,8 @@
 	version  configuration.Version
 	listed   map[string][]fleet.Instance // by service, as the placer knows them
 	round    int
-	gone     map[membership.EntryID]time.Time
+	gone     map[membership.EntryID]time.Time // when each was last registered or heard
+	left     map[membership.EntryID]bool      // said that it was leaving when last heard
 }
 
 func newSlotKeeper(e *Entry) *slotKeeper {
@@ -50,6 +51,7 @@
 		standing: shard.NewCell(standing{}),
 		taken:    shard.NewCell(placeable{}),
 		gone:     make(map[membership.EntryID]time.Time),
+		left:     make(map[membership.EntryID]bool),
 	}
 }
 
@@ -171,6 +173,7 @@
 		members = append(members, membership.EntryID(k.entry.settings.ID))
 	}
 	for _, m := range k.entry.members.Members() {
+		k.left[m.ID] = m.Leaving
 		if m.Registered {
 			members = append(members, m.ID)
 			k.gone[m.ID] = now
@@ -181,13 +184,28 @@
 		}
 	}
 	slices.Sort(members)
-	gone := make(map[membership.EntryID]time.Time)
+	k.placer.See(k.view(members, now), now)
+}
+
+// view returns what the placer is to know of the entries, given the sorted
+// registered ones. Those that went are remembered for goneRemembered, or for as
+// long as most are away without a word.
+func (k *slotKeeper) view(members []membership.EntryID, now time.Time) slots.View {
+	view := slots.View{Members: members, Clean: k.standing.Get().clean, Gone: make(map[membership.EntryID]time.Time), Left: make(map[membership.EntryID]bool)}
+	for id, last := range k.gone {
+		if !view.Has(id) {
+			view.Gone[id], view.Left[id] = last, k.left[id]
+		}
+	}
+	if view.CutOff() {
+		return view
+	}
 	for id, last := range k.gone {
 		if now.Sub(last) > goneRemembered {
 			delete(k.gone, id)
-		} else if _, member := slices.BinarySearch(members, id); !member {
-			gone[id] = last
+			delete(k.left, id)
+			delete(view.Gone, id)
 		}
 	}
-	k.placer.See(members, gone, k.standing.Get().clean, now)
+	return view
 }
--- a/internal/replay/round.go
+++ b/internal/replay/round.go
@@ -9,6 +9,7 @@
 	"persimmonbay/internal/dispatch"
 	"persimmonbay/internal/membership"
 	"persimmonbay/internal/peer/wire"
+	"persimmonbay/internal/slots"
 )
 
 // callBytes is what one message of a call costs besides its body: the length
@@ -56,7 +57,7 @@
 		members = append(members, other.id)
 	}
 	slices.Sort(members)
-	e.placer.See(members, gone, true, s.time())
+	e.placer.See(slots.View{Members: members, Gone: gone, Clean: true}, s.time())
 }
 
 func (s *simulation) send(e *entry, o dispatch.Outgoing) {
--- a/internal/slots/account.go
+++ b/internal/slots/account.go
@@ -14,6 +14,7 @@
 	clean      bool          // it has no earlier run that may still have requests at work
 	heard      time.Time
 	gone       time.Time // zero while the holder lives
+	kept       bool      // it went with most of the entries, so it may still use what it holds
 	recalled   time.Time // when idle slots were last asked back
 	recalledTo int
 }
@@ -28,7 +29,7 @@
 	}
 	a.seq, a.need, a.demand = b.Seq, item.Need, item.Demand
 	a.age, a.clean, a.acked = b.Age, b.Clean, acked
-	a.heard, a.gone = now, time.Time{}
+	a.heard, a.gone, a.kept = now, time.Time{}, false
 }
 
 // unsatisfied reports whether the holder could use more than it has, within
@@ -37,7 +38,7 @@
 
 // over reports whether all requests of a holder that went are surely over.
 func (a *account) over(now time.Time, waitOut time.Duration) bool {
-	return !a.gone.IsZero() && now.Sub(a.gone) >= waitOut && now.Sub(a.heard) >= waitOut+VouchedFor
+	return !a.gone.IsZero() && !a.kept && now.Sub(a.gone) >= waitOut && now.Sub(a.heard) >= waitOut+VouchedFor
 }
 
 // VouchedFor is how long a home's acknowledgement lets a holder use its slots
--- /dev/null
+++ b/internal/slots/cut_off_test.go
@@ -0,0 +1,45 @@
+package slots_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/membership"
+	"persimmonbay/internal/shard"
+	"persimmonbay/internal/slots"
+)
+
+var _ = Describe("a new home from which most of the entries went", func() {
+	const upstream = "tags-1"
+	now := time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+	longAgo := now.Add(-time.Hour)
+	// granted returns what the home lends to itself in its second report, when it
+	// knows all of its members.
+	granted := func(gone map[membership.EntryID]time.Time, left map[membership.EntryID]bool) int {
+		view := &slots.View{Self: "entry-1", Clean: true, Age: time.Hour, Members: []membership.EntryID{"entry-1"}, Gone: gone, Left: left}
+		terms := func(string) (slots.Terms, bool) { return slots.Terms{Capacity: 8, WaitOut: time.Second}, true }
+		self := slots.Holder{Entry: "entry-1", Incarnation: 1}
+		home := slots.NewLenders(self, shard.NewCell(view), shard.NewCell(now.Add(time.Hour)), terms)
+		var loan slots.Loan
+		for seq := range uint64(2) {
+			item := slots.Item{Upstream: upstream, Term: loan.Term, Demand: 8}
+			loan = home.Answer(slots.Batch{From: self, Clean: true, Age: time.Hour, Seq: seq + 1, Items: []slots.Item{item}}, now)[0]
+		}
+		return loan.Granted
+	}
+	two := map[membership.EntryID]time.Time{"entry-2": longAgo, "entry-3": longAgo}
+
+	It("lends nothing, however long ago that was", func() {
+		Expect(granted(two, nil)).To(BeZero())
+	})
+
+	It("lends all when one of them said that it was leaving", func() {
+		Expect(granted(two, map[membership.EntryID]bool{"entry-2": true})).To(Equal(8))
+	})
+
+	It("lends all when half went", func() {
+		Expect(granted(map[membership.EntryID]time.Time{"entry-2": longAgo}, nil)).To(Equal(8))
+	})
+})
--- a/internal/slots/lender.go
+++ b/internal/slots/lender.go
@@ -73,13 +73,16 @@
 }
 
 // retire marks holders that went, an earlier run of from among them, and drops
-// those whose requests are surely over.
+// those whose requests are surely over. What went with most of the entries is
+// kept until it comes back.
 func (l *Lender) retire(from Holder, view *View, terms Terms, now time.Time) {
+	cutOff := view.CutOff()
 	for h, a := range l.accounts {
 		replaced := h.Entry == from.Entry && h != from
 		if a.gone.IsZero() && (replaced || !view.Has(h.Entry)) {
 			a.gone = now
 		}
+		a.kept = !a.gone.IsZero() && !replaced && (a.kept || cutOff && !view.Has(h.Entry))
 		if a.over(now, terms.WaitOut) {
 			delete(l.accounts, h)
 		}
@@ -108,11 +111,11 @@
 
 // settle decides whether everything lent before is known: every member has
 // acknowledged this term, so that it takes nothing from another home, all that
-// went are waited out, no entry has an earlier run that may still have requests
-// at work, and this home has been there for long enough to know who went, or
-// everyone is new.
+// went are waited out, which most of the entries never are, no entry has an
+// earlier run that may still have requests at work, and this home has been
+// there for long enough to know who went, or everyone is new.
 func (l *Lender) settle(view *View, terms Terms, now time.Time) {
-	if l.settled || !l.acknowledged(view) {
+	if l.settled || view.CutOff() || !l.acknowledged(view) {
 		return
 	}
 	for _, last := range view.Gone {
--- a/internal/slots/view.go
+++ b/internal/slots/view.go
@@ -15,6 +15,20 @@
 	Clean   bool                             // no earlier run of Self was registered when it began
 	Members []membership.EntryID             // registered ones and Self, sorted
 	Gone    map[membership.EntryID]time.Time // when others were last seen, registered or heard
+	Left    map[membership.EntryID]bool      // those among Gone that said that they were leaving
+}
+
+// CutOff reports whether most of the entries went without a word. They may be
+// cut off together from the store and this entry, take that for an outage, and
+// go on using what they hold.
+func (v *View) CutOff() bool {
+	silent := 0
+	for id := range v.Gone {
+		if !v.Left[id] {
+			silent++
+		}
+	}
+	return silent > len(v.Members)
 }
 
 // Has reports whether id is a member.
