--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -13,6 +13,7 @@
 	Refused   int // whole answers with another status
 	Broken    int // no whole answer
 	Latency   *hdrhistogram.Histogram
+	Misses    []Miss // what the callers of the others were told; of many the first ones
 }
 
 // Throughput returns whole good answers a second.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -38,16 +38,17 @@
 		result.Completed += workers[i].completed
 		result.Refused += workers[i].refused
 		result.Broken += workers[i].broken
+		result.Misses = append(result.Misses, workers[i].misses...)
 		result.Latency.Merge(workers[i].histogram)
 	}
 	return result
 }
 
-// ask sends one request and reads its answer whole.
-func ask(ctx context.Context, p *Plan, i int) (status int, err error) {
+// ask sends one request, reads its answer whole and returns what came of it.
+func ask(ctx context.Context, p *Plan, i int) answer {
 	request, err := p.Request(i)
 	if err != nil {
-		return 0, err
+		return answer{err: err}
 	}
 	if p.Timeout > 0 {
 		var cancel context.CancelFunc
@@ -56,11 +57,20 @@
 	}
 	response, err := p.Client.Do(request.WithContext(ctx))
 	if err != nil {
-		return 0, err
+		return answer{err: err}
 	}
 	defer response.Body.Close()
-	_, err = io.Copy(io.Discard, response.Body)
-	return response.StatusCode, err
+	a := answer{status: response.StatusCode, outcome: response.Header.Get("Persimmonbay-Outcome")}
+	if !isGood(a.status) {
+		var body []byte
+		body, err = io.ReadAll(io.LimitReader(response.Body, maxMissBody))
+		a.body = string(body)
+	}
+	if err == nil {
+		_, err = io.Copy(io.Discard, response.Body)
+	}
+	a.err = err
+	return a
 }
 
 func isGood(status int) bool { return status >= http.StatusOK && status < http.StatusMultipleChoices }
--- a/internal/load/worker.go
+++ b/internal/load/worker.go
@@ -18,6 +18,7 @@
 	completed int
 	refused   int
 	broken    int
+	misses    []Miss
 }
 
 func (w *worker) run(ctx context.Context) {
@@ -33,20 +34,23 @@
 				return
 			}
 		}
-		status, err := ask(ctx, w.plan, i)
-		w.count(status, err, time.Since(due))
+		w.count(i, due, ask(ctx, w.plan, i))
 	}
 }
 
-func (w *worker) count(status int, err error, took time.Duration) {
+func (w *worker) count(i int, due time.Time, a answer) {
+	took := time.Since(due)
 	switch {
-	case err != nil:
+	case a.err != nil:
 		w.broken++
-	case isGood(status):
+	case isGood(a.status):
 		w.completed++
 	default:
 		w.refused++
 	}
+	if (a.err != nil || !isGood(a.status)) && len(w.misses) < maxMisses {
+		w.misses = append(w.misses, Miss{Index: i, Due: due, Took: took, Status: a.status, Outcome: a.outcome, Body: a.body, Err: a.err})
+	}
 	_ = w.histogram.RecordValue(min(max(took.Microseconds(), 1), highestMicros)) // within the range
 }
 
--- a/test/flood_test.go
+++ b/test/flood_test.go
@@ -59,7 +59,7 @@
 	flood := <-done
 	GinkgoWriter.Printf("%s flood: %d completed, %d refused, %d broken; other: %d completed, %d refused, %d broken, p99 %v\n", floodClass,
 		flood.Completed, flood.Refused, flood.Broken, other.Completed, other.Refused, other.Broken, other.Quantile(99))
-	Expect(other.Completed).To(Equal(calmRequests))
+	Expect(other.Completed).To(Equal(calmRequests), "%+v", other.Misses)
 	Expect(flood.Completed).To(BeNumerically(">", 0))
 	Expect(flood.Broken).To(BeZero())
 }
--- a/test/leaving_test.go
+++ b/test/leaving_test.go
@@ -67,7 +67,8 @@
 		go func() { results <- load.Run(context.Background(), plan) }()
 	}
 	for range entries {
-		Expect((<-results).Completed).To(Equal(leavingRequests))
+		result := <-results
+		Expect(result.Completed).To(Equal(leavingRequests), "%+v", result.Misses)
 	}
 }
 
