--- a/internal/controller/burst_test.go
+++ b/internal/controller/burst_test.go
@@ -10,6 +10,7 @@
 	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/fleetstore"
 	"persimmonbay/internal/maintenance"
+	"persimmonbay/internal/seeds"
 )
 
 // Extent of the bursts: each pool in turn has five times its mean of work.
@@ -28,7 +29,8 @@
 })
 
 func replayBursts(wave bool) {
-	for seed := range uint64(burstSeeds) {
+	seeds.Each(burstSeeds, func(seed uint64) {
+		defer GinkgoRecover()
 		w := newBurstFleet(seed)
 		w.settle()
 		if wave {
@@ -50,7 +52,7 @@
 		if wave {
 			Expect(truth.Wave.State).To(Equal(maintenance.WaveDone))
 		}
-	}
+	})
 }
 
 // newBurstFleet returns pools that may each miss an instance, and spares.
--- a/internal/controller/late_reboot_test.go
+++ b/internal/controller/late_reboot_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"persimmonbay/internal/maintenance"
+	"persimmonbay/internal/seeds"
 )
 
 // Extent of the search for a late reboot.
@@ -18,8 +20,9 @@
 
 var _ = Describe("a controller that is paused", func() {
 	It("never has an instance rebooted that serves again", func() {
-		late := 0
-		for seed := range uint64(lateSeeds) {
+		var late atomic.Int64
+		seeds.Each(lateSeeds, func(seed uint64) {
+			defer GinkgoRecover()
 			w := newBurstFleet(seed)
 			w.settle()
 			l := &lateRebooter{simWave: w, entry: w.entries[0]}
@@ -29,10 +32,10 @@
 				w.tick(false)
 				Expect(l.hits).To(BeEmpty(), func() string { return seedReport(seed, w.simWorld) })
 			}
-			late += l.late
-		}
-		GinkgoWriter.Printf("pauses over %d seeds: %d\n", lateSeeds, late)
-		Expect(late).To(BeNumerically(">", lateSeeds))
+			late.Add(int64(l.late))
+		})
+		GinkgoWriter.Printf("pauses over %d seeds: %d\n", lateSeeds, late.Load())
+		Expect(late.Load()).To(BeNumerically(">", lateSeeds))
 	})
 
 	It("asks for no reboot when its control lease is about to end", func() {
--- a/internal/controller/one_pool_test.go
+++ b/internal/controller/one_pool_test.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"strings"
+	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/seeds"
 )
 
 // Extent of the search for an instance in two pools.
@@ -16,8 +19,9 @@
 
 var _ = Describe("an instance", func() {
 	It("is in exactly one pool in all views that entries act on, at every step", func() {
-		moves := 0
-		for seed := range uint64(onePoolSeeds) {
+		var moves atomic.Int64
+		seeds.Each(onePoolSeeds, func(seed uint64) {
+			defer GinkgoRecover()
 			w := newWorld(seed, 3)
 			w.addPool("tags", 0.4, 3)
 			w.addPool("renewals", 0.4, 3)
@@ -26,10 +30,10 @@
 				w.act()
 				Expect(w.onePool()).To(BeEmpty(), func() string { return seedReport(seed, w) })
 			}
-			moves += w.moves()
-		}
-		GinkgoWriter.Printf("moves over %d seeds: %d\n", onePoolSeeds, moves)
-		Expect(moves).To(BeNumerically(">", onePoolSeeds), "the search has moved instances")
+			moves.Add(int64(w.moves()))
+		})
+		GinkgoWriter.Printf("moves over %d seeds: %d\n", onePoolSeeds, moves.Load())
+		Expect(moves.Load()).To(BeNumerically(">", onePoolSeeds), "the search has moved instances")
 	})
 })
 
--- a/internal/controller/regions_test.go
+++ b/internal/controller/regions_test.go
@@ -5,6 +5,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/seeds"
 )
 
 // Extent of the search for an instance in two pools while regions lose each
@@ -21,7 +23,10 @@
 
 var _ = DescribeTable("a cut between regions leaves an instance in one pool, and moves go on afterwards",
 	func(near, far int, movesMeanwhile bool) {
-		for _, seed := range regionSeeds() {
+		drawn := regionSeeds()
+		seeds.Each(uint64(len(drawn)), func(i uint64) {
+			defer GinkgoRecover()
+			seed := drawn[i]
 			r := newRegions(seed, near, far)
 			report := func() string { return seedReport(seed, r.simWorld) }
 			Expect(r.run(regionSettle)).To(BeEmpty(), report)
@@ -35,7 +40,7 @@
 			if movesMeanwhile {
 				Expect(meanwhile).To(BeNumerically(">", before+1), report)
 			}
-		}
+		})
 	},
 	Entry("with 3 entries at the store and 4 cut off", 3, 4, false),
 	Entry("with 4 entries at the store and 3 cut off", 4, 3, true),
--- a/internal/replay/run_test.go
+++ b/internal/replay/run_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"persimmonbay/internal/replay"
+	"persimmonbay/internal/seeds"
 	"persimmonbay/internal/trace"
 )
 
@@ -40,10 +41,12 @@
 
 	DescribeTable("meets the outcomes stated for the trace with other seeds",
 		func(name string) {
-			t := load(name)
-			for t.Seed = 1; t.Seed <= otherSeeds; t.Seed++ {
+			seeds.Each(otherSeeds, func(i uint64) {
+				defer GinkgoRecover()
+				t := load(name)
+				t.Seed = 1 + i
 				Expect(replay.Run(t, replay.Chosen).Missed).To(BeEmpty(), "seed %d", t.Seed)
-			}
+			})
 		},
 		recorded,
 	)
