Only owners follow workers and what is asked of pools; events of one answer taken in at once

Machines asked for are known before workers are planned. What of fleet/ and asked/ is not understood is logged; one guardedTxn serves all.

--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -42,6 +42,7 @@
 		moving: map[string]*onTheWay{}, recalls: map[string]int{}, view: shard.NewCell(newDutyView()),
 	}
 	t.orders.Go(d.followDuty)
+	t.orders.Go(t.followAsked)
 	for t.ctx.Err() == nil && !t.isLeaving() {
 		waves, wavesChanged := t.waves.Watch()
 		view, viewChanged := d.view.Watch()
@@ -91,7 +92,7 @@
 
 // step carries the open waves on by what can be done now.
 func (d *duty) step(open []upkeep.Wave) {
-	if !d.holds() {
+	if !d.holds() || !d.asked.Get().known {
 		return
 	}
 	ctx, cancel := context.WithTimeout(d.ctx, readAllTimeout)
@@ -124,8 +125,6 @@
 	}
 }
 
-func (d *duty) guarded() store.Txn { return d.guardedTxn() }
-
 func (d *duty) commit(ctx context.Context, txn store.Txn) error {
 	_, err := d.Store.Commit(ctx, txn)
 	if problem.Is(err, problem.Conflict) {
@@ -138,7 +137,7 @@
 func (d *duty) release() {
 	ctx, cancel := context.WithTimeout(d.ctx, d.bounds.Call)
 	defer cancel()
-	txn := d.guarded()
+	txn := d.guardedTxn()
 	txn.Remove = []string{workstore.OwnerKey(d.service)}
 	if err := d.commit(ctx, txn); err != nil {
 		d.log.Info("duty ends with its lease", telemetry.ProblemFields(err)...)
--- a/internal/keeper/duty_lend.go
+++ b/internal/keeper/duty_lend.go
@@ -29,10 +29,12 @@
 		d.view.Update(func(dutyView) (dutyView, bool) { return next, true })
 		return nil
 	}
-	apply := func(e store.Event) {
+	apply := func(events []store.Event) {
 		d.view.Update(func(old dutyView) (dutyView, bool) {
 			next := old.clone()
-			d.takeDuty(&next, e)
+			for _, e := range events {
+				d.takeDuty(&next, e)
+			}
 			return next, true
 		})
 	}
@@ -70,7 +72,7 @@
 
 // tellRecalls tells pools how many machines they have to give up.
 func (d *duty) tellRecalls(ctx context.Context, recalls map[string]int) error {
-	txn := d.guarded()
+	txn := d.guardedTxn()
 	for pool := range d.fleet.Get().home {
 		if recalls[pool] == d.recalls[pool] || txn.Entries() == store.MaxTxnEntries {
 			continue
@@ -91,7 +93,7 @@
 // once no next holder needs to know of the order any more.
 func (d *duty) arrive(ctx context.Context, machines map[string]upkeep.Machine, view dutyView) error {
 	now := d.Clock.Now()
-	txn := d.guarded()
+	txn := d.guardedTxn()
 	for id, way := range d.moving {
 		m, listed := machines[id]
 		there := !listed || (m.Pool == way.target && m.State != upkeep.Moving)
@@ -139,7 +141,7 @@
 // longer take them back and the next holder knows of the orders. It returns the
 // moves that may be ordered.
 func (d *duty) take(ctx context.Context, moves []lending.Move, machines map[string]upkeep.Machine, view dutyView) ([]lending.Move, error) {
-	txn := d.guarded()
+	txn := d.guardedTxn()
 	var claimed []lending.Move
 	for _, m := range moves {
 		value, err := workstore.EncodeOffer(lending.Offer{Pool: machines[m.Machine].Pool, Target: m.Target, At: d.Clock.Now()})
@@ -191,7 +193,7 @@
 // askedMachines returns the machines that wait for their upkeep.
 func (d *duty) askedMachines() map[string]bool {
 	asked := make(map[string]bool)
-	for m := range d.fleet.Get().empty {
+	for m := range d.asked.Get().empty {
 		asked[m] = true
 	}
 	for _, w := range d.waves.Get().waves {
--- a/internal/keeper/duty_move.go
+++ b/internal/keeper/duty_move.go
@@ -52,7 +52,7 @@
 	if !problem.Is(err, problem.NotFound) {
 		return
 	}
-	txn := d.guarded()
+	txn := d.guardedTxn()
 	txn.Remove = []string{workstore.OfferKey(m.Machine)}
 	if err := d.commit(ctx, txn); err != nil {
 		d.log.Info("offer not given back", telemetry.ProblemFields(err)...)
--- a/internal/keeper/duty_recent.go
+++ b/internal/keeper/duty_recent.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return err
 	}
-	txn := d.guarded()
+	txn := d.guardedTxn()
 	txn.Expected = append(txn.Expected, store.Expectation{Key: workstore.HomeKey})
 	txn.Writes = []store.Write{{Key: workstore.HomeKey, Value: value}}
 	_, err = d.Store.Commit(ctx, txn)
--- a/internal/keeper/duty_wave.go
+++ b/internal/keeper/duty_wave.go
@@ -69,7 +69,7 @@
 
 func (d *duty) emptying() map[string]upkeep.Emptying {
 	states := make(map[string]upkeep.Emptying)
-	for machine, entry := range d.fleet.Get().empty {
+	for machine, entry := range d.asked.Get().empty {
 		states[machine] = upkeep.Asked
 		if entry.emptied {
 			states[machine] = upkeep.Emptied
@@ -84,7 +84,7 @@
 	if err != nil {
 		return err
 	}
-	txn := d.guarded()
+	txn := d.guardedTxn()
 	txn.Writes = []store.Write{{Key: workstore.UpkeepKey(wave), Value: value}}
 	txn.Remove = remove
 	return d.commit(ctx, txn)
@@ -117,7 +117,7 @@
 	}
 	for len(machines) > 0 {
 		n := min(len(machines), store.MaxTxnEntries/2)
-		txn := d.guarded()
+		txn := d.guardedTxn()
 		for _, m := range machines[:n] {
 			txn.Writes = append(txn.Writes, store.Write{Key: workstore.EmptyKey(m), Value: value})
 		}
@@ -185,7 +185,7 @@
 	if err != nil {
 		return err
 	}
-	txn := d.guarded()
+	txn := d.guardedTxn()
 	txn.Writes = []store.Write{{Key: key, Value: value}}
 	return d.commit(ctx, txn)
 }
--- a/internal/keeper/follower.go
+++ b/internal/keeper/follower.go
@@ -24,8 +24,8 @@
 	pause  time.Duration // after changes, so that several are read at once
 	call   time.Duration
 	reset  func(ctx context.Context, items []store.Item) error
-	apply  func(event store.Event)
-	after  func(now time.Time) // after each answer of the store; may be nil
+	apply  func(events []store.Event) // those of one answer
+	after  func(now time.Time)        // after each answer of the store; may be nil
 }
 
 // Bounds of the time between two tries: a few answers of the store, up to what
@@ -67,8 +67,8 @@
 	if err != nil {
 		return 0, err
 	}
-	for i := range events {
-		f.apply(events[i])
+	if len(events) > 0 {
+		f.apply(events)
 	}
 	f.answered()
 	if len(events) > 0 && f.pause > 0 {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -21,7 +21,6 @@
 	config  *workconfig.InForce
 	session *session
 	fleet   *shard.Cell[fleetView]
-	workers *shard.Cell[map[string]work.WorkerFacts] // maps are replaced, never changed
 	waves   *shard.Cell[waveView]
 	heard   *shard.Cell[time.Time] // when the store last answered
 	peers   *shard.Cell[Peers]     // nil until known
@@ -38,7 +37,6 @@
 		Dependencies: d, node: node, address: address, weight: weight, bounds: bounds, peers: shard.NewCell[Peers](nil), config: config,
 		session: newSession(d.Store, d.Clock, d.SinceBoot, d.Log, &bounds, node),
 		fleet:   shard.NewCell(newFleetView()),
-		workers: shard.NewCell(map[string]work.WorkerFacts{}),
 		waves:   shard.NewCell(waveView{}),
 		heard:   shard.NewCell(time.Time{}),
 		changed: newSignal(),
@@ -51,7 +49,7 @@
 	following, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){k.session.run, k.followFleet, k.followOperators, k.followWorkers} {
+	for _, loop := range []func(context.Context){k.session.run, k.followFleet, k.followOperators} {
 		wg.Go(func() { loop(following) })
 	}
 	k.manage(ctx)
@@ -70,7 +68,7 @@
 	k.heard.Update(func(time.Time) (time.Time, bool) { return now, true })
 }
 
-func (k *Keeper) follower(prefix string, reset func(context.Context, []store.Item) error, apply func(store.Event)) *follower {
+func (k *Keeper) follower(prefix string, reset func(context.Context, []store.Item) error, apply func([]store.Event)) *follower {
 	return &follower{
 		store: k.Store, clock: k.Clock, log: k.Log, prefix: prefix,
 		wait: k.bounds.WatchWait, call: k.bounds.Call, reset: reset, apply: apply, after: k.hear,
--- a/internal/keeper/tenure.go
+++ b/internal/keeper/tenure.go
@@ -7,7 +7,10 @@
 
 	"go.uber.org/zap"
 
+	"persimmonbay/internal/shard"
+	"persimmonbay/internal/store"
 	"persimmonbay/internal/work"
+	"persimmonbay/internal/workstore"
 )
 
 // tenure is the time for which this entry owns one pool. mu guards lookers.
@@ -23,7 +26,9 @@
 	done     chan struct{}
 	leaving  chan struct{} // closed when the pool is to be handed over
 	leave    sync.Once
-	pool     *work.Pool // set once loaded is
+	asked    *shard.Cell[askedView]
+	workers  *shard.Cell[map[string]work.WorkerFacts] // of all pools; maps are replaced, never changed; nil: not read yet
+	pool     *work.Pool                               // set once loaded is
 	loaded   atomic.Bool
 	plan     signal // plan again
 	save     signal // there is progress to keep
@@ -42,7 +47,7 @@
 		Keeper: k, service: service, token: token, lease: lease,
 		log:  k.Log.With(zap.String("service", service), zap.Int64("token", token)),
 		done: make(chan struct{}), leaving: make(chan struct{}), plan: newSignal(), save: newSignal(), confirm: newSignal(), rostered: newSignal(),
-		lookers: make(map[string]*looker),
+		lookers: make(map[string]*looker), asked: shard.NewCell(newAskedView()), workers: shard.NewCell(map[string]work.WorkerFacts(nil)),
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	return t
@@ -86,3 +91,8 @@
 		}
 	}
 }
+
+// guardedTxn is a change that is made only while the pool is ours.
+func (t *tenure) guardedTxn() store.Txn {
+	return store.Txn{Expected: []store.Expectation{{Key: workstore.OwnerKey(t.service), Revision: t.token}}}
+}
--- a/internal/keeper/tenure_balance.go
+++ b/internal/keeper/tenure_balance.go
@@ -65,11 +65,6 @@
 	return offered, nil
 }
 
-// guardedTxn is a change that is made only while the pool is ours.
-func (t *tenure) guardedTxn() store.Txn {
-	return store.Txn{Expected: []store.Expectation{{Key: workstore.OwnerKey(t.service), Revision: t.token}}}
-}
-
 // offer tells that the machines can be spared.
 func (b *balancer) offer(ctx context.Context, machines []string) error {
 	value, err := workstore.EncodeOffer(lending.Offer{Pool: b.service})
--- a/internal/keeper/tenure_emptied.go
+++ b/internal/keeper/tenure_emptied.go
@@ -25,7 +25,7 @@
 }
 
 func (t *tenure) confirmEmptied(confirmed map[string]int64) {
-	view := t.fleet.Get()
+	view := t.asked.Get()
 	for machine, entry := range view.empty {
 		if entry.emptied || confirmed[machine] == entry.revision || !t.pool.Emptied(machine) {
 			continue
--- /dev/null
+++ b/internal/keeper/tenure_follow.go
@@ -0,0 +1,80 @@
+package keeper
+
+import (
+	"context"
+	"maps"
+
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/telemetry"
+	"persimmonbay/internal/work"
+	"persimmonbay/internal/workstore"
+)
+
+// followAsked keeps up with what is asked of the pools.
+func (t *tenure) followAsked() {
+	reset := func(_ context.Context, items []store.Item) error {
+		next := newAskedView()
+		next.known = true
+		for _, item := range items {
+			t.takeAsked(&next, store.Event{Item: item})
+		}
+		t.asked.Update(func(askedView) (askedView, bool) { return next, true })
+		return nil
+	}
+	apply := func(events []store.Event) {
+		t.asked.Update(func(old askedView) (askedView, bool) {
+			next := old.clone()
+			for _, e := range events {
+				t.takeAsked(&next, e)
+			}
+			return next, true
+		})
+	}
+	t.follower(workstore.AskedPrefix, reset, apply).run(t.ctx, 0)
+}
+
+func (t *tenure) takeAsked(v *askedView, e store.Event) {
+	if err := v.apply(e); err != nil {
+		t.log.Warn("entry of what is asked not understood", append(telemetry.ProblemFields(err), zap.String("key", e.Key))...)
+	}
+}
+
+// followWorkers keeps up with the platform's list of workers.
+func (t *tenure) followWorkers() {
+	reset := func(_ context.Context, items []store.Item) error {
+		next := make(map[string]work.WorkerFacts, len(items))
+		for _, item := range items {
+			t.takeWorker(next, store.Event{Item: item})
+		}
+		t.workers.Update(func(map[string]work.WorkerFacts) (map[string]work.WorkerFacts, bool) { return next, true })
+		return nil
+	}
+	apply := func(events []store.Event) {
+		t.workers.Update(func(old map[string]work.WorkerFacts) (map[string]work.WorkerFacts, bool) {
+			next := maps.Clone(old)
+			for _, e := range events {
+				t.takeWorker(next, e)
+			}
+			return next, true
+		})
+	}
+	f := t.follower(t.Directory.WorkersPrefix(), reset, apply)
+	f.pause = t.bounds.ListPause
+	f.run(t.ctx, 0)
+}
+
+func (t *tenure) takeWorker(workers map[string]work.WorkerFacts, e store.Event) {
+	if e.Deleted {
+		delete(workers, e.Key)
+		return
+	}
+	facts, err := t.Directory.Worker(e.Item)
+	if err != nil {
+		t.log.Warn("entry of the list of workers ignored", append(telemetry.ProblemFields(err), zap.String("key", e.Key))...)
+		delete(workers, e.Key)
+		return
+	}
+	workers[e.Key] = facts
+}
--- a/internal/keeper/tenure_pool.go
+++ b/internal/keeper/tenure_pool.go
@@ -23,6 +23,8 @@
 		return
 	}
 	t.loaded.Store(true)
+	t.orders.Go(t.followAsked)
+	t.orders.Go(t.followWorkers)
 	t.orders.Go(t.followWorkersOfPool)
 	t.orders.Go(func() { t.followWork(from) })
 	t.orders.Go(t.saveLoop)
@@ -168,17 +170,22 @@
 	return nil
 }
 
-func (t *tenure) takeWork(e store.Event) {
-	if e.Deleted {
-		return
+func (t *tenure) takeWork(events []store.Event) {
+	for _, e := range events {
+		if !e.Deleted {
+			t.takeAccepted(e)
+		}
 	}
+	t.plan.send()
+}
+
+// takeAccepted takes in a job or a cancel that was accepted.
+func (t *tenure) takeAccepted(e store.Event) {
 	if id, ok := workstore.ParseJob(t.service, e.Key); ok {
 		t.addJob(id, e.Item, store.Item{}, t.Clock.Now())
-		t.plan.send()
 	}
 	if id, ok := workstore.ParseCancel(t.service, e.Key); ok {
 		t.pool.Cancel(id, e.Revision)
-		t.plan.send()
 	}
 }
 
@@ -187,28 +194,37 @@
 func (t *tenure) followWorkersOfPool() {
 	for {
 		all, changed := t.workers.Watch()
-		view, emptied := t.fleet.Watch()
-		var mine []work.WorkerFacts
-		for _, f := range all {
-			if f.Service == t.service {
-				mine = append(mine, f)
-			}
+		asked, askedChanged := t.asked.Watch()
+		fleet, fleetChanged := t.fleet.Watch()
+		if all != nil && asked.known {
+			t.takeMachines(all, asked, fleet)
 		}
-		t.pool.SetWorkers(mine, t.Clock.Now())
-		t.pool.SetAsked(view.asked(), view.emptied())
-		t.pool.SetShare(view.home[t.service], view.recalls[t.service])
-		t.rostered.send()
-		t.startLookers(mine)
-		t.plan.send()
 		select {
 		case <-t.ctx.Done():
 			return
 		case <-changed:
-		case <-emptied:
+		case <-askedChanged:
+		case <-fleetChanged:
 		}
 	}
 }
 
+// takeMachines tells the pool of its workers, and what is asked of it.
+func (t *tenure) takeMachines(all map[string]work.WorkerFacts, asked askedView, fleet fleetView) {
+	var mine []work.WorkerFacts
+	for _, f := range all {
+		if f.Service == t.service {
+			mine = append(mine, f)
+		}
+	}
+	t.pool.SetAsked(asked.machines(), asked.emptied())
+	t.pool.SetWorkers(mine, t.Clock.Now())
+	t.pool.SetShare(fleet.home[t.service], asked.recalls[t.service])
+	t.rostered.send()
+	t.startLookers(mine)
+	t.plan.send()
+}
+
 func (t *tenure) startLookers(workers []work.WorkerFacts) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/keeper/tenure_roster.go
+++ b/internal/keeper/tenure_roster.go
@@ -44,11 +44,9 @@
 		t.pool.RosterKept(roster)
 		return nil
 	}
-	_, err = t.Store.Commit(ctx, store.Txn{
-		Expected: []store.Expectation{{Key: workstore.OwnerKey(t.service), Revision: t.token}},
-		Writes:   []store.Write{{Key: workstore.RosterKey(t.service), Value: value}},
-	})
-	if err != nil {
+	txn := t.guardedTxn()
+	txn.Writes = []store.Write{{Key: workstore.RosterKey(t.service), Value: value}}
+	if _, err := t.Store.Commit(ctx, txn); err != nil {
 		t.roster = nil // nobody knows which one is kept
 		return err
 	}
--- a/internal/keeper/tenure_save.go
+++ b/internal/keeper/tenure_save.go
@@ -104,7 +104,7 @@
 }
 
 func (t *tenure) saveTxn(items []work.SaveItem) (store.Txn, error) {
-	txn := store.Txn{Expected: []store.Expectation{{Key: workstore.OwnerKey(t.service), Revision: t.token}}}
+	txn := t.guardedTxn()
 	for i := range items {
 		item := &items[i]
 		kept := workstore.KeptState{Queue: item.Queue, Progress: item.Progress}
@@ -193,13 +193,10 @@
 	}
 	final, stop := context.WithTimeout(context.WithoutCancel(ctx), t.bounds.Call)
 	defer stop()
-	key := workstore.OwnerKey(t.service)
-	_, err = t.Store.Commit(final, store.Txn{
-		Expected: []store.Expectation{{Key: key, Revision: t.token}},
-		Writes:   []store.Write{{Key: workstore.RosterKey(t.service), Value: value}},
-		Remove:   []string{key},
-	})
-	if err != nil {
+	txn := t.guardedTxn()
+	txn.Writes = []store.Write{{Key: workstore.RosterKey(t.service), Value: value}}
+	txn.Remove = []string{workstore.OwnerKey(t.service)}
+	if _, err := t.Store.Commit(final, txn); err != nil {
 		t.log.Info("pool ends with its lease", telemetry.ProblemFields(err)...)
 	}
 }
--- a/internal/workstore/keys.go
+++ b/internal/workstore/keys.go
@@ -7,7 +7,14 @@
 	FleetPrefix  = "fleet/"
 	memberPrefix = "fleet/member/"
 	ownerPrefix  = "fleet/owner/"
-	emptyPrefix  = "fleet/empty/"
+)
+
+// AskedPrefix is the prefix of what the holder of the duty for machines asks of
+// pools. Only pools' owners and that holder follow it.
+const (
+	AskedPrefix  = "asked/"
+	emptyPrefix  = "asked/empty/"
+	recallPrefix = "asked/recall/"
 )
 
 // DutyPrefix is the prefix of what pools tell the holder of the duty for
@@ -39,8 +46,6 @@
 // HomeKey is the key of how many machines are each pool's own.
 const HomeKey = "fleet/home"
 
-const recallPrefix = "fleet/recall/"
-
 // RecallKey is the key of how many machines a pool has to give up.
 func RecallKey(service string) string { return recallPrefix + service }
 
