--- a/internal/jobentry/bounds.go
+++ b/internal/jobentry/bounds.go
@@ -20,7 +20,7 @@
 	lookWait        = time.Second
 	saveEvery       = 20 * time.Millisecond
 	saveLazily      = 80 * time.Millisecond
-	listPause       = 300 * time.Millisecond // well within the time in which a draining worker must get no more work
+	listPause       = 100 * time.Millisecond // a part of a move's time; only owners of pools read the list
 	listEvery       = 400 * time.Millisecond
 	retentionFactor = 2                       // the times of day of entries may differ
 	clockDrift      = 0.02                    // the platform's bound for a worker's steady clock
--- a/internal/keeper/balancer.go
+++ b/internal/keeper/balancer.go
@@ -42,7 +42,7 @@
 	fresh := slices.DeleteFunc(now.Offers, func(m string) bool { return b.offered[m] != 0 || b.taken[m] })
 	if need != b.said || len(fresh) > 0 {
 		b.log.Info("balance", zap.Int("need", need), zap.Int("offers", len(fresh)), zap.Float64("used", now.Load.Used),
-			zap.Float64("waiting", now.Load.Waiting), zap.Float64("backlog", now.Load.Backlog), zap.Float64("have", now.Load.Have))
+			zap.Float64("waiting", now.Load.Waiting), zap.Float64("backlog", now.Load.Backlog), zap.Float64("coming", now.Load.Coming), zap.Float64("have", now.Load.Have))
 	}
 	if need != b.said {
 		if err := b.tellNeed(ctx, need); err != nil {
--- a/internal/keeper/duty_lend.go
+++ b/internal/keeper/duty_lend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -62,14 +63,21 @@
 	if err := d.tellRecalls(ctx, steps.Recalls); err != nil {
 		return err
 	}
-	taken, err := d.take(ctx, steps.Moves, machines, view)
-	if err != nil {
-		return err
+	d.moveAll(ctx, moves)
+	for batch := range slices.Chunk(steps.Moves, claimsAtOnce) {
+		taken, err := d.take(ctx, batch, machines, view)
+		if err != nil {
+			return err
+		}
+		d.moveAll(ctx, taken)
 	}
-	d.moveAll(ctx, append(moves, taken...))
 	return nil
 }
 
+// claimsAtOnce is how many moves one transaction claims: each takes a condition
+// and a write.
+const claimsAtOnce = (store.MaxTxnEntries - 1) / 2
+
 // tellRecalls tells pools how many machines they have to give up.
 func (d *duty) tellRecalls(ctx context.Context, recalls map[string]int) error {
 	txn := d.guardedTxn()
@@ -148,9 +156,6 @@
 		if err != nil {
 			return nil, err
 		}
-		if txn.Entries()+2 > store.MaxTxnEntries {
-			break // the rest with the next step
-		}
 		key := workstore.OfferKey(m.Machine)
 		txn.Expected = append(txn.Expected, store.Expectation{Key: key, Revision: view.revisions[m.Machine]})
 		txn.Writes = append(txn.Writes, store.Write{Key: key, Value: value})
--- /dev/null
+++ b/internal/work/balance_test.go
@@ -0,0 +1,59 @@
+package work_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/work"
+)
+
+var _ = Describe("what a pool needs", func() {
+	var s *scene
+
+	BeforeEach(func() {
+		var workers []work.WorkerFacts
+		for i := range 4 {
+			workers = append(workers, worker(fmt.Sprint("w", i)))
+		}
+		s = newScene(workers...)
+		s.pool.SetShare(8, 0)
+		s.pass(time.Minute) // nothing is known of an earlier owner any more
+		for _, w := range workers {
+			s.look(w.ID, nil)
+		}
+		s.plan()
+	})
+
+	// offer has jobs of one second on half a machine come at a steady rate.
+	offer := func(rate int, during time.Duration) {
+		gap := time.Second / time.Duration(rate)
+		for i := range int(during / gap) {
+			s.add(tasks(fmt.Sprintf("%d-%d", rate, i), 8))
+			s.startAll()
+			s.pass(gap)
+		}
+	}
+
+	It("is met by the rate of a turn at five times the mean after 300 ms, not by what waits", func() {
+		const keepsBusy, has = 50, 4
+		offer(100, 300*time.Millisecond)
+		Expect(s.pool.Balance(s.now).Need).To(BeNumerically(">=", (keepsBusy-has)/2))
+	})
+
+	It("is not raised by a few jobs that come by chance at once", func() {
+		s.add(tasks("a", 8))
+		s.add(tasks("b", 8))
+		s.startAll()
+		Expect(s.pool.Balance(s.now).Need).To(BeZero())
+	})
+
+	It("is given up once nothing comes any more", func() {
+		offer(100, 300*time.Millisecond)
+		before := s.pool.Balance(s.now).Load.Coming
+		s.pass(2 * time.Second)
+		Expect(s.pool.Balance(s.now).Load.Coming).To(BeNumerically("<", before/5))
+	})
+})
--- a/internal/work/load.go
+++ b/internal/work/load.go
@@ -6,5 +6,7 @@
 	Waiting float64 // that what could start now would take
 	Backlog float64 // machine-seconds of all that is not done
 	Have    float64 // usable machines
+	Lasting float64 // taken by tasks that last
+	Coming  float64 // that what surely comes in keeps busy
 	Widest  int     // machines that the widest step needs because it limits tasks on one
 }
--- a/internal/work/pool.go
+++ b/internal/work/pool.go
@@ -34,6 +34,8 @@
 	home      int                  // machines that are the pool's own; 0: not known
 	recalled  int                  // machines that the pool has to give up
 	peakAt    time.Time
+	quick     inflow               // over a short time
+	steady    inflow               // and over a longer one
 	ended     map[string]time.Time // jobs seen to their end, and when they were dropped
 }
 
@@ -44,6 +46,7 @@
 		service: service, token: token, timing: timing, tenure: roster.Tenure + 1, takenAt: now,
 		awaited: make(map[string]*awaited), jobs: make(map[string]*job), workers: make(map[string]*worker),
 		learned: newDurations(), ended: make(map[string]time.Time), published: make(map[string]bool),
+		quick: inflow{over: quickInflow}, steady: inflow{over: steadyInflow},
 	}
 	p.settleBy = now.Add(timing.granted())
 	if !roster.Released {
--- a/internal/work/pool_balance.go
+++ b/internal/work/pool_balance.go
@@ -28,9 +28,10 @@
 }
 
 // need returns how many more machines would be busy for long enough to be worth
-// their move.
+// their move. What comes in counts, so that a rise is met by as many machines as
+// it needs, not by as many as wait for at its beginning.
 func (p *Pool) need(l *Load) int {
-	missing := max(float64(l.Widest)-l.Have, math.Floor(p.own()*reserve-l.Have), 0)
+	missing := max(float64(l.Widest)-l.Have, math.Floor(p.own()*reserve-l.Have), math.Floor(l.Coming+l.Lasting-l.Have), 0)
 	if l.Waiting > l.Have-l.Used {
 		room := max(l.Have-l.Used, 0)
 		byTasks := l.Waiting - room
@@ -47,7 +48,7 @@
 // it has to give up.
 func (p *Pool) offer(l *Load, now time.Time) {
 	p.giveUp()
-	keep := max(p.peak*headroom+1, p.own()*reserve, float64(l.Widest)+1)
+	keep := max(p.peak*headroom+1, p.own()*reserve, float64(l.Widest)+1, l.Coming+l.Lasting)
 	spare := int(math.Floor(l.Have - keep))
 	for _, w := range p.idleWorkers(now) {
 		if spare <= 0 {
--- a/internal/work/pool_jobs.go
+++ b/internal/work/pool_jobs.go
@@ -24,6 +24,9 @@
 		return
 	}
 	p.openDue(j, now)
+	if created > p.token && len(j.occurrences) > 0 {
+		p.comeIn(j, now)
+	}
 }
 
 // Knows reports whether the pool has the job, or has seen it to its end.
--- a/internal/work/pool_load.go
+++ b/internal/work/pool_load.go
@@ -43,8 +43,12 @@
 		}
 		for _, r := range w.runs {
 			l.Used += r.reserved.share(unit)
+			if r.task.stage.step.LongRunning {
+				l.Lasting += r.reserved.share(unit)
+			}
 		}
 	}
+	l.Coming = max(p.quick.sure(now), p.steady.sure(now))
 	for _, j := range p.order {
 		if j.progress.State.Final() || j.rank.class >= hopeless {
 			continue
@@ -54,6 +58,22 @@
 	return l
 }
 
+// comeIn counts the work of a job that was just accepted.
+func (p *Pool) comeIn(j *job, now time.Time) {
+	unit := p.unit()
+	work := 0.0
+	for i := range j.sub.Steps {
+		step := &j.sub.Steps[i]
+		if !step.LongRunning {
+			work += float64(step.Count) * step.reserved().share(unit) * p.learned.expected(j.sub.Queue, step.Estimate).Seconds()
+		}
+	}
+	if work > 0 {
+		p.quick.add(work, now)
+		p.steady.add(work, now)
+	}
+}
+
 // smallestShare counts for a machine that offers next to nothing.
 const smallestShare = 0.01
 
