A planning step looks only at open runs and at workers with room

Now one look at what is free rules most jobs out, runs that need a stop or a repeat are marked at their worker, what is left of a job is worked out once in 200 ms, and paces are planned every 50 ms.

--- a/internal/work/job.go
+++ b/internal/work/job.go
@@ -22,6 +22,10 @@
 	endKept        bool          // that the course is over is kept
 	endedAt        time.Time
 	rank           rank
+	weighedAt      time.Time     // when the next three were worked out; zero: its progress changed
+	chainLeft      time.Duration // how long the longest chain of what is left takes
+	workLeft       float64       // core-seconds
+	allowed        time.Duration // by its objective
 }
 
 func newJob(sub *Submission, created, revision int64, progress Progress) *job {
--- a/internal/work/pool.go
+++ b/internal/work/pool.go
@@ -34,6 +34,9 @@
 	home      int                  // machines that are the pool's own; 0: not known
 	recalled  int                  // machines that the pool has to give up
 	peakAt    time.Time
+	pacesAt   time.Time            // when paces were last planned
+	room      room                 // of the plan under way
+	ranked    []*job               // as the last plan put them in order
 	quick     inflow               // over a short time
 	steady    inflow               // and over a longer one
 	ended     map[string]time.Time // jobs seen to their end, and when they were dropped
--- a/internal/work/pool_answers.go
+++ b/internal/work/pool_answers.go
@@ -34,7 +34,7 @@
 		p.loseTo(w)
 		return
 	case Unanswered:
-		r.phase = uncertain
+		r.doubt()
 		r.askedAt = now
 		r.lostCopy = true
 		w.block(now.Add(blockAfterFailure))
@@ -53,7 +53,7 @@
 	case answer == TooLate:
 		r.stoppedAt = now // the first copy has run, or never will: the next look tells
 	default:
-		r.wantStop = true // the first copy may still be carried out
+		r.end() // the first copy may still be carried out
 	}
 }
 
--- a/internal/work/pool_balance.go
+++ b/internal/work/pool_balance.go
@@ -71,7 +71,7 @@
 			if len(w.runs) > 0 && p.recalled == 0 {
 				w.offered = false
 			}
-		case w.inService() && w.facts.Machine != "" && !w.lasting() && p.asked[w.facts.Machine].IsZero():
+		case p.recalled > 0 && w.inService() && w.facts.Machine != "" && !w.lasting() && p.asked[w.facts.Machine].IsZero():
 			busy = append(busy, w)
 		}
 	}
--- a/internal/work/pool_jobs.go
+++ b/internal/work/pool_jobs.go
@@ -71,7 +71,7 @@
 		for _, s := range o.stages {
 			for _, t := range s.tasks {
 				if t.run != nil {
-					t.run.wantStop = true
+					t.run.end()
 				}
 			}
 		}
@@ -98,8 +98,9 @@
 	t.done = true
 	t.checkpoint = ""
 	if t.run != nil {
-		t.run.wantStop = true
+		t.run.end()
 	}
+	j.weighedAt = time.Time{}
 	j.progress.markDone(t.flat)
 	t.stage.left--
 	if t.stage.left == 0 {
--- a/internal/work/pool_move_off.go
+++ b/internal/work/pool_move_off.go
@@ -19,7 +19,7 @@
 				continue
 			}
 			if p.mayMove(r, w) && p.roomElsewhere(r.task, now) {
-				r.wantStop = true
+				r.end()
 			}
 		}
 	}
--- a/internal/work/pool_pace.go
+++ b/internal/work/pool_pace.go
@@ -5,6 +5,10 @@
 // planPaces slows down what fills on workers where a serving task comes near
 // its target, and speeds it up again where all have time to spare.
 func (p *Pool) planPaces(now time.Time, plan *Plan) {
+	if now.Sub(p.pacesAt) < paceLook {
+		return
+	}
+	p.pacesAt = now
 	for _, w := range p.workers {
 		strain := w.strain()
 		for _, r := range w.runs {
@@ -55,6 +59,8 @@
 	strainLow  = 0.6
 	// paceStep is by how much a filling task is sped up at once, in percent.
 	paceStep = 20
+	// paceLook is the time between two looks at all runs, short against paceEvery.
+	paceLook = 50 * time.Millisecond
 	// paceEvery is the least time between two paces of a run: the platform
 	// measures the tail over half a second.
 	paceEvery = 600 * time.Millisecond
--- a/internal/work/pool_place.go
+++ b/internal/work/pool_place.go
@@ -2,12 +2,15 @@
 
 import "time"
 
-// place returns the worker on which t starts best at now, or nil.
-func (p *Pool) place(t *task, now time.Time) *worker {
+// place returns the worker on which t starts best, or nil.
+func (p *Pool) place(t *task) *worker {
+	if !p.room.mayTake(t.stage.step.reserved()) {
+		return nil
+	}
 	var best *worker
 	var bestFit fit
-	for _, w := range p.workers {
-		if !p.mayRun(t, w, now) {
+	for _, w := range p.room.workers {
+		if !p.suits(t, w) {
 			continue
 		}
 		f := p.fitOf(t, w)
@@ -19,9 +22,12 @@
 }
 
 // mayRun reports whether t may start on w at now.
-func (p *Pool) mayRun(t *task, w *worker, now time.Time) bool {
+func (p *Pool) mayRun(t *task, w *worker, now time.Time) bool { return w.usable(now) && p.suits(t, w) }
+
+// suits reports whether w has room for t and is one that it may run on.
+func (p *Pool) suits(t *task, w *worker) bool {
 	step := t.stage.step
-	if !w.usable(now) || !step.reserved().Fits(w.free()) {
+	if !step.reserved().Fits(w.free()) {
 		return false
 	}
 	if step.Label != "" && !w.facts.HasLabel(step.Label) {
--- a/internal/work/pool_plan.go
+++ b/internal/work/pool_plan.go
@@ -1,7 +1,7 @@
 package work
 
 import (
-	"sort"
+	"slices"
 	"time"
 )
 
@@ -17,8 +17,7 @@
 	p.settle(now, &plan)
 	p.chooseLeaving(now, wall)
 	p.moveOff(now, &plan)
-	p.planStops(now, &plan)
-	p.planRepeats(now, &plan)
+	p.planOpen(now, &plan)
 	p.planPaces(now, &plan)
 	p.planStarts(now, wall, &plan)
 	p.planTimers(now, &plan)
@@ -65,40 +64,52 @@
 	return false
 }
 
-// planStops orders the stops that are due, the repeated ones included.
-func (p *Pool) planStops(now time.Time, plan *Plan) {
+// planOpen orders the stops that are due, the repeated ones included, and the
+// starts again whose answer was lost.
+func (p *Pool) planOpen(now time.Time, plan *Plan) {
 	for _, w := range p.workers {
+		if !w.attend {
+			continue
+		}
+		w.attend = false
 		for _, r := range w.runs {
-			if !r.wantStop || r.phase == starting || !r.stoppedAt.IsZero() {
+			if !r.open() {
 				continue
 			}
-			if again := r.stopSentAt.Add(p.timing.Restart); !r.stopSentAt.IsZero() && now.Before(again) {
-				plan.wakeAt(again)
-				continue
+			w.attend = true
+			if r.wantStop {
+				p.planStop(r, now, plan)
+			} else {
+				p.planRepeat(r, now, plan)
 			}
-			r.stopSentAt = now
-			p.counts.Stops++
-			plan.Stops = append(plan.Stops, StopOrder{Worker: w.facts.ID, Address: w.facts.Address, Task: r.id, Attempt: r.attempt, Token: p.token})
 		}
 	}
 }
 
-// planRepeats orders starts again whose answer was lost.
-func (p *Pool) planRepeats(now time.Time, plan *Plan) {
-	for _, w := range p.workers {
-		for _, r := range w.runs {
-			if r.phase != uncertain || r.wantStop || r.task == nil || !r.stoppedAt.IsZero() {
-				continue
-			}
-			if again := r.askedAt.Add(p.timing.Restart); now.Before(again) {
-				plan.wakeAt(again)
-				continue
-			}
-			r.askedAt = now
-			p.counts.Repeats++
-			plan.Starts = append(plan.Starts, p.startOrder(r))
-		}
+func (p *Pool) planStop(r *run, now time.Time, plan *Plan) {
+	if r.phase == starting {
+		return
+	}
+	if again := r.stopSentAt.Add(p.timing.Restart); !r.stopSentAt.IsZero() && now.Before(again) {
+		plan.wakeAt(again)
+		return
+	}
+	r.stopSentAt = now
+	p.counts.Stops++
+	plan.Stops = append(plan.Stops, StopOrder{Worker: r.worker.facts.ID, Address: r.worker.facts.Address, Task: r.id, Attempt: r.attempt, Token: p.token})
+}
+
+func (p *Pool) planRepeat(r *run, now time.Time, plan *Plan) {
+	if r.task == nil {
+		return
+	}
+	if again := r.askedAt.Add(p.timing.Restart); now.Before(again) {
+		plan.wakeAt(again)
+		return
 	}
+	r.askedAt = now
+	p.counts.Repeats++
+	plan.Starts = append(plan.Starts, p.startOrder(r))
 }
 
 func (p *Pool) startOrder(r *run) StartOrder {
@@ -110,7 +121,9 @@
 
 // planStarts starts what may start and fits, the jobs in their order.
 func (p *Pool) planStarts(now, wall time.Time, plan *Plan) {
-	for _, j := range p.ranked(now) {
+	p.room.reset(p.workers, now)
+	p.rankAll(now)
+	for _, j := range p.ranked {
 		p.openDue(j, wall.Add(p.timing.StartEarly))
 		for _, o := range j.occurrences {
 			for _, s := range o.stages {
@@ -122,17 +135,17 @@
 	}
 }
 
-// ranked returns the jobs whose course is not over, those that go first first.
-func (p *Pool) ranked(now time.Time) []*job {
-	jobs := make([]*job, 0, len(p.order))
+// rankAll puts the jobs whose course is not over in order, those that go first
+// first.
+func (p *Pool) rankAll(now time.Time) {
+	p.ranked = p.ranked[:0]
 	for _, j := range p.order {
 		if !j.progress.State.Final() {
-			jobs = append(jobs, j)
+			p.ranked = append(p.ranked, j)
 			j.rank = p.rank(j, now)
 		}
 	}
-	sort.SliceStable(jobs, func(a, b int) bool { return jobs[a].rank.before(jobs[b].rank) })
-	return jobs
+	slices.SortStableFunc(p.ranked, func(a, b *job) int { return a.rank.compare(&b.rank) })
 }
 
 func (p *Pool) planStage(s *stage, now time.Time, plan *Plan) {
@@ -147,7 +160,7 @@
 		if !t.startable(now) || p.unsettled(t) {
 			continue
 		}
-		w := p.place(t, now)
+		w := p.place(t)
 		if w == nil && t.avoid == "" {
 			return // the tasks of a step are alike
 		}
@@ -171,11 +184,12 @@
 	}
 	runs := make([]*run, 0, len(s.tasks))
 	for _, t := range s.tasks {
-		w := p.place(t, now)
+		w := p.place(t)
 		if w == nil {
 			for _, r := range runs {
 				p.release(r)
 			}
+			p.room.measure()
 			return
 		}
 		runs = append(runs, p.start(t, w, attempt+1, checkpoint, now))
@@ -196,6 +210,7 @@
 	t.attempt = attempt
 	w.runs[runKey{t.id, attempt}] = r
 	w.used = w.used.Plus(r.reserved)
+	p.room.stale = true
 	w.expiresAt = laterOf(w.expiresAt, now.Add(p.timing.granted()))
 	p.bind(r, t)
 	p.counts.Starts++
--- a/internal/work/pool_runs.go
+++ b/internal/work/pool_runs.go
@@ -5,7 +5,8 @@
 // meetRun takes in a run that this owner did not order: it is taken over when
 // its task needs it, and stopped otherwise.
 func (p *Pool) meetRun(w *worker, row *RunRow, now time.Time) *run {
-	r := &run{id: row.Task, attempt: row.Attempt, worker: w, phase: running, orderedAt: now, answeredAt: now, wantStop: true}
+	r := &run{id: row.Task, attempt: row.Attempt, worker: w, phase: running, orderedAt: now, answeredAt: now}
+	r.end()
 	w.runs[runKey{row.Task, row.Attempt}] = r
 	j := p.jobs[row.Task.Job]
 	if j == nil {
--- a/internal/work/pool_workers.go
+++ b/internal/work/pool_workers.go
@@ -103,10 +103,10 @@
 			continue
 		}
 		if r.phase == running {
-			r.phase = uncertain
+			r.doubt()
 		}
 		r.answeredAt, r.stopSentAt, r.stoppedAt, r.deadline = time.Time{}, time.Time{}, time.Time{}, 0
-		r.wantStop = true
+		r.end()
 	}
 }
 
--- a/internal/work/rank.go
+++ b/internal/work/rank.go
@@ -1,6 +1,9 @@
 package work
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // rank orders jobs: the lower goes first.
 type rank struct {
@@ -9,14 +12,8 @@
 	accepted time.Time
 }
 
-func (r rank) before(o rank) bool {
-	switch {
-	case r.class != o.class:
-		return r.class < o.class
-	case r.work != o.work:
-		return r.work < o.work
-	}
-	return r.accepted.Before(o.accepted)
+func (r *rank) compare(o *rank) int {
+	return cmp.Or(cmp.Compare(r.class, o.class), cmp.Compare(r.work, o.work), r.accepted.Compare(o.accepted))
 }
 
 const (
@@ -40,21 +37,29 @@
 	if k := len(j.occurrences) - 1; k > 0 {
 		from = j.sub.DueAt(k)
 	}
-	left, work := p.remaining(j)
-	allowed := time.Duration(j.sub.Stretch*float64(p.learned.chain(j.sub))) + j.sub.Objective
-	r := rank{class: j.sub.Priority, work: work, accepted: j.sub.AcceptedAt}
-	switch end := now.Add(left); {
-	case end.After(from.Add(lateFactor * allowed)):
+	if j.weighedAt.IsZero() || now.Sub(j.weighedAt) > weighEvery {
+		p.weigh(j, now)
+	}
+	r := rank{class: j.sub.Priority, work: j.workLeft, accepted: j.sub.AcceptedAt}
+	switch end := now.Add(j.chainLeft); {
+	case end.After(from.Add(lateFactor * j.allowed)):
 		r.class = hopeless
-	case end.After(from.Add(allowed)):
+	case end.After(from.Add(j.allowed)):
 		r.class += lateClass
 	}
 	return r
 }
 
-// remaining returns how long the longest chain of what is left of a job takes,
-// and its work in core-seconds.
-func (p *Pool) remaining(j *job) (chain time.Duration, work float64) {
+// weighEvery is how long what is left of a job is taken for the same although
+// what is learned of its queue changes; its own progress counts at once.
+const weighEvery = 200 * time.Millisecond
+
+// weigh works out how long the longest chain of what is left of a job takes,
+// its work in core-seconds, and the time that its objective allows.
+func (p *Pool) weigh(j *job, now time.Time) {
+	j.chainLeft, j.workLeft, j.weighedAt = 0, 0, now
+	j.allowed = time.Duration(j.sub.Stretch*float64(p.learned.chain(j.sub))) + j.sub.Objective
+	step, task := p.learned.step, p.learned.expected
 	for _, o := range j.occurrences {
 		ends := make([]time.Duration, len(o.stages))
 		for i, s := range o.stages {
@@ -66,11 +71,9 @@
 			if s.left == 0 {
 				continue
 			}
-			each := p.learned.expected(j.sub.Queue, s.step.Estimate)
-			ends[i] += p.learned.step(j.sub.Queue, s.step.Estimate)
-			chain = max(chain, ends[i])
-			work += float64(s.left) * each.Seconds() * float64(s.step.Need.MilliCPU) / 1000
+			ends[i] += step(j.sub.Queue, s.step.Estimate)
+			j.chainLeft = max(j.chainLeft, ends[i])
+			j.workLeft += float64(s.left) * task(j.sub.Queue, s.step.Estimate).Seconds() * float64(s.step.Need.MilliCPU) / 1000
 		}
 	}
-	return chain, work
 }
--- a/internal/work/run.go
+++ b/internal/work/run.go
@@ -26,3 +26,12 @@
 	ticket     string
 	checkpoint string // that the run starts from
 }
+
+// end has a stop ordered.
+func (r *run) end() { r.wantStop, r.worker.attend = true, true }
+
+// doubt takes in that nobody knows whether the run began.
+func (r *run) doubt() { r.phase, r.worker.attend = uncertain, true }
+
+// open reports whether the run has to be stopped, or its start repeated.
+func (r *run) open() bool { return (r.wantStop || r.phase == uncertain) && r.stoppedAt.IsZero() }
--- a/internal/work/worker.go
+++ b/internal/work/worker.go
@@ -17,6 +17,7 @@
 	born       int64
 	clock      clockReading
 	runs       map[runKey]*run
+	attend     bool // some of runs may be open
 	used       Resources
 	applied    int64 // ends up to this number were taken in
 	noted      int64 // ends up to this number may be forgotten
@@ -30,7 +31,7 @@
 }
 
 func newWorker(facts WorkerFacts) *worker {
-	return &worker{facts: facts, listed: true, runs: make(map[runKey]*run), failedJobs: make(map[string]bool)}
+	return &worker{facts: facts, listed: true, attend: true, runs: make(map[runKey]*run), failedJobs: make(map[string]bool)}
 }
 
 // free returns the capacity that no run takes.
