--- a/internal/work/pool_balance.go
+++ b/internal/work/pool_balance.go
@@ -1,6 +1,7 @@
 package work
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -44,47 +45,42 @@
 	return int(math.Ceil(max(missing, 0)))
 }
 
-// offer holds back idle machines that the pool can do without, and those that
-// it has to give up.
+// offer holds back the machines that the pool can do without, and those that it
+// has to give up: idle ones, and besides the least used ones, where what runs
+// ends first. Lasting tasks stay where they are.
 func (p *Pool) offer(l *Load, now time.Time) {
-	p.giveUp()
 	keep := max(p.peak*headroom+1, p.own()*reserve, float64(l.Widest)+1, l.Coming+l.Lasting)
-	spare := int(math.Floor(l.Have - keep))
-	for _, w := range p.idleWorkers(now) {
-		if spare <= 0 {
-			return
-		}
-		w.offered = true
-		spare--
-	}
-}
-
-// giveUp holds back the least used machines, as many as are recalled: what runs
-// there ends first. Lasting tasks stay where they are.
-func (p *Pool) giveUp() {
-	held := 0
-	var busy []*worker
+	idleHeld := 0
+	var busyHeld, busy []*worker
 	for _, w := range p.workers {
 		switch {
+		case w.givenUp():
+			busyHeld = append(busyHeld, w)
 		case w.offered && w.listed && !w.lost:
-			held++
-			if len(w.runs) > 0 && p.recalled == 0 {
-				w.offered = false
-			}
-		case p.recalled > 0 && w.inService() && w.facts.Machine != "" && !w.lasting() && p.asked[w.facts.Machine].IsZero():
+			idleHeld++
+		case w.inService() && len(w.runs) > 0 && w.facts.Machine != "" && p.asked[w.facts.Machine].IsZero():
 			busy = append(busy, w)
 		}
 	}
-	slices.SortFunc(busy, func(a, b *worker) int {
-		if a.used.MilliCPU != b.used.MilliCPU {
-			return a.used.MilliCPU - b.used.MilliCPU
-		}
-		return compareIDs(a, b)
-	})
-	for i := 0; i < len(busy) && held < p.recalled; i++ {
-		busy[i].offered = true
-		held++
+	hold := max(int(math.Floor(l.Have-keep)), p.recalled-idleHeld, 0)
+	slices.SortFunc(busyHeld, compareUsed)
+	chosen := append(p.idleWorkers(now), busyHeld...)
+	if len(chosen) < hold {
+		slices.SortFunc(busy, compareUsed)
+		busy = slices.DeleteFunc(busy, (*worker).lasting)
+		chosen = append(chosen, busy...)
 	}
+	for i, w := range chosen {
+		w.offered = i < hold
+	}
+}
+
+// givenUp reports whether the worker only ends what runs there, for its machine
+// to be offered then.
+func (w *worker) givenUp() bool { return w.offered && w.listed && !w.lost && len(w.runs) > 0 }
+
+func compareUsed(a, b *worker) int {
+	return cmp.Or(cmp.Compare(a.used.MilliCPU, b.used.MilliCPU), compareIDs(a, b))
 }
 
 // own returns how many machines are the pool's own: as the fleet says, or as it
