--- a/cmd/persimmonbay/dev.go
+++ b/cmd/persimmonbay/dev.go
@@ -80,10 +80,36 @@
 		defer stopStandins() // after the entry, so that it can hand its lease back
 		return e.Run(ctx)
 	})
-	printDev(c, e.Addresses(), platformListener.Addr().String())
+	jobs, err := startDevJobs(ctx, standinsCtx, group, c, logLevel, clock)
+	if err != nil {
+		return err
+	}
+	group.Go(func() error {
+		if !untilReady(ctx, clock, func() bool { return e.Ready() == nil && jobs.entry.Ready() }) {
+			return nil
+		}
+		printDev(c, e.Addresses(), platformListener.Addr().String())
+		jobs.print(c)
+		return nil
+	})
 	return group.Wait()
 }
 
+// readyEvery is how often the embedded entries are asked whether they can serve.
+const readyEvery = 20 * time.Millisecond
+
+// untilReady waits until ready holds; false when ctx ended first.
+func untilReady(ctx context.Context, clock clockwork.Clock, ready func() bool) bool {
+	for !ready() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-clock.After(readyEvery):
+		}
+	}
+	return true
+}
+
 // devConfiguration applies the configuration of the embedded questionnaire.
 func devConfiguration(ctx context.Context, p *standinplatform.Server, clock clockwork.Clock) (*configuration.Configuration, error) {
 	answers, err := configfile.ParseQuestionnaire("dev_answers.yaml", devAnswers)
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -56,7 +56,7 @@
 	dependencies.Metrics.Publish("pools", func() any { return e.keeper.Counts() })
 	in := intake.New(store, e.config, announcer{e.keeper}, clock, log)
 	e.callers = &http.Server{Handler: platform.NewIngress(in, e.config, codec, clock, log).Handler(), ReadHeaderTimeout: headerTimeout}
-	e.probes = &http.Server{Handler: platform.ReadinessHandler(e.ready, dependencies.Metrics), ReadHeaderTimeout: headerTimeout}
+	e.probes = &http.Server{Handler: platform.ReadinessHandler(e.Ready, dependencies.Metrics), ReadHeaderTimeout: headerTimeout}
 	return e, nil
 }
 
@@ -73,8 +73,8 @@
 	exitReserve = 700 * time.Millisecond
 )
 
-// ready reports whether the balancer may send connections here.
-func (e *Entry) ready() bool {
+// Ready reports whether the balancer may send connections here.
+func (e *Entry) Ready() bool {
 	heard := e.keeper.Heard()
 	return !e.draining.Load() && e.config.Get() != nil && !heard.IsZero() && e.clock.Now().Sub(heard) < heardWithin
 }
