Needs cover what piles up until machines come; machines due for upkeep are lent meanwhile

Cause: a machine takes 1.8 s to a pool, and what came in until then waited for a second time: pools asked for what kept up, then for the backlog when it was there.

--- a/internal/keeper/duty_lend.go
+++ b/internal/keeper/duty_lend.go
@@ -56,20 +56,21 @@
 	}
 	recent := d.recent()
 	moves := d.unfinished(machines, view, recent)
+	due := d.dueMachines(machines)
 	steps := lending.Plan(&lending.Snapshot{
 		Needs: view.needs, Home: d.fleet.Get().home, Offers: view.offers, Machines: machines, Standby: d.standby(),
-		OnTheWay: d.targets(), Asked: d.askedMachines(), Recent: recent,
+		OnTheWay: d.targets(), Asked: d.askedMachines(due), Due: due, Recent: recent,
 	})
 	if err := d.tellRecalls(ctx, steps.Recalls); err != nil {
 		return err
 	}
-	d.moveAll(ctx, moves)
+	d.moveAll(ctx, moves, machines)
 	for batch := range slices.Chunk(steps.Moves, claimsAtOnce) {
 		taken, err := d.take(ctx, batch, machines, view)
 		if err != nil {
 			return err
 		}
-		d.moveAll(ctx, taken)
+		d.moveAll(ctx, taken, machines)
 	}
 	return nil
 }
@@ -195,18 +196,37 @@
 	return pools
 }
 
-// askedMachines returns the machines that wait for their upkeep.
-func (d *duty) askedMachines() map[string]bool {
+// askedMachines returns the machines that wait for their upkeep and that no pool
+// may get before.
+func (d *duty) askedMachines(due map[string]bool) map[string]bool {
 	asked := make(map[string]bool)
 	for m := range d.asked.Get().empty {
 		asked[m] = true
 	}
 	for _, w := range d.waves.Get().waves {
 		for _, m := range w.Machines {
-			if !d.said[w.Number] && !d.progress[w.Number].Done[m] {
+			if !due[m] && !d.said[w.Number] && !d.progress[w.Number].Done[m] {
 				asked[m] = true
 			}
 		}
 	}
 	return asked
 }
+
+// dueMachines returns the machines on standby whose upkeep can wait: there is
+// time enough left to empty them again after a pool has used them.
+func (d *duty) dueMachines(machines map[string]upkeep.Machine) map[string]bool {
+	due := make(map[string]bool)
+	for _, w := range d.waves.Get().waves {
+		p, known := d.progress[w.Number]
+		if !known || d.said[w.Number] || !w.CanWait(&p, d.Clock.Now()) {
+			continue
+		}
+		for _, m := range w.Machines {
+			if _, ordered := p.Ordered[m]; !ordered && machines[m].Worker == "" {
+				due[m] = true
+			}
+		}
+	}
+	return due
+}
--- a/internal/keeper/duty_move.go
+++ b/internal/keeper/duty_move.go
@@ -9,11 +9,13 @@
 	"persimmonbay/internal/lending"
 	"persimmonbay/internal/problem"
 	"persimmonbay/internal/telemetry"
+	"persimmonbay/internal/upkeep"
 	"persimmonbay/internal/workstore"
 )
 
-// moveAll orders moves side by side, and takes in their answers.
-func (d *duty) moveAll(ctx context.Context, moves []lending.Move) {
+// moveAll orders moves side by side, and takes in their answers. The machines
+// count as moving from then on, whatever the answer, so that no upkeep follows.
+func (d *duty) moveAll(ctx context.Context, moves []lending.Move, machines map[string]upkeep.Machine) {
 	answers := make([]error, len(moves))
 	var group errgroup.Group
 	group.SetLimit(movesAtOnce)
@@ -26,6 +28,9 @@
 	_ = group.Wait() // the answers are in their own list
 	for i, m := range moves {
 		d.moved(ctx, m, answers[i])
+		machine := machines[m.Machine]
+		machine.State = upkeep.Moving
+		machines[m.Machine] = machine
 	}
 }
 
--- a/internal/keeper/keeper_manage.go
+++ b/internal/keeper/keeper_manage.go
@@ -10,6 +10,7 @@
 	"persimmonbay/internal/problem"
 	"persimmonbay/internal/store"
 	"persimmonbay/internal/telemetry"
+	"persimmonbay/internal/work"
 	"persimmonbay/internal/workstore"
 )
 
@@ -90,20 +91,13 @@
 		}
 		owner := view.owners[service]
 		stale := owner.node == k.node // left by an earlier life of this entry
-		free := owner.node == "" && k.Clock.Now().After(settled) && (assigned[service] == k.node || k.Clock.Now().Sub(laterOf(owner.since, settled)) > k.bounds.Steal)
+		free := owner.node == "" && k.Clock.Now().After(settled) && (assigned[service] == k.node || k.Clock.Now().Sub(work.Later(owner.since, settled)) > k.bounds.Steal)
 		if stale || free {
 			k.acquire(ctx, service, owner, lease)
 		}
 	}
 }
 
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func (k *Keeper) owns(service string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/lending/plan.go
+++ b/internal/lending/plan.go
@@ -1,6 +1,7 @@
 package lending
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -49,7 +50,8 @@
 	return ids
 }
 
-// standbyMachines returns the machines on standby that can be used, in order.
+// standbyMachines returns the machines on standby that can be used, in order;
+// those that are due for upkeep last.
 func (s *Snapshot) standbyMachines() []string {
 	var ids []string
 	for id, m := range s.Machines {
@@ -58,7 +60,15 @@
 			ids = append(ids, id)
 		}
 	}
-	slices.Sort(ids)
+	slices.SortFunc(ids, func(a, b string) int {
+		switch {
+		case s.Due[a] == s.Due[b]:
+			return cmp.Compare(a, b)
+		case s.Due[a]:
+			return 1
+		}
+		return -1
+	})
 	return ids
 }
 
--- a/internal/lending/plan_test.go
+++ b/internal/lending/plan_test.go
@@ -46,6 +46,15 @@
 		Expect(steps.Recalls).To(BeEmpty())
 	})
 
+	// scale-2 of the grown Safety Cell: a wave of 144 machines kept all that stood
+	// by from the pool whose turn it was.
+	It("in a turn during a wave, takes machines that are due for upkeep after all others", func() {
+		s := fleet("tags", 4, 9, "spare", 3, 8)
+		s.Needs["tags"] = 2
+		s.Due = map[string]bool{"spare-0": true, "spare-1": true}
+		Expect(lending.Plan(s).Moves).To(Equal([]lending.Move{{Machine: "spare-2", Target: "tags"}, {Machine: "spare-0", Target: "tags"}}))
+	})
+
 	It("between bursts, puts on standby what nobody needs", func() {
 		s := fleet("tags", 9, 9, "spare", 0, 8)
 		s.Offers["tags-1"] = lending.Offer{Pool: "tags"}
--- a/internal/lending/snapshot.go
+++ b/internal/lending/snapshot.go
@@ -11,5 +11,6 @@
 	Standby  map[string]bool   // pools whose machines are off
 	OnTheWay map[string]string // by machine: the pool it was ordered to and has not joined
 	Asked    map[string]bool   // machines that wait for their upkeep
+	Due      map[string]bool   // machines on standby whose upkeep can wait
 	Recent   map[string]bool   // machines that an earlier holder has ordered just now
 }
--- a/internal/upkeep/plan_test.go
+++ b/internal/upkeep/plan_test.go
@@ -1,6 +1,8 @@
 package upkeep_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -20,6 +22,16 @@
 }
 
 var _ = Describe("a wave", func() {
+	It("can wait while the time left is enough for all turns", func() {
+		w := upkeep.Wave{Machines: make([]string, 140), Within: 25 * time.Second, Cap: 70}
+		p := upkeep.NewProgress()
+		p.Since = time.Unix(1_700_000_000, 0)
+		Expect(w.CanWait(&p, p.Since)).To(BeTrue())
+		Expect(w.CanWait(&p, p.Since.Add(10*time.Second))).To(BeFalse())
+		w.Cap = 20
+		Expect(w.CanWait(&p, p.Since)).To(BeFalse())
+	})
+
 	It("asks for all machines at once, and takes down only empty ones within the bound", func() {
 		s := wave("a", "b", "c", "d")
 		Expect(upkeep.Plan(s).Ask).To(Equal([]string{"a", "b", "c", "d"}))
--- a/internal/work/balance_test.go
+++ b/internal/work/balance_test.go
@@ -43,6 +43,12 @@
 		Expect(s.pool.Balance(s.now).Need).To(BeNumerically(">=", (keepsBusy-has)/2))
 	})
 
+	It("covers what piles up until the machines come", func() {
+		const keepsBusy, has = 50, 4
+		offer(100, 500*time.Millisecond)
+		Expect(s.pool.Balance(s.now).Need).To(BeNumerically(">=", keepsBusy-has+keepsBusy))
+	})
+
 	It("is not raised by a few jobs that come by chance at once", func() {
 		s.add(tasks("a", 8))
 		s.add(tasks("b", 8))
--- a/internal/work/pool.go
+++ b/internal/work/pool.go
@@ -13,33 +13,34 @@
 	timing  Timing
 	tenure  int // counts the pool's owners
 
-	mu        sync.Mutex
-	takenAt   time.Time
-	settleBy  time.Time           // by then, all that an earlier owner started has ended or answered
-	settled   bool                // all that an earlier owner may have started is known or has ended
-	awaited   map[string]*awaited // by worker: what an earlier owner may have started
-	jobs      map[string]*job
-	order     []*job // the jobs by acceptance
-	workers   map[string]*worker
-	wall      time.Time // time of day at the last plan
-	sequence  int64     // of the last change that has to be kept
-	learned   *durations
-	counts    Counts
-	asked     map[string]time.Time // machines to be emptied, and by when
-	emptied   map[string]bool      // machines that were said to be empty
-	published map[string]bool      // machines that are offered in the store: they may be taken at any time
-	lastUnit  Resources            // capacity of a usual machine when some were last listed
-	peak      float64              // recent peak of the load, in machines
-	longPeak  float64              // highest load of the last while, in machines
-	home      int                  // machines that are the pool's own; 0: not known
-	recalled  int                  // machines that the pool has to give up
-	peakAt    time.Time
-	pacesAt   time.Time            // when paces were last planned
-	room      room                 // of the plan under way
-	ranked    []*job               // as the last plan put them in order
-	quick     inflow               // over a short time
-	steady    inflow               // and over a longer one
-	ended     map[string]time.Time // jobs seen to their end, and when they were dropped
+	mu         sync.Mutex
+	takenAt    time.Time
+	settleBy   time.Time           // by then, all that an earlier owner started has ended or answered
+	settled    bool                // all that an earlier owner may have started is known or has ended
+	awaited    map[string]*awaited // by worker: what an earlier owner may have started
+	jobs       map[string]*job
+	order      []*job // the jobs by acceptance
+	workers    map[string]*worker
+	wall       time.Time // time of day at the last plan
+	sequence   int64     // of the last change that has to be kept
+	learned    *durations
+	counts     Counts
+	asked      map[string]time.Time // machines to be emptied, and by when
+	emptied    map[string]bool      // machines that were said to be empty
+	published  map[string]bool      // machines that are offered in the store: they may be taken at any time
+	lastUnit   Resources            // capacity of a usual machine when some were last listed
+	peak       float64              // recent peak of the load, in machines
+	longPeak   float64              // highest load of the last while, in machines
+	home       int                  // machines that are the pool's own; 0: not known
+	recalled   int                  // machines that the pool has to give up
+	peakAt     time.Time
+	shortSince time.Time            // since when more comes in than the pool can serve; zero: it does not
+	pacesAt    time.Time            // when paces were last planned
+	room       room                 // of the plan under way
+	ranked     []*job               // as the last plan put them in order
+	quick      inflow               // over a short time
+	steady     inflow               // and over a longer one
+	ended      map[string]time.Time // jobs seen to their end, and when they were dropped
 }
 
 // NewPool returns the pool of service for the owner with the given fencing
--- a/internal/work/pool_balance.go
+++ b/internal/work/pool_balance.go
@@ -16,7 +16,7 @@
 	p.follow(&l, now)
 	b := Balance{Load: l, Recalled: p.recalled}
 	if p.settled {
-		b.Need = p.need(&l)
+		b.Need = p.need(&l, now)
 		p.offer(&l, now)
 	}
 	for _, w := range p.workers {
@@ -31,8 +31,8 @@
 // need returns how many more machines would be busy for long enough to be worth
 // their move. What comes in counts, so that a rise is met by as many machines as
 // it needs, not by as many as wait for at its beginning.
-func (p *Pool) need(l *Load) int {
-	missing := max(float64(l.Widest)-l.Have, math.Floor(p.own()*reserve-l.Have), math.Floor(l.Coming+l.Lasting-l.Have), 0)
+func (p *Pool) need(l *Load, now time.Time) int {
+	missing := max(float64(l.Widest)-l.Have, math.Floor(p.own()*reserve-l.Have), math.Floor(p.short(l, now)), 0)
 	if l.Waiting > l.Have-l.Used {
 		room := max(l.Have-l.Used, 0)
 		byTasks := l.Waiting - room
@@ -45,6 +45,22 @@
 	return int(math.Ceil(max(missing, 0)))
 }
 
+// short returns how many more machines keep up with what comes in, and work off
+// what piles up until they are there.
+func (p *Pool) short(l *Load, now time.Time) float64 {
+	serving := l.Have - l.Lasting
+	if l.Coming <= serving {
+		p.shortSince = time.Time{}
+		return 0
+	}
+	if p.shortSince.IsZero() {
+		p.shortSince = now
+	}
+	until := max(moveTime-now.Sub(p.shortSince), 0).Seconds()
+	piled := l.Backlog + (l.Coming-serving)*until
+	return l.Coming - serving + piled/workOff.Seconds()
+}
+
 // offer holds back the machines that the pool can do without, and those that it
 // has to give up: idle ones, and besides the least used ones, where what runs
 // ends first. Lasting tasks stay where they are.
@@ -147,6 +163,12 @@
 	// worthwhile is how long a machine should be busy for its move to pay: a
 	// move costs the users about a second of a machine.
 	worthwhile = time.Second
+	// moveTime is how long a machine takes to a pool that asks for it: the users'
+	// bound of a move, and what it takes to ask and to be seen.
+	moveTime = 1800 * time.Millisecond
+	// workOff is the time in which what has piled up should be worked off: half
+	// of what short jobs may wait.
+	workOff = time.Second
 	// freshFor is how long a machine stays after its arrival.
 	freshFor = 2 * time.Second
 )
--- a/internal/work/pool_look.go
+++ b/internal/work/pool_look.go
@@ -14,7 +14,7 @@
 	req := LookRequest{Worker: id, Address: w.facts.Address, Token: p.token, Observed: w.noted}
 	if w.fenced && !w.silent && w.clock.known() {
 		req.Deadline = w.clock.ahead(now, &p.timing)
-		w.expiresAt = laterOf(w.expiresAt, now.Add(p.timing.granted()))
+		w.expiresAt = Later(w.expiresAt, now.Add(p.timing.granted()))
 	}
 	return req, true
 }
@@ -190,10 +190,3 @@
 // blockAfterFailure is how long a worker that did not answer gets no new task:
 // about the time of a retry on a fresh connection.
 const blockAfterFailure = 300 * time.Millisecond
-
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/work/pool_plan.go
+++ b/internal/work/pool_plan.go
@@ -211,7 +211,7 @@
 	w.runs[runKey{t.id, attempt}] = r
 	w.used = w.used.Plus(r.reserved)
 	p.room.stale = true
-	w.expiresAt = laterOf(w.expiresAt, now.Add(p.timing.granted()))
+	w.expiresAt = Later(w.expiresAt, now.Add(p.timing.granted()))
 	p.bind(r, t)
 	p.counts.Starts++
 	return r
--- a/internal/work/pool_runs.go
+++ b/internal/work/pool_runs.go
@@ -24,7 +24,7 @@
 	}
 	p.bind(r, t)
 	r.wantStop = false
-	w.expiresAt = laterOf(w.expiresAt, now.Add(p.timing.granted())) // by the earlier owner
+	w.expiresAt = Later(w.expiresAt, now.Add(p.timing.granted())) // by the earlier owner
 	p.counts.Adopted++
 	return r
 }
