--- a/internal/work/balance_test.go
+++ b/internal/work/balance_test.go
@@ -62,6 +62,32 @@
 		Expect(func() { s.pool.Balance(s.now) }).NotTo(Panic())
 	})
 
+	It("frees the least used machine after a turn, unless work comes back", func() {
+		full := tasks("turn", 64)
+		s.add(full)
+		byWorker := map[string][]work.StartOrder{}
+		for _, o := range s.startAll() {
+			byWorker[o.Worker] = append(byWorker[o.Worker], o)
+		}
+		for id, orders := range byWorker {
+			var ends []work.EndRow
+			for _, o := range orders[1:] {
+				ends = append(ends, ended(o, work.EndDone))
+			}
+			s.look(id, []work.RunRow{runs(orders[0])}, ends...)
+		}
+		s.pass(3 * time.Second)
+		Expect(s.pool.Balance(s.now).Offers).To(BeEmpty(), "a task runs on each")
+		s.add(tasks("later", 20))
+		for _, o := range s.startAll() {
+			Expect(o.Worker).NotTo(Equal("w0"))
+		}
+		s.add(tasks("more", 40))
+		s.startAll()
+		s.pool.Balance(s.now)
+		Expect(s.startAll()).To(ContainElement(HaveField("Worker", "w0")))
+	})
+
 	It("is given up once nothing comes any more", func() {
 		offer(100, 300*time.Millisecond)
 		before := s.pool.Balance(s.now).Load.Coming
--- a/internal/work/pool_balance.go
+++ b/internal/work/pool_balance.go
@@ -70,7 +70,7 @@
 	var busyHeld, busy []*worker
 	for _, w := range p.workers {
 		switch {
-		case w.givenUp():
+		case p.givenUp(w):
 			busyHeld = append(busyHeld, w)
 		case w.offered && w.listed && !w.lost:
 			idleHeld++
@@ -92,8 +92,10 @@
 }
 
 // givenUp reports whether the worker only ends what runs there, for its machine
-// to be offered then.
-func (w *worker) givenUp() bool { return w.offered && w.listed && !w.lost && len(w.runs) > 0 }
+// to be offered then. One that is offered already may be taken at any time.
+func (p *Pool) givenUp(w *worker) bool {
+	return w.offered && w.listed && !w.lost && len(w.runs) > 0 && !p.published[w.facts.Machine]
+}
 
 func compareUsed(a, b *worker) int {
 	return cmp.Or(cmp.Compare(a.used.MilliCPU, b.used.MilliCPU), compareIDs(a, b))
--- a/internal/work/pool_load.go
+++ b/internal/work/pool_load.go
@@ -38,7 +38,7 @@
 	unit := p.unit()
 	var l Load
 	for _, w := range p.workers {
-		if w.inService() || w.givenUp() {
+		if w.inService() || p.givenUp(w) {
 			l.Have += max(w.facts.Capacity.share(unit), smallestShare)
 		}
 		for _, r := range w.runs {
