Logs tell lives, unknown jobs and early-lost ownership apart

A pool now tells its rare events: a worker's first answer to an owner, another life and by which word, the number up to which ends of the earlier one could be forgotten, ends and runs of unknown jobs. Lost pools and ended leases are logged with their age and that of the last renewal. No decision changes.

--- a/internal/keeper/session.go
+++ b/internal/keeper/session.go
@@ -25,6 +25,7 @@
 	mu     sync.Mutex
 	id     int64         // 0: none
 	endsAt time.Duration // since boot: until then the lease surely holds
+	sentAt time.Duration // since boot: when the last grant or renewal that succeeded was sent
 	ended  chan struct{} // closed when the lease id is given up
 }
 
@@ -46,6 +47,13 @@
 	return ok && now == id
 }
 
+// sinceRenewal returns how long ago the last grant or renewal was sent.
+func (s *session) sinceRenewal() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.boot() - s.sentAt
+}
+
 // run keeps a lease until ctx ends, and ends it then.
 func (s *session) run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -92,7 +100,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.id, s.endsAt = lease.ID, sent+lease.TTL-s.bounds.LeaseMargin
+	s.id, s.sentAt, s.endsAt = lease.ID, sent, sent+lease.TTL-s.bounds.LeaseMargin
 	s.ended = make(chan struct{})
 }
 
@@ -100,7 +108,7 @@
 	sent := s.boot()
 	err := s.store.Renew(ctx, id)
 	if problem.Is(err, problem.NotFound) {
-		s.log.Warn("lease has ended", zap.Int64("lease", id))
+		s.log.Warn("lease has ended", zap.Int64("lease", id), zap.Duration("since_renewal", s.sinceRenewal()))
 		s.giveUp(id)
 		return
 	}
@@ -111,7 +119,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.id == id {
-		s.endsAt = sent + s.bounds.LeaseTTL - s.bounds.LeaseMargin
+		s.sentAt, s.endsAt = sent, sent+s.bounds.LeaseTTL-s.bounds.LeaseMargin
 	}
 }
 
--- a/internal/keeper/tenure.go
+++ b/internal/keeper/tenure.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -18,6 +19,7 @@
 	*Keeper
 	service  string
 	token    int64 // fencing token: the store revision of the ownership
+	begun    time.Time
 	lease    int64
 	log      *zap.Logger
 	ctx      context.Context // ends with the tenure
@@ -44,7 +46,7 @@
 
 func newTenure(k *Keeper, service string, token, lease int64) *tenure {
 	t := &tenure{
-		Keeper: k, service: service, token: token, lease: lease,
+		Keeper: k, service: service, token: token, lease: lease, begun: k.Clock.Now(),
 		log:  k.Log.With(zap.String("service", service), zap.Int64("token", token)),
 		done: make(chan struct{}), leaving: make(chan struct{}), plan: newSignal(), save: newSignal(), confirm: newSignal(), rostered: newSignal(),
 		lookers: make(map[string]*looker), asked: shard.NewCell(newAskedView()), workers: shard.NewCell(map[string]work.WorkerFacts(nil)),
@@ -59,7 +61,7 @@
 // lose ends the tenure because another entry has the pool.
 func (t *tenure) lose(why string) {
 	if t.ctx.Err() == nil {
-		t.log.Warn("pool lost", zap.String("why", why))
+		t.log.Warn("pool lost", zap.String("why", why), zap.Duration("owned", t.Clock.Now().Sub(t.begun)), zap.Duration("since_renewal", t.session.sinceRenewal()))
 	}
 	t.cancel()
 }
--- /dev/null
+++ b/internal/keeper/tenure_events.go
@@ -0,0 +1,26 @@
+package keeper
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/work"
+)
+
+// logEvents writes the pool's events to the log. A worker's first answer is only
+// told when it comes late, as every owner hears it of every worker.
+func (t *tenure) logEvents() {
+	for _, e := range t.pool.Events() {
+		log := t.log.Info
+		if e.Kind == work.WorkerFenced && e.Age < lateFence {
+			log = t.log.Debug
+		}
+		log("worker or job of doubt", zap.Stringer("event", e.Kind), zap.String("worker", e.Worker), zap.String("job", e.Task.Job),
+			zap.Int("step", e.Task.Step), zap.Int("index", e.Task.Index), zap.Int("attempt", e.Attempt), zap.Int64("number", e.Number),
+			zap.Int64("born", e.Born), zap.Duration("owned", e.Age))
+	}
+}
+
+// lateFence is how long after the take-over a worker's first answer is late.
+const lateFence = 500 * time.Millisecond
--- a/internal/keeper/tenure_lives.go
+++ b/internal/keeper/tenure_lives.go
@@ -30,7 +30,7 @@
 		for _, m := range machines {
 			lives[m.ID] = m.Worker
 		}
-		t.pool.SetLives(lives)
+		t.pool.SetLives(lives, t.Clock.Now())
 		t.plan.send()
 	}
 }
--- a/internal/keeper/tenure_plan.go
+++ b/internal/keeper/tenure_plan.go
@@ -22,6 +22,7 @@
 		if t.holds() && !t.isLeaving() {
 			plan := t.pool.Plan(now, now)
 			t.carryOut(&plan)
+			t.logEvents()
 			if !plan.Next.IsZero() {
 				next = min(next, max(plan.Next.Sub(now), time.Millisecond))
 			}
--- a/internal/work/counts.go
+++ b/internal/work/counts.go
@@ -8,4 +8,5 @@
 	Refused                          int64 // starts refused for want of room
 	Adopted, Lost, Reborn            int64 // runs taken over, runs gone without an end, lives of workers that ended
 	Suspended                        int64 // workers taken out for failing what they ran
+	Untold                           int64 // events that were dropped
 }
--- a/internal/work/pool.go
+++ b/internal/work/pool.go
@@ -41,6 +41,7 @@
 	quick      inflow               // over a short time
 	steady     inflow               // and over a longer one
 	ended      map[string]time.Time // jobs seen to their end, and when they were dropped
+	events     []Event              // not read yet
 }
 
 // NewPool returns the pool of service for the owner with the given fencing
--- a/internal/work/pool_answers.go
+++ b/internal/work/pool_answers.go
@@ -31,6 +31,7 @@
 		p.begun(r.stage.job)
 		return
 	case OtherLife:
+		p.tell(Event{Kind: LifeElsewhere, Worker: w.facts.ID}, now)
 		p.loseTo(w)
 		return
 	case Unanswered:
@@ -88,6 +89,7 @@
 		return
 	}
 	if answer == OtherLife {
+		p.tell(Event{Kind: LifeElsewhere, Worker: o.Worker}, now)
 		p.loseTo(w)
 		return
 	}
--- /dev/null
+++ b/internal/work/pool_events.go
@@ -0,0 +1,25 @@
+package work
+
+import "time"
+
+// mostEvents bounds how many events wait to be read.
+const mostEvents = 512
+
+// Events returns what happened since it was last called.
+func (p *Pool) Events() []Event {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	events := p.events
+	p.events = nil
+	return events
+}
+
+// tell notes an event at now; beyond the bound the event is only counted.
+func (p *Pool) tell(e Event, now time.Time) {
+	if len(p.events) >= mostEvents {
+		p.counts.Untold++
+		return
+	}
+	e.Age = now.Sub(p.takenAt)
+	p.events = append(p.events, e)
+}
--- a/internal/work/pool_lives.go
+++ b/internal/work/pool_lives.go
@@ -1,5 +1,7 @@
 package work
 
+import "time"
+
 // Doubts reports whether the pool would gain from knowing which workers are
 // alive: some do not answer and may hold tasks.
 func (p *Pool) Doubts() bool {
@@ -21,7 +23,7 @@
 // SetLives takes in which worker runs on each machine; empty: none. What ran on
 // a worker that does not answer has ended when its machine runs another, or
 // none.
-func (p *Pool) SetLives(lives map[string]string) {
+func (p *Pool) SetLives(lives map[string]string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, a := range p.awaited {
@@ -31,6 +33,7 @@
 	}
 	for id, w := range p.workers {
 		if current, known := lives[w.facts.Machine]; known && current != id && w.silent && !w.lost {
+			p.tell(Event{Kind: MachineTaken, Worker: id}, now)
 			p.loseTo(w)
 		}
 	}
--- a/internal/work/pool_look.go
+++ b/internal/work/pool_look.go
@@ -60,7 +60,11 @@
 
 // meet takes in who answered, and its clock.
 func (p *Pool) meet(w *worker, l *Look) {
+	if !w.fenced {
+		p.tell(Event{Kind: WorkerFenced, Worker: l.Worker, Born: l.Born}, l.ReceivedAt)
+	}
 	if w.born != 0 && l.Born > w.born {
+		p.tell(Event{Kind: LifeSeen, Worker: l.Worker, Number: w.noted, Born: l.Born}, l.ReceivedAt)
 		p.rebirth(w)
 		w.applied, w.noted, w.told, w.marks = 0, 0, 0, nil
 	}
@@ -93,6 +97,9 @@
 	}
 	j := p.jobs[e.Task.Job]
 	if j == nil {
+		if _, over := p.ended[e.Task.Job]; !over {
+			p.tell(Event{Kind: UnknownEnd, Worker: w.facts.ID, Task: e.Task, Attempt: e.Attempt, Number: e.Number}, now)
+		}
 		return
 	}
 	t := j.task(e.Task)
@@ -173,6 +180,7 @@
 		return
 	}
 	if answer == OtherLife {
+		p.tell(Event{Kind: LifeElsewhere, Worker: id}, now)
 		p.loseTo(w)
 		return
 	}
--- a/internal/work/pool_runs.go
+++ b/internal/work/pool_runs.go
@@ -10,6 +10,9 @@
 	w.runs[runKey{row.Task, row.Attempt}] = r
 	j := p.jobs[row.Task.Job]
 	if j == nil {
+		if _, over := p.ended[row.Task.Job]; !over {
+			p.tell(Event{Kind: UnknownRun, Worker: w.facts.ID, Task: row.Task, Attempt: row.Attempt}, now)
+		}
 		return r
 	}
 	t := j.task(row.Task)
--- a/internal/work/pool_workers.go
+++ b/internal/work/pool_workers.go
@@ -20,12 +20,12 @@
 			w.listed = false
 		}
 	}
-	p.endFormerLives()
+	p.endFormerLives(now)
 }
 
 // endFormerLives takes in that a machine runs one worker at a time: of several
 // that name the same machine only the one started last is alive.
-func (p *Pool) endFormerLives() {
+func (p *Pool) endFormerLives(now time.Time) {
 	newest := make(map[string]*worker, len(p.workers))
 	for _, w := range p.workers {
 		if w.facts.Machine == "" || w.facts.Born == 0 {
@@ -38,6 +38,7 @@
 	}
 	for _, w := range p.workers {
 		if last := newest[w.facts.Machine]; last != nil && w.facts.Born != 0 && w.facts.Born < last.facts.Born && !w.lost {
+			p.tell(Event{Kind: MachineRestarted, Worker: w.facts.ID}, now)
 			p.loseTo(w)
 		}
 	}
@@ -53,6 +54,7 @@
 		return
 	}
 	if (w.lost && (facts.Born == 0 || facts.Born > w.facts.Born)) || (facts.Born != 0 && w.born != 0 && facts.Born > w.born) {
+		p.tell(Event{Kind: LifeListed, Worker: facts.ID, Number: w.noted, Born: facts.Born}, now)
 		p.rebirth(w)
 		next := newWorker(facts)
 		next.leaving, next.offered, next.since, next.runs, next.used = w.leaving, w.offered, now, w.runs, w.used
