Tests that fail: a worker that started again before its owner knows

A run that the new life accepted is released with the earlier life's, and its task starts elsewhere. An entry of the list that nobody answers for has a worker given up.

--- /dev/null
+++ b/internal/work/life_test.go
@@ -0,0 +1,118 @@
+package work_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/work"
+)
+
+var _ = Describe("a worker that has started again under its name before its owner knows", func() {
+	// lived returns a scene in which an end of worker a was noted and a has told
+	// its clock; its next life begins now.
+	lived := func() *scene {
+		s := newScene(worker("a"))
+		s.add(tasks("before", 1))
+		started := only(s.startAll())
+		s.look("a", nil, ended(started, work.EndDone))
+		s.save(300)
+		s.pass(time.Second)
+		return s
+	}
+	// accepted has the next life accept the start of the only task of job.
+	accepted := func(s *scene, job string) work.StartOrder {
+		s.add(tasks(job, 1))
+		started := only(s.plan().Starts)
+		s.pass(10 * time.Millisecond)
+		s.pool.Started(started, work.Accepted, 5, s.now)
+		return started
+	}
+
+	// inc-20: the new life forgot ends that nobody had taken in, and their tasks
+	// started again.
+	It("is not told to forget ends by the number of its earlier life", func() {
+		s := lived()
+		accepted(s, "j")
+		req, due := s.pool.LookFor("a", s.now)
+		Expect(due).To(BeTrue())
+		Expect(req.Observed).To(BeZero())
+	})
+
+	// inc-20: the same with a start whose answer was lost.
+	It("is not told to forget ends by the number of its earlier life while an order has no answer", func() {
+		s := lived()
+		s.add(tasks("j", 1))
+		started := only(s.plan().Starts)
+		s.pass(700 * time.Millisecond)
+		s.pool.Started(started, work.Unanswered, 0, s.now)
+		req, due := s.pool.LookFor("a", s.now)
+		Expect(due).To(BeTrue())
+		Expect(req.Observed).To(BeZero())
+	})
+
+	// inc-20: a look that failed says nothing of the life that answers the next.
+	It("is not told to forget ends by the number of its earlier life after a look without answer", func() {
+		s := lived()
+		s.pool.LookFailed("a", work.Unanswered, s.now)
+		req, due := s.pool.LookFor("a", s.now)
+		Expect(due).To(BeTrue())
+		Expect(req.Observed).To(BeZero())
+	})
+
+	// inc-20: a run of the new life was taken for one of the earlier life, and its
+	// task started a second time elsewhere.
+	It("keeps the run that the new life accepted, once a look shows that life", func() {
+		s := lived()
+		started := accepted(s, "j")
+		s.setWorkers(worker("a"), worker("b"))
+		s.look("b", nil)
+		s.pass(40 * time.Millisecond)
+		s.pool.Looked(work.Look{Worker: "a", SentAt: s.now, ReceivedAt: s.now, Born: 2, Clock: 45, Running: []work.RunRow{runs(started)}})
+		plan := s.plan()
+		Expect(plan.Starts).To(BeEmpty())
+		Expect(plan.Stops).To(BeEmpty())
+		s.pool.Looked(work.Look{Worker: "a", SentAt: s.now, ReceivedAt: s.now, Born: 2, Clock: 46, Ends: []work.EndRow{{Number: 1, Task: started.Task, Attempt: 1, Kind: work.EndDone}}})
+		Expect(s.save(301)["j"].Progress.State).To(Equal(work.Completed))
+	})
+
+	// inc-20: the same when the platform's list shows the new life first.
+	It("keeps the run that the new life accepted, once the platform lists that life", func() {
+		s := lived()
+		started := accepted(s, "j")
+		next := worker("a")
+		next.Born = 2
+		s.setWorkers(next, worker("b"))
+		s.look("b", nil)
+		Expect(s.plan().Starts).To(BeEmpty())
+		s.pass(40 * time.Millisecond)
+		s.pool.Looked(work.Look{Worker: "a", SentAt: s.now, ReceivedAt: s.now, Born: 2, Clock: 45, Running: []work.RunRow{runs(started)}})
+		Expect(s.plan().Starts).To(BeEmpty())
+	})
+
+	// inc-20: a run that ended with the earlier life must still start again.
+	It("frees the runs of its earlier life, once a look shows the new one", func() {
+		s := lived()
+		s.add(tasks("j", 1))
+		started := only(s.startAll())
+		s.pass(time.Second)
+		s.pool.Looked(work.Look{Worker: "a", SentAt: s.now, ReceivedAt: s.now, Born: 2, Clock: 45})
+		Expect(only(s.startAll()).Attempt).To(Equal(started.Attempt + 1))
+	})
+})
+
+var _ = Describe("an entry of the list of workers that no worker answers for", func() {
+	// inc-20: an entry that names a worker's machine with a later start had the
+	// worker given up, and its tasks ran twice.
+	It("does not end the worker on the same machine", func() {
+		s := newScene(worker("a"))
+		s.add(tasks("j", 1))
+		s.startAll()
+		spoilt := worker("spoilt")
+		spoilt.Machine, spoilt.Born = "m-a", 2
+		s.setWorkers(worker("a"), spoilt, worker("c"))
+		s.look("c", nil)
+		Expect(s.startAll()).To(BeEmpty())
+	})
+})
