An entry of the list that no worker answers for ends no other worker

Callers could see a task run twice: an entry that names a worker's machine with a later start had the worker given up, and its tasks started elsewhere while it ran on. Such an entry may be another writer's.

Cause: endFormerLives took the registration for proof. Now only a worker that has answered this owner shows that the lives before it on its machine are over, and the check is made again when it first answers.

Evidence: 'an entry of the list of workers that no worker answers for does not end the worker on the same machine' failed before (one start where none is allowed) and passes now; 'ends with the start of another life on its machine' passes as before.

--- a/internal/work/pool_look.go
+++ b/internal/work/pool_look.go
@@ -51,7 +51,11 @@
 	if !ok || w.lost || l.Born < w.born {
 		return
 	}
+	first := !w.fenced
 	p.meet(w, &l)
+	if first {
+		p.endFormerLives(l.ReceivedAt)
+	}
 	p.applyEnds(w, &l)
 	listed := p.applyRows(w, &l)
 	p.resolve(w, &l, listed)
--- a/internal/work/pool_workers.go
+++ b/internal/work/pool_workers.go
@@ -24,11 +24,12 @@
 }
 
 // endFormerLives takes in that a machine runs one worker at a time: of several
-// that name the same machine only the one started last is alive.
+// that name the same machine only the one started last is alive. An entry that
+// no worker has answered for may be anybody's, and ends nothing.
 func (p *Pool) endFormerLives(now time.Time) {
 	newest := make(map[string]*worker, len(p.workers))
 	for _, w := range p.workers {
-		if w.facts.Machine == "" || w.facts.Born == 0 {
+		if w.facts.Machine == "" || w.facts.Born == 0 || !w.fenced {
 			continue
 		}
 		other := newest[w.facts.Machine]
