The runs of a worker that is listed as started again wait for its next look

A worker that starts again under its own name keeps its address, so orders sent before its new registration is known reach the new life, which accepts them. When the registration came, the pool released all answered runs as gone with the earlier life, and their tasks started elsewhere.

Cause: an answer does not name the life that gave it, and rebirth took every one for the earlier life's. Now nothing answered is released on a registration: the next look is answered by the new life and lists what it runs. Where no look is answered, runs end with the longest lease that the new life can have given them, as its clock, and with it any deadline, begins anew.

Evidence: 'keeps the run that the new life accepted, once the platform lists that life' failed before (one start while the run goes on) and passes now; 'loses all its runs when it is reborn' and 'frees the runs of its earlier life' hold.

--- a/internal/jobentry/bounds.go
+++ b/internal/jobentry/bounds.go
@@ -38,7 +38,7 @@
 		Order: workerOrder, LookWait: lookWait, SaveEvery: saveEvery, SaveLazily: saveLazily,
 		Retention: retentionFactor * t.Retention, HolderPause: t.HolderPause + pauseMargin, ListEvery: listEvery, ListPause: listPause,
 		Work: work.Timing{
-			Hold: min(t.MaxHold, lease+lookWait+ownerGap), Restart: workerOrder, ClockDrift: clockDrift,
+			Hold: min(t.MaxHold, lease+lookWait+ownerGap), MaxHold: t.MaxHold, Restart: workerOrder, ClockDrift: clockDrift,
 			StartEarly: t.StartEarly, TakeOver: lease, Stop: t.Stop, Suspension: suspension, MaxSuspense: maxSuspense,
 		},
 	}
--- a/internal/work/pool_look.go
+++ b/internal/work/pool_look.go
@@ -164,6 +164,7 @@
 			r.phase = running
 			r.answeredAt = l.ReceivedAt
 		}
+		r.confirm()
 		if r.stage != nil {
 			p.begun(r.stage.job)
 		}
--- a/internal/work/pool_workers.go
+++ b/internal/work/pool_workers.go
@@ -59,6 +59,7 @@
 		p.rebirth(w)
 		next := newWorker(facts)
 		next.leaving, next.offered, next.since, next.runs, next.used = w.leaving, w.offered, now, w.runs, w.used
+		next.expiresAt = Later(w.expiresAt, now.Add(p.timing.longest()))
 		*w = *next
 		return
 	}
@@ -93,22 +94,22 @@
 	delete(p.awaited, w.facts.ID)
 }
 
-// rebirth takes in that a worker has started again under its name. Its former
-// runs are over, but an order whose answer was lost may still reach the new life,
-// which knows nothing of before: it is told to refuse it.
+// rebirth takes in that a worker has started again under its name. Which of its
+// runs were answered by the new life, the next look tells. An order whose answer
+// was lost may still reach that life, which knows nothing of before: it is told to
+// refuse it.
 func (p *Pool) rebirth(w *worker) {
 	p.counts.Reborn++
 	delete(p.awaited, w.facts.ID)
 	for _, r := range w.runs {
 		if r.phase == running && !r.lostCopy {
-			p.release(r)
-			p.counts.Lost++
 			continue
 		}
 		if r.phase == running {
 			r.doubt()
 		}
 		r.answeredAt, r.stopSentAt, r.stoppedAt, r.deadline = time.Time{}, time.Time{}, time.Time{}, 0
+		r.doubted = r.doubted || !r.wantStop
 		r.end()
 	}
 }
@@ -188,7 +189,7 @@
 // left that could run there.
 func (p *Pool) sweepWorkers(now time.Time) {
 	for id, w := range p.workers {
-		if len(w.runs) > 0 && !w.reachable && w.fenced && now.After(w.expiresAt) {
+		if len(w.runs) > 0 && !w.reachable && now.After(w.expiresAt) {
 			p.expire(w)
 		}
 		if !w.listed && len(w.runs) == 0 && now.After(w.expiresAt) && (w.lost || !w.reachable) {
--- a/internal/work/run.go
+++ b/internal/work/run.go
@@ -19,6 +19,7 @@
 	percent    int // share of its speed at which the worker says it works
 	gauge      int
 	wantStop   bool      // a stop must be ordered
+	doubted    bool      // only because the worker has started again
 	stopSentAt time.Time // of the last stop; zero: none
 	stoppedAt  time.Time // when a stop was answered; zero: not yet
 	pace       int       // the share last ordered
@@ -27,9 +28,21 @@
 	checkpoint string // that the run starts from
 }
 
+// sentAt returns when the start, or its last copy, was ordered.
+func (r *run) sentAt() time.Time { return Later(r.orderedAt, r.askedAt) }
+
 // end has a stop ordered.
 func (r *run) end() { r.wantStop, r.worker.attend = true, true }
 
+// confirm takes in that the worker's present life lists the run: it need not be
+// stopped for the sake of an earlier life.
+func (r *run) confirm() {
+	if r.doubted && r.stopSentAt.IsZero() {
+		r.wantStop = false
+	}
+	r.doubted = false
+}
+
 // doubt takes in that nobody knows whether the run began.
 func (r *run) doubt() { r.phase, r.worker.attend = uncertain, true }
 
--- a/internal/work/scene_test.go
+++ b/internal/work/scene_test.go
@@ -15,7 +15,7 @@
 
 // timing is that of the users' sites.
 var timing = work.Timing{
-	Hold: 4500 * time.Millisecond, Restart: 700 * time.Millisecond, ClockDrift: 0.02,
+	Hold: 4500 * time.Millisecond, MaxHold: 6 * time.Second, Restart: 700 * time.Millisecond, ClockDrift: 0.02,
 	StartEarly: 200 * time.Millisecond, TakeOver: 2 * time.Second, Stop: 400 * time.Millisecond,
 	Suspension: time.Second, MaxSuspense: 8 * time.Second,
 }
--- a/internal/work/timing.go
+++ b/internal/work/timing.go
@@ -5,6 +5,7 @@
 // Timing holds the bounds that a pool keeps to. All come from the settings.
 type Timing struct {
 	Hold        time.Duration // how far ahead of a worker's clock its runs may go on
+	MaxHold     time.Duration // the longest that a worker lets a lease go on, by its own clock
 	Restart     time.Duration // how long an order stays unanswered before the run is stopped
 	ClockDrift  float64       // by which share a worker's steady clock may be slow
 	StartEarly  time.Duration // how long before its time an occurrence may start
@@ -16,8 +17,15 @@
 
 // granted is the longest time for which a lease given by an order or a look
 // goes on, in this process's time.
-func (t *Timing) granted() time.Duration {
-	return time.Duration(float64(t.Hold)*(1+t.ClockDrift)) + expiryMargin
+func (t *Timing) granted() time.Duration { return t.elapsed(t.Hold) }
+
+// longest is the longest time for which any lease goes on, in this process's
+// time, whatever clock its deadline was meant for.
+func (t *Timing) longest() time.Duration { return t.elapsed(t.MaxHold) }
+
+// elapsed is how long a time on a worker's clock may take.
+func (t *Timing) elapsed(d time.Duration) time.Duration {
+	return time.Duration(float64(d)*(1+t.ClockDrift)) + expiryMargin
 }
 
 // expiryMargin covers the delay of timers and the last step of a worker's clock.
