A worker's ends are forgotten only by the life that listed them

A worker starts again under its name, and its count of ends begins anew. The owner's next look carries the number up to which the earlier life may forget, so the new life forgets ends that nobody has taken in; a look then shows neither the run nor its end, and the task starts again.

Cause: every look carried that number, for ever, whoever would answer it. Now a number is sent once, and only while the life that listed the ends is known to answer: its last look was answered within half a second, none failed since, and no order was left without an answer since. An order's answer whose clock is behind the one read before is a later life's, and ends that knowledge; looks of an earlier life are ignored once a later one is listed.

--- a/internal/work/life_test.go
+++ b/internal/work/life_test.go
@@ -116,3 +116,20 @@
 		Expect(s.startAll()).To(BeEmpty())
 	})
 })
+
+var _ = Describe("an answer of a worker's earlier life that comes after the later one is listed", func() {
+	// inc-20: its ends were counted as those of the later life, which then forgot
+	// its own.
+	It("is not taken in", func() {
+		s := newScene(worker("a"))
+		next := worker("a")
+		next.Born = 2
+		s.setWorkers(next)
+		s.add(tasks("j", 1))
+		s.look("a", nil)
+		Expect(s.startAll()).To(BeEmpty(), "only the earlier life has answered")
+		s.pool.Looked(work.Look{Worker: "a", SentAt: s.now, ReceivedAt: s.now, Born: 2, Clock: 45})
+		s.pool.RosterKept(s.pool.Roster())
+		Expect(s.startAll()).To(HaveLen(1))
+	})
+})
--- a/internal/work/pool_answers.go
+++ b/internal/work/pool_answers.go
@@ -12,7 +12,7 @@
 		return
 	}
 	if clock > 0 {
-		w.clock = clockReading{at: now, millis: clock}
+		p.readClock(w, clock, &o, now)
 		w.reachable, w.silent = true, false
 	}
 	r := w.runs[runKey{o.Task, o.Attempt}]
@@ -22,6 +22,19 @@
 	p.started(w, r, answer, now)
 }
 
+// readClock takes in the clock of an order's answer. One behind the clock read
+// before is that of a later life, one ahead of it that of an earlier life.
+func (p *Pool) readClock(w *worker, clock int64, o *StartOrder, now time.Time) {
+	if w.clock.known() && clock > w.clock.most(now, &p.timing) {
+		return
+	}
+	if w.clock.known() && clock < w.clock.least(o.SentAt, &p.timing) {
+		p.tell(Event{Kind: ClockBehind, Worker: o.Worker, Task: o.Task, Attempt: o.Attempt, Number: w.noted}, now)
+		w.looked = time.Time{}
+	}
+	w.clock = clockReading{at: now, millis: clock}
+}
+
 func (p *Pool) started(w *worker, r *run, answer Answer, now time.Time) {
 	repeated := r.phase == uncertain
 	switch answer {
--- a/internal/work/pool_look.go
+++ b/internal/work/pool_look.go
@@ -11,8 +11,11 @@
 	if !ok || !w.needsLook() || !w.listed && now.After(w.expiresAt) {
 		return LookRequest{}, false
 	}
-	req := LookRequest{Worker: id, Address: w.facts.Address, Token: p.token, Observed: w.noted}
-	if w.fenced && !w.silent && w.clock.known() {
+	req := LookRequest{Worker: id, Address: w.facts.Address, Token: p.token}
+	if w.noted > w.told && w.mayForget(now) {
+		req.Observed = w.noted
+	}
+	if w.fenced && !w.looked.IsZero() && w.clock.known() {
 		req.Deadline = w.clock.ahead(now, &p.timing)
 		w.expiresAt = Later(w.expiresAt, now.Add(p.timing.granted()))
 	}
@@ -48,7 +51,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w, ok := p.workers[l.Worker]
-	if !ok || w.lost || l.Born < w.born {
+	if !ok || w.lost || l.Born < w.born || w.former > 0 && l.Born <= w.former {
 		return
 	}
 	first := !w.fenced
@@ -76,6 +79,7 @@
 	w.clock = clockReading{at: l.ReceivedAt, millis: l.Clock}
 	w.fenced = true
 	w.reachable, w.silent = true, false
+	w.looked, w.lookedAt = l.SentAt, l.ReceivedAt
 	w.told = max(w.told, l.Observed)
 }
 
@@ -189,7 +193,7 @@
 		p.loseTo(w)
 		return
 	}
-	w.reachable, w.silent = false, true
+	w.reachable, w.silent, w.looked = false, true, time.Time{}
 	w.block(now.Add(blockAfterFailure))
 }
 
--- a/internal/work/pool_plan.go
+++ b/internal/work/pool_plan.go
@@ -115,7 +115,7 @@
 func (p *Pool) startOrder(r *run) StartOrder {
 	return StartOrder{
 		Worker: r.worker.facts.ID, Address: r.worker.facts.Address, Task: r.id, Attempt: r.attempt,
-		Spec: r.stage.job.sub.Spec, Checkpoint: r.checkpoint, Ticket: r.ticket, Token: p.token, Deadline: r.deadline,
+		Spec: r.stage.job.sub.Spec, Checkpoint: r.checkpoint, Ticket: r.ticket, Token: p.token, Deadline: r.deadline, SentAt: r.sentAt(),
 	}
 }
 
--- a/internal/work/pool_workers.go
+++ b/internal/work/pool_workers.go
@@ -59,6 +59,7 @@
 		p.rebirth(w)
 		next := newWorker(facts)
 		next.leaving, next.offered, next.since, next.runs, next.used = w.leaving, w.offered, now, w.runs, w.used
+		next.former = max(w.born, w.former)
 		next.expiresAt = Later(w.expiresAt, now.Add(p.timing.longest()))
 		*w = *next
 		return
--- a/internal/work/start_order.go
+++ b/internal/work/start_order.go
@@ -1,5 +1,7 @@
 package work
 
+import "time"
+
 // StartOrder tells a worker to start a task.
 type StartOrder struct {
 	Worker     string
@@ -9,6 +11,7 @@
 	Spec       string
 	Checkpoint string
 	Ticket     string
-	Token      int64 // fencing token
-	Deadline   int64 // on the worker's clock, in milliseconds
+	Token      int64     // fencing token
+	Deadline   int64     // on the worker's clock, in milliseconds
+	SentAt     time.Time // steady clock of this process
 }
--- a/internal/work/worker.go
+++ b/internal/work/worker.go
@@ -15,7 +15,10 @@
 	silent     bool      // its last look or order was not answered
 	lost       bool      // another life answers at its address
 	born       int64
+	former     int64 // start of the life before, in milliseconds: its looks say nothing of this one; 0: none
 	clock      clockReading
+	looked     time.Time // when the last look that was answered was sent; zero: the life that answers next may be another
+	lookedAt   time.Time // when its answer came
 	runs       map[runKey]*run
 	attend     bool // some of runs may be open
 	used       Resources
@@ -67,6 +70,29 @@
 	return !w.lost && (!w.fenced || !w.reachable || len(w.runs) > 0 || w.applied > w.told)
 }
 
+// mayForget reports whether a look at now reaches the life that listed the ends
+// taken in: it answered lately, and no order was left without an answer since.
+func (w *worker) mayForget(now time.Time) bool {
+	if w.looked.IsZero() || now.Sub(w.lookedAt) > lifeFresh {
+		return false
+	}
+	for _, r := range w.runs {
+		if sent := r.sentAt(); r.phase != running && sent.After(w.looked) && now.Sub(sent) > orderQuick {
+			return false
+		}
+	}
+	return true
+}
+
+const (
+	// lifeFresh is how long an answer speaks for the worker's life: too short for
+	// a restart and a whole run of a task.
+	lifeFresh = 500 * time.Millisecond
+	// orderQuick is how long an order may be on its way before it counts as
+	// unanswered: what it starts cannot have ended by then.
+	orderQuick = 100 * time.Millisecond
+)
+
 // block keeps new tasks away until a time.
 func (w *worker) block(until time.Time) {
 	if until.After(w.blocked) {
