A job is taken in only by the owner under which it was accepted

An ownership key that is taken away leaves its owner at work for the rest of its lease. It was told of jobs accepted since, by entries that still knew it as the owner or by its own watch, and started them. The next owner takes a job accepted after its own token for one that nobody can have started, starts it too, and ignores an end that a worker lists before it knows the job.

Cause: nothing tied the hearing of a job to the ownership at its acceptance. Now the acceptance holds under the pool's owner only (a condition on the ownership key; a refusal names the present owner, and the acceptance is tried under it at once), the notice goes to that owner with its token, and any other ignores it. Each change of owner is written among the pool's work as well, as its last key: whoever follows or reads that work learns of a later owner before any job accepted under it. So the premise of Pool.unsettled and of ends of unknown jobs holds.

Evidence: both tests 'starts no job that was accepted since' failed before (2 starts of one task) and pass now.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -39,7 +41,8 @@
 // kind Timeout tells that nobody knows yet. A job that was accepted before is
 // accepted again and stays one job.
 func (in *Intake) Submit(ctx context.Context, sub work.Submission) error {
-	txn, err := in.acceptance(&sub)
+	owner := in.owners.Owner(sub.Service)
+	txn, err := in.acceptance(&sub, owner)
 	if err != nil {
 		return err
 	}
@@ -47,11 +50,20 @@
 	for {
 		revision, err := in.store.Commit(ctx, txn)
 		if err == nil {
-			in.owners.Accepted(sub.Service, sub.ID, txn.Writes[0].Value, revision)
+			in.owners.Accepted(owner, sub.Service, sub.ID, txn.Writes[0].Value, revision)
 			return nil
 		}
-		if problem.Is(err, problem.Conflict) {
-			return nil // it was accepted before
+		var conflict *store.ConflictError
+		if errors.As(err, &conflict) {
+			if in.accepted(conflict, &txn) {
+				return nil
+			}
+			known := owner
+			owner = ownerOf(conflict.Find(workstore.OwnerKey(sub.Service)))
+			txn.Expected[0].Revision = owner.Token
+			if owner != known && ctx.Err() == nil {
+				continue
+			}
 		}
 		uncertain = uncertain || store.Uncertain(err)
 		if !in.pause(ctx) {
@@ -60,9 +72,19 @@
 	}
 }
 
+// accepted reports whether a conflict shows that the job was accepted before,
+// under any service. The first condition is the pool's owner.
+func (in *Intake) accepted(conflict *store.ConflictError, txn *store.Txn) bool {
+	return slices.ContainsFunc(txn.Expected[1:], func(e store.Expectation) bool {
+		_, kept := conflict.Find(e.Key)
+		return kept
+	})
+}
+
 // acceptance is the change that accepts a job: it must be kept under none of
-// the services, as a queue may change its service between two copies of a call.
-func (in *Intake) acceptance(sub *work.Submission) (store.Txn, error) {
+// the services, as a queue may change its service between two copies of a call. It
+// holds under the pool's owner only, so that no other is told of the job.
+func (in *Intake) acceptance(sub *work.Submission, owner Owner) (store.Txn, error) {
 	job, err := workstore.EncodeJob(sub)
 	if err != nil {
 		return store.Txn{}, err
@@ -75,6 +97,7 @@
 		{Key: workstore.JobKey(sub.Service, sub.ID), Value: job},
 		{Key: workstore.StateKey(sub.Service, sub.ID), Value: state},
 	}}
+	txn.Expected = append(txn.Expected, store.Expectation{Key: workstore.OwnerKey(sub.Service), Revision: owner.Token})
 	for _, service := range in.servicesFrom(sub.Service) {
 		if txn.Entries() == store.MaxTxnEntries {
 			break
--- a/internal/jobentry/announcer.go
+++ b/internal/jobentry/announcer.go
@@ -12,12 +12,19 @@
 
 var _ intake.Announcer = announcer{}
 
-// Accepted tells of an accepted job.
-func (a announcer) Accepted(service, id string, value []byte, revision int64) {
-	a.keeper.Announce(keeper.Notice{Service: service, Job: id, Value: value, Revision: revision})
+// Owner returns the owner of a pool, as far as this entry knows.
+func (a announcer) Owner(service string) intake.Owner {
+	token, node := a.keeper.Owner(service)
+	return intake.Owner{Token: token, Node: node}
+}
+
+// Accepted tells owner of a job accepted under it.
+func (a announcer) Accepted(owner intake.Owner, service, id string, value []byte, revision int64) {
+	a.keeper.Announce(keeper.Notice{Service: service, Job: id, Value: value, Revision: revision, To: owner.Node, Owner: owner.Token})
 }
 
 // Cancelled tells of a cancelled job.
 func (a announcer) Cancelled(service, id string, revision int64) {
-	a.keeper.Announce(keeper.Notice{Service: service, Job: id, Revision: revision, Cancelled: true})
+	_, node := a.keeper.Owner(service)
+	a.keeper.Announce(keeper.Notice{Service: service, Job: id, Revision: revision, Cancelled: true, To: node})
 }
--- a/internal/keeper/keeper_manage.go
+++ b/internal/keeper/keeper_manage.go
@@ -115,7 +115,7 @@
 	defer cancel()
 	token, err := k.Store.Commit(limited, store.Txn{
 		Expected: []store.Expectation{{Key: key, Revision: expected}},
-		Writes:   []store.Write{{Key: key, Value: []byte(k.node), Lease: lease}},
+		Writes:   []store.Write{{Key: key, Value: []byte(k.node), Lease: lease}, {Key: workstore.ChangeKey(service), Value: []byte(k.node)}},
 	})
 	if store.Uncertain(err) {
 		token, err = k.acquired(ctx, key, lease)
--- a/internal/keeper/keeper_notices.go
+++ b/internal/keeper/keeper_notices.go
@@ -14,11 +14,18 @@
 // noticeTimeout bounds one notice: the watch of the store is as quick by then.
 const noticeTimeout = 500 * time.Millisecond
 
+// Owner returns the owner of a pool as this entry knows it: its fencing token,
+// and the entry; 0 where nobody owns it.
+func (k *Keeper) Owner(service string) (token int64, node string) {
+	owner := k.fleet.Get().owners[service]
+	return owner.token, owner.node
+}
+
 // Announce tells the pool's owner of a change that the store has kept. It does
 // not wait for the owner.
 func (k *Keeper) Announce(n Notice) {
 	view := k.fleet.Get()
-	owner := view.owners[n.Service].node
+	owner := n.To
 	if owner == k.node || owner == "" {
 		k.Notified(n)
 		return
@@ -48,9 +55,10 @@
 }
 
 // notified takes in a change that came after the pool was taken over. Of one
-// that came before, the store knows more than the notice does.
+// that came before, the store knows more than the notice does. A job that was
+// accepted under another owner is not this one's to start.
 func (t *tenure) notified(n Notice) {
-	if n.Revision <= t.token {
+	if n.Revision <= t.token || !n.Cancelled && n.Owner != t.token {
 		return
 	}
 	if n.Cancelled {
--- a/internal/keeper/notice.go
+++ b/internal/keeper/notice.go
@@ -8,4 +8,6 @@
 	Value     []byte // the job as kept; empty when it was cancelled
 	Revision  int64  // store revision of the change
 	Cancelled bool
+	To        string // the entry that owns the pool; empty: nobody
+	Owner     int64  // fencing token of the pool's owner when the job was accepted
 }
--- a/internal/keeper/tenure_pool.go
+++ b/internal/keeper/tenure_pool.go
@@ -78,6 +78,9 @@
 	if err != nil {
 		return 0, nil, err
 	}
+	if !t.ownsAll(jobs) {
+		return 0, nil, problem.New(problem.Conflict, problem.StepStoreRead, t.service, "the pool has a later owner")
+	}
 	states, _, err := t.Store.Range(ctx, workstore.StatePrefix(t.service))
 	if err != nil {
 		return 0, nil, err
@@ -150,6 +153,9 @@
 // resetWork takes in all jobs, after the store has forgotten what came between.
 // Those that are new to the pool may have a past: their progress is read too.
 func (t *tenure) resetWork(ctx context.Context, items []store.Item) error {
+	if !t.ownsAll(items) {
+		return nil
+	}
 	unknown := slices.ContainsFunc(items, func(i store.Item) bool {
 		id, ok := workstore.ParseJob(t.service, i.Key)
 		return ok && !t.pool.Knows(id)
@@ -172,6 +178,9 @@
 
 func (t *tenure) takeWork(events []store.Event) {
 	for _, e := range events {
+		if t.replacedBy(e.Item) {
+			return
+		}
 		if !e.Deleted {
 			t.takeAccepted(e)
 		}
@@ -179,6 +188,23 @@
 	t.plan.send()
 }
 
+// ownsAll reports whether all jobs among the items were accepted under this
+// owner or earlier ones; if not, the tenure is over.
+func (t *tenure) ownsAll(items []store.Item) bool {
+	return !slices.ContainsFunc(items, t.replacedBy)
+}
+
+// replacedBy reports whether the item tells of a later owner, and ends the tenure
+// then. Jobs accepted under that owner are not for this one: the next owner does not
+// wait for tasks of theirs.
+func (t *tenure) replacedBy(item store.Item) bool {
+	if item.Key != workstore.ChangeKey(t.service) || item.Revision <= t.token {
+		return false
+	}
+	t.lose("the pool's work names a later owner")
+	return true
+}
+
 // takeAccepted takes in a job or a cancel that was accepted.
 func (t *tenure) takeAccepted(e store.Event) {
 	if id, ok := workstore.ParseJob(t.service, e.Key); ok {
--- a/internal/workstore/keys.go
+++ b/internal/workstore/keys.go
@@ -79,6 +79,12 @@
 // StateKey is the key of a job's progress.
 func StateKey(service, id string) string { return StatePrefix(service) + id }
 
+// ChangeKey is the key of a pool's last change of owner. It is written together
+// with the ownership, so its revision is the owner's fencing token, and is the last
+// of the pool's work: whoever reads or follows that work learns of a later owner
+// before any job that was accepted under it.
+func ChangeKey(service string) string { return WorkPrefix(service) + "owner" }
+
 // ParseMember returns the entry that a key names, or false.
 func ParseMember(key string) (node string, ok bool) { return strings.CutPrefix(key, memberPrefix) }
 
