--- /dev/null
+++ b/internal/work/overlap_events_test.go
@@ -0,0 +1,24 @@
+package work_test
+
+// overlapEvents is a heap of what is still to happen.
+type overlapEvents []overlapEvent
+
+func (q overlapEvents) Len() int { return len(q) }
+
+func (q overlapEvents) Less(a, b int) bool {
+	if q[a].at.Equal(q[b].at) {
+		return q[a].order < q[b].order
+	}
+	return q[a].at.Before(q[b].at)
+}
+
+func (q overlapEvents) Swap(a, b int) { q[a], q[b] = q[b], q[a] }
+
+func (q *overlapEvents) Push(e any) { *q = append(*q, e.(overlapEvent)) }
+
+func (q *overlapEvents) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/internal/work/overlap_machine_test.go
@@ -0,0 +1,30 @@
+package work_test
+
+import (
+	"time"
+
+	"persimmonbay/internal/work"
+)
+
+// overlapMachine is a machine with its address and the worker that it runs.
+type overlapMachine struct {
+	name    string
+	address string
+	life    *overlapLife // nil: it runs none
+	lives   int
+	cut     time.Time // it reaches nobody before
+}
+
+func (m *overlapMachine) facts(id string, now time.Time) work.WorkerFacts {
+	f := worker(id)
+	f.Address, f.Machine, f.Born = m.address, m.name, now.UnixMilli()
+	return f
+}
+
+// current returns the id of the worker that runs there.
+func (m *overlapMachine) current() string {
+	if m.life == nil {
+		return ""
+	}
+	return m.life.facts.ID
+}
--- /dev/null
+++ b/internal/work/overlap_owner_plan_test.go
@@ -0,0 +1,98 @@
+package work_test
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"persimmonbay/internal/work"
+)
+
+// Times of the keeper's entry.
+const (
+	orderTime = 700 * time.Millisecond
+	storeTime = 900 * time.Millisecond
+	lookWait  = time.Second
+)
+
+func (o *overlapOwner) kickPlan() {
+	if o.planned || !o.loaded {
+		return
+	}
+	o.planned = true
+	o.after(time.Millisecond, o.plan)
+}
+
+func (o *overlapOwner) planAt(d time.Duration) { o.after(d, o.kickPlan) }
+
+func (o *overlapOwner) plan() {
+	o.planned = false
+	if !o.holds() || o.leaving {
+		o.planAt(200 * time.Millisecond)
+		return
+	}
+	now := o.s.now
+	plan := o.pool.Plan(now, now)
+	// The pool keeps some orders in maps; a seed has to play the same again.
+	slices.SortFunc(plan.Stops, func(a, b work.StopOrder) int {
+		return cmp.Or(cmp.Compare(a.Worker, b.Worker), cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Attempt, b.Attempt))
+	})
+	slices.SortStableFunc(plan.Starts, func(a, b work.StartOrder) int {
+		return cmp.Or(cmp.Compare(a.Worker, b.Worker), cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Attempt, b.Attempt))
+	})
+	for _, stop := range plan.Stops {
+		o.stop(stop)
+	}
+	for _, start := range plan.Starts {
+		o.start(start)
+	}
+	next := time.Second
+	if !plan.Next.IsZero() {
+		next = min(next, max(plan.Next.Sub(now), time.Millisecond))
+	}
+	o.planAt(next)
+}
+
+func (o *overlapOwner) start(order work.StartOrder) {
+	o.flying++
+	o.s.note(order.Task.Job, order.Task, "", "owner %d orders start of %v attempt %d on %s", o.token, order.Task, order.Attempt, order.Worker)
+	answered := func(answer work.Answer, clock int64) {
+		o.flying--
+		if o.over {
+			return
+		}
+		o.s.note(order.Task.Job, order.Task, "", "owner %d hears of its start of attempt %d on %s: %s", o.token, order.Attempt, order.Worker, answer)
+		if answer == work.Fenced {
+			o.lose("fenced by " + order.Worker)
+		}
+		o.pool.Started(order, answer, clock, o.s.now)
+		o.kick(order.Worker)
+		if answer != work.Accepted {
+			o.kickPlan()
+		}
+	}
+	o.s.call(order.Address, orderTime, func(l *overlapLife, send func(func())) {
+		answer, clock := o.s.startAt(l, order)
+		send(func() { answered(answer, clock) })
+	}, func(a work.Answer) { answered(a, 0) })
+}
+
+func (o *overlapOwner) stop(order work.StopOrder) {
+	o.flying++
+	o.s.note(order.Task.Job, order.Task, "", "owner %d orders stop of %v attempt %d on %s", o.token, order.Task, order.Attempt, order.Worker)
+	answered := func(answer work.Answer) {
+		o.flying--
+		if o.over {
+			return
+		}
+		if answer == work.Fenced {
+			o.lose("fenced by " + order.Worker)
+		}
+		o.pool.Stopped(order, answer, o.s.now)
+		o.kick(order.Worker)
+	}
+	o.s.call(order.Address, orderTime, func(l *overlapLife, send func(func())) {
+		answer := o.s.stopAt(l, order)
+		send(func() { answered(answer) })
+	}, answered)
+}
--- /dev/null
+++ b/internal/work/overlap_owner_test.go
@@ -0,0 +1,240 @@
+package work_test
+
+import (
+	"fmt"
+	"math/rand"
+	"sort"
+	"time"
+
+	"persimmonbay/internal/work"
+)
+
+// overlapOwner drives a pool as keeper's tenure does.
+type overlapOwner struct {
+	s       *overlapSim
+	random  *rand.Rand
+	pool    *work.Pool
+	token   int64
+	ownPast bool
+	over    bool      // it does nothing any more
+	until   time.Time // its lease surely holds until then; zero: it is renewed
+	deaf    bool      // it does not reach the store
+	loaded  bool
+	leaving bool
+	from    int64         // the jobs up to this revision were loaded
+	early   []*overlapJob // heard of before the load was over
+	flying  int           // starts and stops on their way
+	kept    string        // the roster as last kept; empty: not known
+	writing bool          // a roster is on its way
+	again   bool          // and another has to follow
+	saving  bool          // progress is on its way, or the pause after it lasts
+	gather  time.Time
+	planned bool // a plan is about to be made
+	lookers map[string]*overlapLooker
+	facts   map[string]work.WorkerFacts
+	listed  bool
+	listRev int64
+	watchAt time.Time
+	listAt  time.Time
+}
+
+func newOverlapOwner(s *overlapSim, token int64, ownPast bool) *overlapOwner {
+	o := &overlapOwner{s: s, random: s.random, token: token, ownPast: ownPast, lookers: map[string]*overlapLooker{}, facts: map[string]work.WorkerFacts{}}
+	o.trace("takes over, own past %v", ownPast)
+	o.load()
+	return o
+}
+
+func (o *overlapOwner) trace(format string, args ...any) {
+	o.s.note("", work.TaskID{}, "", fmt.Sprintf("owner %d ", o.token)+format, args...)
+}
+
+func (o *overlapOwner) holds() bool {
+	return !o.over && (o.until.IsZero() || o.s.now.Before(o.until))
+}
+
+func (o *overlapOwner) lose(why string) {
+	if !o.over {
+		o.trace("is over: %s", why)
+	}
+	o.over = true
+}
+
+// after does something later, unless the owner is over by then.
+func (o *overlapOwner) after(d time.Duration, do func()) {
+	o.s.after(d, func() {
+		if !o.over {
+			do()
+		}
+	})
+}
+
+// load reads roster, jobs and states, after keeper's tryLoad.
+func (o *overlapOwner) load() {
+	o.after(o.s.between(1, 20), func() {
+		if o.deaf {
+			o.after(900*time.Millisecond, o.load)
+			return
+		}
+		roster := o.s.store.roster
+		o.trace("has read roster %+v", roster)
+		roster.Released = roster.Released || o.ownPast
+		o.pool = work.NewPool("tags", o.token, timing, roster, o.s.now)
+		o.kept = ""
+		now := o.s.now
+		o.writeRoster(func(ok bool) {
+			if !ok {
+				o.after(50*time.Millisecond, o.load)
+				return
+			}
+			o.loadJobs(now)
+		})
+	})
+}
+
+func (o *overlapOwner) loadJobs(now time.Time) {
+	var jobs []*overlapJob
+	o.after(o.s.between(1, 20), func() {
+		if o.deaf {
+			o.after(900*time.Millisecond, o.load)
+			return
+		}
+		o.from = o.s.store.revision
+		for _, id := range o.s.store.order {
+			if j := o.s.store.jobs[id]; !j.removed {
+				jobs = append(jobs, j)
+			}
+		}
+		o.after(o.s.between(1, 20), func() {
+			if o.deaf {
+				o.after(900*time.Millisecond, o.load)
+				return
+			}
+			for _, j := range jobs {
+				o.s.note(j.sub.ID, work.TaskID{}, "", "owner %d loads %s: %v", o.token, j.sub.ID, j.progress)
+				o.pool.Add(j.sub, j.created, j.revision, j.progress, now)
+			}
+			o.begin()
+		})
+	})
+}
+
+func (o *overlapOwner) begin() {
+	o.loaded = true
+	o.trace("has loaded up to %d", o.from)
+	early := o.early
+	o.early = nil
+	for _, j := range early {
+		o.watched(j)
+	}
+	o.after(o.s.between(1, 20), o.readList)
+	o.saveLoop()
+	o.rosterLoop()
+	o.livesLoop()
+	o.balanceLoop()
+	o.kickPlan()
+}
+
+// watched takes in a job that the store's watch tells of.
+func (o *overlapOwner) watched(j *overlapJob) {
+	switch {
+	case o.over || o.deaf:
+		return
+	case !o.loaded:
+		o.early = append(o.early, j)
+		return
+	case j.created <= o.from:
+		return
+	}
+	o.take(j, "watch")
+}
+
+// notified takes in a job that an accepting entry tells of.
+func (o *overlapOwner) notified(j *overlapJob) {
+	if o.over || !o.loaded || j.created <= o.token {
+		return
+	}
+	o.take(j, "notice")
+}
+
+func (o *overlapOwner) take(j *overlapJob, way string) {
+	if !o.pool.Knows(j.sub.ID) {
+		o.s.note(j.sub.ID, work.TaskID{}, "", "owner %d hears of %s by %s", o.token, j.sub.ID, way)
+	}
+	o.pool.Add(j.sub, j.created, j.created, work.Progress{}, o.s.now)
+	o.kickPlan()
+}
+
+func (o *overlapOwner) readList() {
+	if o.deaf {
+		o.after(50*time.Millisecond, o.readList)
+		return
+	}
+	o.listed, o.listRev = true, o.s.listRev
+	for id, f := range o.s.store.workers {
+		o.facts[id] = f
+	}
+	o.takeList()
+}
+
+// listChanged takes in a change of the platform's list of workers.
+func (o *overlapOwner) listChanged(id string, f work.WorkerFacts, there bool, revision int64) {
+	if o.over || o.deaf || !o.listed || revision <= o.listRev {
+		return
+	}
+	o.listRev = revision
+	delete(o.facts, id)
+	if there {
+		o.facts[id] = f
+	}
+	o.trace("hears of the list: %s there %v born %d", id, there, f.Born)
+	o.takeList()
+}
+
+func (o *overlapOwner) takeList() {
+	var facts []work.WorkerFacts
+	for _, f := range o.facts {
+		facts = append(facts, f)
+	}
+	sort.Slice(facts, func(a, b int) bool { return facts[a].ID < facts[b].ID })
+	o.pool.SetWorkers(facts, o.s.now)
+	o.roster()
+	for i := range facts {
+		if id := facts[i].ID; o.lookers[id] == nil {
+			o.lookers[id] = &overlapLooker{worker: id, retry: lookRetry}
+			o.lookOn(o.lookers[id])
+		}
+	}
+	o.kickPlan()
+}
+
+func (o *overlapOwner) balanceLoop() {
+	o.pool.Balance(o.s.now) // what it says is not used here; it meets every state
+	o.after(250*time.Millisecond, o.balanceLoop)
+}
+
+// livesLoop tells the pool which workers are alive while it has doubts.
+func (o *overlapOwner) livesLoop() {
+	o.after(300*time.Millisecond, func() {
+		if !o.pool.Doubts() {
+			o.livesLoop()
+			return
+		}
+		way, back := o.s.between(1, 10), o.s.between(1, 10)
+		if o.s.knobs.StaleList && !o.s.calm {
+			way, back = o.s.between(1, 100), o.s.between(1, 800)
+		}
+		o.after(way, func() {
+			lives := map[string]string{}
+			for _, m := range o.s.machines {
+				lives[m.name] = m.current()
+			}
+			o.after(back, func() {
+				o.trace("takes lives %v as of %v ago", lives, back)
+				o.pool.SetLives(lives)
+				o.kickPlan()
+				o.livesLoop()
+			})
+		})
+	})
+}
--- /dev/null
+++ b/internal/work/overlap_start_test.go
@@ -0,0 +1,11 @@
+package work_test
+
+import "time"
+
+// overlapStart is a start that a worker has carried out.
+type overlapStart struct {
+	at      time.Time
+	life    string
+	attempt int
+	token   int64
+}
--- /dev/null
+++ b/internal/work/overlap_store_test.go
@@ -0,0 +1,77 @@
+package work_test
+
+import (
+	"fmt"
+
+	"persimmonbay/internal/work"
+)
+
+// overlapStore keeps what the owners share.
+type overlapStore struct {
+	revision int64
+	owner    int64 // revision of the ownership; 0: nobody has it
+	jobs     map[string]*overlapJob
+	order    []string
+	roster   work.Roster
+	workers  map[string]work.WorkerFacts
+	saved    func(work.SaveItem) // called for each progress that is kept
+}
+
+func newOverlapStore() *overlapStore {
+	return &overlapStore{revision: 1, jobs: map[string]*overlapJob{}, workers: map[string]work.WorkerFacts{}}
+}
+
+func (s *overlapStore) accept(sub work.Submission) *overlapJob {
+	s.revision++
+	j := &overlapJob{sub: sub, created: s.revision, revision: s.revision}
+	s.jobs[sub.ID] = j
+	s.order = append(s.order, sub.ID)
+	return j
+}
+
+// keep writes progress while token is the owner's and all revisions hold.
+func (s *overlapStore) keep(token int64, items []work.SaveItem) (int64, bool) {
+	if s.owner != token {
+		return 0, false
+	}
+	for i := range items {
+		if s.jobs[items[i].Job].revision != items[i].Revision {
+			return 0, false
+		}
+	}
+	s.revision++
+	for i := range items {
+		j := s.jobs[items[i].Job]
+		j.progress, j.revision = items[i].Progress, s.revision
+		j.removed = j.removed || items[i].Remove
+		s.saved(items[i])
+	}
+	return s.revision, true
+}
+
+// keepRoster writes the roster while token is the owner's; last gives the
+// ownership away with it.
+func (s *overlapStore) keepRoster(token int64, r work.Roster, last bool) bool {
+	if s.owner != token {
+		return false
+	}
+	s.revision++
+	s.roster = r
+	if last {
+		s.owner = 0
+	}
+	return true
+}
+
+// acquire makes the next revision the owner, if expected is the present one.
+func (s *overlapStore) acquire(expected int64) (int64, bool) {
+	if s.owner != expected {
+		return 0, false
+	}
+	s.revision++
+	s.owner = s.revision
+	return s.owner, true
+}
+
+// text returns progress as it would be encoded.
+func text(p work.Progress) string { return fmt.Sprint(p) }
--- /dev/null
+++ b/internal/work/overlap_trace_test.go
@@ -0,0 +1,49 @@
+package work_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"persimmonbay/internal/work"
+)
+
+// overlapTrace is all that happened.
+type overlapTrace struct {
+	began time.Time
+	lines []overlapLine
+}
+
+// of returns what happened to the task, to its job, to the owners and to the
+// machines on which it ran.
+func (t *overlapTrace) of(id work.TaskID) string {
+	machines := map[string]bool{}
+	var first time.Time
+	for _, l := range t.lines {
+		if l.job == id.Job && (l.task == id || l.task == work.TaskID{}) {
+			if first.IsZero() {
+				first = l.at.Add(-2500 * time.Millisecond)
+			}
+			if l.life != "" {
+				machines[machineOf(l.life)] = true
+			}
+		}
+	}
+	var b strings.Builder
+	for _, l := range t.lines {
+		mine := l.job == id.Job && (l.task == id || l.task == work.TaskID{})
+		if l.job == "" && !l.at.Before(first) {
+			mine = l.life == "" || machines[machineOf(l.life)]
+		}
+		if mine {
+			fmt.Fprintf(&b, "%9.3f %s\n", l.at.Sub(t.began).Seconds(), l.text)
+		}
+	}
+	return b.String()
+}
+
+// machineOf returns the machine of a life's name, "m0/w0#2".
+func machineOf(life string) string {
+	machine, _, _ := strings.Cut(life, "/")
+	return machine
+}
--- /dev/null
+++ b/internal/work/overlap_workers_test.go
@@ -0,0 +1,197 @@
+package work_test
+
+import (
+	"fmt"
+	"time"
+
+	"persimmonbay/internal/work"
+)
+
+// bear starts a worker on a machine, and has it registered after a delay.
+func (s *overlapSim) bear(m *overlapMachine, id string, registered time.Duration) {
+	m.lives++
+	l := &overlapLife{name: fmt.Sprintf("%s/%s#%d", m.name, id, m.lives), machine: m}
+	l.simWorker = newSimWorker(m.facts(id, s.now), s.now, s.failures, func(row work.EndRow) { s.noted(l, row) })
+	m.life = l
+	s.note("", work.TaskID{}, l.name, "%s is born", l.name)
+	s.after(registered, func() {
+		if !l.dead {
+			s.list(id, l.facts, true)
+		}
+	})
+}
+
+// list changes the platform's list, and tells the owners: each later, in order.
+func (s *overlapSim) list(id string, f work.WorkerFacts, there bool) {
+	s.listRev++
+	revision := s.listRev
+	if _, known := s.store.workers[id]; !there && !known {
+		return
+	}
+	delete(s.store.workers, id)
+	if there {
+		s.store.workers[id] = f
+	}
+	for _, o := range s.owners {
+		delay := s.between(1, 120)
+		if s.knobs.Rebirth && !s.calm {
+			delay = s.between(0, 1500)
+		}
+		o.listAt = work.Later(o.listAt, s.now.Add(delay))
+		s.after(o.listAt.Sub(s.now), func() { o.listChanged(id, f, there, revision) })
+	}
+}
+
+// die ends a life at once, with all that runs there.
+func (s *overlapSim) die(l *overlapLife) {
+	s.pass()
+	l.dead = true
+	l.machine.life = nil
+	s.note("", work.TaskID{}, l.name, "%s dies with %v", l.name, l.simWorker.running)
+}
+
+// disturb cuts a worker off, ends it, or has it start again.
+func (s *overlapSim) disturb() {
+	if s.calm {
+		return
+	}
+	s.after(s.between(200, 1500), s.disturb)
+	m := s.machines[s.random.Intn(len(s.machines))]
+	l := m.life
+	switch {
+	case l == nil:
+	case s.chance(30):
+		d := s.between(50, 9000)
+		if s.chance(50) {
+			d = s.between(50, 1500)
+		}
+		m.cut = s.now.Add(d)
+		s.note("", work.TaskID{}, l.name, "%s is cut off for %v", l.name, d)
+	case s.knobs.Rebirth && s.chance(50):
+		s.die(l)
+		s.after(s.between(1, 400), func() { s.bear(m, l.facts.ID, s.between(0, 1500)) })
+	case s.chance(25):
+		s.die(l)
+		s.after(s.between(1, 2000), func() { s.bear(m, fmt.Sprintf("%s-%d", m.name, m.lives), s.between(1, 300)) })
+		s.after(s.between(1000, 4000), func() { s.list(l.facts.ID, l.facts, false) })
+	}
+}
+
+// pass ends what is over by now on all workers.
+func (s *overlapSim) pass() {
+	for _, m := range s.machines {
+		if l := m.life; l != nil {
+			l.pass(s.now)
+			s.record(l)
+		}
+	}
+}
+
+// record takes in the ends of a life that are new, and has the looks answered
+// that wait for them.
+func (s *overlapSim) record(l *overlapLife) {
+	for _, row := range l.simWorker.ends {
+		if row.Number <= l.seen {
+			continue
+		}
+		l.seen = row.Number
+		s.ends[row.Task] = append(s.ends[row.Task], &overlapEnd{life: l.name, row: row, at: s.now})
+		s.note(row.Task.Job, row.Task, l.name, "%s ends %v attempt %d as number %d: %s", l.name, row.Task, row.Attempt, row.Number, row.Kind)
+		for _, answer := range l.waiting {
+			s.after(0, answer)
+		}
+		l.waiting = nil
+	}
+	if !l.lapsed {
+		return
+	}
+	for _, row := range l.simWorker.ends {
+		if e := s.end(l, row); !e.noted {
+			e.lapsed = true
+		}
+	}
+}
+
+func (s *overlapSim) end(l *overlapLife, row work.EndRow) *overlapEnd {
+	for _, e := range s.ends[row.Task] {
+		if e.life == l.name && e.row.Number == row.Number {
+			return e
+		}
+	}
+	panic("an end that was not recorded")
+}
+
+// awaitEnd answers a look at once if there are ends or no wait, else at an end.
+func (s *overlapSim) awaitEnd(l *overlapLife, wait time.Duration, answer func()) {
+	if wait == 0 || len(l.simWorker.ends) > 0 {
+		answer()
+		return
+	}
+	over := false
+	once := func() {
+		if !over && !l.dead {
+			over = true
+			s.pass()
+			answer()
+		}
+	}
+	l.waiting = append(l.waiting, once)
+	s.after(wait, once)
+}
+
+// startAt has a worker carry out a start.
+func (s *overlapSim) startAt(l *overlapLife, o work.StartOrder) (work.Answer, int64) {
+	if l.facts.ID != o.Worker {
+		return work.OtherLife, 0
+	}
+	before := l.simWorker.running[o.Task].attempt
+	o.Deadline = l.capped(o.Deadline, s.now)
+	answer := l.start(o, s.now, s.random)
+	s.note(o.Task.Job, o.Task, l.name, "%s takes start of %v attempt %d of owner %d: %s", l.name, o.Task, o.Attempt, o.Token, answer)
+	if answer != work.Fenced && answer != work.TooLate {
+		l.token = max(l.token, o.Token)
+		l.extend(o.Deadline)
+		s.timers(l)
+	}
+	if answer == work.Accepted && before != o.Attempt {
+		s.checkStart(l, o, before)
+	}
+	return answer, l.clock(s.now)
+}
+
+// timers has ends and the end of the lease happen at their time.
+func (s *overlapSim) timers(l *overlapLife) {
+	s.after(l.lease.Sub(s.now), s.pass)
+	for _, id := range sortedTasks(l.simWorker.running) {
+		s.after(l.simWorker.running[id].ends.Sub(s.now), s.pass)
+	}
+}
+
+func (s *overlapSim) stopAt(l *overlapLife, o work.StopOrder) work.Answer {
+	if l.facts.ID != o.Worker {
+		return work.OtherLife
+	}
+	answer := l.stop(o, s.now)
+	s.note(o.Task.Job, o.Task, l.name, "%s takes stop of %v attempt %d of owner %d: %s", l.name, o.Task, o.Attempt, o.Token, answer)
+	s.record(l)
+	return answer
+}
+
+// lookAt has a worker take in a look; the answer follows.
+func (s *overlapSim) lookAt(l *overlapLife, r work.LookRequest) work.Answer {
+	if l.facts.ID != r.Worker {
+		return work.OtherLife
+	}
+	first := l.token < r.Token
+	if r.Deadline > 0 {
+		r.Deadline = l.capped(r.Deadline, s.now)
+	}
+	_, answer := l.look(r, s.now, s.now)
+	if answer == work.Accepted {
+		if first {
+			s.note("", work.TaskID{}, l.name, "%s is fenced by owner %d", l.name, r.Token)
+		}
+		s.timers(l)
+	}
+	return answer
+}
