--- a/internal/work/overlap_calls_test.go
+++ b/internal/work/overlap_calls_test.go
@@ -25,6 +25,10 @@
 		}
 		return
 	}
+	if s.now.Before(m.cut) && s.chance(30) {
+		s.after(s.between(5, 100), func() { answer(func() { refused(work.NotReached) }) })
+		return
+	}
 	arrive := func(send func(func())) {
 		if l.dead {
 			return
@@ -65,9 +69,10 @@
 // write carries a write to the store. commit runs there and returns what the
 // owner is to hear, and whether the write held; lost tells that no answer came.
 func (s *overlapSim) write(o *overlapOwner, commit func() (answer func(), held bool), lost func()) {
+	releasing := o.over
 	unanswered := func() {
 		s.after(storeTime, func() {
-			if !o.over {
+			if !o.over || releasing {
 				lost()
 			}
 		})
@@ -91,7 +96,6 @@
 		}
 		return
 	}
-	releasing := o.over
 	s.after(s.between(1, 15), func() {
 		answer, _ := commit()
 		s.after(s.between(1, 15), func() {
--- a/internal/work/overlap_workers_test.go
+++ b/internal/work/overlap_workers_test.go
@@ -65,18 +65,28 @@
 		if s.chance(50) {
 			d = s.between(50, 1500)
 		}
-		m.cut = s.now.Add(d)
-		s.note("", work.TaskID{}, l.name, "%s is cut off for %v", l.name, d)
+		s.cutOff(m, d)
 	case s.knobs.Rebirth && s.chance(50):
 		s.die(l)
 		s.after(s.between(1, 400), func() { s.bear(m, l.facts.ID, s.between(0, 1500)) })
-	case s.chance(25):
+	case s.chance(25) || s.knobs.StaleList && s.chance(60):
 		s.die(l)
-		s.after(s.between(1, 2000), func() { s.bear(m, fmt.Sprintf("%s-%d", m.name, m.lives), s.between(1, 300)) })
+		gone := s.between(1, 2000)
+		s.after(gone, func() { s.bear(m, fmt.Sprintf("%s-%d", m.name, m.lives), s.between(1, 300)) })
+		if s.knobs.StaleList {
+			s.after(gone+s.between(50, 600), func() { s.cutOff(m, s.between(50, 2500)) })
+		}
 		s.after(s.between(1000, 4000), func() { s.list(l.facts.ID, l.facts, false) })
 	}
 }
 
+func (s *overlapSim) cutOff(m *overlapMachine, d time.Duration) {
+	if m.life != nil && !s.calm {
+		m.cut = s.now.Add(d)
+		s.note("", work.TaskID{}, m.life.name, "%s is cut off for %v", m.life.name, d)
+	}
+}
+
 // pass ends what is over by now on all workers.
 func (s *overlapSim) pass() {
 	for _, m := range s.machines {
