--- a/internal/work/overlap_owner_test.go
+++ b/internal/work/overlap_owner_test.go
@@ -231,7 +231,7 @@
 			}
 			o.after(back, func() {
 				o.trace("takes lives %v as of %v ago", lives, back)
-				o.pool.SetLives(lives)
+				o.pool.SetLives(lives, o.sim.now)
 				o.kickPlan()
 				o.livesLoop()
 			})
