A pool's roster is not replaced by an earlier copy of its write

Callers would see a task run twice after a change of owners. A roster was written under the condition of the ownership alone. A write whose answer was lost may be carried out seconds later, over a newer roster: that a worker is down with these tasks, say, after it was kept that the worker is up and more was started there. The next owner then waits for the listed tasks only and starts the others again.

Each write of a roster now expects the roster's key at the revision that the owner knows, too. A conflict tells the revision, so a confirmed write leaves no earlier copy that could follow. The hand-over writes its roster in the same way and repeats it within its time. A conflict that names another owner ends the tenure.

--- a/internal/keeper/tenure.go
+++ b/internal/keeper/tenure.go
@@ -36,7 +36,9 @@
 	confirm  signal // machines may have been emptied
 	orders   sync.WaitGroup
 	started  inFlight // starts and stops on their way
-	roster   []byte   // as last kept; only one goroutine at a time uses it
+	own      ownKeys
+	roster   []byte         // as last kept; only one goroutine at a time uses it
+	rosters  sync.WaitGroup // the loop that keeps the roster
 
 	mu      sync.Mutex
 	lookers map[string]*looker // by worker
--- /dev/null
+++ b/internal/keeper/tenure_commit.go
@@ -0,0 +1,43 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/workstore"
+)
+
+// commitOwn makes a change while the pool is ours and the keys given, which only
+// the owner writes, are as it left them. Where an earlier change of them was
+// carried out without an answer, it is made on top of that one.
+func (t *tenure) commitOwn(ctx context.Context, txn store.Txn, keys ...string) (int64, error) {
+	for {
+		guarded := txn
+		guarded.Expected = append([]store.Expectation{{Key: workstore.OwnerKey(t.service), Revision: t.token}}, txn.Expected...)
+		t.own.expect(&guarded, keys)
+		revision, err := t.Store.Commit(ctx, guarded)
+		if err == nil {
+			t.own.wrote(&guarded, keys, revision)
+			return revision, nil
+		}
+		var conflict *store.ConflictError
+		if !errors.As(err, &conflict) {
+			return 0, err
+		}
+		if !t.named(conflict) {
+			t.lose("the store names another owner")
+			return 0, err
+		}
+		if !t.own.correct(conflict, keys) {
+			return 0, err
+		}
+	}
+}
+
+// named reports whether the store, by a change that it refused, still names this
+// tenure as the owner.
+func (t *tenure) named(conflict *store.ConflictError) bool {
+	owner, ok := conflict.Find(workstore.OwnerKey(t.service))
+	return ok && owner.Revision == t.token
+}
--- a/internal/keeper/tenure_pool.go
+++ b/internal/keeper/tenure_pool.go
@@ -31,6 +31,7 @@
 	t.orders.Go(t.planLoop)
 	t.orders.Go(t.confirmLoop)
 	t.orders.Go(func() { t.balanceLoop(offered) })
+	t.rosters.Add(1)
 	t.orders.Go(t.rosterLoop)
 	t.orders.Go(t.livesLoop)
 	t.orders.Go(t.sweepLoop)
@@ -64,6 +65,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
+	t.roster = nil // the first write is due, whatever is kept
 	now := t.Clock.Now()
 	roster.Released = roster.Released || t.ownPast
 	t.pool = work.NewPool(t.service, t.token, t.bounds.Work, roster, now)
@@ -90,11 +92,13 @@
 	key := workstore.RosterKey(t.service)
 	item, err := t.Store.Get(ctx, key)
 	if problem.Is(err, problem.NotFound) {
+		t.own.learn(key, 0)
 		return work.Roster{}, nil
 	}
 	if err != nil {
 		return work.Roster{}, err
 	}
+	t.own.learn(key, item.Revision)
 	return workstore.DecodeRoster(key, item.Value)
 }
 
--- a/internal/keeper/tenure_roster.go
+++ b/internal/keeper/tenure_roster.go
@@ -15,12 +15,14 @@
 const rosterEvery = 250 * time.Millisecond
 
 // rosterLoop keeps which workers may hold tasks of this owner, for the next,
-// until the tenure ends.
+// until the tenure ends or the pool is handed over.
 func (t *tenure) rosterLoop() {
-	for t.ctx.Err() == nil {
+	defer t.rosters.Done()
+	for t.ctx.Err() == nil && !t.isLeaving() {
 		timer := t.Clock.NewTimer(rosterEvery)
 		select {
 		case <-t.ctx.Done():
+		case <-t.leaving:
 		case <-t.rostered:
 		case <-timer.Chan():
 		}
@@ -44,9 +46,8 @@
 		t.pool.RosterKept(roster)
 		return nil
 	}
-	txn := t.guardedTxn()
-	txn.Writes = []store.Write{{Key: workstore.RosterKey(t.service), Value: value}}
-	if _, err := t.Store.Commit(ctx, txn); err != nil {
+	key := workstore.RosterKey(t.service)
+	if _, err := t.commitOwn(ctx, store.Txn{Writes: []store.Write{{Key: key, Value: value}}}, key); err != nil {
 		t.roster = nil // nobody knows which one is kept
 		return err
 	}
--- a/internal/keeper/tenure_save.go
+++ b/internal/keeper/tenure_save.go
@@ -129,7 +129,7 @@
 // owner, an earlier copy of the write was carried out after all, or a caller
 // has cancelled a job.
 func (t *tenure) settleConflict(items []work.SaveItem, txn store.Txn, conflict *store.ConflictError) {
-	if owner, ok := conflict.Find(workstore.OwnerKey(t.service)); !ok || owner.Revision != t.token {
+	if !t.named(conflict) {
 		t.pool.SaveFailed(items)
 		t.lose("the store names another owner")
 		return
@@ -185,18 +185,34 @@
 		}
 	}
 	t.cancel()
+	t.rosters.Wait()
+	final, stop := context.WithTimeout(context.WithoutCancel(ctx), t.bounds.Call)
+	defer stop()
+	if err := t.giveAway(final); err != nil {
+		t.log.Info("pool ends with its lease", telemetry.ProblemFields(err)...)
+	}
+}
+
+// giveAway keeps the last roster and gives the pool up, again and again until
+// the store has answered.
+func (t *tenure) giveAway(ctx context.Context) error {
 	roster := t.pool.Roster()
 	roster.Released = true
 	value, err := workstore.EncodeRoster(&roster)
 	if err != nil {
-		t.log.Error("roster not encoded", telemetry.ProblemFields(err)...)
+		return err
 	}
-	final, stop := context.WithTimeout(context.WithoutCancel(ctx), t.bounds.Call)
-	defer stop()
-	txn := t.guardedTxn()
-	txn.Writes = []store.Write{{Key: workstore.RosterKey(t.service), Value: value}}
-	txn.Remove = []string{workstore.OwnerKey(t.service)}
-	if _, err := t.Store.Commit(final, txn); err != nil {
-		t.log.Info("pool ends with its lease", telemetry.ProblemFields(err)...)
+	key := workstore.RosterKey(t.service)
+	txn := store.Txn{Writes: []store.Write{{Key: key, Value: value}}, Remove: []string{workstore.OwnerKey(t.service)}}
+	for {
+		_, err := t.commitOwn(ctx, txn, key)
+		var conflict *store.ConflictError
+		if errors.As(err, &conflict) && !t.named(conflict) {
+			return nil // an earlier copy was carried out, or the pool was lost
+		}
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		sleep(ctx, t.Clock, firstRetry)
 	}
 }
--- /dev/null
+++ b/internal/keeper/tenure_scene_test.go
@@ -0,0 +1,108 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/work"
+	"persimmonbay/internal/workstore"
+)
+
+// sceneTiming is that of the users' sites.
+var sceneTiming = work.Timing{
+	Hold: 4500 * time.Millisecond, Restart: 700 * time.Millisecond, ClockDrift: 0.02,
+	StartEarly: 200 * time.Millisecond, TakeOver: 2 * time.Second, Stop: 400 * time.Millisecond,
+	Suspension: time.Second, MaxSuspense: 8 * time.Second,
+}
+
+// tenureScene drives owners of one pool by hand, with a store and a time of its
+// own.
+type tenureScene struct {
+	store  *fakeStore
+	clock  *clockwork.FakeClock
+	keeper *Keeper
+	millis int64 // of all workers' clocks
+}
+
+const (
+	sceneNode    = "node-1"
+	sceneService = "tags"
+	sceneLease   = 7
+)
+
+func newTenureScene() *tenureScene {
+	s := &tenureScene{store: newFakeStore(), clock: clockwork.NewFakeClock(), millis: 1000}
+	d := Dependencies{Store: s.store, Clock: s.clock, SinceBoot: func() time.Duration { return time.Minute }, Log: zap.NewNop()}
+	bounds := Bounds{Call: time.Second, Order: time.Second, SaveEvery: time.Millisecond, SaveLazily: time.Millisecond, Retention: time.Minute, Work: sceneTiming}
+	s.keeper = New(sceneNode, "127.0.0.1:1", 1, d, bounds, nil)
+	s.keeper.session.id, s.keeper.session.endsAt = sceneLease, time.Hour
+	return s
+}
+
+// own makes the entry the pool's owner, which has not loaded it yet.
+func (s *tenureScene) own() *tenure {
+	token := s.store.put(workstore.OwnerKey(sceneService), []byte(sceneNode), sceneLease)
+	return newTenure(s.keeper, sceneService, token, sceneLease)
+}
+
+// load makes the entry the pool's owner, which has loaded it.
+func (s *tenureScene) load() *tenure {
+	t := s.own()
+	_, _, err := t.tryLoad()
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	return t
+}
+
+func (s *tenureScene) list(t *tenure, ids ...string) {
+	var facts []work.WorkerFacts
+	for _, id := range ids {
+		facts = append(facts, work.WorkerFacts{
+			ID: id, Service: sceneService, Address: id + ":1", Machine: "m-" + id, Born: 1,
+			Capacity: work.Resources{MilliCPU: 32000, MemoryMB: 131072},
+		})
+	}
+	t.pool.SetWorkers(facts, s.clock.Now())
+}
+
+// look has a worker answer the owner.
+func (s *tenureScene) look(t *tenure, id string, running ...work.RunRow) {
+	s.millis++
+	now := s.clock.Now()
+	t.pool.Looked(work.Look{Worker: id, SentAt: now, ReceivedAt: now, Born: 1, Clock: s.millis, Running: running})
+}
+
+func (s *tenureScene) silence(t *tenure, id string) {
+	t.pool.LookFailed(id, work.Unanswered, s.clock.Now())
+}
+
+// roster returns what the store keeps for the next owner.
+func (s *tenureScene) roster() work.Roster {
+	key := workstore.RosterKey(sceneService)
+	item, err := s.store.Get(context.Background(), key)
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	roster, err := workstore.DecodeRoster(key, item.Value)
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	return roster
+}
+
+// accept has the store keep a job of one task, as an entry that accepts it does.
+func (s *tenureScene) accept(id string) store.Item {
+	job, err := workstore.EncodeJob(&work.Submission{
+		ID: id, Queue: "checks", Service: sceneService, MaxFailures: 4, Stretch: 1.6, Objective: time.Second,
+		Steps: []work.Step{{Count: 1, Need: work.Resources{MilliCPU: 2000, MemoryMB: 1000}, Estimate: time.Second}},
+	})
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	state, err := workstore.EncodeState(&workstore.KeptState{Queue: "checks"})
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	key := workstore.JobKey(sceneService, id)
+	_, err = s.store.Commit(context.Background(), store.Txn{Writes: []store.Write{{Key: key, Value: job}, {Key: workstore.StateKey(sceneService, id), Value: state}}})
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	item, err := s.store.Get(context.Background(), key)
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	return item
+}
