The submission of a job that is over does not outlive its progress

Callers would see the tasks of a job run all over, more than a minute after its end. A save that leaves the submission in the store, as a run still goes on, and one that removes it write the same progress. When the first was carried out late and the second met a conflict, the owner took the removal for done and forgot the job.

A save that finds its progress kept by an earlier copy still owes the removal. An owner that loads a submission without progress passes it over: both are written at once and the progress is read later, so it was removed. A job whose progress was swept is forgotten, instead of having every batch of saves refused.

--- a/internal/keeper/tenure_pool.go
+++ b/internal/keeper/tenure_pool.go
@@ -119,7 +119,14 @@
 		if !ok {
 			continue
 		}
-		if t.addJob(id, item, states[id], now) {
+		kept, ok := states[id]
+		if !ok {
+			// Both are written at once, and the states were read later: this
+			// one was removed after the job's end.
+			t.log.Warn("job without progress ignored", zap.String("job", id))
+			continue
+		}
+		if t.addJob(id, item, kept, now) {
 			added++
 		}
 	}
--- a/internal/keeper/tenure_save.go
+++ b/internal/keeper/tenure_save.go
@@ -137,6 +137,10 @@
 	for i := range items {
 		key := workstore.StateKey(t.service, items[i].Job)
 		current, ok := conflict.Find(key)
+		if !ok && items[i].Remove {
+			t.saved(items[i:i+1], 0) // all that was kept of it has been swept
+			continue
+		}
 		if !ok || current.Revision == items[i].Revision {
 			t.pool.SaveFailed(items[i : i+1])
 			continue
@@ -149,6 +153,7 @@
 func (t *tenure) settleItem(item work.SaveItem, current store.Item, txn store.Txn) {
 	written := slices.IndexFunc(txn.Writes, func(w store.Write) bool { return w.Key == current.Key })
 	if written >= 0 && bytes.Equal(txn.Writes[written].Value, current.Value) {
+		item.Remove = false // the copy may have been made while something still ran
 		t.saved([]work.SaveItem{item}, current.Revision)
 		return
 	}
--- a/internal/keeper/tenure_sweep.go
+++ b/internal/keeper/tenure_sweep.go
@@ -15,7 +15,11 @@
 // read of all of them should stay rare.
 const sweepEvery = time.Minute
 
-// sweepLoop removes the states of jobs that ended long ago, until the tenure
+// sweepBatch is how many jobs one transaction removes: each takes a condition
+// and up to three removals.
+const sweepBatch = (store.MaxTxnEntries - 1) / 4
+
+// sweepLoop removes what is kept of jobs that ended long ago, until the tenure
 // ends.
 func (t *tenure) sweepLoop() {
 	for t.ctx.Err() == nil {
@@ -39,10 +43,13 @@
 	old := t.outdated(items)
 	for len(old) > 0 {
 		txn := t.guardedTxn()
-		n := min(len(old), (store.MaxTxnEntries-1)/2)
+		n := min(len(old), sweepBatch)
 		for _, item := range old[:n] {
 			txn.Expected = append(txn.Expected, store.Expectation{Key: item.Key, Revision: item.Revision})
 			txn.Remove = append(txn.Remove, item.Key)
+			if id, ok := workstore.ParseState(t.service, item.Key); ok {
+				txn.Remove = append(txn.Remove, workstore.JobKey(t.service, id), workstore.CancelKey(t.service, id))
+			}
 		}
 		if _, err := t.Store.Commit(limited, txn); err != nil {
 			return err
