An owner's word that the pool is released covers the owners before it, too

Callers would see a task run twice after two changes of owners in a row. An owner that lost its key early may order for the rest of its lease. The next one took over, released the pool within that time (or was killed, and its entry came back), and the third took its word for all owners: it waited only as long as leases that the second one granted, and started what the first had started on a worker that did not answer.

A roster now tells whether owners before its writer could still order when it was kept: they cannot once the time of a take-over has passed, or if the writer took over from an owner that said both. Only such a roster spares the next owner the wait. That the last owner was an earlier life of the same entry counts only if that life kept the roster: an acquisition that is carried out late names this entry, although another one owned the pool last. An owner reads the last roster once; when it reads the pool again it no longer takes its own roster for that of the last owner.

The test of an owner that does not wait after a release now says that the roster was quiet, as its name assumes; that an unquiet one is waited for is a test of its own.

--- a/internal/keeper/keeper_manage.go
+++ b/internal/keeper/keeper_manage.go
@@ -126,7 +126,7 @@
 		}
 		return
 	}
-	k.begin(service, token, lease, owner.node == k.node)
+	k.begin(service, token, lease, expected)
 }
 
 // acquired finds out whether an ownership whose write was not answered is ours.
@@ -143,12 +143,12 @@
 	return item.Revision, nil
 }
 
-// begin starts to keep a pool. ownPast tells that its last owner was an earlier
-// life of this entry, which orders nothing any more.
-func (k *Keeper) begin(service string, token, lease int64, ownPast bool) {
+// begin starts to keep a pool. past is the fencing token of its last owner if
+// that was an earlier life of this entry, which orders nothing any more; else 0.
+func (k *Keeper) begin(service string, token, lease, past int64) {
 	k.Log.Info("pool taken over", zap.String("service", service), zap.Int64("token", token))
 	t := newTenure(k, service, token, lease)
-	t.ownPast = ownPast
+	t.past = past
 	k.mu.Lock()
 	k.tenures[service] = t
 	k.mu.Unlock()
--- a/internal/keeper/tenure.go
+++ b/internal/keeper/tenure.go
@@ -22,7 +22,7 @@
 	log      *zap.Logger
 	ctx      context.Context // ends with the tenure
 	cancel   context.CancelFunc
-	ownPast  bool // the last owner was an earlier life of this entry
+	past     int64 // fencing token of the last owner if that was an earlier life of this entry; else 0
 	done     chan struct{}
 	leaving  chan struct{} // closed when the pool is to be handed over
 	leave    sync.Once
@@ -38,6 +38,7 @@
 	started  inFlight // starts and stops on their way
 	own      ownKeys
 	roster   []byte         // as last kept; only one goroutine at a time uses it
+	left     *work.Roster   // what the last owner left; nil: not read yet
 	rosters  sync.WaitGroup // the loop that keeps the roster
 
 	mu      sync.Mutex
--- a/internal/keeper/tenure_pool.go
+++ b/internal/keeper/tenure_pool.go
@@ -65,9 +65,9 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	t.roster = nil // the first write is due, whatever is kept
 	now := t.Clock.Now()
-	roster.Released = roster.Released || t.ownPast
+	// A life of this entry that kept no roster tells nothing of the owner before.
+	roster.Released = roster.Released || t.past != 0 && roster.Token == t.past
 	t.pool = work.NewPool(t.service, t.token, t.bounds.Work, roster, now)
 	if err := t.writeRoster(ctx); err != nil {
 		return 0, nil, err
@@ -88,7 +88,20 @@
 	return from, offered, nil
 }
 
+// loadRoster reads what the last owner left, once: from then on this owner
+// writes the key.
 func (t *tenure) loadRoster(ctx context.Context) (work.Roster, error) {
+	if t.left == nil {
+		roster, err := t.readRoster(ctx)
+		if err != nil {
+			return work.Roster{}, err
+		}
+		t.left = &roster
+	}
+	return *t.left, nil
+}
+
+func (t *tenure) readRoster(ctx context.Context) (work.Roster, error) {
 	key := workstore.RosterKey(t.service)
 	item, err := t.Store.Get(ctx, key)
 	if problem.Is(err, problem.NotFound) {
--- a/internal/keeper/tenure_roster.go
+++ b/internal/keeper/tenure_roster.go
@@ -37,7 +37,7 @@
 
 // writeRoster keeps the pool's roster, unless the same was kept last.
 func (t *tenure) writeRoster(ctx context.Context) error {
-	roster := t.pool.Roster()
+	roster := t.pool.Roster(t.Clock.Now())
 	value, err := workstore.EncodeRoster(&roster)
 	if err != nil {
 		return err
--- a/internal/keeper/tenure_save.go
+++ b/internal/keeper/tenure_save.go
@@ -201,7 +201,7 @@
 // giveAway keeps the last roster and gives the pool up, again and again until
 // the store has answered.
 func (t *tenure) giveAway(ctx context.Context) error {
-	roster := t.pool.Roster()
+	roster := t.pool.Roster(t.Clock.Now())
 	roster.Released = true
 	value, err := workstore.EncodeRoster(&roster)
 	if err != nil {
--- a/internal/work/owner_test.go
+++ b/internal/work/owner_test.go
@@ -54,7 +54,7 @@
 		Expect(started[0].Worker).To(Equal("a"))
 		first.look("a", []work.RunRow{runs(started[0]), runs(started[1])})
 		first.pool.LookFailed("a", work.Unanswered, first.now)
-		roster := first.pool.Roster()
+		roster := first.pool.Roster(first.now)
 
 		s := newScene()
 		s.pool = work.NewPool("tags", token, timing, roster, s.now)
@@ -72,7 +72,7 @@
 
 	It("does not wait for the time of an earlier owner that has released the pool", func() {
 		s := newScene()
-		s.pool = work.NewPool("tags", token, timing, work.Roster{Released: true, Workers: []work.RosterWorker{{ID: "gone"}}}, s.now)
+		s.pool = work.NewPool("tags", token, timing, work.Roster{Released: true, Quiet: true, Workers: []work.RosterWorker{{ID: "gone"}}}, s.now)
 		s.setWorkers(worker("a"))
 		s.look("a", nil)
 		s.addKept(tasks("j", 1), token-1, work.Progress{})
@@ -81,6 +81,54 @@
 		Expect(s.startAll()).To(HaveLen(1))
 	})
 
+	// chain has an owner release the pool some time after it has taken it over, and
+	// returns whether the next owner starts older jobs once the time that the last
+	// one granted is over.
+	chain := func(roster work.Roster, kept time.Duration) bool {
+		roster.Workers = []work.RosterWorker{{ID: "gone"}}
+		s := newScene()
+		s.pool = work.NewPool("tags", token-1, timing, roster, s.now)
+		s.pass(kept)
+		roster = s.pool.Roster(s.now)
+		roster.Released = true
+		s.pool = work.NewPool("tags", token, timing, roster, s.now)
+		s.setWorkers(worker("a"))
+		s.look("a", nil)
+		s.addKept(tasks("j", 1), token-1, work.Progress{})
+		s.pass(timing.Hold + 400*time.Millisecond)
+		s.look("a", nil)
+		started := len(s.startAll()) > 0
+		s.pass(timing.TakeOver)
+		s.look("a", nil)
+		Expect(started || len(s.startAll()) > 0).To(BeTrue())
+		return started
+	}
+
+	// The owner before the last has lost the pool early and orders on: a task that
+	// it started runs twice.
+	It("waits for the time of the owner before, if the last one released the pool at once", func() {
+		Expect(chain(work.Roster{}, time.Second)).To(BeFalse())
+		Expect(chain(work.Roster{Released: true}, time.Second)).To(BeFalse())
+	})
+
+	// Each hand-over of a roll-out holds older jobs up as if an owner were lost.
+	It("does not wait for the time of owners that cannot order any more", func() {
+		Expect(chain(work.Roster{}, timing.TakeOver)).To(BeTrue())
+		Expect(chain(work.Roster{Released: true, Quiet: true}, 0)).To(BeTrue())
+	})
+
+	// What the last owner was told of the owner before is lost with it.
+	It("hands on all that it was told, until it is settled", func() {
+		told := work.Roster{Workers: []work.RosterWorker{{ID: "down", Machine: "m-down", Down: true, Tasks: []work.TaskID{{Job: "j"}}}, {ID: "gone", Machine: "m-gone"}}}
+		s := newScene()
+		s.pool = work.NewPool("tags", token, timing, told, s.now)
+		s.setWorkers(worker("a"))
+		Expect(s.pool.Roster(s.now).Workers).To(ConsistOf(append(told.Workers, work.RosterWorker{ID: "a", Machine: "m-a"})))
+		s.look("a", nil)
+		s.plan()
+		Expect(s.pool.Roster(s.now).Workers).To(ConsistOf(append(told.Workers, work.RosterWorker{ID: "a", Machine: "m-a"})))
+	})
+
 	It("uses no attempt that an earlier owner may have used", func() {
 		s := newScene()
 		s.pool = work.NewPool("tags", token, timing, work.Roster{Tenure: 2}, s.now)
@@ -95,12 +143,12 @@
 	It("starts nothing on a worker that the roster calls down, until the roster is kept anew", func() {
 		s := newScene(worker("a"))
 		s.pool.LookFailed("a", work.Unanswered, s.now)
-		s.pool.RosterKept(s.pool.Roster())
+		s.pool.RosterKept(s.pool.Roster(s.now))
 		s.pass(time.Second)
 		s.look("a", nil)
 		s.add(tasks("j", 1))
 		Expect(s.startAll()).To(BeEmpty())
-		s.pool.RosterKept(s.pool.Roster())
+		s.pool.RosterKept(s.pool.Roster(s.now))
 		Expect(s.startAll()).To(HaveLen(1))
 	})
 
--- a/internal/work/pool.go
+++ b/internal/work/pool.go
@@ -15,6 +15,7 @@
 
 	mu         sync.Mutex
 	takenAt    time.Time
+	quietAt    time.Time           // from then on, no earlier owner orders anything
 	settleBy   time.Time           // by then, all that an earlier owner started has ended or answered
 	settled    bool                // all that an earlier owner may have started is known or has ended
 	awaited    map[string]*awaited // by worker: what an earlier owner may have started
@@ -52,10 +53,11 @@
 		learned: newDurations(), ended: make(map[string]time.Time), published: make(map[string]bool),
 		quick: inflow{over: quickInflow}, steady: inflow{over: steadyInflow},
 	}
-	p.settleBy = now.Add(timing.granted())
-	if !roster.Released {
-		p.settleBy = p.settleBy.Add(timing.TakeOver)
+	p.quietAt = now
+	if !roster.Released || !roster.Quiet {
+		p.quietAt = now.Add(timing.TakeOver)
 	}
+	p.settleBy = p.quietAt.Add(timing.granted())
 	for i := range roster.Workers {
 		p.awaited[roster.Workers[i].ID] = newAwaited(&roster.Workers[i])
 	}
--- a/internal/work/pool_workers.go
+++ b/internal/work/pool_workers.go
@@ -124,11 +124,11 @@
 	}
 }
 
-// Roster returns what the next owner would have to know now.
-func (p *Pool) Roster() Roster {
+// Roster returns what the next owner would have to know at now.
+func (p *Pool) Roster(now time.Time) Roster {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := Roster{Tenure: p.tenure}
+	r := Roster{Tenure: p.tenure, Token: p.token, Quiet: !now.Before(p.quietAt)}
 	for id, w := range p.workers {
 		if !w.lost {
 			r.Workers = append(r.Workers, w.roster(p.awaited[id]))
--- a/internal/work/roster.go
+++ b/internal/work/roster.go
@@ -2,7 +2,9 @@
 
 // Roster is what the next owner of a pool has to know of the last one.
 type Roster struct {
-	Tenure   int  // counts the owners
-	Released bool // the owner ordered nothing after it kept this
+	Tenure   int   // counts the owners
+	Token    int64 // fencing token of the owner that kept this
+	Quiet    bool  // no owner before that one ordered any more
+	Released bool  // the owner ordered nothing after it kept this
 	Workers  []RosterWorker
 }
--- a/internal/work/scene_test.go
+++ b/internal/work/scene_test.go
@@ -41,7 +41,7 @@
 // setWorkers has the platform list the workers, and the roster kept.
 func (s *scene) setWorkers(workers ...work.WorkerFacts) {
 	s.pool.SetWorkers(workers, s.now)
-	s.pool.RosterKept(s.pool.Roster())
+	s.pool.RosterKept(s.pool.Roster(s.now))
 }
 
 // worker returns the facts of a worker of 32 cores and 128 GB.
--- a/internal/work/sim_test.go
+++ b/internal/work/sim_test.go
@@ -81,7 +81,7 @@
 }
 
 func (s *sim) keepRoster() {
-	s.roster = s.owner.pool.Roster()
+	s.roster = s.owner.pool.Roster(s.now)
 	s.owner.pool.RosterKept(s.roster)
 }
 
