A pool's need and offers are not made late over what came after

Callers would see work stopped by a move that its pool had not agreed to, and a pool would get machines that it no longer needs. An offer whose answer was lost and that was not there yet counted as withdrawn; carried out later, it gave a machine away on which tasks had started again. An earlier need could replace a later one for good, as the owner repeats it only when it changes.

The need's key is expected as the owner knows it, by each need and each offer. Telling the need anew therefore ends all earlier copies of both: the owner does so before it looks for an offer that was not answered. A need that was not answered counts as not told.

--- a/internal/keeper/tenure_balance.go
+++ b/internal/keeper/tenure_balance.go
@@ -20,6 +20,9 @@
 // answered: taking it back shows what is kept.
 const unknownRevision = -1
 
+// unknownNeed stands for a need of which nobody knows whether it was told.
+const unknownNeed = -1
+
 // offerAgain is how long to wait after an offer that was refused: the record of
 // a move goes within a few seconds.
 const offerAgain = 500 * time.Millisecond
@@ -27,7 +30,7 @@
 // balanceLoop tells the holder of the duty for machines what the pool needs and
 // can spare, until the tenure ends.
 func (t *tenure) balanceLoop(offered map[string]int64) {
-	b := &balancer{tenure: t, offered: offered, taken: map[string]bool{}, said: -1}
+	b := &balancer{tenure: t, offered: offered, taken: map[string]bool{}, said: unknownNeed}
 	for t.ctx.Err() == nil {
 		sleep(t.ctx, t.Clock, balanceEvery)
 		if !t.holds() || t.isLeaving() {
@@ -71,10 +74,10 @@
 	if err != nil {
 		return err
 	}
-	txn := b.guardedTxn()
+	var txn store.Txn
 	var told []string
 	for _, m := range machines {
-		if txn.Entries()+2 > store.MaxTxnEntries {
+		if len(told) == offersAtOnce {
 			break // the rest with the next step
 		}
 		key := workstore.OfferKey(m)
@@ -83,7 +86,7 @@
 		told = append(told, m)
 	}
 	b.pool.Offered(told)
-	revision, err := b.Store.Commit(ctx, txn)
+	revision, err := b.commitOwn(ctx, txn, workstore.NeedKey(b.service))
 	if err != nil {
 		b.notOffered(told, err)
 		return err
@@ -94,6 +97,10 @@
 	return nil
 }
 
+// offersAtOnce is how many machines one transaction offers: each takes a
+// condition and a write, beside the conditions of the ownership and the need.
+const offersAtOnce = (store.MaxTxnEntries - 2) / 2
+
 // notOffered takes in that an offer was not made, or that nobody knows.
 func (b *balancer) notOffered(machines []string, err error) {
 	if problem.Is(err, problem.Conflict) {
@@ -109,8 +116,16 @@
 	}
 }
 
-// takeBack withdraws an offer, unless it was taken.
+// takeBack withdraws an offer, unless it was taken. One that was not answered
+// may be made later: it expects the need as it was, so telling that anew makes
+// an end of it.
 func (b *balancer) takeBack(ctx context.Context, machine string) (bool, error) {
+	if b.offered[machine] == unknownRevision {
+		if err := b.tellNeed(ctx, max(b.said, 0)); err != nil {
+			return false, err
+		}
+		return b.lookAfter(ctx, machine)
+	}
 	key := workstore.OfferKey(machine)
 	txn := b.guardedTxn()
 	txn.Expected = append(txn.Expected, store.Expectation{Key: key, Revision: b.offered[machine]})
@@ -176,9 +191,9 @@
 }
 
 func (b *balancer) tellNeed(ctx context.Context, need int) error {
-	txn := b.guardedTxn()
-	txn.Writes = []store.Write{{Key: workstore.NeedKey(b.service), Value: []byte(strconv.Itoa(need))}}
-	_, err := b.Store.Commit(ctx, txn)
+	key := workstore.NeedKey(b.service)
+	b.said = unknownNeed
+	_, err := b.commitOwn(ctx, store.Txn{Writes: []store.Write{{Key: key, Value: []byte(strconv.Itoa(need))}}}, key)
 	if err == nil {
 		b.said = need
 	}
