The holder of the duty for machines leaves no late writes, and orders what is kept

Operators would see a completed wave as active, a machine that is back asked for again and idle for good, or machines given up for a recall that had ended: the progress of a wave, its state, requests to empty a machine and recalls were written under the condition of the duty alone, so a copy without an answer could follow a later one. They now expect their key as the holder knows it, and a request the wave's progress, which changes before the machine is taken down and when it is back.

Found on the way, by the same lost answers: an upkeep whose intention was not kept was ordered with the next step, unknown to the next holder (more machines down than the wave allows); a machine that could not be given back was not given back again; a recall of the last holder stayed, if the next one had none. A failed write no longer counts as made, and a new holder tells all recalls.

--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"persimmonbay/internal/problem"
 	"persimmonbay/internal/shard"
 	"persimmonbay/internal/store"
 	"persimmonbay/internal/telemetry"
@@ -125,21 +124,11 @@
 	}
 }
 
-func (d *duty) commit(ctx context.Context, txn store.Txn) error {
-	_, err := d.Store.Commit(ctx, txn)
-	if problem.Is(err, problem.Conflict) {
-		d.lose("the store names another holder")
-	}
-	return err
-}
-
 // release gives the duty away.
 func (d *duty) release() {
 	ctx, cancel := context.WithTimeout(d.ctx, d.bounds.Call)
 	defer cancel()
-	txn := d.guardedTxn()
-	txn.Remove = []string{workstore.OwnerKey(d.service)}
-	if err := d.commit(ctx, txn); err != nil {
+	if _, err := d.commitOwn(ctx, store.Txn{Remove: []string{workstore.OwnerKey(d.service)}}); err != nil {
 		d.log.Info("duty ends with its lease", telemetry.ProblemFields(err)...)
 	}
 }
--- /dev/null
+++ b/internal/keeper/duty_late_test.go
@@ -0,0 +1,120 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/shard"
+	"persimmonbay/internal/upkeep"
+	"persimmonbay/internal/workstore"
+)
+
+var _ = Describe("the holder of the duty for machines", func() {
+	ctx := context.Background()
+	const wave = 3
+	var s *tenureScene
+	var d *duty
+	var p upkeep.Progress
+	machines := map[string]upkeep.Machine{"m-a": {ID: "m-a", Worker: "a"}, "m-b": {ID: "m-b", Worker: "b"}}
+
+	kept := func() upkeep.Progress {
+		key := workstore.UpkeepKey(wave)
+		item, err := s.store.Get(ctx, key)
+		Expect(err).NotTo(HaveOccurred())
+		progress, err := workstore.DecodeUpkeep(key, item.Value)
+		Expect(err).NotTo(HaveOccurred())
+		return progress
+	}
+
+	BeforeEach(func() {
+		s = newTenureScene()
+		s.keeper.Operators = fakeOperators{}
+		s.keeper.Machines = &fakeMachines{}
+		d = &duty{
+			tenure: s.own(), since: s.clock.Now(), progress: map[int64]upkeep.Progress{}, said: map[int64]bool{}, active: map[int64]bool{},
+			moving: map[string]*onTheWay{}, recalls: map[string]int{}, view: shard.NewCell(newDutyView()),
+		}
+		s.keeper.fleet.Update(func(v fleetView) (fleetView, bool) {
+			v.home = map[string]int{sceneService: 2}
+			return v, true
+		})
+		var err error
+		p, err = d.load(ctx, wave)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// The next holder counts too few machines as down, or takes one down twice.
+	It("leaves no earlier progress of a wave that replaces a later one", func() {
+		p.Done["m-a"] = true
+		s.store.loseNext(workstore.UpkeepKey(wave))
+		Expect(d.keep(ctx, wave, &p, nil)).NotTo(Succeed())
+		p.Done["m-b"] = true
+		Expect(d.keep(ctx, wave, &p, nil)).To(Succeed())
+		s.store.carryOut()
+		Expect(kept().Done).To(HaveLen(2))
+	})
+
+	// Operators see a completed wave as one that goes on.
+	It("leaves no earlier state of a wave that replaces a later one", func() {
+		s.store.loseNext("told/")
+		Expect(d.tell(ctx, wave, false)).NotTo(Succeed())
+		Expect(d.tell(ctx, wave, true)).To(Succeed())
+		s.store.carryOut()
+		item, err := s.store.Get(ctx, "told/wave")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(item.Value)).To(Equal("completed"))
+	})
+
+	// A machine whose upkeep is over is emptied again, and nobody gives it back.
+	It("asks for no machine late that is back", func() {
+		s.store.loseNext(workstore.EmptyKey("m-a"))
+		Expect(d.ask(ctx, wave, []string{"m-a"}, s.clock.Now().Add(time.Minute))).NotTo(Succeed())
+		Expect(d.finish(ctx, wave, &p, []string{"m-a"})).To(Succeed())
+		s.store.carryOut()
+		Expect(s.store.has(workstore.EmptyKey("m-a"))).To(BeFalse())
+	})
+
+	// A pool gives machines up that nobody needs any more.
+	It("leaves no earlier recall that replaces a later one", func() {
+		key := workstore.RecallKey(sceneService)
+		s.store.loseNext(key)
+		Expect(d.tellRecalls(ctx, map[string]int{sceneService: 2})).NotTo(Succeed())
+		Expect(d.tellRecalls(ctx, map[string]int{})).To(Succeed())
+		s.store.carryOut()
+		item, err := s.store.Get(ctx, key)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(item.Value)).To(Equal("0"))
+	})
+
+	// A pool gives machines up for ever that the last holder has recalled.
+	It("withdraws what the last holder has recalled", func() {
+		key := workstore.RecallKey(sceneService)
+		s.store.put(key, []byte("2"), 0)
+		Expect(d.tellRecalls(ctx, map[string]int{})).To(Succeed())
+		item, err := s.store.Get(ctx, key)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(item.Value)).To(Equal("0"))
+	})
+
+	// The next holder does not know of a machine that was taken down, and takes
+	// down more than the wave allows.
+	It("takes no machine down before the intention is kept", func() {
+		s.store.loseNext(workstore.UpkeepKey(wave))
+		Expect(d.order(ctx, wave, &p, []string{"m-a"}, machines)).NotTo(Succeed())
+		Expect(d.order(ctx, wave, &p, []string{"m-a"}, machines)).To(Succeed())
+		Expect(kept().Ordered).To(HaveKey("m-a"))
+	})
+
+	// A machine that is back takes no work for good.
+	It("gives a machine back that could not be given back before", func() {
+		snapshot := upkeep.Snapshot{Wave: upkeep.Wave{Number: wave, Machines: []string{"m-gone"}}, Progress: p}
+		s.store.put(workstore.EmptyKey("m-gone"), nil, 0)
+		s.store.loseNext(workstore.UpkeepKey(wave))
+		Expect(d.finish(ctx, wave, &p, upkeep.Plan(&snapshot).Back)).NotTo(Succeed())
+		Expect(d.finish(ctx, wave, &p, upkeep.Plan(&snapshot).Back)).To(Succeed())
+		Expect(s.store.has(workstore.EmptyKey("m-gone"))).To(BeFalse())
+	})
+})
--- a/internal/keeper/duty_lend.go
+++ b/internal/keeper/duty_lend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -81,20 +82,26 @@
 
 // tellRecalls tells pools how many machines they have to give up.
 func (d *duty) tellRecalls(ctx context.Context, recalls map[string]int) error {
-	txn := d.guardedTxn()
+	var txn store.Txn
+	var keys []string
+	told := make(map[string]int)
 	for pool := range d.fleet.Get().home {
-		if recalls[pool] == d.recalls[pool] || txn.Entries() == store.MaxTxnEntries {
+		// What the last holder has recalled is not known: it is told anew.
+		if last, known := d.recalls[pool]; known && last == recalls[pool] || len(keys) == claimsAtOnce {
 			continue
 		}
+		delete(d.recalls, pool) // until the store has answered
+		told[pool] = recalls[pool]
+		keys = append(keys, workstore.RecallKey(pool))
 		txn.Writes = append(txn.Writes, store.Write{Key: workstore.RecallKey(pool), Value: []byte(strconv.Itoa(recalls[pool]))})
 	}
 	if len(txn.Writes) == 0 {
 		return nil
 	}
-	if err := d.commit(ctx, txn); err != nil {
+	if _, err := d.commitOwn(ctx, txn, keys...); err != nil {
 		return err
 	}
-	d.recalls = recalls
+	maps.Copy(d.recalls, told)
 	return nil
 }
 
@@ -102,7 +109,7 @@
 // once no next holder needs to know of the order any more.
 func (d *duty) arrive(ctx context.Context, machines map[string]upkeep.Machine, view dutyView) error {
 	now := d.Clock.Now()
-	txn := d.guardedTxn()
+	var txn store.Txn
 	for id, way := range d.moving {
 		m, listed := machines[id]
 		there := !listed || (m.Pool == way.target && m.State != upkeep.Moving)
@@ -113,7 +120,7 @@
 			continue
 		}
 		way.joined = true
-		if now.Sub(way.ordered) < d.bounds.HolderPause || txn.Entries() == store.MaxTxnEntries {
+		if now.Sub(way.ordered) < d.bounds.HolderPause || txn.Entries() == store.MaxTxnEntries-1 {
 			continue
 		}
 		if view.revisions[id] != 0 {
@@ -124,7 +131,8 @@
 	if len(txn.Remove) == 0 {
 		return nil
 	}
-	return d.commit(ctx, txn)
+	_, err := d.commitOwn(ctx, txn)
+	return err
 }
 
 // unfinished returns moves that were begun, by this holder or an earlier one,
--- a/internal/keeper/duty_move.go
+++ b/internal/keeper/duty_move.go
@@ -8,6 +8,7 @@
 
 	"persimmonbay/internal/lending"
 	"persimmonbay/internal/problem"
+	"persimmonbay/internal/store"
 	"persimmonbay/internal/telemetry"
 	"persimmonbay/internal/upkeep"
 	"persimmonbay/internal/workstore"
@@ -57,9 +58,7 @@
 	if !problem.Is(err, problem.NotFound) {
 		return
 	}
-	txn := d.guardedTxn()
-	txn.Remove = []string{workstore.OfferKey(m.Machine)}
-	if err := d.commit(ctx, txn); err != nil {
+	if _, err := d.commitOwn(ctx, store.Txn{Remove: []string{workstore.OfferKey(m.Machine)}}); err != nil {
 		d.log.Info("offer not given back", telemetry.ProblemFields(err)...)
 	}
 }
--- a/internal/keeper/duty_wave.go
+++ b/internal/keeper/duty_wave.go
@@ -31,7 +31,7 @@
 	if err := d.finish(ctx, w.Number, &progress, steps.Back); err != nil {
 		return err
 	}
-	if err := d.ask(ctx, steps.Ask, progress.Since.Add(w.Within-askMargin)); err != nil {
+	if err := d.ask(ctx, w.Number, steps.Ask, progress.Since.Add(w.Within-askMargin)); err != nil {
 		return err
 	}
 	if steps.Completed {
@@ -52,6 +52,7 @@
 	key := workstore.UpkeepKey(wave)
 	item, err := d.Store.Get(ctx, key)
 	if problem.Is(err, problem.NotFound) {
+		d.own.learn(key, 0)
 		p := upkeep.NewProgress()
 		p.Since = d.Clock.Now()
 		d.progress[wave] = p
@@ -60,6 +61,7 @@
 	if err != nil {
 		return upkeep.Progress{}, err
 	}
+	d.own.learn(key, item.Revision)
 	p, err := workstore.DecodeUpkeep(key, item.Value)
 	if err == nil {
 		d.progress[wave] = p
@@ -84,10 +86,9 @@
 	if err != nil {
 		return err
 	}
-	txn := d.guardedTxn()
-	txn.Writes = []store.Write{{Key: workstore.UpkeepKey(wave), Value: value}}
-	txn.Remove = remove
-	return d.commit(ctx, txn)
+	key := workstore.UpkeepKey(wave)
+	_, err = d.commitOwn(ctx, store.Txn{Writes: []store.Write{{Key: key, Value: value}}, Remove: remove}, key)
+	return err
 }
 
 // finish takes in machines that are back: they may take work again.
@@ -100,6 +101,9 @@
 			remove = append(remove, workstore.EmptyKey(m))
 		}
 		if err := d.keep(ctx, wave, p, remove); err != nil {
+			for _, m := range back[:n] {
+				delete(p.Done, m) // given back with the next step
+			}
 			return err
 		}
 		back = back[n:]
@@ -110,18 +114,20 @@
 // askMargin is kept from a wave's time for the last machine to come back.
 const askMargin = 1500 * time.Millisecond
 
-func (d *duty) ask(ctx context.Context, machines []string, by time.Time) error {
+// ask has pools empty machines. It expects the wave's progress as it is, so that
+// no machine is asked for late that is back by then.
+func (d *duty) ask(ctx context.Context, wave int64, machines []string, by time.Time) error {
 	value, err := workstore.EncodeEmpty(by, false)
 	if err != nil {
 		return err
 	}
 	for len(machines) > 0 {
 		n := min(len(machines), store.MaxTxnEntries/2)
-		txn := d.guardedTxn()
+		var txn store.Txn
 		for _, m := range machines[:n] {
 			txn.Writes = append(txn.Writes, store.Write{Key: workstore.EmptyKey(m), Value: value})
 		}
-		if err := d.commit(ctx, txn); err != nil {
+		if _, err := d.commitOwn(ctx, txn, workstore.UpkeepKey(wave)); err != nil {
 			return err
 		}
 		machines = machines[n:]
@@ -137,16 +143,20 @@
 	if len(ids) == 0 {
 		return nil
 	}
-	fresh := false
+	var fresh []string
 	for _, m := range ids {
 		if _, ordered := p.Ordered[m]; !ordered {
 			p.Ordered[m] = machines[m].Worker
 			p.At[m] = d.Clock.Now()
-			fresh = true
+			fresh = append(fresh, m)
 		}
 	}
-	if fresh {
+	if len(fresh) > 0 {
 		if err := d.keep(ctx, wave, p, nil); err != nil {
+			for _, m := range fresh {
+				delete(p.Ordered, m)
+				delete(p.At, m)
+			}
 			return err
 		}
 	}
@@ -185,7 +195,6 @@
 	if err != nil {
 		return err
 	}
-	txn := d.guardedTxn()
-	txn.Writes = []store.Write{{Key: key, Value: value}}
-	return d.commit(ctx, txn)
+	_, err = d.commitOwn(ctx, store.Txn{Writes: []store.Write{{Key: key, Value: value}}}, key)
+	return err
 }
--- /dev/null
+++ b/internal/keeper/fake_operators_test.go
@@ -0,0 +1,25 @@
+package keeper
+
+import (
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/upkeep"
+	"persimmonbay/internal/workconfig"
+)
+
+// fakeOperators write nothing, and are told of one wave.
+type fakeOperators struct{}
+
+var _ Operators = fakeOperators{}
+
+func (fakeOperators) OperatorsPrefix() string { return "operators/" }
+
+func (fakeOperators) Configuration(store.Item) (*workconfig.Configuration, error) { return nil, nil }
+
+func (fakeOperators) Wave(store.Item) (*upkeep.Wave, error) { return nil, nil }
+
+func (fakeOperators) WaveStatus(_ int64, completed bool) (string, []byte, error) {
+	if completed {
+		return "told/wave", []byte("completed"), nil
+	}
+	return "told/wave", []byte("active"), nil
+}
