An entry's registration is not replaced late by one of its last life

An entry that was restarted while its last life's lease held could be registered under that lease again, by a copy of the earlier registration that was carried out late. With the lease the registration went, while the entry took it for kept: it was told of no jobs by others and counted for no pool.

A registration expects its key as it was last known, as other writes do. A conflict tells how it is, so that the next try replaces it.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -25,6 +25,7 @@
 	heard   *shard.Cell[time.Time] // when the store last answered
 	peers   *shard.Cell[Peers]     // nil until known
 	changed signal
+	member  ownKeys // this entry's registration
 
 	mu      sync.Mutex
 	tenures map[string]*tenure // by service
--- a/internal/keeper/keeper_manage.go
+++ b/internal/keeper/keeper_manage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -44,6 +45,9 @@
 	}
 }
 
+// register keeps that this entry is alive, instead of what an earlier life of it
+// kept. No copy of an earlier registration can follow, as each expects the key as
+// it was.
 func (k *Keeper) register(ctx context.Context, lease int64) bool {
 	limited, cancel := context.WithTimeout(ctx, k.bounds.Call)
 	defer cancel()
@@ -52,11 +56,21 @@
 		k.Log.Error("not registered", telemetry.ProblemFields(err)...)
 		return false
 	}
-	_, err = k.Store.Commit(limited, store.Txn{Writes: []store.Write{{Key: workstore.MemberKey(k.node), Value: value, Lease: lease}}})
-	if err != nil {
-		k.Log.Info("not registered yet", telemetry.ProblemFields(err)...)
+	keys := []string{workstore.MemberKey(k.node)}
+	for {
+		txn := store.Txn{Writes: []store.Write{{Key: keys[0], Value: value, Lease: lease}}}
+		k.member.expect(&txn, keys)
+		revision, err := k.Store.Commit(limited, txn)
+		if err == nil {
+			k.member.wrote(&txn, keys, revision)
+			return true
+		}
+		var conflict *store.ConflictError
+		if !errors.As(err, &conflict) || !k.member.correct(conflict, keys) {
+			k.Log.Info("not registered yet", telemetry.ProblemFields(err)...)
+			return false
+		}
 	}
-	return err == nil
 }
 
 // services returns what has an owner: all pools, and the duty for machines where
--- a/internal/keeper/own_keys.go
+++ b/internal/keeper/own_keys.go
@@ -6,17 +6,16 @@
 	"persimmonbay/internal/store"
 )
 
-// ownKeys holds the revisions of the keys that only the holder of an ownership
-// writes, as the store last told them; 0: not there. A write whose answer is
-// lost may be carried out seconds later, so each one expects its key as the
-// holder knows it: once one is confirmed, no earlier copy can follow. mu guards
-// revisions.
+// ownKeys holds the revisions of keys that nobody else writes, as the store last
+// told them; 0: not there. A write whose answer is lost may be carried out seconds
+// later, so each one expects its key as it was last known: once one is confirmed,
+// no earlier copy can follow. mu guards revisions.
 type ownKeys struct {
 	mu        sync.Mutex
 	revisions map[string]int64
 }
 
-// expect adds the condition that the keys are as the holder knows them.
+// expect adds the condition that the keys are as last known.
 func (o *ownKeys) expect(txn *store.Txn, keys []string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
