A claim of a machine that is made late moves nobody's machine

A claim of a machine from standby, whose answer was lost, could be carried out after the same machine had reached another pool by a later claim. The holder of the duty for machines then moved it on at once, with all that ran on it.

A claim names the pool from which the machine was taken. If the machine has left that pool and isn't in the one for which it was claimed, the claim is removed instead of ordered.

Evidence: the test of a late claim in internal/keeper/duty_late_test.go failed before.

--- a/internal/keeper/duty_late_test.go
+++ b/internal/keeper/duty_late_test.go
@@ -7,8 +7,11 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"persimmonbay/internal/lending"
 	"persimmonbay/internal/shard"
+	"persimmonbay/internal/store"
 	"persimmonbay/internal/upkeep"
+	"persimmonbay/internal/workconfig"
 	"persimmonbay/internal/workstore"
 )
 
@@ -32,7 +35,9 @@
 	BeforeEach(func() {
 		s = newTenureScene()
 		s.keeper.Operators = fakeOperators{}
-		s.keeper.Machines = &fakeMachines{}
+		s.machines = &fakeMachines{}
+		s.keeper.Machines = s.machines
+		s.keeper.config = workconfig.NewInForce()
 		d = &duty{
 			tenure: s.own(), since: s.clock.Now(), progress: map[int64]upkeep.Progress{}, said: map[int64]bool{}, active: map[int64]bool{},
 			moving: map[string]*onTheWay{}, recalls: map[string]int{}, view: shard.NewCell(newDutyView()),
@@ -99,6 +104,25 @@
 		Expect(string(item.Value)).To(Equal("0"))
 	})
 
+	// A machine that has reached its pool meanwhile is moved on, and its tasks end.
+	It("does not carry out a claim that was made late, of a machine that has moved since", func() {
+		key := workstore.OfferKey("m-a")
+		listed := map[string]upkeep.Machine{"m-a": {ID: "m-a", Pool: "standby", State: upkeep.Up}}
+		s.store.loseNext(key)
+		_, err := d.take(ctx, []lending.Move{{Machine: "m-a", Target: "other"}}, listed, d.view.Get())
+		Expect(err).To(HaveOccurred())
+		listed["m-a"] = upkeep.Machine{ID: "m-a", Pool: sceneService, State: upkeep.Up, Worker: "a"}
+		s.store.carryOut()
+		item, err := s.store.Get(ctx, key)
+		Expect(err).NotTo(HaveOccurred())
+		view := newDutyView()
+		Expect(view.apply(store.Event{Item: item})).To(Succeed())
+		d.view.Update(func(dutyView) (dutyView, bool) { return view, true })
+		Expect(d.lend(ctx, listed)).To(Succeed())
+		Expect(s.machines.moved).To(BeEmpty())
+		Expect(s.store.has(key)).To(BeFalse())
+	})
+
 	// The next holder does not know of a machine that was taken down, and takes
 	// down more than the wave allows.
 	It("takes no machine down before the intention is kept", func() {
--- a/internal/keeper/duty_lend.go
+++ b/internal/keeper/duty_lend.go
@@ -55,6 +55,9 @@
 	if err := d.arrive(ctx, machines, view); err != nil {
 		return err
 	}
+	if err := d.dropStale(ctx, machines, view); err != nil {
+		return err
+	}
 	recent := d.recent()
 	moves := d.unfinished(machines, view, recent)
 	due := d.dueMachines(machines)
@@ -147,6 +150,7 @@
 			if d.moving[id] == nil {
 				d.moving[id] = &onTheWay{target: offer.Target, ordered: d.Clock.Now()}
 			}
+		case stale(offer, &m):
 		case m.State == upkeep.Up && !recent[id]:
 			moves = append(moves, lending.Move{Machine: id, Target: offer.Target})
 		}
--- /dev/null
+++ b/internal/keeper/duty_stale.go
@@ -0,0 +1,36 @@
+package keeper
+
+import (
+	"context"
+
+	"persimmonbay/internal/lending"
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/upkeep"
+	"persimmonbay/internal/workstore"
+)
+
+// stale reports whether the machine has left the pool from which it was claimed
+// and is not in the one for which: the claim was made late, after another one.
+func stale(offer lending.Offer, m *upkeep.Machine) bool {
+	return offer.Target != "" && m.State == upkeep.Up && m.Pool != offer.Pool && m.Pool != offer.Target
+}
+
+// dropStale removes claims that were made late, so that their machines can be
+// offered again.
+func (d *duty) dropStale(ctx context.Context, machines map[string]upkeep.Machine, view dutyView) error {
+	var txn store.Txn
+	for id, offer := range view.offers {
+		m, listed := machines[id]
+		if !listed || !stale(offer, &m) || len(txn.Remove) == claimsAtOnce {
+			continue
+		}
+		key := workstore.OfferKey(id)
+		txn.Expected = append(txn.Expected, store.Expectation{Key: key, Revision: view.revisions[id]})
+		txn.Remove = append(txn.Remove, key)
+	}
+	if len(txn.Remove) == 0 {
+		return nil
+	}
+	_, err := d.commitOwn(ctx, txn)
+	return err
+}
--- a/internal/keeper/fake_machines_test.go
+++ b/internal/keeper/fake_machines_test.go
@@ -7,7 +7,7 @@
 )
 
 // fakeMachines accept every order.
-type fakeMachines struct{}
+type fakeMachines struct{ moved []string }
 
 var _ Machines = (*fakeMachines)(nil)
 
@@ -15,4 +15,8 @@
 
 func (*fakeMachines) Upkeep(context.Context, string, int64, MachineOrder) error { return nil }
 
-func (*fakeMachines) Move(context.Context, string, string, MachineOrder) error { return nil }
+// Move notes the machine; tests order one at a time.
+func (f *fakeMachines) Move(_ context.Context, machine, _ string, _ MachineOrder) error {
+	f.moved = append(f.moved, machine)
+	return nil
+}
--- a/internal/keeper/tenure_scene_test.go
+++ b/internal/keeper/tenure_scene_test.go
@@ -23,10 +23,11 @@
 // tenureScene drives owners of one pool by hand, with a store and a time of its
 // own.
 type tenureScene struct {
-	store  *fakeStore
-	clock  *clockwork.FakeClock
-	keeper *Keeper
-	millis int64 // of all workers' clocks
+	store    *fakeStore
+	clock    *clockwork.FakeClock
+	keeper   *Keeper
+	machines *fakeMachines // nil: none can be ordered
+	millis   int64         // of all workers' clocks
 }
 
 const (
