--- a/internal/keeper/keeper_manage.go
+++ b/internal/keeper/keeper_manage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -44,6 +45,9 @@
 	}
 }
 
+// register keeps that this entry is alive, instead of what an earlier life of it
+// kept. No copy of an earlier registration can follow, as each expects the key as
+// it was.
 func (k *Keeper) register(ctx context.Context, lease int64) bool {
 	limited, cancel := context.WithTimeout(ctx, k.bounds.Call)
 	defer cancel()
@@ -52,11 +56,21 @@
 		k.Log.Error("not registered", telemetry.ProblemFields(err)...)
 		return false
 	}
-	_, err = k.Store.Commit(limited, store.Txn{Writes: []store.Write{{Key: workstore.MemberKey(k.node), Value: value, Lease: lease}}})
-	if err != nil {
-		k.Log.Info("not registered yet", telemetry.ProblemFields(err)...)
+	keys := []string{workstore.MemberKey(k.node)}
+	for {
+		txn := store.Txn{Writes: []store.Write{{Key: keys[0], Value: value, Lease: lease}}}
+		k.member.expect(&txn, keys)
+		revision, err := k.Store.Commit(limited, txn)
+		if err == nil {
+			k.member.wrote(&txn, keys, revision)
+			return true
+		}
+		var conflict *store.ConflictError
+		if !errors.As(err, &conflict) || !k.member.correct(conflict, keys) {
+			k.Log.Info("not registered yet", telemetry.ProblemFields(err)...)
+			return false
+		}
 	}
-	return err == nil
 }
 
 // services returns what has an owner: all pools, and the duty for machines where
@@ -126,7 +140,7 @@
 		}
 		return
 	}
-	k.begin(service, token, lease, owner.node == k.node)
+	k.begin(service, token, lease, expected)
 }
 
 // acquired finds out whether an ownership whose write was not answered is ours.
@@ -143,12 +157,12 @@
 	return item.Revision, nil
 }
 
-// begin starts to keep a pool. ownPast tells that its last owner was an earlier
-// life of this entry, which orders nothing any more.
-func (k *Keeper) begin(service string, token, lease int64, ownPast bool) {
+// begin starts to keep a pool. past is the fencing token of its last owner if
+// that was an earlier life of this entry, which orders nothing any more; else 0.
+func (k *Keeper) begin(service string, token, lease, past int64) {
 	k.Log.Info("pool taken over", zap.String("service", service), zap.Int64("token", token))
 	t := newTenure(k, service, token, lease)
-	t.ownPast = ownPast
+	t.past = past
 	k.mu.Lock()
 	k.tenures[service] = t
 	k.mu.Unlock()
--- a/internal/keeper/tenure_pool.go
+++ b/internal/keeper/tenure_pool.go
@@ -31,6 +31,7 @@
 	t.orders.Go(t.planLoop)
 	t.orders.Go(t.confirmLoop)
 	t.orders.Go(func() { t.balanceLoop(offered) })
+	t.rosters.Add(1)
 	t.orders.Go(t.rosterLoop)
 	t.orders.Go(t.livesLoop)
 	t.orders.Go(t.sweepLoop)
@@ -65,7 +66,8 @@
 		return 0, nil, err
 	}
 	now := t.Clock.Now()
-	roster.Released = roster.Released || t.ownPast
+	// A life of this entry that kept no roster tells nothing of the owner before.
+	roster.Released = roster.Released || t.past != 0 && roster.Token == t.past
 	t.pool = work.NewPool(t.service, t.token, t.bounds.Work, roster, now)
 	if err := t.writeRoster(ctx); err != nil {
 		return 0, nil, err
@@ -89,15 +91,30 @@
 	return from, offered, nil
 }
 
+// loadRoster reads what the last owner left, once: from then on this owner
+// writes the key.
 func (t *tenure) loadRoster(ctx context.Context) (work.Roster, error) {
+	if t.left == nil {
+		roster, err := t.readRoster(ctx)
+		if err != nil {
+			return work.Roster{}, err
+		}
+		t.left = &roster
+	}
+	return *t.left, nil
+}
+
+func (t *tenure) readRoster(ctx context.Context) (work.Roster, error) {
 	key := workstore.RosterKey(t.service)
 	item, err := t.Store.Get(ctx, key)
 	if problem.Is(err, problem.NotFound) {
+		t.own.learn(key, 0)
 		return work.Roster{}, nil
 	}
 	if err != nil {
 		return work.Roster{}, err
 	}
+	t.own.learn(key, item.Revision)
 	return workstore.DecodeRoster(key, item.Value)
 }
 
@@ -118,7 +135,14 @@
 		if !ok {
 			continue
 		}
-		if t.addJob(id, item, states[id], now) {
+		kept, ok := states[id]
+		if !ok {
+			// Both are written at once, and the states were read later: this
+			// one was removed after the job's end.
+			t.log.Warn("job without progress ignored", zap.String("job", id))
+			continue
+		}
+		if t.addJob(id, item, kept, now) {
 			added++
 		}
 	}
