A list of machines ends no worker that began after it was asked for

Callers could see a task run twice: the list of machines can arrive long after it was true. A worker that began meanwhile and then did not answer for a moment was given up on its word, while its tasks ran on and started elsewhere too.

Cause: SetLives compared the list with workers of any age. Now the list carries the time at which it was asked for, and says nothing of workers first listed after it.

Evidence: 'a list of machines that is older than a worker does not end the worker' fails without the comparison (one start where none is allowed) and passes with it.

--- a/internal/keeper/tenure_lives.go
+++ b/internal/keeper/tenure_lives.go
@@ -20,6 +20,7 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(t.ctx, t.bounds.Call)
+		asked := t.Clock.Now()
 		machines, err := t.Machines.List(ctx)
 		cancel()
 		if err != nil {
@@ -30,7 +31,7 @@
 		for _, m := range machines {
 			lives[m.ID] = m.Worker
 		}
-		t.pool.SetLives(lives, t.Clock.Now())
+		t.pool.SetLives(lives, asked, t.Clock.Now())
 		t.plan.send()
 	}
 }
--- a/internal/work/life_test.go
+++ b/internal/work/life_test.go
@@ -133,3 +133,21 @@
 		Expect(s.startAll()).To(HaveLen(1))
 	})
 })
+
+var _ = Describe("a list of machines that is older than a worker", func() {
+	// inc-20: a worker that had begun since was given up for dead while it ran on.
+	It("does not end the worker", func() {
+		s := newScene(worker("b"))
+		asked := s.now
+		s.pass(time.Millisecond)
+		s.setWorkers(worker("a"), worker("b"))
+		s.look("a", nil)
+		s.add(tasks("j", 1))
+		Expect(only(s.startAll()).Worker).To(Equal("a"))
+		s.pool.LookFailed("a", work.Unanswered, s.now)
+		s.pool.SetLives(map[string]string{"m-a": "", "m-b": "b"}, asked, s.now)
+		Expect(s.startAll()).To(BeEmpty())
+		s.pool.SetLives(map[string]string{"m-a": "", "m-b": "b"}, s.now, s.now)
+		Expect(only(s.startAll()).Worker).To(Equal("b"))
+	})
+})
--- a/internal/work/owner_test.go
+++ b/internal/work/owner_test.go
@@ -125,7 +125,7 @@
 		s.pool.LookFailed("a", work.Unanswered, s.now)
 		Expect(s.startAll()).To(BeEmpty())
 		Expect(s.pool.Doubts()).To(BeTrue())
-		s.pool.SetLives(map[string]string{"m-a": "", "m-b": "b", "m-gone": "c"}, s.now)
+		s.pool.SetLives(map[string]string{"m-a": "", "m-b": "b", "m-gone": "c"}, s.now, s.now)
 		Expect(only(s.startAll()).Worker).To(Equal("b"))
 		s.setWorkers(worker("a"), worker("b"))
 		Expect(s.pool.Doubts()).To(BeFalse(), "a is listed for a while after its end")
--- a/internal/work/pool_lives.go
+++ b/internal/work/pool_lives.go
@@ -22,17 +22,18 @@
 
 // SetLives takes in which worker runs on each machine; empty: none. What ran on
 // a worker that does not answer has ended when its machine runs another, or
-// none.
-func (p *Pool) SetLives(lives map[string]string, now time.Time) {
+// none. The list was asked for at askedAt, and says nothing of workers that were
+// first listed after that.
+func (p *Pool) SetLives(lives map[string]string, askedAt, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, a := range p.awaited {
-		if current, known := lives[a.machine]; known && current != id && p.workers[id] == nil {
+		if current, known := lives[a.machine]; known && current != id && p.workers[id] == nil && p.takenAt.Before(askedAt) {
 			delete(p.awaited, id)
 		}
 	}
 	for id, w := range p.workers {
-		if current, known := lives[w.facts.Machine]; known && current != id && w.silent && !w.lost {
+		if current, known := lives[w.facts.Machine]; known && current != id && w.silent && !w.lost && w.since.Before(askedAt) {
 			p.tell(Event{Kind: MachineTaken, Worker: id}, now)
 			p.loseTo(w)
 		}
--- a/internal/work/worker_test.go
+++ b/internal/work/worker_test.go
@@ -106,9 +106,9 @@
 		s.add(tasks("j", 1))
 		lost := only(s.startAll())
 		s.pool.LookFailed(lost.Worker, work.Unanswered, s.now)
-		s.pool.SetLives(map[string]string{"m-a": "a", "m-b": "b"}, s.now)
+		s.pool.SetLives(map[string]string{"m-a": "a", "m-b": "b"}, s.now, s.now)
 		Expect(s.startAll()).To(BeEmpty(), "it may be cut off and run on")
-		s.pool.SetLives(map[string]string{"m-" + lost.Worker: ""}, s.now)
+		s.pool.SetLives(map[string]string{"m-" + lost.Worker: ""}, s.now, s.now)
 		Expect(only(s.startAll()).Attempt).To(Equal(2))
 	})
 
