--- a/internal/keeper/fake_store_test.go
+++ b/internal/keeper/fake_store_test.go
@@ -19,7 +19,6 @@
 	items    map[string]store.Item
 	lose     string      // the next change of a key with this prefix is not answered; empty: all are
 	held     []store.Txn // not answered and not carried out yet
-	commits  int
 }
 
 var _ store.Store = (*fakeStore)(nil)
@@ -82,7 +81,6 @@
 func (s *fakeStore) Commit(_ context.Context, txn store.Txn) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.commits++
 	if s.lose != "" && s.touches(&txn, s.lose) {
 		s.lose = ""
 		s.held = append(s.held, txn)
