--- a/internal/keeper/tenure_save.go
+++ b/internal/keeper/tenure_save.go
@@ -129,7 +129,7 @@
 // owner, an earlier copy of the write was carried out after all, or a caller
 // has cancelled a job.
 func (t *tenure) settleConflict(items []work.SaveItem, txn store.Txn, conflict *store.ConflictError) {
-	if owner, ok := conflict.Find(workstore.OwnerKey(t.service)); !ok || owner.Revision != t.token {
+	if !t.named(conflict) {
 		t.pool.SaveFailed(items)
 		t.lose("the store names another owner")
 		return
@@ -137,6 +137,10 @@
 	for i := range items {
 		key := workstore.StateKey(t.service, items[i].Job)
 		current, ok := conflict.Find(key)
+		if !ok && items[i].Remove {
+			t.saved(items[i:i+1], 0) // all that was kept of it has been swept
+			continue
+		}
 		if !ok || current.Revision == items[i].Revision {
 			t.pool.SaveFailed(items[i : i+1])
 			continue
@@ -149,6 +153,7 @@
 func (t *tenure) settleItem(item work.SaveItem, current store.Item, txn store.Txn) {
 	written := slices.IndexFunc(txn.Writes, func(w store.Write) bool { return w.Key == current.Key })
 	if written >= 0 && bytes.Equal(txn.Writes[written].Value, current.Value) {
+		item.Remove = false // the copy may have been made while something still ran
 		t.saved([]work.SaveItem{item}, current.Revision)
 		return
 	}
@@ -185,18 +190,34 @@
 		}
 	}
 	t.cancel()
-	roster := t.pool.Roster()
+	t.rosters.Wait()
+	final, stop := context.WithTimeout(context.WithoutCancel(ctx), t.bounds.Call)
+	defer stop()
+	if err := t.giveAway(final); err != nil {
+		t.log.Info("pool ends with its lease", telemetry.ProblemFields(err)...)
+	}
+}
+
+// giveAway keeps the last roster and gives the pool up, again and again until
+// the store has answered.
+func (t *tenure) giveAway(ctx context.Context) error {
+	roster := t.pool.Roster(t.Clock.Now())
 	roster.Released = true
 	value, err := workstore.EncodeRoster(&roster)
 	if err != nil {
-		t.log.Error("roster not encoded", telemetry.ProblemFields(err)...)
+		return err
 	}
-	final, stop := context.WithTimeout(context.WithoutCancel(ctx), t.bounds.Call)
-	defer stop()
-	txn := t.guardedTxn()
-	txn.Writes = []store.Write{{Key: workstore.RosterKey(t.service), Value: value}}
-	txn.Remove = []string{workstore.OwnerKey(t.service)}
-	if _, err := t.Store.Commit(final, txn); err != nil {
-		t.log.Info("pool ends with its lease", telemetry.ProblemFields(err)...)
+	key := workstore.RosterKey(t.service)
+	txn := store.Txn{Writes: []store.Write{{Key: key, Value: value}}, Remove: []string{workstore.OwnerKey(t.service)}}
+	for {
+		_, err := t.commitOwn(ctx, txn, key)
+		var conflict *store.ConflictError
+		if errors.As(err, &conflict) && !t.named(conflict) {
+			return nil // an earlier copy was carried out, or the pool was lost
+		}
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		sleep(ctx, t.Clock, firstRetry)
 	}
 }
