--- a/internal/work/life_test.go
+++ b/internal/work/life_test.go
@@ -129,7 +129,7 @@
 		s.look("a", nil)
 		Expect(s.startAll()).To(BeEmpty(), "only the earlier life has answered")
 		s.pool.Looked(work.Look{Worker: "a", SentAt: s.now, ReceivedAt: s.now, Born: 2, Clock: 45})
-		s.pool.RosterKept(s.pool.Roster())
+		s.pool.RosterKept(s.pool.Roster(s.now))
 		Expect(s.startAll()).To(HaveLen(1))
 	})
 })
