The roster names the tasks whose ends are not kept yet, on workers that are down

No second owner at work is needed: an owner takes in an end, the worker is cut off, the roster is kept, and the owner is lost before the job's progress is kept (a store that is slow, or loses answers, makes that span long). The next owner finds the task neither done nor among those that may be on the worker, starts it elsewhere, and later notes the end that the worker lists.

Cause: a worker that is down was described by its runs alone, and an end that is taken in is no run any more, though nobody else knows of it. Now such ends stay in the roster until they may be forgotten.

--- a/internal/work/owner_test.go
+++ b/internal/work/owner_test.go
@@ -70,6 +70,31 @@
 		Expect(names(s.startAll())).To(Equal([]string{"j/0@b#1001", "j/1@b#1001"}))
 	})
 
+	// inc-20, overlap simulation, seed 800106: the owner was lost before it had kept
+	// an end of a worker that was down by then, and the task started again.
+	It("holds back the tasks whose ends the earlier owner had seen, and not kept, on workers that are down", func() {
+		first := newScene(worker("a"), worker("b"))
+		first.add(tasks("j", 1))
+		started := only(first.startAll())
+		Expect(started.Worker).To(Equal("a"))
+		first.look("a", nil, ended(started, work.EndDone))
+		first.pool.LookFailed("a", work.Unanswered, first.now)
+		roster := first.pool.Roster(first.now)
+		first.save(300)
+		kept := first.pool.Roster(first.now)
+
+		s := newScene()
+		s.pool = work.NewPool("tags", token, timing, roster, s.now)
+		s.setWorkers(worker("a"), worker("b"))
+		s.look("b", nil)
+		s.addKept(tasks("j", 1), token-1, work.Progress{})
+		Expect(s.startAll()).To(BeEmpty())
+		s.look("a", nil, ended(started, work.EndDone))
+		Expect(s.startAll()).To(BeEmpty())
+		Expect(s.save(300)["j"].Progress.State).To(Equal(work.Completed))
+		Expect(kept.Workers[0].Tasks).To(BeEmpty(), "an end that is kept holds nothing back")
+	})
+
 	It("does not wait for the time of an earlier owner that has released the pool", func() {
 		s := newScene()
 		s.pool = work.NewPool("tags", token, timing, work.Roster{Released: true, Quiet: true, Workers: []work.RosterWorker{{ID: "gone"}}}, s.now)
--- a/internal/work/pool_look.go
+++ b/internal/work/pool_look.go
@@ -73,7 +73,7 @@
 	if w.born != 0 && l.Born > w.born {
 		p.tell(Event{Kind: LifeSeen, Worker: l.Worker, Number: w.noted, Born: l.Born}, l.ReceivedAt)
 		p.rebirth(w)
-		w.applied, w.noted, w.told, w.marks = 0, 0, 0, nil
+		w.applied, w.noted, w.told, w.marks, w.unkept = 0, 0, 0, nil, nil
 	}
 	w.born = l.Born
 	w.clock = clockReading{at: l.ReceivedAt, millis: l.Clock}
@@ -90,6 +90,7 @@
 			continue
 		}
 		w.applied = e.Number
+		w.unkept = append(w.unkept, unkeptEnd{number: e.Number, task: e.Task})
 		p.applyEnd(w, e, l.ReceivedAt)
 	}
 	if n := len(w.marks); w.applied > w.noted && (n == 0 || w.marks[n-1].number < w.applied) {
--- a/internal/work/pool_save.go
+++ b/internal/work/pool_save.go
@@ -126,5 +126,6 @@
 			w.noted = w.marks[0].number
 			w.marks = w.marks[1:]
 		}
+		w.dropKept()
 	}
 }
--- a/internal/work/pool_workers.go
+++ b/internal/work/pool_workers.go
@@ -173,7 +173,11 @@
 	for _, run := range w.runs {
 		r.Tasks = append(r.Tasks, run.id)
 	}
+	for _, e := range w.unkept {
+		r.Tasks = append(r.Tasks, e.task)
+	}
 	slices.SortFunc(r.Tasks, TaskID.compare)
+	r.Tasks = slices.Compact(r.Tasks)
 	return r
 }
 
--- a/internal/work/worker.go
+++ b/internal/work/worker.go
@@ -26,9 +26,10 @@
 	noted      int64 // ends up to this number may be forgotten
 	told       int64 // the worker was told that ends up to this number may be forgotten
 	marks      []endMark
-	expiresAt  time.Time // after it nothing that this owner ordered runs on there
-	blocked    time.Time // no start before it: the worker refused or was not reached
-	suspended  time.Time // no start before it: it fails what it runs
+	unkept     []unkeptEnd // by number
+	expiresAt  time.Time   // after it nothing that this owner ordered runs on there
+	blocked    time.Time   // no start before it: the worker refused or was not reached
+	suspended  time.Time   // no start before it: it fails what it runs
 	suspension time.Duration
 	failedJobs map[string]bool // jobs of which a task failed there since the last that was done
 }
