An owner is settled only once no earlier owner may order any more

A worker that starts again knows no fencing token, so an earlier owner that is still at work can start a task on its new life although the next owner had fenced the one before. Once settled, the next owner no longer waited for such a worker's first answer.

Now it is settled only after the time for which an earlier owner may order; until then a worker without an answer holds back the older tasks. Stops for a machine's sake wait for all answers, as before.

Evidence: 'waits for workers that start again, as long as an earlier owner may order' failed before (one start) and passes now.

--- a/internal/work/owner_test.go
+++ b/internal/work/owner_test.go
@@ -95,6 +95,20 @@
 		Expect(kept.Workers[0].Tasks).To(BeEmpty(), "an end that is kept holds nothing back")
 	})
 
+	// inc-20: the next life of a worker knows no fencing token, so an earlier owner
+	// that is still at work can start tasks there.
+	It("waits for workers that start again, as long as an earlier owner may order", func() {
+		s := newScene(worker("a"), worker("b"))
+		s.plan()
+		next := worker("a")
+		next.Born = 2
+		s.setWorkers(next, worker("b"))
+		s.addKept(tasks("old", 1), token-1, work.Progress{})
+		Expect(s.startAll()).To(BeEmpty())
+		s.pool.Looked(work.Look{Worker: "a", SentAt: s.now, ReceivedAt: s.now, Born: 2, Clock: 45})
+		Expect(s.startAll()).To(HaveLen(1))
+	})
+
 	It("does not wait for the time of an earlier owner that has released the pool", func() {
 		s := newScene()
 		s.pool = work.NewPool("tags", token, timing, work.Roster{Released: true, Quiet: true, Workers: []work.RosterWorker{{ID: "gone"}}}, s.now)
--- a/internal/work/pool_move_off.go
+++ b/internal/work/pool_move_off.go
@@ -6,7 +6,7 @@
 // they start elsewhere: lasting ones as far as their step may miss them, and
 // those that keep a checkpoint.
 func (p *Pool) moveOff(now time.Time, plan *Plan) {
-	if quiet := p.takenAt.Add(p.timing.Stop + stopMargin); now.Before(quiet) || !p.settled {
+	if quiet := p.takenAt.Add(p.timing.Stop + stopMargin); now.Before(quiet) || len(p.awaited) > 0 {
 		plan.wakeAt(quiet)
 		return // stops of an earlier owner may not be over
 	}
--- a/internal/work/pool_plan.go
+++ b/internal/work/pool_plan.go
@@ -35,6 +35,10 @@
 		plan.wakeAt(p.settleBy)
 		return
 	}
+	if now.Before(p.quietAt) {
+		plan.wakeAt(p.quietAt)
+		return // a worker that starts again may still get tasks of an earlier owner
+	}
 	p.settled = true
 	clear(p.awaited)
 }
