An owner that waits for workers sets no timer in the past

Callers saw nothing but slowness: while an owner waited for the answers of workers after a take-over, each plan asked for the next one at a time already past, so the pool was planned every millisecond. The spec 'plans nothing for a past time while it waits for workers' failed before and passes now.

--- a/internal/work/owner_test.go
+++ b/internal/work/owner_test.go
@@ -109,6 +109,16 @@
 		Expect(s.startAll()).To(HaveLen(1))
 	})
 
+	// A pool with a lasting task on a machine that leaves was planned every
+	// millisecond until the last worker had answered.
+	It("plans nothing for a past time while it waits for workers", func() {
+		s := newScene(worker("a"))
+		s.setWorkers(worker("a"), worker("b"))
+		s.pass(timing.Stop + time.Second)
+		next := s.plan().Next
+		Expect(next.IsZero() || next.After(s.now)).To(BeTrue())
+	})
+
 	It("does not wait for the time of an earlier owner that has released the pool", func() {
 		s := newScene()
 		s.pool = work.NewPool("tags", token, timing, work.Roster{Released: true, Quiet: true, Workers: []work.RosterWorker{{ID: "gone"}}}, s.now)
--- a/internal/work/pool_move_off.go
+++ b/internal/work/pool_move_off.go
@@ -6,10 +6,13 @@
 // they start elsewhere: lasting ones as far as their step may miss them, and
 // those that keep a checkpoint.
 func (p *Pool) moveOff(now time.Time, plan *Plan) {
-	if quiet := p.takenAt.Add(p.timing.Stop + stopMargin); now.Before(quiet) || len(p.awaited) > 0 {
+	if quiet := p.takenAt.Add(p.timing.Stop + stopMargin); now.Before(quiet) {
 		plan.wakeAt(quiet)
 		return // stops of an earlier owner may not be over
 	}
+	if len(p.awaited) > 0 {
+		return
+	}
 	for _, w := range p.workers {
 		if !w.leaving && !w.facts.Draining {
 			continue
