A list of machines ends no worker that has answered since it was asked for

A list of machines that was asked for while a worker was down arrives after the worker's next life, under the same name, has taken a task; one look without answer then had it given up.

The spec 'does not end the next life of a worker that has answered since' failed before and passes now.

--- a/internal/work/life_test.go
+++ b/internal/work/life_test.go
@@ -150,4 +150,21 @@
 		s.pool.SetLives(map[string]string{"m-a": "", "m-b": "b"}, s.now, s.now)
 		Expect(only(s.startAll()).Worker).To(Equal("b"))
 	})
+
+	// inc-20, overlap simulation, seed 700039: the list was asked for while a worker
+	// was down, and arrived after its next life had taken a task.
+	It("does not end the next life of a worker that has answered since", func() {
+		s := newScene(worker("a"))
+		s.setWorkers(worker("a"), worker("b"))
+		s.look("b", nil)
+		s.pass(time.Second)
+		asked := s.now
+		s.pass(time.Millisecond)
+		s.add(tasks("j", 1))
+		started := only(s.plan().Starts)
+		s.pool.Started(started, work.Accepted, 5, s.now)
+		s.pool.LookFailed(started.Worker, work.Unanswered, s.now)
+		s.pool.SetLives(map[string]string{"m-" + started.Worker: ""}, asked, s.now)
+		Expect(s.startAll()).To(BeEmpty())
+	})
 })
--- a/internal/work/pool_lives.go
+++ b/internal/work/pool_lives.go
@@ -23,7 +23,7 @@
 // SetLives takes in which worker runs on each machine; empty: none. What ran on
 // a worker that does not answer has ended when its machine runs another, or
 // none. The list was asked for at askedAt, and says nothing of workers that were
-// first listed after that.
+// first listed or have answered since: another life may have begun under the name.
 func (p *Pool) SetLives(lives map[string]string, askedAt, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -33,7 +33,7 @@
 		}
 	}
 	for id, w := range p.workers {
-		if current, known := lives[w.facts.Machine]; known && current != id && w.silent && !w.lost && w.since.Before(askedAt) {
+		if current, known := lives[w.facts.Machine]; known && current != id && w.silent && !w.lost && w.since.Before(askedAt) && w.clock.at.Before(askedAt) {
 			p.tell(Event{Kind: MachineTaken, Worker: id}, now)
 			p.loseTo(w)
 		}
