--- a/internal/work/overlap_owner_test.go
+++ b/internal/work/overlap_owner_test.go
@@ -29,7 +29,6 @@
 	rostRev int64         // revision of the roster, as far as it is known
 	writing bool          // a roster is on its way
 	again   bool          // and another has to follow
-	saving  bool          // progress is on its way, or the pause after it lasts
 	gather  time.Time
 	planned bool // a plan is about to be made
 	lookers map[string]*overlapLooker
