One line of the log for each version of an entry that is not understood

What was seen: every time the list of workers was read whole again, after a compaction of the store, each odd entry was told again: 3 lines for each of 75 entries after the list was read three times, and one for each pool that the process owns.

Cause: the readers of the store's keys logged what they read, not what is new.

Why this works: the keeper remembers the revision last told of a key, for all its pools and prefixes (workers, fleet, operators, what is asked, duty, jobs, states), and tells only a higher one.

--- a/internal/keeper/duty_lend.go
+++ b/internal/keeper/duty_lend.go
@@ -6,8 +6,6 @@
 	"strconv"
 	"time"
 
-	"go.uber.org/zap"
-
 	"persimmonbay/internal/lending"
 	"persimmonbay/internal/problem"
 	"persimmonbay/internal/store"
@@ -44,7 +42,7 @@
 
 func (d *duty) takeDuty(v *dutyView, e store.Event) {
 	if err := v.apply(e); err != nil {
-		d.log.Error("entry of a pool not understood", zap.String("key", e.Key), zap.Error(err))
+		d.odd.tell(d.log, "entry of a pool not understood", &e.Item, err)
 	}
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -25,6 +25,7 @@
 	heard   *shard.Cell[time.Time] // when the store last answered
 	peers   *shard.Cell[Peers]     // nil until known
 	changed signal
+	odd     *oddEntries
 
 	mu      sync.Mutex
 	tenures map[string]*tenure // by service
@@ -40,6 +41,7 @@
 		waves:   shard.NewCell(waveView{}),
 		heard:   shard.NewCell(time.Time{}),
 		changed: newSignal(),
+		odd:     newOddEntries(),
 		tenures: make(map[string]*tenure),
 	}
 }
--- a/internal/keeper/keeper_follow.go
+++ b/internal/keeper/keeper_follow.go
@@ -7,7 +7,6 @@
 	"go.uber.org/zap"
 
 	"persimmonbay/internal/store"
-	"persimmonbay/internal/telemetry"
 	"persimmonbay/internal/workstore"
 )
 
@@ -47,7 +46,7 @@
 // understood, a later version's entry say, is passed over.
 func (k *Keeper) takeFleet(v *fleetView, e store.Event, now time.Time) {
 	if err := v.apply(e, now); err != nil {
-		k.Log.Warn("entry of the fleet not understood", append(telemetry.ProblemFields(err), zap.String("key", e.Key))...)
+		k.odd.tell(k.Log, "entry of the fleet not understood", &e.Item, err)
 	}
 }
 
@@ -77,14 +76,14 @@
 	}
 	config, err := k.Operators.Configuration(e.Item)
 	if err != nil {
-		k.Log.Error("configuration not understood", append(telemetry.ProblemFields(err), zap.String("key", e.Key))...)
+		k.odd.tell(k.Log, "configuration not understood", &e.Item, err)
 	}
 	if config != nil && k.config.Put(config) {
 		k.Log.Info("configuration in force", zap.Int64("version", config.Version), zap.Int("queues", len(config.Queues)))
 	}
 	wave, err := k.Operators.Wave(e.Item)
 	if err != nil {
-		k.Log.Error("wave not understood", append(telemetry.ProblemFields(err), zap.String("key", e.Key))...)
+		k.odd.tell(k.Log, "wave not understood", &e.Item, err)
 	}
 	if wave != nil {
 		k.waves.Update(func(v waveView) (waveView, bool) { return v.with(e.Key, *wave), true })
--- a/internal/keeper/tenure_follow.go
+++ b/internal/keeper/tenure_follow.go
@@ -4,10 +4,7 @@
 	"context"
 	"maps"
 
-	"go.uber.org/zap"
-
 	"persimmonbay/internal/store"
-	"persimmonbay/internal/telemetry"
 	"persimmonbay/internal/work"
 	"persimmonbay/internal/workstore"
 )
@@ -37,7 +34,7 @@
 
 func (t *tenure) takeAsked(v *askedView, e store.Event) {
 	if err := v.apply(e); err != nil {
-		t.log.Warn("entry of what is asked not understood", append(telemetry.ProblemFields(err), zap.String("key", e.Key))...)
+		t.odd.tell(t.log, "entry of what is asked not understood", &e.Item, err)
 	}
 }
 
@@ -72,7 +69,7 @@
 	}
 	facts, err := t.Directory.Worker(e.Item)
 	if err != nil {
-		t.log.Warn("entry of the list of workers ignored", append(telemetry.ProblemFields(err), zap.String("key", e.Key))...)
+		t.odd.tell(t.log, "entry of the list of workers ignored", &e.Item, err)
 		delete(workers, e.Key)
 		return
 	}
--- a/internal/keeper/tenure_pool.go
+++ b/internal/keeper/tenure_pool.go
@@ -126,14 +126,14 @@
 func (t *tenure) addJob(id string, item, kept store.Item, now time.Time) bool {
 	sub, err := workstore.DecodeJob(t.service, id, item.Value)
 	if err != nil {
-		t.log.Error("job not understood", append(telemetry.ProblemFields(err), zap.String("job", id))...)
+		t.odd.tell(t.log, "job not understood", &item, err)
 		return false
 	}
 	state := workstore.KeptState{}
 	revision := item.Revision
 	if kept.Revision > 0 {
 		if state, err = workstore.DecodeState(kept.Key, kept.Value); err != nil {
-			t.log.Error("progress not understood", append(telemetry.ProblemFields(err), zap.String("job", id))...)
+			t.odd.tell(t.log, "progress not understood", &kept, err)
 			return false
 		}
 		revision = kept.Revision
--- a/internal/keeper/tenure_sweep.go
+++ b/internal/keeper/tenure_sweep.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"persimmonbay/internal/store"
 	"persimmonbay/internal/telemetry"
 	"persimmonbay/internal/workstore"
@@ -58,7 +56,7 @@
 	for _, item := range items {
 		state, err := workstore.DecodeState(item.Key, item.Value)
 		if err != nil {
-			t.log.Error("progress not understood", append(telemetry.ProblemFields(err), zap.String("key", item.Key))...)
+			t.odd.tell(t.log, "progress not understood", &item, err)
 			continue
 		}
 		if !state.EndedAt.IsZero() && t.Clock.Now().Sub(state.EndedAt) > t.bounds.Retention {
