One odd item of the store's answer is told by itself; the others of its page or watch hold

What was seen: one item of a page, or one event of a watch, whose value is no base64, or of which a field has another type or a number that does not fit, was an error of the whole call. Followers try again for ever on such an error, and nothing under the prefix is followed meanwhile.

Cause: Range and Watch returned the first item's error, and a body was decoded as a whole only.

The follower tells of it once. An owner's or the secret's key whose item cannot be read changes nothing.

--- a/internal/keeper/fleet_view.go
+++ b/internal/keeper/fleet_view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"persimmonbay/internal/ownership"
+	"persimmonbay/internal/problem"
 	"persimmonbay/internal/store"
 	"persimmonbay/internal/workstore"
 )
@@ -36,6 +37,9 @@
 	if node, ok := workstore.ParseMember(e.Key); ok {
 		return v.applyMember(node, e)
 	}
+	if e.Unreadable {
+		return problem.New(problem.Invalid, problem.StepStoreRead, e.Key, "not an item of the store")
+	}
 	if e.Key == workstore.SecretKey && !e.Deleted {
 		v.secret = e.Value
 	}
--- a/internal/keeper/follower.go
+++ b/internal/keeper/follower.go
@@ -19,6 +19,7 @@
 	store  store.Store
 	clock  clockwork.Clock
 	log    *zap.Logger
+	odd    *oddEntries
 	prefix string
 	wait   time.Duration
 	pause  time.Duration // after changes, so that several are read at once
@@ -67,6 +68,9 @@
 	if err != nil {
 		return 0, err
 	}
+	for i := range events {
+		f.read(&events[i].Item)
+	}
 	if len(events) > 0 {
 		f.apply(events)
 	}
@@ -84,6 +88,9 @@
 	if err != nil {
 		return 0, err
 	}
+	for i := range items {
+		f.read(&items[i])
+	}
 	if err := f.reset(limited, items); err != nil {
 		return 0, err
 	}
@@ -91,6 +98,14 @@
 	return revision, nil
 }
 
+// read tells of an item that could not be read. It names no value; the others
+// hold.
+func (f *follower) read(item *store.Item) {
+	if item.Unreadable {
+		f.odd.tell(f.log, "entry of the store not read", item, problem.New(problem.Invalid, problem.StepStoreRead, item.Key, "not an item of the store"))
+	}
+}
+
 // readAllTimeout bounds one read of all keys of a prefix, several pages long.
 const readAllTimeout = 3 * time.Second
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -73,7 +73,7 @@
 func (k *Keeper) follower(prefix string, reset func(context.Context, []store.Item) error, apply func([]store.Event)) *follower {
 	return &follower{
 		store: k.Store, clock: k.Clock, log: k.Log, prefix: prefix,
-		wait: k.bounds.WatchWait, call: k.bounds.Call, reset: reset, apply: apply, after: k.hear,
+		odd: k.odd, wait: k.bounds.WatchWait, call: k.bounds.Call, reset: reset, apply: apply, after: k.hear,
 	}
 }
 
