--- a/internal/keeper/asked_view.go
+++ b/internal/keeper/asked_view.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"strconv"
 	"time"
 
 	"persimmonbay/internal/store"
@@ -43,7 +42,7 @@
 		delete(v.recalls, service)
 		return nil
 	}
-	n, err := strconv.Atoi(string(e.Value))
+	n, err := workstore.DecodeCount(e.Key, e.Value)
 	v.recalls[service] = n // none, when it is not understood
 	return err
 }
--- a/internal/keeper/duty_view.go
+++ b/internal/keeper/duty_view.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"strconv"
 
 	"persimmonbay/internal/lending"
 	"persimmonbay/internal/store"
@@ -32,7 +31,7 @@
 		if e.Deleted {
 			return nil
 		}
-		n, err := strconv.Atoi(string(e.Value))
+		n, err := workstore.DecodeCount(e.Key, e.Value)
 		if err == nil && n > 0 {
 			v.needs[service] = n
 		}
--- a/internal/work/job_state.go
+++ b/internal/work/job_state.go
@@ -15,7 +15,12 @@
 var stateNames = [...]string{"queued", "active", "completed", "failed", "cancelled"}
 
 // String returns the state's name in logs and metrics.
-func (s JobState) String() string { return stateNames[s] }
+func (s JobState) String() string {
+	if int(s) >= len(stateNames) {
+		return "unknown"
+	}
+	return stateNames[s]
+}
 
 // Final reports whether a job stays in the state for good.
 func (s JobState) Final() bool { return s >= Completed }
--- a/internal/workstore/codec.go
+++ b/internal/workstore/codec.go
@@ -16,7 +16,11 @@
 	if err := decode(JobKey(service, id), value, &r); err != nil {
 		return work.Submission{}, err
 	}
-	return r.submission(service, id), nil
+	sub := r.submission(service, id)
+	if field := sub.OddField(); field != "" {
+		return work.Submission{}, odd(JobKey(service, id), field)
+	}
+	return sub, nil
 }
 
 // EncodeState returns the value of the key of a job's progress.
@@ -30,6 +34,9 @@
 	if err := decode(key, value, &r); err != nil {
 		return KeptState{}, err
 	}
+	if r.State > work.Cancelled {
+		return KeptState{}, odd(key, "state")
+	}
 	return KeptState{
 		Queue:    r.Queue,
 		Progress: work.Progress{State: r.State, Done: r.Done, Failures: r.Failures},
--- a/internal/workstore/empty_record.go
+++ b/internal/workstore/empty_record.go
@@ -18,5 +18,8 @@
 func DecodeEmpty(key string, value []byte) (by time.Time, emptied bool, err error) {
 	var r emptyRecord
 	err = decode(key, value, &r)
+	if by := fromUnixMillis(r.By); err == nil && (r.By <= 0 || by.After(lastTime)) {
+		return time.Time{}, false, odd(key, "by")
+	}
 	return fromUnixMillis(r.By), r.Emptied, err
 }
--- a/internal/workstore/home_record.go
+++ b/internal/workstore/home_record.go
@@ -8,6 +8,13 @@
 // own.
 func DecodeHome(key string, value []byte) (map[string]int, error) {
 	var home map[string]int
-	err := decode(key, value, &home)
-	return home, err
+	if err := decode(key, value, &home); err != nil {
+		return nil, err
+	}
+	for _, n := range home {
+		if n < 0 || n > maxMachines {
+			return nil, odd(key, "number of machines")
+		}
+	}
+	return home, nil
 }
--- a/internal/workstore/member_record.go
+++ b/internal/workstore/member_record.go
@@ -16,5 +16,8 @@
 func DecodeMember(key string, value []byte) (peerAddress string, weight float64, err error) {
 	var r memberRecord
 	err = decode(key, value, &r)
+	if err == nil && !(r.Weight >= 0 && r.Weight <= maxWeight) { // nor is it a number otherwise
+		return r.PeerAddress, 0, odd(key, "weight")
+	}
 	return r.PeerAddress, r.Weight, err
 }
--- /dev/null
+++ b/internal/workstore/odd_records_test.go
@@ -0,0 +1,131 @@
+package workstore_test
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/problem"
+	"persimmonbay/internal/work"
+	"persimmonbay/internal/workstore"
+)
+
+// record encodes the numbered fields of a record.
+func record(fields map[int]any) []byte {
+	data, err := cbor.Marshal(fields)
+	Expect(err).NotTo(HaveOccurred())
+	return data
+}
+
+// jobWith returns the record of a job of one step, with fields of the job and of
+// the step replaced.
+func jobWith(job, step map[int]any) []byte {
+	s := map[int]any{1: 2, 2: 1000, 3: 100, 5: 100}
+	for k, v := range step {
+		s[k] = v
+	}
+	j := map[int]any{1: "checks", 2: "100", 3: []any{s}, 9: 1.6, 10: 600}
+	for k, v := range job {
+		j[k] = v
+	}
+	return record(j)
+}
+
+var _ = Describe("a record that no entry writes", func() {
+	// A state beyond those known ended the process when it was logged.
+	It("is no progress of a job", func() {
+		for _, state := range []int{5, 200, 255} {
+			_, err := workstore.DecodeState("state/tags/j", record(map[int]any{1: state}))
+			Expect(problem.Is(err, problem.Internal)).To(BeTrue(), fmt.Sprint(state))
+			Expect(work.JobState(state).String()).NotTo(BeEmpty())
+		}
+	})
+
+	// Such a job took memory without bound when it was due, or its times and
+	// needs went beyond the arithmetic of the pool.
+	It("is no job", func() {
+		many := make([]any, work.MaxSteps+1)
+		for i := range many {
+			many[i] = map[int]any{1: 1}
+		}
+		odd := map[string][]byte{
+			"no steps": jobWith(map[int]any{3: []any{}}, nil), "many steps": jobWith(map[int]any{3: many}, nil),
+			"repeated for ever": jobWith(map[int]any{5: math.MaxInt64}, nil), "repeated too often": jobWith(map[int]any{5: 1 << 30}, nil),
+			"last one too late": jobWith(map[int]any{4: 1, 5: 1000, 6: int64(math.MaxInt64)}, nil), "interval below zero": jobWith(map[int]any{6: -1}, nil),
+			"stretch no number": jobWith(map[int]any{9: math.NaN()}, nil), "stretch infinite": jobWith(map[int]any{9: math.Inf(1)}, nil), "stretch below zero": jobWith(map[int]any{9: -1}, nil),
+			"objective too long": jobWith(map[int]any{10: int64(math.MaxInt64)}, nil),
+		}
+		for i, count := range []int64{0, -1, 1 << 40, math.MaxInt64} {
+			odd[fmt.Sprint("count ", i)] = jobWith(nil, map[int]any{1: count})
+		}
+		for _, field := range []int{2, 3, 4, 5} {
+			odd[fmt.Sprint("below zero ", field)] = jobWith(nil, map[int]any{field: -1})
+			odd[fmt.Sprint("too much ", field)] = jobWith(nil, map[int]any{field: int64(math.MaxInt64)})
+		}
+		for i, after := range []int{-1, 0, 1, math.MaxInt64} {
+			odd[fmt.Sprint("after ", i)] = jobWith(nil, map[int]any{6: []int{after}})
+		}
+		var taken []string
+		for shape, data := range odd {
+			if _, err := workstore.DecodeJob("tags", "j", data); !problem.Is(err, problem.Internal) {
+				taken = append(taken, shape)
+			}
+		}
+		Expect(taken).To(BeEmpty())
+		_, err := workstore.DecodeJob("tags", "j", jobWith(nil, nil))
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	// Such a weight gave one entry all pools, or none.
+	It("is no weight of an entry, which is alive all the same", func() {
+		for _, weight := range []any{math.NaN(), math.Inf(1), math.Inf(-1), -1, 1e300} {
+			address, kept, err := workstore.DecodeMember("fleet/member/e", record(map[int]any{1: "10.0.0.1:1", 2: weight}))
+			Expect(problem.Is(err, problem.Internal)).To(BeTrue(), fmt.Sprint(weight))
+			Expect(address).To(Equal("10.0.0.1:1"))
+			Expect(kept).To(BeZero())
+		}
+	})
+
+	// Such a number gave a pool up whole, or went beyond the arithmetic.
+	It("is no number of machines", func() {
+		for _, n := range []string{"", "x", "-1", "9223372036854775807", "99999999999999999999", "1e3"} {
+			_, err := workstore.DecodeCount("duty/need/tags", []byte(n))
+			Expect(problem.Is(err, problem.Internal)).To(BeTrue(), n)
+		}
+		for _, n := range []int64{-1, math.MaxInt64, math.MinInt64} {
+			data, err := cbor.Marshal(map[string]int64{"tags": n})
+			Expect(err).NotTo(HaveOccurred())
+			_, err = workstore.DecodeHome("fleet/home", data)
+			Expect(problem.Is(err, problem.Internal)).To(BeTrue(), fmt.Sprint(n))
+		}
+	})
+
+	// A time of 2^63 ms went beyond the arithmetic: the machine was never emptied.
+	It("is no request to empty a machine", func() {
+		for _, by := range []int64{math.MaxInt64, math.MinInt64, -1, 0} {
+			_, _, err := workstore.DecodeEmpty("asked/empty/m", record(map[int]any{1: by}))
+			Expect(problem.Is(err, problem.Internal)).To(BeTrue(), fmt.Sprint(by))
+		}
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		data, err := workstore.EncodeEmpty(now, true)
+		Expect(err).NotTo(HaveOccurred())
+		by, emptied, err := workstore.DecodeEmpty("asked/empty/m", data)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(by.Equal(now) && emptied).To(BeTrue())
+	})
+
+	// Fields that hold nothing became maps that cannot be written to, which ended
+	// the process.
+	It("is no progress of a wave", func() {
+		for field := range 5 {
+			p, err := workstore.DecodeUpkeep("upkeep/1", record(map[int]any{field + 1: nil}))
+			if err == nil {
+				p.Ordered["m"], p.At["m"], p.Begun["m"], p.Done["m"] = "w", time.Time{}, true, true
+			}
+		}
+	})
+})
--- a/internal/workstore/step_record.go
+++ b/internal/workstore/step_record.go
@@ -1,6 +1,7 @@
 package workstore
 
 import (
+	"math"
 	"time"
 
 	"persimmonbay/internal/work"
@@ -46,4 +47,8 @@
 	}
 }
 
-func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+// millis returns n milliseconds, or the longest time there is.
+func millis(n int64) time.Duration {
+	const most = int64(math.MaxInt64 / time.Millisecond)
+	return time.Duration(min(max(n, -most), most)) * time.Millisecond
+}
--- a/internal/workstore/upkeep_record.go
+++ b/internal/workstore/upkeep_record.go
@@ -27,6 +27,11 @@
 // DecodeUpkeep reads the value of the key of a wave's progress.
 func DecodeUpkeep(key string, value []byte) (upkeep.Progress, error) {
 	r := upkeepRecord(upkeep.NewProgress())
-	err := decode(key, value, &r)
-	return upkeep.Progress(r), err
+	if err := decode(key, value, &r); err != nil {
+		return upkeep.Progress{}, err
+	}
+	if r.Ordered == nil || r.At == nil || r.Begun == nil || r.Done == nil {
+		return upkeep.Progress{}, odd(key, "machines")
+	}
+	return upkeep.Progress(r), nil
 }
