An odd record costs one line, not a pool, its others, or the duty for machines

What was seen, by odd_records_test.go of platform/ on the code before: - an odd offer kept a pool from being loaded for ever: a job stayed queued, and the entry did not stop within 10 s of being asked to; - an odd roster did the same; - a job's progress that another writer had replaced was written against for ever; it and all others of the same batch were not kept; and, read from the code, without a run of its own: an odd state made every count of a queue's waiting jobs fail, an odd progress of a wave stopped all waves and moves, an odd entry of the fleet was given pools that nobody took before they were stolen.

Cause: an error of one record was taken for one of the reading.

Why this works: offers and states that are not understood are told once and passed over. Progress that is not understood is replaced by what the owner knows. A wave whose progress is not understood begins again; the platform does no upkeep twice. A roster that is not understood stands for any workers: older tasks wait until all leases have ended, as after a crash, and attempts are counted on from a number that no earlier owner has reached. Members that are not understood are given no pools.

--- a/internal/intake/pending.go
+++ b/internal/intake/pending.go
@@ -16,7 +16,7 @@
 			for _, item := range items {
 				state, err := workstore.DecodeState(item.Key, item.Value)
 				if err != nil {
-					return 0, err
+					continue // the pool's owner tells of it; the others count
 				}
 				if state.Queue == queue && state.Progress.State == work.Queued {
 					n++
--- a/internal/keeper/duty_wave.go
+++ b/internal/keeper/duty_wave.go
@@ -61,10 +61,15 @@
 		return upkeep.Progress{}, err
 	}
 	p, err := workstore.DecodeUpkeep(key, item.Value)
-	if err == nil {
-		d.progress[wave] = p
+	if err != nil {
+		// The other waves go on, and this one begins again: an upkeep that is done
+		// already is not done twice.
+		d.odd.tell(d.log, "progress of a wave not understood", &item, err)
+		p = upkeep.NewProgress()
+		p.Since = d.Clock.Now()
 	}
-	return p, err
+	d.progress[wave] = p
+	return p, nil
 }
 
 func (d *duty) emptying() map[string]upkeep.Emptying {
--- a/internal/keeper/fleet_view.go
+++ b/internal/keeper/fleet_view.go
@@ -62,22 +62,24 @@
 }
 
 // applyMember takes in an entry's registration. One that is not understood is
-// alive all the same, and gets no notices.
+// left to take pools by itself.
 func (v *fleetView) applyMember(node string, e store.Event) error {
 	if e.Deleted {
 		delete(v.members, node)
 		return nil
 	}
 	address, weight, err := workstore.DecodeMember(e.Key, e.Value)
-	v.members[node] = memberEntry{address: address, weight: weight}
+	v.members[node] = memberEntry{address: address, weight: weight, odd: err != nil}
 	return err
 }
 
-// alive returns the entries that are alive, by name.
+// alive returns the entries that are alive and can be given pools, by name.
 func (v *fleetView) alive() []ownership.Member {
 	members := make([]ownership.Member, 0, len(v.members))
 	for name, m := range v.members {
-		members = append(members, ownership.Member{Name: name, Weight: m.weight})
+		if !m.odd {
+			members = append(members, ownership.Member{Name: name, Weight: m.weight})
+		}
 	}
 	sort.Slice(members, func(a, b int) bool { return members[a].Name < members[b].Name })
 	return members
--- a/internal/keeper/tenure_balance.go
+++ b/internal/keeper/tenure_balance.go
@@ -54,7 +54,8 @@
 		machine, _ := workstore.ParseOffer(item.Key)
 		offer, err := workstore.DecodeOffer(item.Key, item.Value)
 		if err != nil {
-			return nil, err
+			t.odd.tell(t.log, "offer not understood", &item, err)
+			continue // it names no pool
 		}
 		if offer.Pool == t.service {
 			offered[machine] = item.Revision
@@ -138,7 +139,8 @@
 	}
 	offer, err := workstore.DecodeOffer(key, item.Value)
 	if err != nil {
-		return false, err
+		b.odd.tell(b.log, "offer not understood", &item, err)
+		return false, nil // it may be taken; the others are looked after
 	}
 	if offer.Target == "" {
 		b.offered[machine] = item.Revision
--- a/internal/keeper/tenure_pool.go
+++ b/internal/keeper/tenure_pool.go
@@ -95,7 +95,12 @@
 	if err != nil {
 		return work.Roster{}, err
 	}
-	return workstore.DecodeRoster(key, item.Value)
+	roster, err := workstore.DecodeRoster(key, item.Value)
+	if err != nil {
+		t.odd.tell(t.log, "roster not understood", &item, err)
+		return unknownRoster(t.token), nil
+	}
+	return roster, nil
 }
 
 func (t *tenure) decodeStates(items []store.Item) map[string]store.Item {
--- a/internal/keeper/tenure_save.go
+++ b/internal/keeper/tenure_save.go
@@ -155,7 +155,8 @@
 	t.pool.SaveFailed([]work.SaveItem{item})
 	kept, err := workstore.DecodeState(current.Key, current.Value)
 	if err != nil {
-		t.log.Error("progress not understood", append(telemetry.ProblemFields(err), zap.String("job", item.Job))...)
+		t.odd.tell(t.log, "progress not understood", &current, err)
+		t.pool.Overtaken(item.Job, current.Revision, work.Progress{}) // the next save replaces it
 		return
 	}
 	t.pool.Overtaken(item.Job, current.Revision, kept.Progress)
