A usual machine of a pool is one that has answered, not one that is only listed

What was seen, by odd_figures_test.go: an entry of the list that offers 100,000 cores and never answers brought the need of a pool of four machines with 200 waiting tasks from 9 down to 1.

Cause: unit, by which all loads are measured, was the mean capacity of all listed workers.

Why this works: unit is the mean of the workers that have answered to this owner, the last such mean while there are none, and the list's only before any has answered. A worker without an answer was never counted among the machines that the pool has.

--- a/internal/work/pool.go
+++ b/internal/work/pool.go
@@ -28,7 +28,7 @@
 	asked      map[string]time.Time // machines to be emptied, and by when
 	emptied    map[string]bool      // machines that were said to be empty
 	published  map[string]bool      // machines that are offered in the store: they may be taken at any time
-	lastUnit   Resources            // capacity of a usual machine when some were last listed
+	lastUnit   Resources            // capacity of a usual machine when some that have answered were last listed
 	peak       float64              // recent peak of the load, in machines
 	longPeak   float64              // highest load of the last while, in machines
 	home       int                  // machines that are the pool's own; 0: not known
--- a/internal/work/pool_load.go
+++ b/internal/work/pool_load.go
@@ -5,21 +5,34 @@
 	"time"
 )
 
-// unit is the capacity of one usual machine of the pool.
+// unit is the capacity of one usual machine of the pool, by those that have
+// answered: an entry of the list alone may be no machine. Before any has, the
+// list has to do.
 func (p *Pool) unit() Resources {
+	if mean, any := p.meanCapacity(func(w *worker) bool { return w.fenced }); any {
+		p.lastUnit = mean
+	}
+	if p.lastUnit != (Resources{}) {
+		return p.lastUnit
+	}
+	mean, _ := p.meanCapacity(func(*worker) bool { return true })
+	return mean
+}
+
+// meanCapacity is that of the listed workers that count; false without any.
+func (p *Pool) meanCapacity(counts func(w *worker) bool) (mean Resources, any bool) {
 	var sum Resources
 	n := 0
 	for _, w := range p.workers {
-		if w.listed && !w.lost {
+		if w.listed && !w.lost && counts(w) {
 			sum = sum.Plus(w.facts.Capacity)
 			n++
 		}
 	}
 	if n == 0 {
-		return p.lastUnit
+		return Resources{}, false
 	}
-	p.lastUnit = Resources{MilliCPU: sum.MilliCPU / n, MemoryMB: sum.MemoryMB / n, Accelerators: sum.Accelerators / n}
-	return p.lastUnit
+	return Resources{MilliCPU: sum.MilliCPU / n, MemoryMB: sum.MemoryMB / n, Accelerators: sum.Accelerators / n}, true
 }
 
 // share returns which part of unit r takes, by what is scarcest.
