A worker that does not answer is told once, not with every look

What was seen, by odd_log_test.go: an entry of the list at whose address nobody answers got a line with every look; the second came 0.1 s after the first.

Cause: the looker logged each failure.

Why this works: it logs a failure when the last look had another outcome. Looks go on as before.

--- a/internal/keeper/looker.go
+++ b/internal/keeper/looker.go
@@ -15,6 +15,7 @@
 	worker  string
 	address string // where the worker was last looked at
 	kick    signal
+	told    work.Answer // the failure told last; Accepted: none since the last answer
 }
 
 const (
@@ -108,6 +109,7 @@
 	look, answer := l.Workers.Look(ctx, req)
 	switch answer {
 	case work.Accepted:
+		l.told = answer
 		l.pool.Looked(look)
 		l.save.send()
 		l.plan.send()
@@ -119,7 +121,10 @@
 	if l.ctx.Err() != nil {
 		return false
 	}
-	l.log.Info("worker does not answer", zap.String("worker", l.worker), zap.Stringer("answer", answer))
+	if l.told != answer { // not with every look
+		l.told = answer
+		l.log.Info("worker does not answer", zap.String("worker", l.worker), zap.Stringer("answer", answer))
+	}
 	l.pool.LookFailed(l.worker, answer, l.Clock.Now())
 	l.plan.send()
 	return false
