--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -26,6 +26,7 @@
 	peers   *shard.Cell[Peers]     // nil until known
 	changed signal
 	member  ownKeys // this entry's registration
+	odd     *oddEntries
 
 	mu      sync.Mutex
 	tenures map[string]*tenure // by service
@@ -41,6 +42,7 @@
 		waves:   shard.NewCell(waveView{}),
 		heard:   shard.NewCell(time.Time{}),
 		changed: newSignal(),
+		odd:     newOddEntries(),
 		tenures: make(map[string]*tenure),
 	}
 }
@@ -72,7 +74,7 @@
 func (k *Keeper) follower(prefix string, reset func(context.Context, []store.Item) error, apply func([]store.Event)) *follower {
 	return &follower{
 		store: k.Store, clock: k.Clock, log: k.Log, prefix: prefix,
-		wait: k.bounds.WatchWait, call: k.bounds.Call, reset: reset, apply: apply, after: k.hear,
+		odd: k.odd, wait: k.bounds.WatchWait, call: k.bounds.Call, reset: reset, apply: apply, after: k.hear,
 	}
 }
 
