--- a/internal/work/pool_look.go
+++ b/internal/work/pool_look.go
@@ -90,7 +90,9 @@
 			continue
 		}
 		w.applied = e.Number
-		w.unkept = append(w.unkept, unkeptEnd{number: e.Number, task: e.Task})
+		if e.Task.Job != "" { // an end that was not understood names no task
+			w.unkept = append(w.unkept, unkeptEnd{number: e.Number, task: e.Task})
+		}
 		p.applyEnd(w, e, l.ReceivedAt)
 	}
 	if n := len(w.marks); w.applied > w.noted && (n == 0 || w.marks[n-1].number < w.applied) {
