--- a/internal/work/overlap_test.go
+++ b/internal/work/overlap_test.go
@@ -9,14 +9,23 @@
 	. "github.com/onsi/gomega"
 )
 
-// playOverlaps plays all seeds and demands that no rule is broken in any; it
+// playOverlaps plays as many seeds as the suite does, from first on.
+func playOverlaps(first int64, knobs overlapKnobs) {
+	var seeds []int64
+	for seed := first; seed < first+simSeeds(); seed++ {
+		seeds = append(seeds, seed)
+	}
+	playSeeds(seeds, knobs)
+}
+
+// playSeeds plays all seeds and demands that no rule is broken in any; it
 // reports all seeds that break one, and the shortest trace in full.
 // PERSIMMONBAY_TRACES names a folder for the traces of all of them.
-func playOverlaps(first int64, knobs overlapKnobs) {
+func playSeeds(seeds []int64, knobs overlapKnobs) {
 	var broken []string
 	shortest := ""
 	folder := os.Getenv("PERSIMMONBAY_TRACES")
-	for seed := first; seed < first+simSeeds(); seed++ {
+	for _, seed := range seeds {
 		By(fmt.Sprint("seed ", seed))
 		breach := newOverlapSim(seed, knobs).run()
 		if breach == "" {
@@ -31,9 +40,12 @@
 			shortest = fmt.Sprintf("seed %d: %s", seed, breach)
 		}
 	}
-	Expect(broken).To(BeEmpty(), "%d of %d seeds break a rule:\n%s\n\n%s", len(broken), simSeeds(), strings.Join(broken, "\n"), shortest)
+	Expect(broken).To(BeEmpty(), "%d of %d seeds break a rule:\n%s\n\n%s", len(broken), len(seeds), strings.Join(broken, "\n"), shortest)
 }
 
+// allOverlaps has all classes of trouble at once.
+var allOverlaps = overlapKnobs{Overlap: true, Chain: true, Rebirth: true, LateWrites: true, StaleList: true}
+
 var _ = Describe("owners that overlap, among workers that lose answers, act late, are cut off and die", func() {
 	DescribeTable("run no task twice, none after its end was noted, none too often, and lose none", playOverlaps,
 		Entry("one after the other", int64(100_000), overlapKnobs{}),
@@ -42,6 +54,12 @@
 		Entry("workers are reborn unnoticed", int64(400_000), overlapKnobs{Rebirth: true}),
 		Entry("writes are carried out late", int64(500_000), overlapKnobs{LateWrites: true}),
 		Entry("the list of machines is old", int64(600_000), overlapKnobs{StaleList: true}),
-		Entry("all at once", int64(700_000), overlapKnobs{Overlap: true, Chain: true, Rebirth: true, LateWrites: true, StaleList: true}),
+		Entry("all at once", int64(700_000), allOverlaps),
 	)
+
+	// inc-20: an earlier owner that is still at work starts a task on the next life
+	// of a worker that the next owner had fenced, while the task runs elsewhere.
+	It("start nothing on a worker that has started again since a later owner fenced it", func() {
+		playSeeds([]int64{700_502, 700_981}, allOverlaps)
+	})
 })
