--- a/internal/work/job.go
+++ b/internal/work/job.go
@@ -87,5 +87,13 @@
 	return stages[id.Step].tasks[id.Index]
 }
 
+// reserved returns what a task of the step takes from a worker's capacity.
+func (j *job) reserved(step int) Resources {
+	if step < 0 || step >= len(j.sub.Steps) {
+		return Resources{}
+	}
+	return j.sub.Steps[step].reserved()
+}
+
 // complete reports whether every occurrence is complete.
 func (j *job) complete() bool { return j.ended >= j.sub.Occurrences() }
--- a/internal/work/pool_jobs.go
+++ b/internal/work/pool_jobs.go
@@ -49,6 +49,20 @@
 	}
 }
 
+// taskOf returns the task named, or nil. An earlier owner, whose time of day may be
+// ahead, can have started it before it is due here.
+func (p *Pool) taskOf(j *job, id TaskID) *task {
+	if !j.progress.State.Final() && id.Occurrence < min(j.sub.Occurrences(), len(j.occurrences)+mostAhead) {
+		for len(j.occurrences) <= id.Occurrence {
+			j.open()
+		}
+	}
+	return j.task(id)
+}
+
+// mostAhead bounds the occurrences by which an earlier owner can have been ahead.
+const mostAhead = 64
+
 // Cancel takes in that a job was cancelled; revision is that of its kept state.
 func (p *Pool) Cancel(id string, revision int64) {
 	p.mu.Lock()
--- a/internal/work/pool_look.go
+++ b/internal/work/pool_look.go
@@ -113,7 +113,7 @@
 		}
 		return
 	}
-	t := j.task(e.Task)
+	t := p.taskOf(j, e.Task)
 	if t == nil {
 		return
 	}
--- a/internal/work/pool_plan.go
+++ b/internal/work/pool_plan.go
@@ -130,6 +130,9 @@
 	for _, j := range p.ranked {
 		p.openDue(j, wall.Add(p.timing.StartEarly))
 		for _, o := range j.occurrences {
+			if o.due.After(wall.Add(p.timing.StartEarly)) {
+				break
+			}
 			for _, s := range o.stages {
 				if s.left > 0 && o.open(s) {
 					p.planStage(s, now, plan)
--- a/internal/work/pool_runs.go
+++ b/internal/work/pool_runs.go
@@ -5,7 +5,7 @@
 // meetRun takes in a run that this owner did not order: it is taken over when
 // its task needs it, and stopped otherwise.
 func (p *Pool) meetRun(w *worker, row *RunRow, now time.Time) *run {
-	r := &run{id: row.Task, attempt: row.Attempt, worker: w, phase: running, orderedAt: now, answeredAt: now}
+	r := &run{id: row.Task, attempt: row.Attempt, worker: w, phase: running, orderedAt: now, answeredAt: now, pace: row.Percent}
 	r.end()
 	w.runs[runKey{row.Task, row.Attempt}] = r
 	j := p.jobs[row.Task.Job]
@@ -13,15 +13,17 @@
 		if _, over := p.ended[row.Task.Job]; !over {
 			p.tell(Event{Kind: UnknownRun, Worker: w.facts.ID, Task: row.Task, Attempt: row.Attempt}, now)
 		}
+		r.stranger = true
+		w.strangers++
 		return r
 	}
-	t := j.task(row.Task)
+	r.reserved = j.reserved(row.Task.Step)
+	w.used = w.used.Plus(r.reserved)
+	t := p.taskOf(j, row.Task)
 	if t == nil {
 		return r
 	}
 	t.attempt = max(t.attempt, row.Attempt)
-	r.reserved = t.stage.step.reserved()
-	w.used = w.used.Plus(r.reserved)
 	if t.done || t.run != nil || j.progress.State.Final() {
 		return r
 	}
--- a/internal/work/pool_workers.go
+++ b/internal/work/pool_workers.go
@@ -58,7 +58,7 @@
 		p.tell(Event{Kind: LifeListed, Worker: facts.ID, Number: w.noted, Born: facts.Born}, now)
 		p.rebirth(w)
 		next := newWorker(facts)
-		next.leaving, next.offered, next.since, next.runs, next.used = w.leaving, w.offered, now, w.runs, w.used
+		next.leaving, next.offered, next.since, next.runs, next.used, next.strangers = w.leaving, w.offered, now, w.runs, w.used, w.strangers
 		next.former = max(w.born, w.former)
 		next.expiresAt = Later(w.expiresAt, now.Add(p.timing.longest()))
 		*w = *next
@@ -120,6 +120,9 @@
 	w := r.worker
 	delete(w.runs, runKey{r.id, r.attempt})
 	w.used = w.used.Minus(r.reserved)
+	if r.stranger {
+		w.strangers--
+	}
 	if r.task == nil {
 		return
 	}
--- a/internal/work/worker.go
+++ b/internal/work/worker.go
@@ -22,6 +22,7 @@
 	runs       map[runKey]*run
 	attend     bool // some of runs may be open
 	used       Resources
+	strangers  int   // runs of jobs that are not known
 	applied    int64 // ends up to this number were taken in
 	noted      int64 // ends up to this number may be forgotten
 	told       int64 // the worker was told that ends up to this number may be forgotten
@@ -43,7 +44,7 @@
 
 // usable reports whether new tasks may start there at now.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && !w.facts.Draining && !w.held() && !w.lost && w.fenced && w.reachable && w.rostered &&
+	return w.listed && !w.facts.Draining && !w.held() && !w.lost && w.fenced && w.reachable && w.rostered && w.strangers == 0 &&
 		!now.Before(w.blocked) && !now.Before(w.suspended)
 }
 
