Stops and needs of a new owner wait for answers, not for the earlier owner's time

Since an owner is settled only after the earlier one's time, a pool would have told its needs up to 3 s late; they wait for the same as before, that no worker is awaited. No rule is touched.

--- a/internal/work/pool_move_off.go
+++ b/internal/work/pool_move_off.go
@@ -10,7 +10,7 @@
 		plan.wakeAt(quiet)
 		return // stops of an earlier owner may not be over
 	}
-	if len(p.awaited) > 0 {
+	if !p.answered {
 		return
 	}
 	for _, w := range p.workers {
--- a/internal/work/pool_plan.go
+++ b/internal/work/pool_plan.go
@@ -31,6 +31,7 @@
 		return
 	}
 	p.awaitListed()
+	p.answered = len(p.awaited) == 0 || !now.Before(p.settleBy)
 	if now.Before(p.settleBy) && len(p.awaited) > 0 {
 		plan.wakeAt(p.settleBy)
 		return
