A life that only its clock has shown keeps its runs for the longest lease

Callers could see a task run twice: a start with a deadline by the earlier life's clock is cut to the longest lease by the new life, which is longer than what the owner reckoned with, and a worker that then did not answer was given up early. The spec 'a run of a life that only its clock has shown goes on for the longest lease' failed before (a start 0.8 s too early).

--- a/internal/work/pool_answers.go
+++ b/internal/work/pool_answers.go
@@ -31,6 +31,7 @@
 	if w.clock.known() && clock < w.clock.least(o.SentAt, &p.timing) {
 		p.tell(Event{Kind: ClockBehind, Worker: o.Worker, Task: o.Task, Attempt: o.Attempt, Number: w.noted}, now)
 		w.looked = time.Time{}
+		w.expiresAt = Later(w.expiresAt, now.Add(p.timing.longest()))
 	}
 	w.clock = clockReading{at: now, millis: clock}
 }
@@ -78,7 +79,7 @@
 		p.counts.Refused++
 		w.block(now.Add(blockAfterRefusal))
 	case NotReached:
-		w.reachable, w.silent = false, true
+		w.reachable, w.silent, w.looked = false, true, time.Time{}
 	case Unhealthy:
 		w.block(now.Add(blockAfterFailure))
 	case NoTicket:
