A machine is empty once its ends are kept, too

Callers could see work done twice: a machine was said to be empty, or offered, while the only word of work done there was in its owner's memory and its own list; taken down, with the owner lost, the work was done again. 'a machine whose ends are not kept is neither empty nor offered until they are' failed before.

--- a/internal/work/life_test.go
+++ b/internal/work/life_test.go
@@ -168,3 +168,50 @@
 		Expect(s.startAll()).To(BeEmpty())
 	})
 })
+
+var _ = Describe("a run of a life that only its clock has shown", func() {
+	// inc-20: the new life cuts a deadline of the earlier one's clock to the longest
+	// lease, and its run started elsewhere before that had ended.
+	It("goes on for the longest lease, if the worker does not answer", func() {
+		s := newScene(worker("a"))
+		s.pass(10 * time.Second)
+		s.clock = 1_000_000
+		s.look("a", nil)
+		s.add(tasks("j", 1))
+		s.pool.Started(only(s.plan().Starts), work.Accepted, 5, s.now)
+		s.setWorkers(worker("a"), worker("b"))
+		s.pool.LookFailed("a", work.Unanswered, s.now)
+		s.look("b", nil)
+		s.pass(timing.Hold + 800*time.Millisecond)
+		Expect(s.startAll()).To(BeEmpty())
+		s.pass(timing.MaxHold - timing.Hold)
+		s.look("b", nil)
+		Expect(s.startAll()).To(HaveLen(1))
+	})
+})
+
+var _ = Describe("a cancel that comes before its job", func() {
+	// The job was started, and ran until the store's watch told of the cancel again.
+	It("holds", func() {
+		s := newScene(worker("a"))
+		s.pool.Cancel("j", token+2)
+		s.add(tasks("j", 1))
+		Expect(s.startAll()).To(BeEmpty())
+		Expect(s.save(300)["j"].Progress.State).To(Equal(work.Cancelled))
+	})
+})
+
+var _ = Describe("a machine whose ends are not kept", func() {
+	// It was taken down with the only word of work that was done.
+	It("is neither empty nor offered until they are", func() {
+		s := newScene(worker("a"))
+		s.add(tasks("j", 1))
+		started := only(s.startAll())
+		s.pool.SetAsked(map[string]time.Time{"m-a": s.now.Add(time.Second)}, nil)
+		s.plan()
+		s.look("a", nil, ended(started, work.EndDone))
+		Expect(s.pool.Emptied("m-a")).To(BeFalse())
+		s.save(300)
+		Expect(s.pool.Emptied("m-a")).To(BeTrue())
+	})
+})
--- a/internal/work/pool_balance.go
+++ b/internal/work/pool_balance.go
@@ -15,12 +15,12 @@
 	l := p.measure(now)
 	p.follow(&l, now)
 	b := Balance{Load: l, Recalled: p.recalled}
-	if p.settled {
+	if p.answered {
 		b.Need = p.need(&l, now)
 		p.offer(&l, now)
 	}
 	for _, w := range p.workers {
-		if w.offered && w.listed && len(w.runs) == 0 {
+		if w.offered && w.listed && w.idle() {
 			b.Offers = append(b.Offers, w.facts.Machine)
 		}
 	}
--- a/internal/work/pool_workers.go
+++ b/internal/work/pool_workers.go
@@ -78,7 +78,7 @@
 		if w.facts.Machine != machine {
 			continue
 		}
-		if !w.held() || len(w.runs) > 0 || !w.fenced {
+		if !w.held() || !w.idle() || !w.fenced {
 			return false
 		}
 		found = true
--- a/internal/work/worker.go
+++ b/internal/work/worker.go
@@ -95,6 +95,9 @@
 	orderQuick = 100 * time.Millisecond
 )
 
+// idle reports whether nothing runs there, or may run, and all ends are kept.
+func (w *worker) idle() bool { return len(w.runs) == 0 && len(w.unkept) == 0 }
+
 // block keeps new tasks away until a time.
 func (w *worker) block(until time.Time) {
 	if until.After(w.blocked) {
