A new holder of the duty for machines orders only once it has read the last one's claims

Callers could see ONE broken: the holder waited for what is asked of pools, not for what they offer, so in its first step a machine that the last holder had claimed for a move was taken down for a wave.

--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -91,7 +91,7 @@
 
 // step carries the open waves on by what can be done now.
 func (d *duty) step(open []upkeep.Wave) {
-	if !d.holds() || !d.asked.Get().known {
+	if !d.holds() || !d.asked.Get().known || !d.view.Get().known {
 		return
 	}
 	ctx, cancel := context.WithTimeout(d.ctx, readAllTimeout)
--- a/internal/keeper/duty_lend.go
+++ b/internal/keeper/duty_lend.go
@@ -23,6 +23,7 @@
 func (d *duty) followDuty() {
 	reset := func(_ context.Context, items []store.Item) error {
 		next := newDutyView()
+		next.known = true
 		for _, item := range items {
 			d.takeDuty(&next, store.Event{Item: item})
 		}
--- a/internal/keeper/duty_view.go
+++ b/internal/keeper/duty_view.go
@@ -14,6 +14,7 @@
 	needs     map[string]int
 	offers    map[string]lending.Offer // by machine
 	revisions map[string]int64         // of the offers
+	known     bool                     // the store was read
 }
 
 func newDutyView() dutyView {
@@ -21,7 +22,7 @@
 }
 
 func (v dutyView) clone() dutyView {
-	return dutyView{needs: maps.Clone(v.needs), offers: maps.Clone(v.offers), revisions: maps.Clone(v.revisions)}
+	return dutyView{needs: maps.Clone(v.needs), offers: maps.Clone(v.offers), revisions: maps.Clone(v.revisions), known: v.known}
 }
 
 // apply changes a view that nobody else sees yet.
