A look that is not taken in is not repeated at once, and no worker is shut out for its start

Now such a look is repeated like one without an answer, and the list's last word tells which life is ignored.

Evidence: 'a looker whose answer is not that of the worker's present life waits' and 'does not shut the worker out once the list is right again' failed before.

--- a/internal/keeper/looker.go
+++ b/internal/keeper/looker.go
@@ -110,10 +110,10 @@
 	switch answer {
 	case work.Accepted:
 		l.told = answer
-		l.pool.Looked(look)
+		taken := l.pool.Looked(look)
 		l.save.send()
 		l.plan.send()
-		return true
+		return taken
 	case work.Fenced:
 		l.lose("a worker has seen a later owner")
 		return false
--- /dev/null
+++ b/internal/keeper/looker_test.go
@@ -0,0 +1,31 @@
+package keeper
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a looker whose answer is not that of the worker's present life", func() {
+	// The worker was asked again without a pause, for the rest of the tenure.
+	It("waits before it asks again", func() {
+		s := newTenureScene()
+		workers := &fakeWorkers{}
+		s.keeper.Workers = workers
+		t := s.load()
+		s.list(t, "a")
+		s.look(t, "a") // a life that began after the one that answers from now on
+		s.silence(t, "a")
+		l := &looker{tenure: t, worker: "a", kick: newSignal()}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			l.run()
+		}()
+		Eventually(workers.looks.Load).Should(BeEquivalentTo(1))
+		Consistently(workers.looks.Load, 100*time.Millisecond).Should(BeEquivalentTo(1), "the scene's clock stands")
+		t.cancel()
+		Eventually(done).Should(BeClosed())
+	})
+})
--- a/internal/work/life_test.go
+++ b/internal/work/life_test.go
@@ -215,3 +215,33 @@
 		Expect(s.pool.Emptied("m-a")).To(BeTrue())
 	})
 })
+
+var _ = Describe("a start of a worker that the list gives wrongly", func() {
+	// Another writer's word under the worker's key shut it out for the whole tenure.
+	It("does not shut the worker out once the list is right again", func() {
+		s := newScene(worker("a"))
+		wrong := worker("a")
+		wrong.Born = 99
+		s.setWorkers(wrong)
+		s.setWorkers(worker("a"))
+		s.look("a", nil)
+		s.pool.RosterKept(s.pool.Roster(s.now))
+		s.add(tasks("j", 1))
+		Expect(s.startAll()).To(HaveLen(1))
+	})
+
+	// The machine's time of day was set back before the worker started again.
+	It("does not shut out a next life that seems to have begun earlier", func() {
+		s := newScene(worker("a"))
+		s.pool.Looked(work.Look{Worker: "a", SentAt: s.now, ReceivedAt: s.now, Born: 5000, Clock: 45})
+		next := worker("a")
+		next.Born = 4000
+		s.pool.LookFailed("a", work.Unanswered, s.now)
+		s.setWorkers(next)
+		s.pass(time.Second)
+		Expect(s.pool.Looked(work.Look{Worker: "a", SentAt: s.now, ReceivedAt: s.now, Born: 4000, Clock: 45})).To(BeTrue())
+		s.setWorkers(next)
+		s.add(tasks("j", 1))
+		Expect(s.startAll()).To(HaveLen(1))
+	})
+})
--- a/internal/work/pool_look.go
+++ b/internal/work/pool_look.go
@@ -46,13 +46,14 @@
 	return ok && len(w.runs) > 0
 }
 
-// Looked takes in a worker's answer.
-func (p *Pool) Looked(l Look) {
+// Looked takes in a worker's answer; false when it is not that of the worker's
+// present life.
+func (p *Pool) Looked(l Look) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w, ok := p.workers[l.Worker]
-	if !ok || w.lost || l.Born < w.born || w.former > 0 && l.Born <= w.former {
-		return
+	if !ok || w.lost || l.Born < w.born || w.former != 0 && l.Born == w.former {
+		return false
 	}
 	first := !w.fenced
 	p.meet(w, &l)
@@ -63,6 +64,7 @@
 	listed := p.applyRows(w, &l)
 	p.resolve(w, &l, listed)
 	delete(p.awaited, l.Worker)
+	return true
 }
 
 // meet takes in who answered, and its clock.
--- a/internal/work/pool_workers.go
+++ b/internal/work/pool_workers.go
@@ -54,20 +54,32 @@
 		p.workers[facts.ID] = w
 		return
 	}
-	if (w.lost && (facts.Born == 0 || facts.Born > w.facts.Born)) || (facts.Born != 0 && w.born != 0 && facts.Born > w.born) {
+	if w.lost && (facts.Born == 0 || facts.Born > w.facts.Born) || w.otherLife(&facts) {
 		p.tell(Event{Kind: LifeListed, Worker: facts.ID, Number: w.noted, Born: facts.Born}, now)
 		p.rebirth(w)
 		next := newWorker(facts)
 		next.leaving, next.offered, next.since, next.runs, next.used, next.strangers = w.leaving, w.offered, now, w.runs, w.used, w.strangers
-		next.former = max(w.born, w.former)
+		next.former = w.born
 		next.expiresAt = Later(w.expiresAt, now.Add(p.timing.longest()))
 		*w = *next
 		return
 	}
+	if facts.Born == w.former {
+		w.former = 0 // listed again: what was listed meanwhile was no life of it
+	}
 	w.facts = facts
 	w.listed = true
 }
 
+// otherLife reports whether facts are those of another life than the one that
+// answered last. The time of day of its machine may have been set back between them.
+func (w *worker) otherLife(facts *WorkerFacts) bool {
+	if facts.Born == 0 || w.born == 0 {
+		return false
+	}
+	return facts.Born > w.born || facts.Born != w.born && facts.Born != w.facts.Born
+}
+
 // Emptied reports whether the pool has workers on the machine, and nothing runs
 // or will start on any of them.
 func (p *Pool) Emptied(machine string) bool {
