--- a/internal/keeper/duty.go
+++ b/internal/keeper/duty.go
@@ -27,6 +27,13 @@
 	view     *shard.Cell[dutyView]
 }
 
+func newDuty(t *tenure) *duty {
+	return &duty{
+		tenure: t, since: t.Clock.Now(), progress: map[int64]upkeep.Progress{}, said: map[int64]bool{}, active: map[int64]bool{},
+		moving: map[string]*onTheWay{}, recalls: map[string]int{}, view: shard.NewCell(newDutyView()),
+	}
+}
+
 // dutyPause is the least time between two steps: what changes meanwhile is
 // taken in at once.
 const dutyPause = 50 * time.Millisecond
@@ -36,10 +43,7 @@
 func (t *tenure) keepMachines() {
 	defer t.cancel()
 	go t.guard()
-	d := &duty{
-		tenure: t, since: t.Clock.Now(), progress: map[int64]upkeep.Progress{}, said: map[int64]bool{}, active: map[int64]bool{},
-		moving: map[string]*onTheWay{}, recalls: map[string]int{}, view: shard.NewCell(newDutyView()),
-	}
+	d := newDuty(t)
 	t.orders.Go(d.followDuty)
 	t.orders.Go(t.followAsked)
 	for t.ctx.Err() == nil && !t.isLeaving() {
--- a/internal/keeper/duty_claims_test.go
+++ b/internal/keeper/duty_claims_test.go
@@ -8,9 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"persimmonbay/internal/lending"
-	"persimmonbay/internal/shard"
 	"persimmonbay/internal/upkeep"
-	"persimmonbay/internal/workconfig"
 	"persimmonbay/internal/workstore"
 )
 
@@ -21,20 +19,8 @@
 	)
 
 	BeforeEach(func() {
-		s = newTenureScene()
-		s.keeper.Operators = fakeOperators{}
-		s.machines = &fakeMachines{}
-		s.keeper.Machines = s.machines
-		s.keeper.config = workconfig.NewInForce()
+		s, d = newDutyScene()
 		s.keeper.bounds.HolderPause = 3300 * time.Millisecond
-		s.keeper.fleet.Update(func(v fleetView) (fleetView, bool) {
-			v.home = map[string]int{sceneService: 2}
-			return v, true
-		})
-		d = &duty{
-			tenure: s.own(), since: s.clock.Now(), progress: map[int64]upkeep.Progress{}, said: map[int64]bool{}, active: map[int64]bool{},
-			moving: map[string]*onTheWay{}, recalls: map[string]int{}, view: shard.NewCell(newDutyView()),
-		}
 	})
 	asked := func(machine string, revision int64) {
 		d.asked.Update(func(v askedView) (askedView, bool) {
--- a/internal/keeper/duty_late_test.go
+++ b/internal/keeper/duty_late_test.go
@@ -8,10 +8,8 @@
 	. "github.com/onsi/gomega"
 
 	"persimmonbay/internal/lending"
-	"persimmonbay/internal/shard"
 	"persimmonbay/internal/store"
 	"persimmonbay/internal/upkeep"
-	"persimmonbay/internal/workconfig"
 	"persimmonbay/internal/workstore"
 )
 
@@ -33,19 +31,7 @@
 	}
 
 	BeforeEach(func() {
-		s = newTenureScene()
-		s.keeper.Operators = fakeOperators{}
-		s.machines = &fakeMachines{}
-		s.keeper.Machines = s.machines
-		s.keeper.config = workconfig.NewInForce()
-		d = &duty{
-			tenure: s.own(), since: s.clock.Now(), progress: map[int64]upkeep.Progress{}, said: map[int64]bool{}, active: map[int64]bool{},
-			moving: map[string]*onTheWay{}, recalls: map[string]int{}, view: shard.NewCell(newDutyView()),
-		}
-		s.keeper.fleet.Update(func(v fleetView) (fleetView, bool) {
-			v.home = map[string]int{sceneService: 2}
-			return v, true
-		})
+		s, d = newDutyScene()
 		var err error
 		p, err = d.load(ctx, wave)
 		Expect(err).NotTo(HaveOccurred())
--- /dev/null
+++ b/internal/keeper/tenure_load.go
@@ -0,0 +1,139 @@
+package keeper
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/problem"
+	"persimmonbay/internal/store"
+	"persimmonbay/internal/telemetry"
+	"persimmonbay/internal/work"
+	"persimmonbay/internal/workstore"
+)
+
+func (t *tenure) load() (from int64, offered map[string]int64, ok bool) {
+	for t.ctx.Err() == nil {
+		from, offered, err := t.tryLoad()
+		if err == nil {
+			return from, offered, true
+		}
+		t.log.Info("jobs not read yet", telemetry.ProblemFields(err)...)
+		sleep(t.ctx, t.Clock, firstRetry)
+	}
+	return 0, nil, false
+}
+
+func (t *tenure) tryLoad() (int64, map[string]int64, error) {
+	ctx, cancel := context.WithTimeout(t.ctx, readAllTimeout)
+	defer cancel()
+	roster, err := t.loadRoster(ctx)
+	if err != nil {
+		return 0, nil, err
+	}
+	now := t.Clock.Now()
+	// A life of this entry that kept no roster tells nothing of the owner before.
+	roster.Released = roster.Released || t.past != 0 && roster.Token == t.past
+	t.pool = work.NewPool(t.service, t.token, t.bounds.Work, roster, now)
+	if err := t.writeRoster(ctx); err != nil {
+		return 0, nil, err
+	}
+	offered, err := t.loadOffers(ctx)
+	if err != nil {
+		return 0, nil, err
+	}
+	jobs, from, err := t.Store.Range(ctx, workstore.WorkPrefix(t.service))
+	if err != nil {
+		return 0, nil, err
+	}
+	if !t.ownsAll(jobs) {
+		return 0, nil, problem.New(problem.Conflict, problem.StepStoreRead, t.service, "the pool has a later owner")
+	}
+	states, _, err := t.Store.Range(ctx, workstore.StatePrefix(t.service))
+	if err != nil {
+		return 0, nil, err
+	}
+	t.addJobs(jobs, t.decodeStates(states), now)
+	return from, offered, nil
+}
+
+func (t *tenure) loadRoster(ctx context.Context) (work.Roster, error) {
+	if t.left == nil {
+		roster, err := t.readRoster(ctx)
+		if err != nil {
+			return work.Roster{}, err
+		}
+		t.left = &roster
+	}
+	return *t.left, nil
+}
+
+func (t *tenure) readRoster(ctx context.Context) (work.Roster, error) {
+	key := workstore.RosterKey(t.service)
+	item, err := t.Store.Get(ctx, key)
+	if problem.Is(err, problem.NotFound) {
+		t.own.learn(key, 0)
+		return work.Roster{}, nil
+	}
+	if err != nil {
+		return work.Roster{}, err
+	}
+	t.own.learn(key, item.Revision)
+	roster, err := workstore.DecodeRoster(key, item.Value)
+	if err != nil {
+		t.odd.tell(t.log, "roster not understood", &item, err)
+		return unknownRoster(t.token), nil
+	}
+	return roster, nil
+}
+
+func (t *tenure) decodeStates(items []store.Item) map[string]store.Item {
+	states := make(map[string]store.Item, len(items))
+	for _, item := range items {
+		if id, ok := workstore.ParseState(t.service, item.Key); ok {
+			states[id] = item
+		}
+	}
+	return states
+}
+
+func (t *tenure) addJobs(jobs []store.Item, states map[string]store.Item, now time.Time) {
+	added := 0
+	for _, item := range jobs {
+		id, ok := workstore.ParseJob(t.service, item.Key)
+		if !ok {
+			continue
+		}
+		kept, ok := states[id]
+		if !ok {
+			// Both are written at once, and the states were read later: this
+			// one was removed after the job's end.
+			t.log.Warn("job without progress ignored", zap.String("job", id))
+			continue
+		}
+		if t.addJob(id, item, kept, now) {
+			added++
+		}
+	}
+	t.log.Info("pool loaded", zap.Int("jobs", added), zap.Int("kept", len(states)))
+}
+
+func (t *tenure) addJob(id string, item, kept store.Item, now time.Time) bool {
+	sub, err := workstore.DecodeJob(t.service, id, item.Value)
+	if err != nil {
+		t.odd.tell(t.log, "job not understood", &item, err)
+		return false
+	}
+	state := workstore.KeptState{}
+	revision := item.Revision
+	if kept.Revision > 0 {
+		if state, err = workstore.DecodeState(kept.Key, kept.Value); err != nil {
+			t.odd.tell(t.log, "progress not understood", &kept, err)
+			return false
+		}
+		revision = kept.Revision
+	}
+	t.pool.Add(sub, item.Created, revision, state.Progress, now)
+	return !state.Progress.State.Final()
+}
--- a/internal/work/pool_plan.go
+++ b/internal/work/pool_plan.go
@@ -26,49 +26,9 @@
 
 // settle finds out whether all that an earlier owner started is known: every
 // worker that may hold such tasks has answered, or its leases have ended.
-func (p *Pool) settle(now time.Time, plan *Plan) {
-	if p.settled {
-		return
-	}
-	p.awaitListed()
-	p.answered = len(p.awaited) == 0 || !now.Before(p.settleBy)
-	if now.Before(p.settleBy) && len(p.awaited) > 0 {
-		plan.wakeAt(p.settleBy)
-		return
-	}
-	if now.Before(p.quietAt) {
-		plan.wakeAt(p.quietAt)
-		return // a worker that starts again may still get tasks of an earlier owner
-	}
-	p.settled = true
-	clear(p.awaited)
-}
-
 // awaitListed adds the workers that have not answered yet to those that the
 // roster names, and takes out those that are gone.
-func (p *Pool) awaitListed() {
-	for id, w := range p.workers {
-		if w.fenced || w.lost {
-			delete(p.awaited, id)
-		} else if p.awaited[id] == nil {
-			p.awaited[id] = &awaited{machine: w.facts.Machine}
-		}
-	}
-}
-
 // unsettled reports whether an earlier owner's run of the task may go on.
-func (p *Pool) unsettled(t *task) bool {
-	if p.settled || t.stage.job.created > p.token {
-		return false
-	}
-	for _, a := range p.awaited {
-		if a.mayHold(t.id) {
-			return true
-		}
-	}
-	return false
-}
-
 // planOpen orders the stops that are due, the repeated ones included, and the
 // starts again whose answer was lost.
 func (p *Pool) planOpen(now time.Time, plan *Plan) {
