A job is given up while there is still time for the store's answer

Callers got 504, after which they cannot hand a job in again, for jobs that the store had refused at every try: the last try was cut off by their deadline. Cause: a try began however little time was left. None begins now with less than 100 ms left.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -36,6 +36,10 @@
 // next try: a few times the store's usual answer.
 const retryEvery = 25 * time.Millisecond
 
+// tryTime is the least time for a call to the store: what it might do after the
+// caller's time, nobody could tell.
+const tryTime = 100 * time.Millisecond
+
 // Submit accepts the job, or returns why not. An error of kind Overloaded or
 // Unavailable promises that the job was not accepted and never runs; one of
 // kind Timeout tells that nobody knows yet. A job that was accepted before is
@@ -129,11 +133,15 @@
 	return services
 }
 
-// pause waits before the next try; false when the caller's time is over.
+// pause waits before the next try; false when the caller's time is over, or
+// leaves no time for an answer.
 func (in *Intake) pause(ctx context.Context) bool {
 	if ctx.Err() != nil {
 		return false
 	}
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < retryEvery+tryTime {
+		return false
+	}
 	select {
 	case <-ctx.Done():
 		return false
--- /dev/null
+++ b/internal/intake/no_owners_test.go
@@ -0,0 +1,12 @@
+package intake_test
+
+import "persimmonbay/internal/intake"
+
+// noOwners knows no owner of any pool.
+type noOwners struct{}
+
+var _ intake.Announcer = noOwners{}
+
+func (noOwners) Owner(string) intake.Owner                            { return intake.Owner{} }
+func (noOwners) Accepted(intake.Owner, string, string, []byte, int64) {}
+func (noOwners) Cancelled(string, string, int64)                      {}
