--- a/internal/keeper/tenure_events.go
+++ b/internal/keeper/tenure_events.go
@@ -16,7 +16,7 @@
 		if e.Kind == work.WorkerFenced && e.Age < lateFence {
 			log = t.log.Debug
 		}
-		log("worker or job of doubt", zap.Stringer("event", e.Kind), zap.String("worker", e.Worker), zap.String("job", e.Task.Job),
+		log("worker or job in doubt", zap.Stringer("event", e.Kind), zap.String("worker", e.Worker), zap.String("job", e.Task.Job),
 			zap.Int("step", e.Task.Step), zap.Int("index", e.Task.Index), zap.Int("attempt", e.Attempt), zap.Int64("number", e.Number),
 			zap.Int64("born", e.Born), zap.Duration("owned", e.Age))
 	}
--- a/internal/work/pool_runs.go
+++ b/internal/work/pool_runs.go
@@ -13,8 +13,8 @@
 		if _, over := p.ended[row.Task.Job]; !over {
 			p.tell(Event{Kind: UnknownRun, Worker: w.facts.ID, Task: row.Task, Attempt: row.Attempt}, now)
 		}
-		r.stranger = true
-		w.strangers++
+		r.unknownJob = true
+		w.unknownRuns++
 		return r
 	}
 	r.reserved = j.reserved(row.Task.Step)
--- a/internal/work/pool_workers.go
+++ b/internal/work/pool_workers.go
@@ -58,7 +58,7 @@
 		p.tell(Event{Kind: LifeListed, Worker: facts.ID, Number: w.noted, Born: facts.Born}, now)
 		p.rebirth(w)
 		next := newWorker(facts)
-		next.leaving, next.offered, next.since, next.runs, next.used, next.strangers = w.leaving, w.offered, now, w.runs, w.used, w.strangers
+		next.leaving, next.offered, next.since, next.runs, next.used, next.unknownRuns = w.leaving, w.offered, now, w.runs, w.used, w.unknownRuns
 		next.former = w.born
 		next.expiresAt = Later(w.expiresAt, now.Add(p.timing.longest()))
 		*w = *next
@@ -132,8 +132,8 @@
 	w := r.worker
 	delete(w.runs, runKey{r.id, r.attempt})
 	w.used = w.used.Minus(r.reserved)
-	if r.stranger {
-		w.strangers--
+	if r.unknownJob {
+		w.unknownRuns--
 	}
 	if r.task == nil {
 		return
--- a/internal/work/run.go
+++ b/internal/work/run.go
@@ -16,7 +16,7 @@
 	lostCopy   bool      // the answer to a start was lost: a copy may come later
 	deadline   int64     // of the start, on the worker's clock, in milliseconds
 	reserved   Resources
-	stranger   bool // of a job that is not known: nobody knows what it takes
+	unknownJob bool // of a job that is not known: nobody knows what it takes
 	percent    int  // share of its speed at which the worker says it works
 	gauge      int
 	wantStop   bool      // a stop must be ordered
--- a/internal/work/worker.go
+++ b/internal/work/worker.go
@@ -4,35 +4,35 @@
 
 // worker is one life of a machine that runs tasks. The pool's lock guards it.
 type worker struct {
-	facts      WorkerFacts
-	listed     bool      // the platform lists it
-	leaving    bool      // its machine is being emptied
-	offered    bool      // its machine is offered to other pools
-	since      time.Time // when it was first listed
-	rostered   bool      // the next owner would know that anything may run there
-	fenced     bool      // it has seen this owner's token
-	reachable  bool      // its last look or order was answered
-	silent     bool      // its last look or order was not answered
-	lost       bool      // another life answers at its address
-	born       int64
-	former     int64 // start of the life before, in milliseconds: its looks say nothing of this one; 0: none
-	clock      clockReading
-	looked     time.Time // when the last look that was answered was sent; zero: the life that answers next may be another
-	lookedAt   time.Time // when its answer came
-	runs       map[runKey]*run
-	attend     bool // some of runs may be open
-	used       Resources
-	strangers  int   // runs of jobs that are not known
-	applied    int64 // ends up to this number were taken in
-	noted      int64 // ends up to this number may be forgotten
-	told       int64 // the worker was told that ends up to this number may be forgotten
-	marks      []endMark
-	unkept     []unkeptEnd // by number
-	expiresAt  time.Time   // after it nothing that this owner ordered runs on there
-	blocked    time.Time   // no start before it: the worker refused or was not reached
-	suspended  time.Time   // no start before it: it fails what it runs
-	suspension time.Duration
-	failedJobs map[string]bool // jobs of which a task failed there since the last that was done
+	facts       WorkerFacts
+	listed      bool      // the platform lists it
+	leaving     bool      // its machine is being emptied
+	offered     bool      // its machine is offered to other pools
+	since       time.Time // when it was first listed
+	rostered    bool      // the next owner would know that anything may run there
+	fenced      bool      // it has seen this owner's token
+	reachable   bool      // its last look or order was answered
+	silent      bool      // its last look or order was not answered
+	lost        bool      // another life answers at its address
+	born        int64
+	former      int64 // start of the life before, in milliseconds: its looks say nothing of this one; 0: none
+	clock       clockReading
+	looked      time.Time // when the last look that was answered was sent; zero: the life that answers next may be another
+	lookedAt    time.Time // when its answer came
+	runs        map[runKey]*run
+	attend      bool // some of runs may be open
+	used        Resources
+	unknownRuns int   // runs of jobs that are not known
+	applied     int64 // ends up to this number were taken in
+	noted       int64 // ends up to this number may be forgotten
+	told        int64 // the worker was told that ends up to this number may be forgotten
+	marks       []endMark
+	unkept      []unkeptEnd // by number
+	expiresAt   time.Time   // after it nothing that this owner ordered runs on there
+	blocked     time.Time   // no start before it: the worker refused or was not reached
+	suspended   time.Time   // no start before it: it fails what it runs
+	suspension  time.Duration
+	failedJobs  map[string]bool // jobs of which a task failed there since the last that was done
 }
 
 func newWorker(facts WorkerFacts) *worker {
@@ -44,7 +44,7 @@
 
 // usable reports whether new tasks may start there at now.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && !w.facts.Draining && !w.held() && !w.lost && w.fenced && w.reachable && w.rostered && w.strangers == 0 &&
+	return w.listed && !w.facts.Draining && !w.held() && !w.lost && w.fenced && w.reachable && w.rostered && w.unknownRuns == 0 &&
 		!now.Before(w.blocked) && !now.Before(w.suspended)
 }
 
