A look that lists a part of the ends ends no run that it does not list

Callers could see TWICE: a worker lists 500 ends at a time, and a run whose end was beyond them was neither listed as running nor as ended, so it was taken for gone and its task started again. 'ends no run that it does not list' failed before.

--- a/internal/work/life_test.go
+++ b/internal/work/life_test.go
@@ -245,3 +245,18 @@
 		Expect(s.startAll()).To(HaveLen(1))
 	})
 })
+
+var _ = Describe("a look that lists a part of the ends", func() {
+	// A run whose end is not among those listed was taken for gone, and its task
+	// started again.
+	It("ends no run that it does not list", func() {
+		s := newScene(worker("a"), worker("b"))
+		s.add(tasks("j", 1))
+		started := only(s.startAll())
+		s.pass(time.Second)
+		s.pool.Looked(work.Look{Worker: "a", SentAt: s.now, ReceivedAt: s.now, Born: 1, Clock: s.clock, Partial: true})
+		Expect(s.startAll()).To(BeEmpty())
+		s.look("a", nil, ended(started, work.EndDone))
+		Expect(s.save(300)["j"].Progress.State).To(Equal(work.Completed))
+	})
+})
--- a/internal/work/look.go
+++ b/internal/work/look.go
@@ -12,4 +12,5 @@
 	Clock      int64 // the worker's own clock, in milliseconds
 	Running    []RunRow
 	Ends       []EndRow
+	Partial    bool // there may be more ends than are listed
 }
--- a/internal/work/pool_look.go
+++ b/internal/work/pool_look.go
@@ -62,7 +62,9 @@
 	}
 	p.applyEnds(w, &l)
 	listed := p.applyRows(w, &l)
-	p.resolve(w, &l, listed)
+	if !l.Partial {
+		p.resolve(w, &l, listed)
+	}
 	delete(p.awaited, l.Worker)
 	return true
 }
