A wave's stored progress keeps the times of its orders

Cause: EncodeUpkeep left OrderedAt and Since out. After a change of the machine controller, the next one took no machine for ordered just before, so both could order within the controller's pause, and it asked pools to empty machines by a time that was long past. Change: the record is converted whole, so that a field can't be left out. A record of an earlier version, without Since, counts from the time at which it is read. Measured: internal/poolstore, "the stored progress of a wave keeps every field", failed before and passes. The reading of an earlier version's record has no test.

--- a/internal/poolmanager/machine_controller_wave.go
+++ b/internal/poolmanager/machine_controller_wave.go
@@ -72,7 +72,9 @@
 		// repeat an upkeep that is done.
 		c.invalid.logOnce(c.log, "progress of a wave not understood, the wave starts again", &item, err)
 		p = upkeep.NewProgress()
-		p.Since = c.Clock.Now()
+	}
+	if p.Since.IsZero() {
+		p.Since = c.Clock.Now() // not understood, or stored by a version that left it out
 	}
 	c.progress[wave] = p
 	return p, nil
--- a/internal/poolstore/upkeep_record.go
+++ b/internal/poolstore/upkeep_record.go
@@ -21,7 +21,7 @@
 
 // EncodeUpkeep returns the value of the key of a wave's progress.
 func EncodeUpkeep(p *upkeep.Progress) ([]byte, error) {
-	return encode(upkeepRecord{Ordered: p.Ordered, Confirmed: p.Confirmed, Done: p.Done})
+	return encode(upkeepRecord(*p))
 }
 
 // DecodeUpkeep decodes the value of the key of a wave's progress. It returns Internal
