A tagged scalar for a list is refused with its line

Cause: the YAML library takes every tagged node for a list and panics when the tag holds none (TagNode.ArrayRange returns nil). A settings or configuration file with such a tag ended the process or the request. Change: the check before decoding looks into tags, anchors and aliases of lists and mappings. A panic of the library that is not foreseen is a finding too.

--- a/internal/configfile/refusal_test.go
+++ b/internal/configfile/refusal_test.go
@@ -48,6 +48,10 @@
 	Entry("jobs of a team that does not exist", "- team: inspectors", "- team: inspektors", `83: jobs.teams[0].team: expected the name of a team, found "inspektors"`),
 	Entry("negative quota", "milliCores: 64000", "milliCores: -1", "86: jobs.teams[0].quota.milliCores: expected a value of at least 0"),
 	Entry("pool with the name of the workers' pool", "  - name: rights\n    spare: false", "  - name: workers\n    spare: false", `23: pools: expected no pool named "workers"`),
+	// The YAML library panicked on each of these three.
+	Entry("tag without a value for a list", "classes:\n  - class: urgent\n    weight: 5\n  - class: normal\n    weight: 3\n  - class: background\n    weight: 2\n", "classes: !a\n", "2: classes: expected a list"),
+	Entry("tagged scalar for a list", "classes:\n  - class: urgent\n    weight: 5\n  - class: normal\n    weight: 3\n  - class: background\n    weight: 2\n", "classes: !a b\n", "2: classes: expected a list"),
+	Entry("alias of a tagged scalar for a list", "organisation: Wadi Natrun Pastoral Registry Company\nclasses:\n  - class: urgent\n    weight: 5\n  - class: normal\n    weight: 3\n  - class: background\n    weight: 2\n", "organisation: &a !b Registry\nclasses: *a\n", "2: classes: expected a list"),
 	Entry("second document", "classes:\n", "---\nclasses:\n", "2: document: expected one document"),
 	Entry("invalid YAML", "classes:\n", "\tclasses: [\n", "2: "),
 )
--- a/internal/yamlfile/document.go
+++ b/internal/yamlfile/document.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"reflect"
 	"strings"
 
@@ -22,8 +23,13 @@
 // pointer to a struct. Fields of target whose keys are absent keep their values,
 // so a caller sets defaults there first. An error is of type problem.Findings: syntax
 // errors, unknown and duplicate keys, values of the wrong type, and values that
-// violate a "validate" tag.
-func Decode(name string, data []byte, target any) (*Document, error) {
+// violate a "validate" tag. A panic of the library is such an error too.
+func Decode(name string, data []byte, target any) (_ *Document, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = problem.Findings{{File: name, Line: 1, Path: "document", Expected: fmt.Sprintf("expected a document that the YAML library can read, it failed with: %v", cause)}}
+		}
+	}()
 	file, err := parser.ParseBytes(data, 0)
 	if err != nil {
 		return nil, problem.Findings{syntaxFinding(name, err)}
@@ -87,13 +93,24 @@
 	if len(file.Docs) > 1 {
 		return problem.Findings{{File: name, Line: secondLine(file), Path: "document", Expected: "expected one document, found another after ---"}}
 	}
-	check := &scalarCheck{name: name}
+	check := &scalarCheck{name: name, anchors: anchorsOf(file)}
 	for _, d := range file.Docs {
 		check.value("", d.Body, reflect.TypeOf(target).Elem())
 	}
 	return check.findings.Err()
 }
 
+// anchorsOf returns the nodes of the anchors of a document, by name.
+func anchorsOf(file *ast.File) map[string]ast.Node {
+	found := anchors{}
+	for _, d := range file.Docs {
+		if d.Body != nil {
+			ast.Walk(found, d.Body)
+		}
+	}
+	return found
+}
+
 func secondLine(file *ast.File) int {
 	if start := file.Docs[1].Start; start != nil {
 		return start.Position.Line
--- a/internal/yamlfile/scalar_check.go
+++ b/internal/yamlfile/scalar_check.go
@@ -28,11 +28,16 @@
 // not handle are left to the decoder.
 type scalarCheck struct {
 	name     string
+	anchors  map[string]ast.Node // by name
 	findings problem.Findings
 }
 
 func (c *scalarCheck) value(path string, n ast.Node, t reflect.Type) {
-	if n == nil || uncheckedNodes[n.Type()] {
+	if n == nil {
+		return
+	}
+	if uncheckedNodes[n.Type()] {
+		c.wrapped(path, n, t)
 		return
 	}
 	switch {
@@ -49,6 +54,39 @@
 	}
 }
 
+// wrapped checks what a tag or an anchor of a list or a mapping holds. It refuses a
+// tag without a list where a list is expected, also through an alias, since the
+// decoder panics on it.
+func (c *scalarCheck) wrapped(path string, n ast.Node, t reflect.Type) {
+	if kind := t.Kind(); kind != reflect.Slice && kind != reflect.Struct || reflect.PointerTo(t).Implements(textUnmarshalerType) {
+		return
+	}
+	switch w := n.(type) {
+	case *ast.AnchorNode:
+		c.value(path, w.Value, t)
+	case *ast.TagNode:
+		if isTaggedScalar(w) && t.Kind() == reflect.Slice {
+			c.addMismatch(path, n, "a list")
+			return
+		}
+		c.value(path, w.Value, t)
+	case *ast.AliasNode:
+		if tag, ok := c.anchors[w.Value.GetToken().Value].(*ast.TagNode); ok && isTaggedScalar(tag) && t.Kind() == reflect.Slice {
+			c.addMismatch(path, n, "a list")
+		}
+	}
+}
+
+func isTaggedScalar(tag *ast.TagNode) bool {
+	switch v := tag.Value.(type) {
+	case *ast.TagNode:
+		return isTaggedScalar(v)
+	case ast.ArrayNode:
+		return false
+	}
+	return true
+}
+
 func (c *scalarCheck) structure(path string, n ast.Node, t reflect.Type) {
 	mapping, ok := n.(ast.MapNode)
 	if !ok {
