An owner takes a session of each entry of a large deployment

Cause: a peer server accepted 64 connections; on a deployment of 147 entries each owner refused the others ("the connection limit is reached"), who dialled again for each notice. Change: 512 connections: each entry's, and a second one while it replaces a session. Measured: "is open to each of the entries of a large deployment at the same time" failed at entry 64 before and passes.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -15,8 +15,9 @@
 )
 
 // maxConnections bounds the open connections, those that are not yet
-// authenticated included.
-const maxConnections = 64
+// authenticated included. Each entry of a deployment may have one, and a second one
+// while it replaces a session.
+const maxConnections = 512
 
 // serveTimeout bounds the handling of one call.
 const serveTimeout = 10 * time.Second
--- a/internal/peer/session_test.go
+++ b/internal/peer/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"time"
 
@@ -20,6 +21,9 @@
 // recoveryLimit bounds the time until a silent session is replaced.
 const recoveryLimit = 2 * time.Second
 
+// largeDeployment is the number of entries of the users' large deployment.
+const largeDeployment = 147
+
 var testKey = []byte("test-peer-key-0123456789")
 
 var _ = Describe("a session", func() {
@@ -87,6 +91,18 @@
 		close(handler.release)
 	})
 
+	// A deployment of 147 entries: each calls the owner of each pool, and an owner refused
+	// all but 64 of them.
+	It("is open to each of the entries of a large deployment at the same time", func() {
+		close(handler.release)
+		for i := range largeDeployment {
+			other := NewClient(fmt.Sprint("entry-", i), testKey, specTimeout)
+			DeferCleanup(other.Close)
+			_, err := other.Call(context.Background(), server, &wire.Request{Body: &wire.Request_Heartbeat{Heartbeat: &wire.Heartbeat{}}})
+			Expect(err).NotTo(HaveOccurred(), "entry %d", i)
+		}
+	})
+
 	It("stays open until its calls have ended when the server stops", func() {
 		inFlight := make(chan error, 1)
 		go func() { inFlight <- blocked(context.Background(), server) }()
