An owner looks only at the jobs and workers with unsaved changes

Cause: each lease poll, save and look for unsaved progress walked through all jobs and all workers of the pool, and each plan through all jobs that had ended within two minutes: work that grows with the backlog, just when the owner falls behind. Change: the pool keeps the jobs with unsaved changes, the workers with ends that may not be acknowledged yet, and the ended jobs in the order of their removal. Saved returns the workers that it concerns.

--- a/internal/scheduler/overlap_owner_save_test.go
+++ b/internal/scheduler/overlap_owner_save_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"persimmonbay/internal/scheduler"
@@ -46,8 +47,7 @@
 		}
 		if ok {
 			return func() {
-				o.pool.Saved(items, revision)
-				o.kickAll()
+				o.saved(items, revision)
 				then(true)
 			}, true
 		}
@@ -80,8 +80,7 @@
 		case j.revision == items[i].Revision:
 			o.pool.SaveFailed(items[i : i+1])
 		case encoded(j.progress) == encoded(items[i].Progress):
-			o.pool.Saved(items[i:i+1], j.revision)
-			o.kickAll()
+			o.saved(items[i:i+1], j.revision)
 		default:
 			o.pool.SaveFailed(items[i : i+1])
 			o.pool.SaveConflicted(items[i].Job, j.revision, j.progress)
@@ -189,3 +188,12 @@
 		}, ok
 	}, func() { o.s.clearOwner(o.token) })
 }
+
+// saved passes the pool a saved batch and wakes the pollers that wait for that.
+func (o *overlapOwner) saved(items []scheduler.SaveItem, revision int64) {
+	workers := o.pool.Saved(items, revision)
+	slices.Sort(workers)
+	for _, worker := range workers {
+		o.kick(worker)
+	}
+}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -24,8 +24,10 @@
 	jobs                  map[string]*job
 	jobOrder              []*job // the jobs in the order in which they were added
 	workers               map[string]*worker
-	wallTime              time.Time // time of day at the last plan
-	changeSequence        int64     // sequence number of the last change that has to be saved
+	wallTime              time.Time        // time of day at the last plan
+	changeSequence        int64            // sequence number of the last change that has to be saved
+	unsavedJobs           map[*job]bool    // those with changes that have to be saved
+	unackedWorkers        map[*worker]bool // those with ends that may not be acknowledged yet
 	durations             *durations
 	counts                Counts
 	toEmpty               map[string]time.Time // machines to be emptied, and the time of day by which their maintenance should be over
@@ -37,15 +39,16 @@
 	ownMachines           int                  // number of machines that belong to the pool; 0: not known
 	toGiveUp              int                  // number of machines that the pool has to give up
 	loadPeakAt            time.Time
-	shortSince            time.Time            // since when more work arrives than the pool can serve; zero: less arrives
-	throttlesPlannedAt    time.Time            // when throttles were last planned
-	startCandidates       startCandidates      // of the plan that is being made
-	rankedJobs            []*job               // in the order of the last plan
-	shortArrivals         arrivalRate          // over shortArrivalWindow
-	longArrivals          arrivalRate          // over longArrivalWindow
-	pendingCancels        map[string]int64     // by job ID: revisions of cancellations that were received before their jobs
-	endedJobs             map[string]time.Time // jobs that have ended, and when they were removed from jobs
-	events                []Event              // not yet returned by TakeEvents
+	shortSince            time.Time        // since when more work arrives than the pool can serve; zero: less arrives
+	throttlesPlannedAt    time.Time        // when throttles were last planned
+	startCandidates       startCandidates  // of the plan that is being made
+	rankedJobs            []*job           // in the order of the last plan
+	shortArrivals         arrivalRate      // over shortArrivalWindow
+	longArrivals          arrivalRate      // over longArrivalWindow
+	pendingCancels        map[string]int64 // by job ID: revisions of cancellations that were received before their jobs
+	endedJobs             map[string]bool  // jobs that have ended and were removed from jobs lately
+	endedOrder            []endedJob       // the same in the order of their removal
+	events                []Event          // not yet returned by TakeEvents
 }
 
 // NewPool returns the pool of service for the owner with the given fencing token.
@@ -55,7 +58,7 @@
 	p := &Pool{
 		service: service, token: token, timing: timing, epoch: roster.Tenure + 1, takenAt: now,
 		awaited: make(map[string]*awaitedWorker), jobs: make(map[string]*job), workers: make(map[string]*worker),
-		durations: newDurations(), endedJobs: make(map[string]time.Time), pendingCancels: make(map[string]int64), publishedOffers: make(map[string]bool),
+		durations: newDurations(), endedJobs: make(map[string]bool), unsavedJobs: make(map[*job]bool), unackedWorkers: make(map[*worker]bool), pendingCancels: make(map[string]int64), publishedOffers: make(map[string]bool),
 		shortArrivals: arrivalRate{window: shortArrivalWindow}, longArrivals: arrivalRate{window: longArrivalWindow},
 	}
 	p.formerOrdersEndAt = now
--- a/internal/scheduler/pool_jobs.go
+++ b/internal/scheduler/pool_jobs.go
@@ -11,7 +11,7 @@
 	if _, known := p.jobs[sub.ID]; known {
 		return
 	}
-	if _, ended := p.endedJobs[sub.ID]; ended {
+	if p.endedJobs[sub.ID] {
 		return // it was read from the store before its removal
 	}
 	j := newJob(&sub, created, revision, progress.clone())
@@ -40,8 +40,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_, known := p.jobs[id]
-	_, ended := p.endedJobs[id]
-	return known || ended
+	return known || p.endedJobs[id]
 }
 
 // openDue opens the occurrences that are due at now.
@@ -86,7 +85,7 @@
 // addPendingCancel remembers a cancellation that was received before its job, unless
 // the job has ended.
 func (p *Pool) addPendingCancel(id string, revision int64) {
-	if _, ended := p.endedJobs[id]; ended {
+	if p.endedJobs[id] {
 		return
 	}
 	if len(p.pendingCancels) >= maxPendingCancels {
@@ -129,6 +128,7 @@
 	p.changeSequence++
 	if j.dirtyFrom == 0 {
 		j.dirtyFrom = p.changeSequence
+		p.unsavedJobs[j] = true
 	}
 	j.dirtyTo = p.changeSequence
 	j.urgentSave = j.urgentSave || urgent
@@ -207,10 +207,9 @@
 // from the store. A job whose end was saved while it still had runs is marked as unsaved
 // once they are gone, so that a further save removes its submission.
 func (p *Pool) removeEndedJobs(now time.Time) {
-	for id, at := range p.endedJobs {
-		if now.Sub(at) > endedJobRetention {
-			delete(p.endedJobs, id)
-		}
+	for len(p.endedOrder) > 0 && now.Sub(p.endedOrder[0].removedAt) > endedJobRetention {
+		delete(p.endedJobs, p.endedOrder[0].id)
+		p.endedOrder = p.endedOrder[1:]
 	}
 	remaining := p.jobOrder[:0]
 	for _, j := range p.jobOrder {
@@ -220,7 +219,8 @@
 		}
 		if j.submissionRemoved && j.activeRuns == 0 && j.dirtyFrom == 0 {
 			delete(p.jobs, j.sub.ID)
-			p.endedJobs[j.sub.ID] = now
+			p.endedJobs[j.sub.ID] = true
+			p.endedOrder = append(p.endedOrder, endedJob{id: j.sub.ID, removedAt: now})
 			continue
 		}
 		remaining = append(remaining, j)
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -103,6 +103,7 @@
 	}
 	if n := len(w.endMarks); w.appliedEnds > w.ackableEnds && (n == 0 || w.endMarks[n-1].endNumber < w.appliedEnds) {
 		w.endMarks = append(w.endMarks, endMark{changeSequence: p.changeSequence, endNumber: w.appliedEnds})
+		p.unackedWorkers[w] = true
 	}
 	p.advanceAckable()
 }
@@ -114,7 +115,7 @@
 	}
 	j := p.jobs[e.Task.Job]
 	if j == nil {
-		if _, ended := p.endedJobs[e.Task.Job]; !ended {
+		if !p.endedJobs[e.Task.Job] {
 			p.addEvent(Event{Kind: UnknownEnd, Worker: w.info.ID, Task: e.Task, Attempt: e.Attempt, Number: e.Number}, now)
 		}
 		return
--- a/internal/scheduler/pool_runs.go
+++ b/internal/scheduler/pool_runs.go
@@ -10,7 +10,7 @@
 	w.runs[runKey{report.Task, report.Attempt}] = r
 	j := p.jobs[report.Task.Job]
 	if j == nil {
-		if _, ended := p.endedJobs[report.Task.Job]; !ended {
+		if !p.endedJobs[report.Task.Job] {
 			p.addEvent(Event{Kind: UnknownRun, Worker: w.info.ID, Task: report.Task, Attempt: report.Attempt}, now)
 		}
 		r.unknownJob = true
--- a/internal/scheduler/pool_save.go
+++ b/internal/scheduler/pool_save.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "sort"
+import (
+	"cmp"
+	"slices"
+)
 
 // ClaimUnsaved returns at most limit jobs whose progress has to be saved, those with
 // the oldest changes first, and whether callers wait for one of them. A job is not
@@ -22,12 +25,14 @@
 
 func (p *Pool) dirtyJobs() []*job {
 	var dirty []*job
-	for _, j := range p.jobOrder {
-		if j.dirtyFrom > 0 && !j.saving {
+	for j := range p.unsavedJobs {
+		if !j.saving {
 			dirty = append(dirty, j)
 		}
 	}
-	sort.Slice(dirty, func(a, b int) bool { return dirty[a].dirtyFrom < dirty[b].dirtyFrom })
+	slices.SortFunc(dirty, func(a, b *job) int {
+		return cmp.Or(cmp.Compare(a.dirtyFrom, b.dirtyFrom), cmp.Compare(a.sub.ID, b.sub.ID))
+	})
 	return dirty
 }
 
@@ -36,8 +41,8 @@
 func (p *Pool) SavePending() (pending, urgent bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, j := range p.jobOrder {
-		if j.dirtyFrom > 0 && !j.saving {
+	for j := range p.unsavedJobs {
+		if !j.saving {
 			pending = true
 			urgent = urgent || j.urgentSave
 		}
@@ -45,8 +50,9 @@
 	return pending, urgent
 }
 
-// Saved records that the items were saved at the given store revision.
-func (p *Pool) Saved(items []SaveItem, revision int64) {
+// Saved records that the items were saved at the given store revision. It returns the
+// workers of which more ends may be acknowledged now.
+func (p *Pool) Saved(items []SaveItem, revision int64) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := range items {
@@ -56,16 +62,17 @@
 		}
 		j.saving = false
 		j.revision = revision
-		j.markSaved(&items[i], p.changeSequence)
+		p.markSaved(j, &items[i])
 		p.applySave(j, items[i].Remove)
 	}
-	p.advanceAckable()
+	return p.advanceAckable()
 }
 
 // markSaved records that the changes which item holds are saved.
-func (j *job) markSaved(item *SaveItem, sequence int64) {
+func (p *Pool) markSaved(j *job, item *SaveItem) {
 	if j.dirtyTo <= item.upTo {
 		j.dirtyFrom, j.dirtyTo, j.urgentSave = 0, 0, false
+		delete(p.unsavedJobs, j)
 		return
 	}
 	j.dirtyFrom = item.upTo + 1
@@ -115,19 +122,27 @@
 }
 
 // advanceAckable advances, for each worker, up to which number its ends may be
-// acknowledged: all changes that they made have to be saved.
-func (p *Pool) advanceAckable() {
+// acknowledged: all changes that they made have to be saved. It returns the workers for
+// which it did so.
+func (p *Pool) advanceAckable() []string {
 	savedUpTo := p.changeSequence
-	for _, j := range p.jobOrder {
-		if j.dirtyFrom > 0 {
-			savedUpTo = min(savedUpTo, j.dirtyFrom-1)
-		}
+	for j := range p.unsavedJobs {
+		savedUpTo = min(savedUpTo, j.dirtyFrom-1)
 	}
-	for _, w := range p.workers {
+	var advanced []string
+	for w := range p.unackedWorkers {
+		before := w.ackableEnds
 		for len(w.endMarks) > 0 && w.endMarks[0].changeSequence <= savedUpTo {
 			w.ackableEnds = w.endMarks[0].endNumber
 			w.endMarks = w.endMarks[1:]
 		}
-		w.dropSavedEnds()
+		if len(w.endMarks) == 0 {
+			delete(p.unackedWorkers, w)
+		}
+		if w.ackableEnds > before {
+			w.dropSavedEnds()
+			advanced = append(advanced, w.info.ID)
+		}
 	}
+	return advanced
 }
