An owner judges a worker by all that it answered, however late it reads that

Cause: a worker counted as silent or lost by the clock or by a list, while its reply with the ends of its runs waited unread or unapplied; what it said after that was dropped. Change: no run is given up while a poll has no outcome that may have reached the worker before its leases expired. A worker that is lost keeps its runs until the poll in progress has ended, which the plan asks to end at once with what has arrived. The ends in a reply of an incarnation that is over are applied like any others. Measured: a class of the simulation in which the owner reads what has arrived up to 10, 50, 200 and 1,200 times as late as usual, and each end that has arrived counts.

--- a/internal/poolmanager/ownership_plan.go
+++ b/internal/poolmanager/ownership_plan.go
@@ -53,6 +53,11 @@
 // execute sends each order from its own goroutine, so that a slow worker delays no
 // other one.
 func (o *poolOwnership) execute(plan *scheduler.Plan) {
+	for _, worker := range plan.Interrupts {
+		if p := o.poller(worker); p != nil {
+			p.interrupt()
+		}
+	}
 	for _, order := range plan.Stops {
 		o.sendTracked(func() { o.stopTask(order) })
 	}
--- a/internal/poolmanager/ownership_pool.go
+++ b/internal/poolmanager/ownership_pool.go
@@ -161,10 +161,14 @@
 
 // kick wakes the poller of a worker, if there is one.
 func (o *poolOwnership) kick(worker string) {
-	o.mu.Lock()
-	p := o.pollers[worker]
-	o.mu.Unlock()
-	if p != nil {
+	if p := o.poller(worker); p != nil {
 		p.kick.send()
 	}
 }
+
+// poller returns the poller of a worker, or nil.
+func (o *poolOwnership) poller(worker string) *poller {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.pollers[worker]
+}
--- a/internal/poolmanager/poller.go
+++ b/internal/poolmanager/poller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,7 +17,8 @@
 	worker  string
 	address string // at which the worker was last polled
 	kick    signal
-	logged  scheduler.OrderResult // the failure logged last; Accepted: none since the last reply
+	logged  scheduler.OrderResult              // the failure logged last; Accepted: none since the last reply
+	pending atomic.Pointer[context.CancelFunc] // ends the poll in progress; nil: none was sent yet
 }
 
 const (
@@ -100,6 +102,14 @@
 	}
 }
 
+// interrupt ends the poll in progress, if there is one. A reply that has arrived by then
+// is still applied.
+func (p *poller) interrupt() {
+	if cancel := p.pending.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
 // poll sends one poll; false if it failed or its reply was not applied.
 func (p *poller) poll(req scheduler.PollRequest) bool {
 	if !p.isValid() {
@@ -110,6 +120,7 @@
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, req.Wait+p.timing.OrderTimeout)
 	defer cancel()
+	p.pending.Store(&cancel)
 	reply, answer := p.Workers.Poll(ctx, req)
 	switch answer {
 	case scheduler.Accepted:
--- a/internal/scheduler/overlap_checks_test.go
+++ b/internal/scheduler/overlap_checks_test.go
@@ -49,6 +49,16 @@
 	s.checkTask(report.Task)
 }
 
+// endsArrived records that the ends in a reply have arrived at the owner, which counts
+// like an acknowledgement to their worker.
+func (s *overlapSim) endsArrived(inc *overlapIncarnation, reports []scheduler.EndReport) {
+	s.recordEnds(inc)
+	for _, report := range reports {
+		s.findEnd(inc, report).acked = true
+		s.checkTask(report.Task)
+	}
+}
+
 // checkTask checks that no run of the task started after an end of kind done, or after
 // MaxFailures ends of kind failed. Only ends that have been acknowledged by now count,
 // and none whose worker's lease expired before the acknowledgement.
--- a/internal/scheduler/overlap_faults_test.go
+++ b/internal/scheduler/overlap_faults_test.go
@@ -1,5 +1,7 @@
 package scheduler_test
 
+import "time"
+
 // overlapFaults selects the kinds of faults that a simulation injects in addition to the
 // common ones. Those are: owners that crash or release the pool, calls and answers that
 // are lost or late, and workers that are cut off or crash.
@@ -9,4 +11,9 @@
 	UnnoticedRestarts bool // workers restart under their own ID, and the platform lists that late
 	LateWrites        bool // writes without an answer may be carried out seconds later
 	StaleMachineList  bool // the list of machines is old when it arrives
+
+	// ReadDelay is the longest time for which the owner leaves an answer unread that has
+	// arrived; 0: none. There is one owner all the time, and ends that have arrived count
+	// as acknowledged.
+	ReadDelay time.Duration
 }
--- a/internal/scheduler/overlap_owner_poll_test.go
+++ b/internal/scheduler/overlap_owner_poll_test.go
@@ -27,12 +27,6 @@
 	}
 }
 
-func (o *overlapOwner) kickAll() {
-	for _, worker := range sortedKeys(o.pollers) {
-		o.kick(worker)
-	}
-}
-
 // continuePolling takes the next step of a poller: it waits for ends to be saved, sends a
 // poll that is due, or waits for a kick.
 func (o *overlapOwner) continuePolling(p *overlapPoller) {
@@ -111,11 +105,29 @@
 		}
 		o.s.awaitEnd(inc, req.Wait, func() {
 			reply := inc.pollReply(req, sent, o.s.now)
-			send(func() { o.pollAnswered(p, inc, reply) })
+			send(func() { o.replyArrived(p, inc, reply) })
 		})
 	}, pollFailed)
 }
 
+// replyArrived has a reply applied, later if this owner is slow.
+func (o *overlapOwner) replyArrived(p *overlapPoller, inc *overlapIncarnation, reply scheduler.PollReply) {
+	if o.s.faults.ReadDelay == 0 {
+		o.pollAnswered(p, inc, reply)
+		return
+	}
+	o.s.endsArrived(inc, reply.Ends)
+	o.after(o.readDelay(), func() { o.pollAnswered(p, inc, reply) })
+}
+
+// readDelay returns how long an answer that has arrived waits to be applied.
+func (o *overlapOwner) readDelay() time.Duration {
+	if o.s.faults.ReadDelay == 0 || o.s.noFaults {
+		return 0
+	}
+	return time.Duration(o.random.Int63n(int64(o.s.faults.ReadDelay)))
+}
+
 // pollAnswered applies a reply.
 func (o *overlapOwner) pollAnswered(p *overlapPoller, inc *overlapIncarnation, reply scheduler.PollReply) {
 	if o.ended {
--- a/internal/scheduler/overlap_test.go
+++ b/internal/scheduler/overlap_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -43,6 +44,9 @@
 	Expect(failed).To(BeEmpty(), "%d of %d seeds violate a rule:\n%s\n\n%s", len(failed), len(seeds), strings.Join(failed, "\n"), shortest)
 }
 
+// usualReadDelay is how long an owner that keeps up leaves an answer unread.
+const usualReadDelay = 5 * time.Millisecond
+
 // allFaults selects all kinds of faults.
 var allFaults = overlapFaults{OverlappingOwners: true, ThreeOwners: true, UnnoticedRestarts: true, LateWrites: true, StaleMachineList: true}
 
@@ -57,6 +61,16 @@
 		Entry("all at once", int64(700_000), allFaults),
 	)
 
+	// Incident 20, an owner that could not keep up: answers that it had received but not
+	// read were taken for none. Its tasks ran again although it had the ends of their runs.
+	DescribeTable("do so also where the owner reads what has arrived late", runSeedsFrom,
+		Entry("up to 10 times as late as usual", int64(800_000), overlapFaults{ReadDelay: 10 * usualReadDelay}),
+		Entry("up to 50 times as late", int64(810_000), overlapFaults{ReadDelay: 50 * usualReadDelay}),
+		Entry("up to 200 times as late", int64(820_000), overlapFaults{ReadDelay: 200 * usualReadDelay}),
+		Entry("later than leases last", int64(830_000), overlapFaults{ReadDelay: 1200 * usualReadDelay}),
+		Entry("and workers restart unnoticed", int64(840_000), overlapFaults{ReadDelay: 200 * usualReadDelay, UnnoticedRestarts: true}),
+	)
+
 	// Incident 20: a former owner that still works starts a task on the next incarnation
 	// of a worker, while the task runs elsewhere. The later owner had fenced the worker,
 	// but the next incarnation has not seen its fencing token.
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -4,11 +4,12 @@
 
 // Plan holds the orders and requests that are to be sent now.
 type Plan struct {
-	Starts    []StartOrder
-	Stops     []StopOrder
-	Throttles []ThrottleOrder
-	Advice    []AdviceRequest
-	Next      time.Time // when to plan again if nothing changes before; zero: not needed
+	Starts     []StartOrder
+	Stops      []StopOrder
+	Throttles  []ThrottleOrder
+	Advice     []AdviceRequest
+	Interrupts []string  // workers that are lost: their polls in progress are to end now, with what has arrived
+	Next       time.Time // when to plan again if nothing changes before; zero: not needed
 }
 
 // wakeAt moves Next to t unless it is earlier already.
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -12,7 +12,7 @@
 	defer p.mu.Unlock()
 	var plan Plan
 	p.wallTime = wall
-	p.sweepWorkers(now)
+	p.sweepWorkers(now, &plan)
 	p.removeEndedJobs(now)
 	p.settleFormerRuns(now, &plan)
 	p.chooseMachinesToEmpty(now, wall)
@@ -186,8 +186,8 @@
 // longer blocked or suspended.
 func (p *Pool) planTimers(now time.Time, plan *Plan) {
 	for _, w := range p.workers {
-		if len(w.runs) > 0 && !w.reachable {
-			plan.wakeAt(w.expiresAt)
+		if len(w.runs) > 0 && !w.reachable && (now.Before(w.expiresAt) || !w.replyOutstanding()) {
+			plan.wakeAt(w.expiresAt) // a reply that is outstanding then causes a plan
 		}
 		if now.Before(w.suspendedUntil) {
 			plan.wakeAt(w.suspendedUntil)
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -12,6 +12,7 @@
 	if !ok || !w.needsPoll() || !w.listed && now.After(w.expiresAt) {
 		return PollRequest{}, false
 	}
+	w.polledAt = now
 	req := PollRequest{Worker: id, Address: w.info.Address, Token: p.token}
 	if w.ackableEnds > w.ackedEnds && w.mayAckEnds(now) {
 		req.AckedEnds = w.ackableEnds
@@ -48,12 +49,21 @@
 }
 
 // ApplyPoll applies a worker's reply. It returns false if the pool does not have the
-// worker, or the reply is not from the worker's present incarnation.
+// worker, or the reply is not from the worker's present incarnation: only the ends in it
+// are applied then.
 func (p *Pool) ApplyPoll(reply PollReply) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w, ok := p.workers[reply.Worker]
-	if !ok || w.lost || reply.Incarnation < w.incarnation || w.formerIncarnation != 0 && reply.Incarnation == w.formerIncarnation {
+	if !ok {
+		return false
+	}
+	w.pollOver()
+	if w.lost || reply.Incarnation < w.incarnation || w.formerIncarnation != 0 && reply.Incarnation == w.formerIncarnation {
+		p.applyFormerEnds(w, &reply)
+		if w.lost {
+			p.incarnationEnded(w)
+		}
 		return false
 	}
 	first := !w.fenced
@@ -198,21 +208,29 @@
 	if !ok {
 		return
 	}
+	w.pollOver()
 	if result == OtherIncarnation {
 		p.addEvent(Event{Kind: OtherIncarnationAtAddress, Worker: id}, now)
 		p.markSuperseded(w)
 		return
 	}
+	if w.lost {
+		p.incarnationEnded(w)
+		return
+	}
 	w.reachable, w.silent, w.pollSentAt = false, true, time.Time{}
 	w.block(now.Add(blockAfterFailure))
 }
 
 // markSuperseded records that the worker's incarnation has ended, because another
-// one runs at its address or on its machine.
+// one runs at its address or on its machine. If the outcome of a poll is not known yet,
+// the worker's runs stay until then: its reply may list ends.
 func (p *Pool) markSuperseded(w *worker) {
-	p.incarnationEnded(w)
 	w.lost = true
 	w.reachable = false
+	if w.polledAt.IsZero() {
+		p.incarnationEnded(w)
+	}
 }
 
 // blockAfterFailure is how long no task starts on a worker that did not answer or is
--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -59,6 +59,7 @@
 		p.workerRestarted(w)
 		next := newWorker(info)
 		next.emptying, next.offered, next.listedAt, next.runs, next.used, next.unknownRuns = w.emptying, w.offered, now, w.runs, w.used, w.unknownRuns
+		next.polledAt, next.pollInterrupted = w.polledAt, w.pollInterrupted
 		next.formerIncarnation = w.incarnation
 		next.expiresAt = Later(w.expiresAt, now.Add(p.timing.longest()))
 		*w = *next
@@ -207,9 +208,21 @@
 }
 
 // sweepWorkers releases the runs on unreachable workers whose leases have expired, and
-// removes unlisted workers that are lost or unreachable and have no run left.
-func (p *Pool) sweepWorkers(now time.Time) {
+// removes unlisted workers that are lost or unreachable and have no run left. A worker
+// is judged by all that it answered: while a reply may wait to be applied, because this
+// process is late, its runs stay.
+func (p *Pool) sweepWorkers(now time.Time, plan *Plan) {
 	for id, w := range p.workers {
+		if w.lost && !w.polledAt.IsZero() {
+			if !w.pollInterrupted {
+				w.pollInterrupted = true
+				plan.Interrupts = append(plan.Interrupts, id)
+			}
+			continue
+		}
+		if w.replyOutstanding() {
+			continue
+		}
 		if len(w.runs) > 0 && !w.reachable && now.After(w.expiresAt) {
 			p.expire(w)
 		}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -22,6 +22,8 @@
 	clock             clockReading
 	pollSentAt        time.Time // when the last answered poll was sent; zero: the next reply may be from another incarnation
 	pollAnsweredAt    time.Time // when the reply to that poll was received
+	polledAt          time.Time // when the poll was requested whose outcome is not known yet; zero: there is none
+	pollInterrupted   bool      // a plan has asked to end that poll, because the worker is lost
 	runs              map[runKey]*run
 	mayNeedOrders     bool // some of runs may need a stop or a repeated start
 	used              Resources
@@ -77,6 +79,16 @@
 	return !w.lost && (!w.fenced || !w.reachable || len(w.runs) > 0 || w.appliedEnds > w.ackedEnds)
 }
 
+// pollOver records that the outcome of the last poll is known.
+func (w *worker) pollOver() { w.polledAt, w.pollInterrupted = time.Time{}, false }
+
+// replyOutstanding reports whether a poll has no outcome yet that may have reached the
+// worker before its leases expired. Its reply may have been read, and lists what has
+// ended by then.
+func (w *worker) replyOutstanding() bool {
+	return !w.polledAt.IsZero() && w.polledAt.Before(w.expiresAt)
+}
+
 // mayAckEnds reports whether a poll sent at now is sure to reach the incarnation that
 // reported the applied ends: it answered recently, and no order since then has been
 // unanswered for longer than maxOrderTransit. Another incarnation numbers its ends
