Plans leave time for answers, and a backlog of saves is worked off without pauses

Cause: an owner made a plan after each answer of a worker; with a backlog of thousands of jobs planning took most of its processor time, just when it fell behind. Saves of progress paused for 20 ms after each seven jobs, and each poll waits for the save of the ends before it. Change: after a plan, a pause of three times its duration; a full batch of saves is followed by the next one at once; a save wakes only the pollers that wait for it.

--- a/internal/poolmanager/ownership_plan.go
+++ b/internal/poolmanager/ownership_plan.go
@@ -14,6 +14,14 @@
 // for the next one where its decisions depend on time alone.
 const maxPlanInterval = time.Second
 
+// planPause is the pause after a plan, as a multiple of the time that the plan took: so
+// many changes are planned for at once, and planning takes at most a quarter of the time
+// however large the backlog is. What workers answer is applied in the rest.
+const planPause = 3
+
+// minPlanPause is the shortest such pause: a shorter one costs more than it saves.
+const minPlanPause = time.Millisecond
+
 // planLoop makes plans and sends their orders until the ownership ends.
 func (o *poolOwnership) planLoop() {
 	for o.ctx.Err() == nil {
@@ -23,6 +31,9 @@
 			plan := o.pool.Plan(now, now)
 			o.execute(&plan)
 			o.logEvents()
+			if pause := planPause * o.Clock.Now().Sub(now); pause >= minPlanPause {
+				sleep(o.ctx, o.Clock, pause)
+			}
 			if !plan.Next.IsZero() {
 				next = min(next, max(plan.Next.Sub(now), time.Millisecond))
 			}
--- a/internal/poolmanager/ownership_save.go
+++ b/internal/poolmanager/ownership_save.go
@@ -35,11 +35,13 @@
 		if !urgent && !o.gather() {
 			return
 		}
-		if !o.saveOnce(o.ctx) {
+		saved, more := o.saveOnce(o.ctx)
+		switch {
+		case !saved:
 			sleep(o.ctx, o.Clock, minRetryDelay)
-			continue
+		case !more:
+			sleep(o.ctx, o.Clock, o.timing.SaveInterval)
 		}
-		sleep(o.ctx, o.Clock, o.timing.SaveInterval)
 	}
 }
 
@@ -62,17 +64,19 @@
 	}
 }
 
-// saveOnce saves one batch; false if it is not known to be saved.
-func (o *poolOwnership) saveOnce(ctx context.Context) bool {
+// saveOnce saves one batch, and reports whether it is known to be saved and whether more
+// is left than one batch holds. Polls wait for the save of earlier ends, so a backlog of
+// saves is worked off without pauses.
+func (o *poolOwnership) saveOnce(ctx context.Context) (saved, more bool) {
 	items, _ := o.pool.ClaimUnsaved(saveBatch)
 	if len(items) == 0 {
-		return true
+		return true, false
 	}
 	txn, err := o.saveTxn(items)
 	if err != nil {
 		o.log.Error("progress of jobs not encoded, trying again", telemetry.ProblemFields(err)...)
 		o.pool.SaveFailed(items)
-		return false
+		return false, false
 	}
 	limited, cancel := context.WithTimeout(ctx, o.timing.StoreTimeout)
 	defer cancel()
@@ -81,21 +85,22 @@
 	switch {
 	case err == nil:
 		o.saved(items, revision)
-		return true
+		return true, len(items) == saveBatch
 	case errors.As(err, &conflict):
 		o.resolveConflict(items, txn, conflict)
-		return false
+		return false, false
 	}
 	o.log.Info("progress of jobs not saved, trying again", telemetry.ProblemFields(err)...)
 	o.pool.SaveFailed(items)
-	return false
+	return false, false
 }
 
-// saved passes the pool a saved batch, wakes the pollers that wait for it, and logs the
+// saved passes the pool a saved batch, wakes the pollers that wait for that, and logs the
 // jobs that have ended.
 func (o *poolOwnership) saved(items []scheduler.SaveItem, revision int64) {
-	o.pool.Saved(items, revision)
-	o.kickAll()
+	for _, worker := range o.pool.Saved(items, revision) {
+		o.kick(worker)
+	}
 	for i := range items {
 		if s := items[i].Progress.State; s.Final() && !items[i].EndSaved {
 			took := items[i].EndedAt.Sub(items[i].AcceptedAt)
@@ -172,14 +177,6 @@
 	o.pool.SaveConflicted(item.Job, current.Revision, stored.Progress)
 }
 
-func (o *poolOwnership) kickAll() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for _, p := range o.pollers {
-		p.kick.send()
-	}
-}
-
 // releaseTimeout bounds the first part of a hand-over: the results of orders in flight
 // and the last saves. The release itself has StoreTimeout.
 const releaseTimeout = 1500 * time.Millisecond
@@ -191,7 +188,7 @@
 	defer cancel()
 	o.ordersInFlight.wait(ctx)
 	for pending, _ := o.pool.SavePending(); pending && ctx.Err() == nil; pending, _ = o.pool.SavePending() {
-		if !o.saveOnce(ctx) {
+		if saved, _ := o.saveOnce(ctx); !saved {
 			sleep(ctx, o.Clock, minRetryDelay)
 		}
 	}
