Plans are at least 5 ms apart

Cause: at a low load each answer of a worker caused a plan of its own, which walks over all workers and jobs: a quarter of an owner's processor time at 266 workers. Change: the pause after a plan is at least 5 ms; the first plan after a rest is made at once as before.

--- a/internal/poolmanager/ownership_plan.go
+++ b/internal/poolmanager/ownership_plan.go
@@ -14,13 +14,15 @@
 // for the next one where its decisions depend on time alone.
 const maxPlanInterval = time.Second
 
-// planPause is the pause after a plan, as a multiple of the time that the plan took: so
-// many changes are planned for at once, and planning takes at most a quarter of the time
-// however large the backlog is. What workers answer is applied in the rest.
-const planPause = 3
-
-// minPlanPause is the shortest such pause: a shorter one costs more than it saves.
-const minPlanPause = time.Millisecond
+const (
+	// planPause is the pause after a plan, as a multiple of the time that the plan took:
+	// so many changes are planned for at once, and planning takes at most a quarter of
+	// the time however large the backlog is. What workers answer is applied in the rest.
+	planPause = 3
+	// minPlanPause is the shortest such pause: short compared with any task, and long
+	// enough for the answers of several workers.
+	minPlanPause = 5 * time.Millisecond
+)
 
 // planLoop makes plans and sends their orders until the ownership ends.
 func (o *poolOwnership) planLoop() {
@@ -31,9 +33,7 @@
 			plan := o.pool.Plan(now, now)
 			o.execute(&plan)
 			o.logEvents()
-			if pause := planPause * o.Clock.Now().Sub(now); pause >= minPlanPause {
-				sleep(o.ctx, o.Clock, pause)
-			}
+			sleep(o.ctx, o.Clock, max(planPause*o.Clock.Now().Sub(now), minPlanPause))
 			if !plan.Next.IsZero() {
 				next = min(next, max(plan.Next.Sub(now), time.Millisecond))
 			}
