SIGHUP applies the log level, and a damaged settings file changes nothing

Change: the log level is in force at once; the log line says what waits for the next start. A file that is not valid is refused with its line.

--- a/cmd/persimmonbay/jobs_entry.go
+++ b/cmd/persimmonbay/jobs_entry.go
@@ -37,7 +37,7 @@
 }
 
 func runJobEntry(ctx context.Context, c console, file string, s settings.JobEntry) error {
-	log, err := telemetry.NewLogger(c.err, s.LogLevel)
+	log, level, err := telemetry.NewLeveledLogger(c.err, s.LogLevel)
 	if err != nil {
 		return err
 	}
@@ -47,14 +47,14 @@
 	}
 	watching, stop := context.WithCancel(ctx)
 	defer stop()
-	go watchSettings(watching, file, log)
+	go watchSettings(watching, file, level, log)
 	return e.Run(ctx)
 }
 
-// watchSettings validates the settings file on each SIGHUP and logs the result,
-// until ctx ends. The running process keeps its settings: a change takes effect at
-// the next start.
-func watchSettings(ctx context.Context, file string, log *zap.Logger) {
+// watchSettings reads the settings file on each SIGHUP, until ctx ends. It applies the
+// log level at once. All else takes effect at the next start: a process keeps its
+// addresses, connections and pools. A file that is not valid changes nothing.
+func watchSettings(ctx context.Context, file string, level zap.AtomicLevel, log *zap.Logger) {
 	changed := make(chan os.Signal, 1)
 	signal.Notify(changed, syscall.SIGHUP)
 	defer signal.Stop(changed)
@@ -63,11 +63,15 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
-			if _, err := settings.LoadJobEntry(file); err != nil {
-				log.Error("changed settings file is not valid", telemetry.ProblemFields(err)...)
+			loaded, err := settings.LoadJobEntry(file)
+			if err == nil {
+				err = level.UnmarshalText([]byte(loaded.LogLevel))
+			}
+			if err != nil {
+				log.Error("changed settings file is not valid, nothing is changed", telemetry.ProblemFields(err)...)
 				continue
 			}
-			log.Info("settings file has changed; the change takes effect at the next start")
+			log.Info("settings file read again: the log level is in force, all else takes effect at the next start", zap.String("logLevel", loaded.LogLevel))
 		}
 	}
 }
