--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -4,11 +4,15 @@
 
 // NextPoll returns the request for the worker's next poll, and whether a poll is due. It
 // is due if something may run there, if the worker has not answered this owner or did
-// not answer last, or if ends are not acknowledged yet.
+// not answer last, or if ends are not acknowledged yet. A worker is polled by one
+// goroutine, so the poll before is over, also if its outcome was never told.
 func (p *Pool) NextPoll(id string, now time.Time) (PollRequest, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w, ok := p.workers[id]
+	if ok {
+		w.pollOver()
+	}
 	if !ok || !w.needsPoll() || !w.listed && now.After(w.expiresAt) {
 		return PollRequest{}, false
 	}
--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -220,6 +220,9 @@
 			}
 			continue
 		}
+		if w.lost && len(w.runs) > 0 {
+			p.incarnationEnded(w)
+		}
 		if w.replyOutstanding() {
 			continue
 		}
