--- a/internal/scheduler/poll_outcome_test.go
+++ b/internal/scheduler/poll_outcome_test.go
@@ -82,3 +82,24 @@
 		Expect(s.save(300)["j"].Progress.State).To(Equal(scheduler.Completed))
 	})
 })
+
+var _ = Describe("a worker that is lost while a poll has no outcome", func() {
+	// A start without an answer was repeated there, and the worker's next incarnation, which
+	// runs under the same name at the same address, accepted it (simulation, seed 701783).
+	It("gets no further order", func() {
+		s := newScene(worker("a"))
+		s.add(batchJob("j", 1))
+		run := only(s.plan().Starts)
+		s.pool.PollFailed("a", scheduler.NoResponse, s.now)
+		_, due := s.pool.NextPoll("a", s.now)
+		Expect(due).To(BeTrue())
+		s.advance(700 * time.Millisecond)
+		s.pool.StartAnswered(run, scheduler.NoResponse, 0, s.now)
+		s.pool.SetMachineWorkers(map[string]string{"m-a": "c"}, s.now, s.now)
+		s.advance(700 * time.Millisecond)
+		plan := s.plan()
+		Expect(plan.Starts).To(BeEmpty())
+		s.pool.CancelJob("j", 200)
+		Expect(s.plan().Stops).To(BeEmpty())
+	})
+})
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -28,8 +28,8 @@
 // repeats the starts that got no answer.
 func (p *Pool) planStopsAndRepeats(now time.Time, plan *Plan) {
 	for _, w := range p.workers {
-		if !w.mayNeedOrders {
-			continue
+		if !w.mayNeedOrders || w.lost {
+			continue // an order to a lost worker would reach its next incarnation
 		}
 		w.mayNeedOrders = false
 		for _, r := range w.runs {
