--- a/internal/scheduler/overlap_sim_test.go
+++ b/internal/scheduler/overlap_sim_test.go
@@ -1,12 +1,9 @@
 package scheduler_test
 
 import (
-	"cmp"
 	"container/heap"
 	"fmt"
-	"maps"
 	"math/rand"
-	"slices"
 	"time"
 
 	"persimmonbay/internal/scheduler"
@@ -54,8 +51,6 @@
 	return s
 }
 
-func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
-
 // between returns a random duration between least and most milliseconds.
 func (s *overlapSim) between(least, most int) time.Duration {
 	return time.Duration(least*1000+s.random.Intn((most-least)*1000+1)) * time.Microsecond
