A pool's load keeps the pages that it has read

Cause: a new owner read the roster, wrote its own, and read all jobs and states of the pool within 3 s, and began anew after each failure. The pool's 4,600 jobs do not reach an entry with a 10 Mbit/s link in that time.

The load is now a sequence of steps that are each done once: pool, roster, offers, pages of jobs, pages of states. A page has a time bound of its own, and a failed one is read again. The bound of time for all is gone. A page whose keys can't be read no longer restarts the read at the first page.

--- a/internal/poolmanager/fake_store_test.go
+++ b/internal/poolmanager/fake_store_test.go
@@ -19,6 +19,9 @@
 	items    map[string]store.Item
 	loseNext string      // the response to the next write of a key with this prefix is lost; empty: none is
 	delayed  []store.Txn // without a response, not applied yet
+	pageSize int         // items in a page; 0: all
+	pages    int         // reads of a page
+	failPage int         // each read of a page whose number this divides fails; 0: none does
 }
 
 var _ store.Store = (*fakeStore)(nil)
@@ -109,17 +112,44 @@
 	return item, nil
 }
 
-func (s *fakeStore) Range(_ context.Context, prefix string) ([]store.Item, int64, error) {
+func (s *fakeStore) Range(ctx context.Context, prefix string) ([]store.Item, int64, error) {
+	var items []store.Item
+	var revision int64
+	for after := ""; ; {
+		page, err := s.RangePage(ctx, prefix, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		if after == "" {
+			revision = page.Revision
+		}
+		items = append(items, page.Items...)
+		if page.Next == "" {
+			return items, revision, nil
+		}
+		after = page.Next
+	}
+}
+
+func (s *fakeStore) RangePage(_ context.Context, prefix, after string) (store.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var items []store.Item
+	s.pages++
+	if s.failPage > 0 && s.pages%s.failPage == 0 {
+		return store.Page{}, problem.New(problem.Timeout, problem.StepStoreRead, "", "no response")
+	}
+	page := store.Page{Revision: s.revision}
 	for key, item := range s.items {
-		if strings.HasPrefix(key, prefix) {
-			items = append(items, item)
+		if strings.HasPrefix(key, prefix) && key > after {
+			page.Items = append(page.Items, item)
 		}
 	}
-	sort.Slice(items, func(a, b int) bool { return items[a].Key < items[b].Key })
-	return items, s.revision, nil
+	sort.Slice(page.Items, func(a, b int) bool { return page.Items[a].Key < page.Items[b].Key })
+	if s.pageSize > 0 && len(page.Items) > s.pageSize {
+		page.Items = page.Items[:s.pageSize]
+		page.Next = page.Items[s.pageSize-1].Key
+	}
+	return page, nil
 }
 
 // Watch returns no events: tests call the functions that apply events.
--- a/internal/poolmanager/ownership_load.go
+++ b/internal/poolmanager/ownership_load.go
@@ -17,65 +17,80 @@
 // ownership ends before. It returns the revision after which to watch the jobs, and
 // the machines that an earlier owner has offered.
 func (o *poolOwnership) load() (from int64, offered map[string]int64, ok bool) {
+	retry := minRetryDelay
 	for o.ctx.Err() == nil {
 		from, offered, err := o.tryLoad()
 		if err == nil {
 			return from, offered, true
 		}
-		o.log.Info("pool not loaded from the store, trying again", telemetry.ProblemFields(err)...)
-		sleep(o.ctx, o.Clock, minRetryDelay)
+		o.log.Info("pool not loaded from the store, trying again", append(telemetry.ProblemFields(err), zap.Int("read", o.loading.read()))...)
+		sleep(o.ctx, o.Clock, retry)
+		retry = min(2*retry, maxRetryDelay)
 	}
 	return 0, nil, false
 }
 
+// tryLoad goes on with the load of the pool, until a step of it fails.
 func (o *poolOwnership) tryLoad() (int64, map[string]int64, error) {
-	ctx, cancel := context.WithTimeout(o.ctx, readAllTimeout)
-	defer cancel()
-	roster, err := o.loadRoster(ctx)
-	if err != nil {
-		return 0, nil, err
-	}
-	now := o.Clock.Now()
-	// If the last owner was an earlier incarnation of this entry, which is over, and
-	// the roster is its own, the pool counts as released. A roster of another owner
-	// says nothing of that incarnation.
-	roster.Released = roster.Released || o.previousToken != 0 && roster.Token == o.previousToken
-	o.pool = scheduler.NewPool(o.service, o.token, o.timing.Scheduler, roster, now)
-	if err := o.writeRoster(ctx); err != nil {
+	p := &o.loading
+	if err := o.preparePool(); err != nil {
 		return 0, nil, err
 	}
-	offered, err := o.loadOffers(ctx)
-	if err != nil {
-		return 0, nil, err
+	if p.jobs == nil {
+		p.jobs = &rangeRead{prefix: poolstore.JobsPrefix(o.service)}
 	}
-	jobs, from, err := o.Store.Range(ctx, poolstore.JobsPrefix(o.service))
-	if err != nil {
+	if err := p.jobs.finish(o.ctx, o.Store); err != nil {
 		return 0, nil, err
 	}
-	if !o.ownsAll(jobs) {
+	if !o.ownsAll(p.jobs.items) {
 		return 0, nil, problem.New(problem.Conflict, problem.StepStoreRead, o.service, "the pool has a later owner")
 	}
-	states, _, err := o.Store.Range(ctx, poolstore.StatePrefix(o.service))
-	if err != nil {
+	if p.states == nil {
+		p.states = &rangeRead{prefix: poolstore.StatePrefix(o.service)}
+	}
+	if err := p.states.finish(o.ctx, o.Store); err != nil {
 		return 0, nil, err
 	}
-	o.addJobs(jobs, o.statesByJob(states), now)
+	o.addJobs(p.jobs.items, o.statesByJob(p.states.items), o.Clock.Now())
+	from, offered := p.jobs.revision, p.offered
+	o.loading = poolLoad{} // the items are not needed any more
 	return from, offered, nil
 }
 
-// loadRoster returns the roster of the last owner. It reads the key once, as this owner
-// writes it from then on.
-func (o *poolOwnership) loadRoster(ctx context.Context) (scheduler.WorkerRoster, error) {
-	if o.previousRoster == nil {
+// preparePool creates the pool from the roster of the last owner, writes the roster of
+// this one, and reads which machines are offered.
+func (o *poolOwnership) preparePool() error {
+	ctx, cancel := context.WithTimeout(o.ctx, readAllTimeout)
+	defer cancel()
+	if o.pool == nil {
 		roster, err := o.readRoster(ctx)
 		if err != nil {
-			return scheduler.WorkerRoster{}, err
+			return err
+		}
+		// If the last owner was an earlier incarnation of this entry, which is over, and
+		// the roster is its own, the pool counts as released. A roster of another owner
+		// says nothing of that incarnation.
+		roster.Released = roster.Released || o.previousToken != 0 && roster.Token == o.previousToken
+		o.pool = scheduler.NewPool(o.service, o.token, o.timing.Scheduler, roster, o.Clock.Now())
+	}
+	if !o.loading.rosterWritten {
+		if err := o.writeRoster(ctx); err != nil {
+			return err
 		}
-		o.previousRoster = &roster
+		o.loading.rosterWritten = true
+	}
+	if o.loading.offered != nil {
+		return nil
+	}
+	offered, err := o.loadOffers(ctx)
+	if err != nil {
+		return err
 	}
-	return *o.previousRoster, nil
+	o.loading.offered = offered
+	return nil
 }
 
+// readRoster returns the roster of the last owner.
 func (o *poolOwnership) readRoster(ctx context.Context) (scheduler.WorkerRoster, error) {
 	key := poolstore.RosterKey(o.service)
 	item, err := o.Store.Get(ctx, key)
--- a/internal/poolmanager/ownership_pool.go
+++ b/internal/poolmanager/ownership_pool.go
@@ -56,11 +56,14 @@
 		return ok && !o.pool.HasJob(id)
 	})
 	if unknown {
-		states, _, err := o.Store.Range(ctx, poolstore.StatePrefix(o.service))
-		if err != nil {
+		if o.stateReread == nil {
+			o.stateReread = &rangeRead{prefix: poolstore.StatePrefix(o.service)}
+		}
+		if err := o.stateReread.finish(ctx, o.Store); err != nil {
 			return err
 		}
-		o.addJobs(items, o.statesByJob(states), o.Clock.Now())
+		o.addJobs(items, o.statesByJob(o.stateReread.items), o.Clock.Now())
+		o.stateReread = nil
 	}
 	for _, item := range items {
 		if id, ok := poolstore.ParseCancel(o.service, item.Key); ok {
--- a/internal/poolmanager/ownership_sweep.go
+++ b/internal/poolmanager/ownership_sweep.go
@@ -32,13 +32,13 @@
 }
 
 func (o *poolOwnership) sweep(ctx context.Context) error {
-	limited, cancel := context.WithTimeout(ctx, readAllTimeout)
-	defer cancel()
-	items, _, err := o.Store.Range(limited, poolstore.StatePrefix(o.service))
-	if err != nil {
+	states := rangeRead{prefix: poolstore.StatePrefix(o.service)}
+	if err := states.finish(ctx, o.Store); err != nil {
 		return err
 	}
-	old := o.expired(items)
+	limited, cancel := context.WithTimeout(ctx, readAllTimeout)
+	defer cancel()
+	old := o.expired(states.items)
 	for len(old) > 0 {
 		txn := o.guardedTxn()
 		n := min(len(old), sweepBatch)
--- a/internal/poolmanager/pool_ownership.go
+++ b/internal/poolmanager/pool_ownership.go
@@ -38,11 +38,12 @@
 	rosterChanged  signal // the roster may have changed
 	confirm        signal // machines may have been emptied
 	goroutines     sync.WaitGroup
-	ordersInFlight inFlight                // starts and stops without a result yet
-	own            ownKeys                 // revisions of the keys that only the pool's owner writes
-	roster         []byte                  // as stored, encoded; nil: unknown; only one goroutine at a time uses it
-	previousRoster *scheduler.WorkerRoster // as stored by the last owner; nil: not read yet
-	rosterLoopDone sync.WaitGroup          // done when rosterLoop has returned
+	ordersInFlight inFlight       // starts and stops without a result yet
+	own            ownKeys        // revisions of the keys that only the pool's owner writes
+	roster         []byte         // as stored, encoded; nil: unknown; only one goroutine at a time uses it
+	loading        poolLoad       // only the goroutine that loads the pool uses it
+	stateReread    *rangeRead     // for resetWork, which one goroutine runs; nil: none in progress
+	rosterLoopDone sync.WaitGroup // done when rosterLoop has returned
 
 	mu      sync.Mutex
 	pollers map[string]*poller // by worker
--- a/internal/poolmanager/watcher.go
+++ b/internal/poolmanager/watcher.go
@@ -23,9 +23,10 @@
 	wait       time.Duration                                       // how long the store holds one watch request open
 	pause      time.Duration                                       // after changes, so that the next watch returns several at once
 	timeout    time.Duration                                       // bounds a watch, in addition to wait
-	reset      func(ctx context.Context, items []store.Item) error // replaces all that was read before
+	reset      func(ctx context.Context, items []store.Item) error // replaces all that was read before; called again after an error
 	apply      func(events []store.Event)                          // the changes of one watch, in order
 	onResponse func(now time.Time)                                 // called after each response of the store; may be nil
+	read       *rangeRead                                          // of all keys; nil: none in progress
 }
 
 // Bounds of the delay before a read or a watch that failed is tried again. The lower
@@ -81,19 +82,22 @@
 	return max(from, revision), nil
 }
 
+// readAll reads all keys. After an error, the next call goes on where this one ended.
 func (w *watcher) readAll(ctx context.Context) (int64, error) {
-	limited, cancel := context.WithTimeout(ctx, readAllTimeout)
-	defer cancel()
-	items, revision, err := w.store.Range(limited, w.prefix)
-	if err != nil {
+	if w.read == nil {
+		w.read = &rangeRead{prefix: w.prefix}
+	}
+	if err := w.read.finish(ctx, w.store); err != nil {
 		return 0, err
 	}
-	for i := range items {
-		w.logUnreadable(&items[i])
+	for i := range w.read.items {
+		w.logUnreadable(&w.read.items[i])
 	}
-	if err := w.reset(limited, items); err != nil {
+	if err := w.reset(ctx, w.read.items); err != nil {
 		return 0, err
 	}
+	revision := w.read.revision
+	w.read = nil
 	w.responded()
 	return revision, nil
 }
@@ -106,8 +110,7 @@
 	}
 }
 
-// readAllTimeout bounds one read of all keys of a prefix, which may take several
-// pages.
+// readAllTimeout bounds a step of several reads and writes that are small.
 const readAllTimeout = 3 * time.Second
 
 func (w *watcher) responded() {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -16,6 +16,9 @@
 	// snapshot. The revision was current before they were read, so that a watch
 	// from it misses no change.
 	Range(ctx context.Context, prefix string) (items []Item, revision int64, err error)
+	// RangePage returns the page of items under prefix that begins after a key; with
+	// an empty key, the first one.
+	RangePage(ctx context.Context, prefix, after string) (Page, error)
 	// Watch returns the changes under prefix after a revision and the revision for
 	// the next watch. It waits for changes for at most wait.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (events []Event, revision int64, err error)
