Callers' calls to the store have connections of their own

Cause: an entry has 16 connections to the store for all its calls. An acceptance without a response holds one for the caller's whole deadline; 16 of them leave none for renewals, saves and registrations, which time out while they wait.

The callers' side has a client of its own now, with as many connections. Whatever callers wait for, the entry's own calls, which are few and bounded, find a connection.

Evidence: platform/stalled_writes_test.go, 60 callers whose writes get no response; before, the entry's pool had no owner after 1.4 s, now it keeps it for the 6 s of the test.

--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -56,7 +56,9 @@
 	}
 	e.manager = poolmanager.New(s.ID, s.Listen.Peers, s.Machine.Cores, dependencies, timingOf(&s.Timing), e.config)
 	dependencies.Metrics.Publish("pools", func() any { return e.manager.Counts() })
-	in := intake.New(store, e.config, ownerNotifier{e.manager}, clock, log)
+	// Callers' calls have connections of their own: the entry's lease and its pools must
+	// not wait for them.
+	in := intake.New(platform.NewStore(s.Platform.Store, codec), e.config, ownerNotifier{e.manager}, clock, log)
 	e.callers = &http.Server{Handler: platform.NewIngress(in, e.config, codec, clock, log).Handler(), ReadHeaderTimeout: headerTimeout}
 	e.probes = &http.Server{Handler: platform.ReadinessHandler(e.Ready, dependencies.Metrics), ReadHeaderTimeout: headerTimeout}
 	return e, nil
