A caller's write without a response is repeated within the caller's deadline

Cause: a try of an acceptance, a read or a cancellation was bounded by the caller's whole deadline, so a lost response left no time for a second try.

A repeat finds what the lost write stored; the outcome stays unknown only where no try got a response.

--- a/internal/intake/cancel.go
+++ b/internal/intake/cancel.go
@@ -13,12 +13,15 @@
 // notified, and also reads the cancellation from the store. A job in a final
 // state is left unchanged, without an error.
 func (in *Intake) Cancel(ctx context.Context, service, id string) error {
+	var t tries
 	for {
 		found, err := in.find(ctx, service, id)
 		if err != nil || found.state.Progress.State.Final() {
 			return err
 		}
-		err = in.cancel(ctx, id, found)
+		limited, stop := t.next(ctx)
+		err = in.cancel(limited, id, found)
+		stop()
 		if err == nil || !in.waitForRetry(ctx) {
 			return err
 		}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -51,8 +51,11 @@
 		return err
 	}
 	outcomeUnknown := false
+	var t tries
 	for {
-		revision, err := in.store.Commit(ctx, txn)
+		limited, cancel := t.next(ctx)
+		revision, err := in.store.Commit(limited, txn)
+		cancel()
 		if err == nil {
 			in.owners.Accepted(owner, sub.Service, sub.ID, txn.Writes[0].Value, revision)
 			return nil
--- a/internal/intake/state.go
+++ b/internal/intake/state.go
@@ -39,8 +39,11 @@
 // get reads a key and retries until the store responds or the caller's time is
 // over.
 func (in *Intake) get(ctx context.Context, key string) (store.Item, error) {
+	var t tries
 	for {
-		item, err := in.store.Get(ctx, key)
+		limited, cancel := t.next(ctx)
+		item, err := in.store.Get(limited, key)
+		cancel()
 		if err == nil || problem.Is(err, problem.NotFound) || !in.waitForRetry(ctx) {
 			return item, err
 		}
