A pool that its assigned owner can't take goes to a strong entry first

Cause: once the assigned owner has been late for TakeOverAfter, all entries try at the same time, and 29 of 37 are small.

An entry now waits in proportion to how much weaker it is than the strongest one, twice as long at most, so that strong entries come first and fewer calls of the store conflict.

--- a/internal/poolmanager/manager_manage.go
+++ b/internal/poolmanager/manager_manage.go
@@ -94,7 +94,8 @@
 const machineControllerRole = "machine duty"
 
 // takeOver acquires the pools that an earlier incarnation of this entry owned, and those
-// without an owner: the ones assigned to this entry at once, others after TakeOverAfter.
+// without an owner: the ones assigned to this entry at once, others after TakeOverAfter,
+// or longer if this entry is weaker than others.
 // It acquires none of the latter before settled, as entries that started together with
 // this one may not be registered yet.
 func (m *Manager) takeOver(ctx context.Context, lease int64, settled time.Time) {
@@ -103,14 +104,16 @@
 		return
 	}
 	services := m.services()
-	assigned := ownership.Assign(services, view.assignable())
+	members := view.assignable()
+	assigned := ownership.Assign(services, members)
+	unassignedAfter := time.Duration(ownership.Patience(m.entryID, members) * float64(m.timing.TakeOverAfter))
 	for _, service := range services {
 		if m.owns(service) {
 			continue
 		}
 		owner := view.owners[service]
 		stale := owner.entry == m.entryID // owned by an earlier incarnation of this entry
-		free := owner.entry == "" && m.Clock.Now().After(settled) && (assigned[service] == m.entryID || m.Clock.Now().Sub(scheduler.Later(owner.since, settled)) > m.timing.TakeOverAfter)
+		free := owner.entry == "" && m.Clock.Now().After(settled) && (assigned[service] == m.entryID || m.Clock.Now().Sub(scheduler.Later(owner.since, settled)) > unassignedAfter)
 		if stale || free {
 			m.acquire(ctx, service, owner, lease)
 		}
--- a/internal/poolmanager/timing.go
+++ b/internal/poolmanager/timing.go
@@ -11,7 +11,7 @@
 	LeaseTTL            time.Duration // of this entry's lease; set in the settings
 	LeaseMargin         time.Duration // the lease counts as ended this long before its end
 	StartupDelay        time.Duration // between the start and the first acquisition of a pool without owner
-	TakeOverAfter       time.Duration // how long a pool has no owner before any entry, not only the assigned one, acquires it
+	TakeOverAfter       time.Duration // how long a pool has no owner before the strongest entries, not only the assigned one, acquire it
 	WatchWait           time.Duration // how long the store holds one watch request open
 	StoreTimeout        time.Duration // bounds one call to the store
 	OrderTimeout        time.Duration // bounds one order to a worker or a machine
