An owner saves several batches at the same time

Cause: one batch of 7 jobs was saved after the other; a write without a response stops that for 0.9 s. With a third of them that is some 20 jobs a second, and ends are acknowledged only after the save.

Up to 8 batches are saved at the same time; jobs that are in one are in no other, and a batch's conflicts touch its own jobs. Pauses after failures double, so that a store that refuses is called no oftener than before.

--- a/internal/poolmanager/fake_store_test.go
+++ b/internal/poolmanager/fake_store_test.go
@@ -19,6 +19,7 @@
 	items    map[string]store.Item
 	loseNext string      // the response to the next write of a key with this prefix is lost; empty: none is
 	delayed  []store.Txn // without a response, not applied yet
+	muteNext string      // the next write of a key with this prefix gets no response until its caller gives up; empty: none does
 	pageSize int         // items in a page; 0: all
 	pages    int         // reads of a page
 	failPage int         // each read of a page whose number this divides fails; 0: none does
@@ -81,7 +82,22 @@
 	return false
 }
 
-func (s *fakeStore) Commit(_ context.Context, txn store.Txn) (int64, error) {
+// mute reports whether the transaction is to get no response.
+func (s *fakeStore) mute(txn *store.Txn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.muteNext == "" || !s.writesPrefix(txn, s.muteNext) {
+		return false
+	}
+	s.muteNext = ""
+	return true
+}
+
+func (s *fakeStore) Commit(ctx context.Context, txn store.Txn) (int64, error) {
+	if s.mute(&txn) {
+		<-ctx.Done()
+		return 0, problem.Wrap(problem.Timeout, problem.StepStoreWrite, "", ctx.Err())
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.loseNext != "" && s.writesPrefix(&txn, s.loseNext) {
--- a/internal/poolmanager/ownership_removal_test.go
+++ b/internal/poolmanager/ownership_removal_test.go
@@ -39,7 +39,7 @@
 		o.pool.Plan(s.clock.Now(), s.clock.Now())
 		o.pool.CancelJob("j", end())
 		s.store.loseNextResponse(state)
-		saved, _ := o.saveOnce(ctx)
+		saved := o.saveOnce(ctx)
 		Expect(saved).To(BeFalse())
 		s.poll(o, "a")
 		o.pool.ApplyPoll(scheduler.PollReply{Worker: "a", SentAt: s.clock.Now(), ReceivedAt: s.clock.Now(), Incarnation: 1, Clock: s.millis, Ends: []scheduler.EndReport{{Number: 1, Task: run.Task, Attempt: 1, Kind: scheduler.EndStopped}}})
--- a/internal/poolmanager/ownership_save.go
+++ b/internal/poolmanager/ownership_save.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,8 +21,18 @@
 // and up to two deletes.
 const saveBatch = (store.MaxTxnEntries - 1) / 4
 
-// saveLoop saves the progress of jobs until the ownership ends.
+// maxConcurrentSaves bounds the batches that are being saved at the same time. A write
+// without a response occupies one of them for StoreTimeout; the others go on meanwhile.
+const maxConcurrentSaves = 8
+
+// maxSaveDoublings bounds how often the pause after a failed save doubles.
+const maxSaveDoublings = 3
+
+// saveLoop saves the progress of jobs until the ownership ends. A backlog is worked off
+// without pauses, as polls wait for the save of earlier ends.
 func (o *poolOwnership) saveLoop() {
+	slots := make(chan struct{}, maxConcurrentSaves)
+	var failures atomic.Int32 // since the last batch that was saved
 	for o.ctx.Err() == nil {
 		pending, urgent := o.pool.SavePending()
 		if !pending {
@@ -35,11 +46,23 @@
 		if !urgent && !o.gather() {
 			return
 		}
-		saved, more := o.saveOnce(o.ctx)
-		switch {
-		case !saved:
-			sleep(o.ctx, o.Clock, minRetryDelay)
-		case !more:
+		select {
+		case <-o.ctx.Done():
+			return
+		case slots <- struct{}{}:
+		}
+		items, _ := o.pool.ClaimUnsaved(saveBatch)
+		o.goroutines.Go(func() {
+			defer func() { <-slots }()
+			if o.saveItems(o.ctx, items) {
+				failures.Store(0)
+				return
+			}
+			n := min(failures.Add(1), maxSaveDoublings)
+			sleep(o.ctx, o.Clock, min(minRetryDelay<<n, maxRetryDelay))
+			o.save.send()
+		})
+		if len(items) < saveBatch {
 			sleep(o.ctx, o.Clock, o.timing.SaveInterval)
 		}
 	}
@@ -64,19 +87,22 @@
 	}
 }
 
-// saveOnce saves one batch, and reports whether it is known to be saved and whether more
-// is left than one batch holds. Polls wait for the save of earlier ends, so a backlog of
-// saves is worked off without pauses.
-func (o *poolOwnership) saveOnce(ctx context.Context) (saved, more bool) {
+// saveOnce saves one batch, and reports whether it is known to be saved.
+func (o *poolOwnership) saveOnce(ctx context.Context) bool {
 	items, _ := o.pool.ClaimUnsaved(saveBatch)
+	return o.saveItems(ctx, items)
+}
+
+// saveItems saves a batch of claimed jobs, and reports whether it is known to be saved.
+func (o *poolOwnership) saveItems(ctx context.Context, items []scheduler.SaveItem) bool {
 	if len(items) == 0 {
-		return true, false
+		return true
 	}
 	txn, err := o.saveTxn(items)
 	if err != nil {
 		o.log.Error("progress of jobs not encoded, trying again", telemetry.ProblemFields(err)...)
 		o.pool.SaveFailed(items)
-		return false, false
+		return false
 	}
 	limited, cancel := context.WithTimeout(ctx, o.timing.StoreTimeout)
 	defer cancel()
@@ -85,14 +111,14 @@
 	switch {
 	case err == nil:
 		o.saved(items, revision)
-		return true, len(items) == saveBatch
+		return true
 	case errors.As(err, &conflict):
 		o.resolveConflict(items, txn, conflict)
-		return false, false
+		return false
 	}
 	o.log.Info("progress of jobs not saved, trying again", telemetry.ProblemFields(err)...)
 	o.pool.SaveFailed(items)
-	return false, false
+	return false
 }
 
 // saved passes the pool a saved batch, wakes the pollers that wait for that, and logs the
@@ -188,7 +214,7 @@
 	defer cancel()
 	o.ordersInFlight.wait(ctx)
 	for pending, _ := o.pool.SavePending(); pending && ctx.Err() == nil; pending, _ = o.pool.SavePending() {
-		if saved, _ := o.saveOnce(ctx); !saved {
+		if !o.saveOnce(ctx) {
 			sleep(ctx, o.Clock, minRetryDelay)
 		}
 	}
--- a/internal/poolmanager/ownership_scene_test.go
+++ b/internal/poolmanager/ownership_scene_test.go
@@ -11,6 +11,7 @@
 	"persimmonbay/internal/poolstore"
 	"persimmonbay/internal/scheduler"
 	"persimmonbay/internal/store"
+	"persimmonbay/internal/telemetry"
 )
 
 // sceneTiming has the values of the users' sites.
@@ -37,7 +38,7 @@
 
 func newOwnershipScene() *ownershipScene {
 	s := &ownershipScene{store: newFakeStore(), clock: clockwork.NewFakeClock(), millis: 1000}
-	d := Dependencies{Store: s.store, Clock: s.clock, SinceBoot: func() time.Duration { return time.Minute }, Log: zap.NewNop()}
+	d := Dependencies{Store: s.store, Clock: s.clock, SinceBoot: func() time.Duration { return time.Minute }, Log: zap.NewNop(), Metrics: telemetry.NewMetrics()}
 	timing := Timing{StoreTimeout: time.Second, OrderTimeout: time.Second, SaveInterval: time.Millisecond, LazySaveDelay: time.Millisecond, Retention: time.Minute, Scheduler: sceneTiming}
 	s.manager = New(sceneEntry, "127.0.0.1:1", 1, d, timing, nil)
 	s.manager.session.id, s.manager.session.endsAt = sceneLease, time.Hour
@@ -92,6 +93,15 @@
 	return roster
 }
 
+// completed reports whether the store shows a job as completed.
+func (s *ownershipScene) completed(id string) bool {
+	item, err := s.store.Get(context.Background(), poolstore.StateKey(sceneService, id))
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	state, err := poolstore.DecodeState(item.Key, item.Value)
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	return state.Progress.State == scheduler.Completed
+}
+
 // accept stores a job of one task, as an entry that accepts it does.
 func (s *ownershipScene) accept(id string) store.Item {
 	job, err := poolstore.EncodeJob(&scheduler.Submission{
