A renewal without a response is followed by others at once

Cause: a renewal waits 0.9 s for its response before the next one is sent. From the first renewal on, at a third of the lease, two or three tries fit into the rest.

While a renewal has no response, another one is sent each 0.2 s beside it, four at most. The lease counts from the sending of the one that was answered. A store that refuses at once is called as often as before.

--- a/internal/poolmanager/fake_store_test.go
+++ b/internal/poolmanager/fake_store_test.go
@@ -20,6 +20,8 @@
 	loseNext string      // the response to the next write of a key with this prefix is lost; empty: none is
 	delayed  []store.Txn // without a response, not applied yet
 	muteNext string      // the next write of a key with this prefix gets no response until its caller gives up; empty: none does
+	renewals int         // received
+	muteKeep int         // so many renewals get no response from now on
 	pageSize int         // items in a page; 0: all
 	pages    int         // reads of a page
 	failPage int         // each read of a page whose number this divides fails; 0: none does
@@ -181,7 +183,20 @@
 	return store.Lease{ID: s.revision, TTL: time.Minute}, nil
 }
 
-func (s *fakeStore) Renew(context.Context, int64) error { return nil }
+func (s *fakeStore) Renew(ctx context.Context, _ int64) error {
+	s.mu.Lock()
+	s.renewals++
+	mute := s.muteKeep > 0
+	if mute {
+		s.muteKeep--
+	}
+	s.mu.Unlock()
+	if mute {
+		<-ctx.Done()
+		return problem.Wrap(problem.Timeout, problem.StepLease, "", ctx.Err())
+	}
+	return nil
+}
 
 func (s *fakeStore) Revoke(context.Context, int64) error { return nil }
 
--- a/internal/poolmanager/session.go
+++ b/internal/poolmanager/session.go
@@ -105,23 +105,54 @@
 	s.ended = make(chan struct{})
 }
 
+// renew renews the lease. While there is no response, it sends further renewals beside
+// the first one, as a lost response must not cost a large part of the lease.
 func (s *session) renew(ctx context.Context, id int64) {
-	sent := s.sinceBoot()
-	err := s.store.Renew(ctx, id)
-	if problem.Is(err, problem.NotFound) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends the renewals that are left
+	results := make(chan renewal, maxParallelRenewals)
+	outstanding := 0
+	for tries := 0; ; {
+		if tries < maxParallelRenewals {
+			tries++
+			outstanding++
+			go func(sent time.Duration) { results <- renewal{sent: sent, err: s.store.Renew(ctx, id)} }(s.sinceBoot())
+		}
+		select {
+		case <-ctx.Done():
+			s.log.Debug("lease of this entry not renewed in time, trying again")
+			return
+		case <-s.clock.After(renewRetryDelay):
+		case r := <-results:
+			outstanding--
+			if s.renewed(id, r) || outstanding == 0 {
+				return
+			}
+		}
+	}
+}
+
+// maxParallelRenewals bounds the renewals without a response at the same time.
+const maxParallelRenewals = 4
+
+// renewed applies the result of a renewal, and reports whether it settles what became
+// of the lease.
+func (s *session) renewed(id int64, r renewal) bool {
+	if problem.Is(r.err, problem.NotFound) {
 		s.log.Warn("lease has ended, a new one is requested", zap.Int64("lease", id), zap.Duration("since_renewal", s.sinceRenewal()))
 		s.drop(id)
-		return
+		return true
 	}
-	if err != nil {
-		s.log.Debug("lease of this entry not renewed, trying again", telemetry.ProblemFields(err)...)
-		return
+	if r.err != nil {
+		s.log.Debug("lease of this entry not renewed, trying again", telemetry.ProblemFields(r.err)...)
+		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.id == id {
-		s.sentAt, s.endsAt = sent, sent+s.timing.LeaseTTL-s.timing.LeaseMargin
+		s.sentAt, s.endsAt = r.sent, r.sent+s.timing.LeaseTTL-s.timing.LeaseMargin
 	}
+	return true
 }
 
 // drop gives up a lease: the keys attached to it count as gone.
