The guard of an ownership sees a lease that was uncertain or replaced when it started

Seen by callers: an entry kept a pool, and answered for its jobs, after its lease had ended, until it read from the store that another entry owned it. Its orders were refused by the check before each order, so the pool stood still.

Cause: guard read the session once. It watched no end of a lease that may have ended by then, and the end of a later lease instead of one that was replaced.

Why it works: the session returns the end of one named lease, which is closed at once if the lease is not the session's any more, and an uncertain lease has the same end as a certain one.

--- a/internal/poolmanager/pool_ownership.go
+++ b/internal/poolmanager/pool_ownership.go
@@ -78,10 +78,7 @@
 // guard ends the ownership when the lease is dropped or the store names a later
 // owner.
 func (o *poolOwnership) guard() {
-	_, ended, ok := o.session.current()
-	if !ok && !o.session.isValid(o.lease) {
-		ended = nil
-	}
+	ended := o.session.dropped(o.lease)
 	for {
 		view, changed := o.fleet.Watch()
 		owner, known := view.owners[o.service]
--- a/internal/poolmanager/session.go
+++ b/internal/poolmanager/session.go
@@ -48,6 +48,20 @@
 	return ok && current == id
 }
 
+// dropped returns a channel that is closed once the lease id is dropped: at once if it
+// is not this entry's lease any more, and not before if it only may have ended, since
+// the store may still have it.
+func (s *session) dropped(id int64) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.id == id {
+		return s.ended
+	}
+	closed := make(chan struct{})
+	close(closed)
+	return closed
+}
+
 // sinceRenewal returns the time since the last successful grant or renewal was sent.
 func (s *session) sinceRenewal() time.Duration {
 	s.mu.Lock()
