--- a/internal/poolmanager/machine_controller_lend.go
+++ b/internal/poolmanager/machine_controller_lend.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
-	"strconv"
 	"time"
 
 	"persimmonbay/internal/lending"
@@ -84,33 +82,6 @@
 // and a write, beside the condition on the ownership.
 const maxClaimsPerTxn = (store.MaxTxnEntries - 1) / 2
 
-// writeRecalls writes how many machines each pool has to give up, where that has
-// changed.
-func (c *machineController) writeRecalls(ctx context.Context, recalls map[string]int) error {
-	var txn store.Txn
-	var keys []string
-	written := make(map[string]int)
-	for pool := range c.fleet.Get().ownMachines {
-		// What an earlier machine controller wrote is not known: it is
-		// overwritten.
-		if last, known := c.recalls[pool]; known && last == recalls[pool] || len(keys) == maxClaimsPerTxn {
-			continue
-		}
-		delete(c.recalls, pool) // unknown until the store has responded
-		written[pool] = recalls[pool]
-		keys = append(keys, poolstore.RecallKey(pool))
-		txn.Writes = append(txn.Writes, store.Write{Key: poolstore.RecallKey(pool), Value: []byte(strconv.Itoa(recalls[pool]))})
-	}
-	if len(txn.Writes) == 0 {
-		return nil
-	}
-	if _, err := c.commitAsOwner(ctx, txn, keys...); err != nil {
-		return err
-	}
-	maps.Copy(c.recalls, written)
-	return nil
-}
-
 // updateInTransit records which machines have arrived in their new pool. It deletes a
 // machine's offer once ControllerPause has passed since the order, as a next machine
 // controller need not know of the order then.
