A pool in which a change panicked can't be used any more

Cause: the lock was released by the deferred Unlock as after a complete change.

Evidence: "makes no plan and applies nothing any more" failed: Plan on the pool after a panic in CancelJob returned as usual.

Why it works: Unlock, which every method defers, notices the panic and marks the pool before it releases the lock; each later Lock panics with a fixed error. Counts alone still works, as the metrics read it from outside the ownership.

--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -1,9 +1,6 @@
 package scheduler
 
-import (
-	"sync"
-	"time"
-)
+import "time"
 
 // Pool holds the workers of one service and the jobs that run on them, as one owner
 // sees them. Its methods may be called concurrently. service, token, timing and epoch
@@ -14,7 +11,7 @@
 	timing  Timing
 	epoch   int // number of this ownership of the pool: rises by one with each owner
 
-	mu                    sync.Mutex
+	mu                    poolLock
 	takenAt               time.Time
 	formerOrdersEndAt     time.Time                 // from then on, no former owner sends orders
 	formerRunsEndAt       time.Time                 // by then, the leases of all runs that a former owner started have expired, unless this owner extended them
@@ -78,9 +75,10 @@
 // Service returns the service whose workers belong to the pool.
 func (p *Pool) Service() string { return p.service }
 
-// Counts returns the pool's totals so far.
+// Counts returns the pool's totals so far. It is the one method that can be called on an
+// unusable pool, as totals decide nothing.
 func (p *Pool) Counts() Counts {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	p.mu.mu.Lock()
+	defer p.mu.mu.Unlock()
 	return p.counts
 }
