An unexpected error in one ownership ends that ownership, not the process

Seen by callers: "One malformed message or unexpected error took a whole process down". A panic while a list of workers, a worker's answer, a watch, a plan, a save or an order of one pool was handled ended the entry, with all its pools and its callers' requests; so did one in a watch of the fleet or the operators.

Cause: every goroutine of poolmanager ran without recover.

Evidence: the tests of "an unexpected error in one ownership" with an entry of the list of workers, a move of a machine and a notice of another entry that panic: the first, second and fourth ended the test process ("panic: a worker that nobody expects", "a machine that nobody expects"), the third panicked through its caller. keepRunning is new.

Why it works: each goroutine of an ownership ends it after an unexpected error, with one line in the log. The entry's own loops start again and read all anew. A move that panics counts as failed, not as accepted.

--- a/internal/poolmanager/machine_controller.go
+++ b/internal/poolmanager/machine_controller.go
@@ -43,10 +43,10 @@
 // handed over.
 func (o *poolOwnership) runMachineController() {
 	defer o.cancel()
-	go o.guard()
+	o.spawn(o.guard)
 	c := newMachineController(o)
-	o.goroutines.Go(c.watchReports)
-	o.goroutines.Go(o.watchRequests)
+	o.spawn(c.watchReports)
+	o.spawn(o.watchRequests)
 	for o.ctx.Err() == nil && !o.isLeaving() {
 		waves, wavesChanged := o.waves.Watch()
 		reports, reportsChanged := c.reports.Watch()
--- a/internal/poolmanager/machine_controller_move.go
+++ b/internal/poolmanager/machine_controller_move.go
@@ -21,7 +21,9 @@
 	var group errgroup.Group
 	group.SetLimit(maxConcurrentMoves)
 	for i, m := range moves {
+		errs[i] = problem.New(problem.Internal, problem.StepReboot, m.Machine, "the order ended with an unexpected error")
 		group.Go(func() error {
+			defer c.contain()
 			errs[i] = c.move(ctx, m)
 			return nil
 		})
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -55,9 +55,9 @@
 	defer stop()
 	var wg sync.WaitGroup
 	for _, loop := range []func(context.Context){m.session.run, m.watchFleet, m.watchOperators} {
-		wg.Go(func() { loop(background) })
+		wg.Go(func() { m.keepRunning(background, loop) })
 	}
-	m.manage(ctx)
+	m.keepRunning(ctx, m.manage)
 	m.handOverAll()
 	stop()
 	wg.Wait()
--- a/internal/poolmanager/manager_manage.go
+++ b/internal/poolmanager/manager_manage.go
@@ -179,11 +179,8 @@
 	m.mu.Unlock()
 	go func() {
 		defer close(o.done)
-		if service == machineControllerRole {
-			o.runMachineController()
-		} else {
-			o.runPool()
-		}
+		o.run()
+		o.pauseIfFailed()
 		m.mu.Lock()
 		delete(m.ownerships, service)
 		m.mu.Unlock()
--- a/internal/poolmanager/manager_notices.go
+++ b/internal/poolmanager/manager_notices.go
@@ -35,13 +35,13 @@
 	if peers == nil || address == "" {
 		return
 	}
-	go func() {
+	go m.runContained(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
 		defer cancel()
 		if err := peers.Notify(ctx, address, n); err != nil {
 			m.Log.Debug("notice of a job not delivered to the pool's owner", append(telemetry.ProblemFields(err), zap.String("job", n.Job))...)
 		}
-	}()
+	})
 }
 
 // ReceiveNotice applies a notice if this entry owns its pool and has loaded it; else
@@ -61,6 +61,7 @@
 // loaded. A job that was accepted under another owner is dropped, as this owner must
 // not start it.
 func (o *poolOwnership) receiveNotice(n Notice) {
+	defer o.contain() // the store has the change: the next owner reads it there
 	if n.Revision <= o.token || !n.Cancelled && n.OwnerToken != o.token {
 		return
 	}
--- a/internal/poolmanager/ownership_plan.go
+++ b/internal/poolmanager/ownership_plan.go
@@ -76,17 +76,17 @@
 		o.sendTracked(func() { o.startTask(order) })
 	}
 	for _, order := range plan.Throttles {
-		o.goroutines.Go(func() { o.throttleTask(order) })
+		o.spawn(func() { o.throttleTask(order) })
 	}
 	for _, r := range plan.Advice {
-		o.goroutines.Go(func() { o.requestAdvice(r) })
+		o.spawn(func() { o.requestAdvice(r) })
 	}
 }
 
 // sendTracked sends an order whose result a hand-over waits for.
 func (o *poolOwnership) sendTracked(order func()) {
 	o.ordersInFlight.add()
-	o.goroutines.Go(func() {
+	o.spawn(func() {
 		defer o.ordersInFlight.remove()
 		order()
 	})
--- a/internal/poolmanager/ownership_pool.go
+++ b/internal/poolmanager/ownership_pool.go
@@ -12,24 +12,24 @@
 // runPool loads the pool and runs it until it is lost or handed over.
 func (o *poolOwnership) runPool() {
 	defer o.cancel()
-	go o.guard()
+	o.spawn(o.guard)
 	from, offered, ok := o.load()
 	if !ok {
 		return
 	}
 	o.loaded.Store(true)
-	o.goroutines.Go(o.watchRequests)
-	o.goroutines.Go(o.watchWorkers)
-	o.goroutines.Go(o.watchWorkersOfPool)
-	o.goroutines.Go(func() { o.watchWork(from) })
-	o.goroutines.Go(o.saveLoop)
-	o.goroutines.Go(o.planLoop)
-	o.goroutines.Go(o.confirmLoop)
-	o.goroutines.Go(func() { o.capacityLoop(offered) })
+	o.spawn(o.watchRequests)
+	o.spawn(o.watchWorkers)
+	o.spawn(o.watchWorkersOfPool)
+	o.spawn(func() { o.watchWork(from) })
+	o.spawn(o.saveLoop)
+	o.spawn(o.planLoop)
+	o.spawn(o.confirmLoop)
+	o.spawn(func() { o.capacityLoop(offered) })
 	o.rosterLoopDone.Add(1)
-	o.goroutines.Go(o.rosterLoop)
-	o.goroutines.Go(o.machineWorkersLoop)
-	o.goroutines.Go(o.sweepLoop)
+	o.spawn(o.rosterLoop)
+	o.spawn(o.machineWorkersLoop)
+	o.spawn(o.sweepLoop)
 	select {
 	case <-o.ctx.Done():
 	case <-o.leaving:
@@ -157,7 +157,7 @@
 		if o.pollers[id] == nil {
 			p := &poller{poolOwnership: o, worker: id, kick: newSignal()}
 			o.pollers[id] = p
-			o.goroutines.Go(p.run)
+			o.spawn(p.run)
 		}
 	}
 }
--- a/internal/poolmanager/ownership_save.go
+++ b/internal/poolmanager/ownership_save.go
@@ -52,7 +52,7 @@
 		case slots <- struct{}{}:
 		}
 		items, _ := o.pool.ClaimUnsaved(saveBatch)
-		o.goroutines.Go(func() {
+		o.spawn(func() {
 			defer func() { <-slots }()
 			if o.saveItems(o.ctx, items) {
 				failures.Store(0)
--- a/internal/poolmanager/pool_ownership.go
+++ b/internal/poolmanager/pool_ownership.go
@@ -33,10 +33,11 @@
 	workers        *shard.Cell[map[string]scheduler.WorkerInfo] // of all pools, by key; maps are immutable once shared; nil: not read yet
 	pool           *scheduler.Pool                              // set before loaded is true
 	loaded         atomic.Bool
-	plan           signal // a new plan is needed
-	save           signal // there is progress to save
-	rosterChanged  signal // the roster may have changed
-	confirm        signal // machines may have been emptied
+	failed         atomic.Bool // an unexpected error has ended the ownership
+	plan           signal      // a new plan is needed
+	save           signal      // there is progress to save
+	rosterChanged  signal      // the roster may have changed
+	confirm        signal      // machines may have been emptied
 	goroutines     sync.WaitGroup
 	ordersInFlight inFlight       // starts and stops without a result yet
 	own            ownKeys        // revisions of the keys that only the pool's owner writes
