--- a/internal/poolmanager/machine_controller.go
+++ b/internal/poolmanager/machine_controller.go
@@ -43,15 +43,15 @@
 // handed over.
 func (o *poolOwnership) runMachineController() {
 	defer o.cancel()
-	go o.guard()
+	o.spawn(o.guard)
 	c := newMachineController(o)
-	o.goroutines.Go(c.watchReports)
-	o.goroutines.Go(o.watchRequests)
+	o.spawn(c.watchReports)
+	o.spawn(o.watchRequests)
 	for o.ctx.Err() == nil && !o.isLeaving() {
 		waves, wavesChanged := o.waves.Watch()
 		reports, reportsChanged := c.reports.Watch()
 		open := c.openWaves(waves)
-		busy := len(open) > 0 || o.fleet.Get().ownMachines == nil || len(c.inTransit) > 0 || len(reports.needs) > 0 || len(reports.offers) > 0
+		busy := len(open) > 0 || o.fleet.Get().ownMachines == nil || len(c.inTransit) > 0 || len(reports.needs) > 0 || len(reports.offers) > 0 || c.mayHaveRecalls()
 		if busy {
 			c.step(open)
 		}
