A new owner extends the leases of its workers while it reads the jobs

A pool that is loaded for longer than a lease comes without any run: the leases of all that the former owner started end 5.86 s after the take-over at the latest, and each such task starts anew, a long-running one too late.

Cause: an owner watched the list of workers and polled only once all jobs and states were read. A write of the roster without a response took 3 s of that time as well.

An owner now polls as soon as its roster is stored; each write or read of the roster is bounded by StoreTimeout. Until the jobs are there (Pool.BeginLoad, EndLoad), a reply gives a worker's clock and incarnation only, and each further poll extends the leases, once a second. No end is applied or acknowledged, no run looked up, nothing ordered. Then the next reply of each worker is applied in full, as before. A worker that answers such polls and then falls silent is waited for until the leases extended there have ended (worker.extendedUntil), since its runs are not known. An ownership that ends while it loads waits for its goroutines.

--- a/internal/poolmanager/fake_store_test.go
+++ b/internal/poolmanager/fake_store_test.go
@@ -14,15 +14,16 @@
 // fakeStore is a store in memory that can lose responses, and apply the transactions
 // without a response later. mu guards all fields.
 type fakeStore struct {
-	mu       sync.Mutex
-	revision int64
-	items    map[string]store.Item
-	loseNext string      // the response to the next write of a key with this prefix is lost; empty: none is
-	delayed  []store.Txn // without a response, not applied yet
-	muteNext string      // the next write of a key with this prefix gets no response until its caller gives up; empty: none does
-	pageSize int         // items in a page; 0: all
-	pages    int         // reads of a page
-	failPage int         // each read of a page whose number this divides fails; 0: none does
+	mu         sync.Mutex
+	revision   int64
+	items      map[string]store.Item
+	loseNext   string      // the response to the next write of a key with this prefix is lost; empty: none is
+	delayed    []store.Txn // without a response, not applied yet
+	muteNext   string      // the next write of a key with this prefix gets no response until its caller gives up; empty: none does
+	pageSize   int         // items in a page; 0: all
+	pages      int         // reads of a page
+	failPage   int         // each read of a page whose number this divides fails; 0: none does
+	failPrefix string      // reads of pages under this prefix fail; empty: none does
 }
 
 var _ store.Store = (*fakeStore)(nil)
@@ -30,6 +31,13 @@
 func newFakeStore() *fakeStore { return &fakeStore{revision: 1, items: map[string]store.Item{}} }
 
 // loseNextResponse loses the response to the next write of a key with the prefix.
+// failPages makes all reads of pages under prefix fail; none if it is empty.
+func (s *fakeStore) failPages(prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failPrefix = prefix
+}
+
 // applyDelayed applies the write.
 func (s *fakeStore) loseNextResponse(prefix string) {
 	s.mu.Lock()
@@ -151,7 +159,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pages++
-	if s.failPage > 0 && s.pages%s.failPage == 0 {
+	if s.failPage > 0 && s.pages%s.failPage == 0 || s.failPrefix != "" && prefix == s.failPrefix {
 		return store.Page{}, problem.New(problem.Timeout, problem.StepStoreRead, "", "no response")
 	}
 	page := store.Page{Revision: s.revision}
--- a/internal/poolmanager/ownership_load.go
+++ b/internal/poolmanager/ownership_load.go
@@ -15,19 +15,35 @@
 
 // load reads the pool's jobs, and tries again until it succeeds; ok is false if the
 // ownership ends before. It returns the revision after which to watch the jobs, and
-// the machines that an earlier owner has offered.
+// the machines that an earlier owner has offered. The workers are polled as soon as the
+// roster is stored, so that the leases of their runs last until the jobs are there.
 func (o *poolOwnership) load() (from int64, offered map[string]int64, ok bool) {
+	if !o.repeat(o.preparePool) {
+		return 0, nil, false
+	}
+	o.goroutines.Go(o.watchRequests)
+	o.goroutines.Go(o.watchWorkers)
+	o.goroutines.Go(o.watchWorkersOfPool)
+	ok = o.repeat(func() (err error) {
+		from, offered, err = o.tryLoad()
+		return err
+	})
+	return from, offered, ok
+}
+
+// repeat calls a step of the load until it succeeds; false if the ownership ends before.
+func (o *poolOwnership) repeat(step func() error) bool {
 	retry := minRetryDelay
 	for o.ctx.Err() == nil {
-		from, offered, err := o.tryLoad()
+		err := step()
 		if err == nil {
-			return from, offered, true
+			return true
 		}
 		o.log.Info("pool not loaded from the store, trying again", append(telemetry.ProblemFields(err), zap.Int("read", o.loading.read()))...)
 		sleep(o.ctx, o.Clock, retry)
 		retry = min(2*retry, maxRetryDelay)
 	}
-	return 0, nil, false
+	return false
 }
 
 // tryLoad goes on with the load of the pool, until a step of it fails.
@@ -36,6 +52,9 @@
 	if err := o.preparePool(); err != nil {
 		return 0, nil, err
 	}
+	if err := o.readOffers(); err != nil {
+		return 0, nil, err
+	}
 	if p.jobs == nil {
 		p.jobs = &rangeRead{prefix: poolstore.JobsPrefix(o.service)}
 	}
@@ -52,18 +71,18 @@
 		return 0, nil, err
 	}
 	o.addJobs(p.jobs.items, o.statesByJob(p.states.items), o.Clock.Now())
+	o.pool.EndLoad()
 	from, offered := p.jobs.revision, p.offered
 	o.loading = poolLoad{} // the items are not needed any more
 	return from, offered, nil
 }
 
-// preparePool creates the pool from the roster of the last owner, writes the roster of
-// this one, and reads which machines are offered.
+// preparePool creates the pool from the roster of the last owner, and writes the roster
+// of this one. No worker is polled before that: the next owner learns from the roster that
+// this one may extend leases.
 func (o *poolOwnership) preparePool() error {
-	ctx, cancel := context.WithTimeout(o.ctx, readAllTimeout)
-	defer cancel()
 	if o.pool == nil {
-		roster, err := o.readRoster(ctx)
+		roster, err := o.readRoster()
 		if err != nil {
 			return err
 		}
@@ -72,16 +91,27 @@
 		// says nothing of that incarnation.
 		roster.Released = roster.Released || o.previousToken != 0 && roster.Token == o.previousToken
 		o.pool = scheduler.NewPool(o.service, o.token, o.timing.Scheduler, roster, o.Clock.Now())
+		o.pool.BeginLoad()
 	}
-	if !o.loading.rosterWritten {
-		if err := o.writeRoster(ctx); err != nil {
-			return err
-		}
-		o.loading.rosterWritten = true
+	if o.loading.rosterWritten {
+		return nil
 	}
+	ctx, cancel := context.WithTimeout(o.ctx, o.timing.StoreTimeout)
+	defer cancel()
+	if err := o.writeRoster(ctx); err != nil {
+		return err
+	}
+	o.loading.rosterWritten = true
+	return nil
+}
+
+// readOffers reads which machines an earlier owner has offered.
+func (o *poolOwnership) readOffers() error {
 	if o.loading.offered != nil {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(o.ctx, readAllTimeout)
+	defer cancel()
 	offered, err := o.loadOffers(ctx)
 	if err != nil {
 		return err
@@ -91,7 +121,9 @@
 }
 
 // readRoster returns the roster of the last owner.
-func (o *poolOwnership) readRoster(ctx context.Context) (scheduler.WorkerRoster, error) {
+func (o *poolOwnership) readRoster() (scheduler.WorkerRoster, error) {
+	ctx, cancel := context.WithTimeout(o.ctx, o.timing.StoreTimeout)
+	defer cancel()
 	key := poolstore.RosterKey(o.service)
 	item, err := o.Store.Get(ctx, key)
 	if problem.Is(err, problem.NotFound) {
--- a/internal/poolmanager/ownership_pool.go
+++ b/internal/poolmanager/ownership_pool.go
@@ -11,16 +11,17 @@
 
 // runPool loads the pool and runs it until it is lost or handed over.
 func (o *poolOwnership) runPool() {
-	defer o.cancel()
+	defer func() {
+		o.cancel()
+		o.goroutines.Wait()
+	}()
 	go o.guard()
 	from, offered, ok := o.load()
 	if !ok {
 		return
 	}
 	o.loaded.Store(true)
-	o.goroutines.Go(o.watchRequests)
-	o.goroutines.Go(o.watchWorkers)
-	o.goroutines.Go(o.watchWorkersOfPool)
+	o.kickAll()
 	o.goroutines.Go(func() { o.watchWork(from) })
 	o.goroutines.Go(o.saveLoop)
 	o.goroutines.Go(o.planLoop)
@@ -35,8 +36,6 @@
 	case <-o.leaving:
 		o.release()
 	}
-	o.cancel()
-	o.goroutines.Wait()
 }
 
 // watchWork watches for accepted and cancelled jobs until the ownership ends.
@@ -169,6 +168,15 @@
 	}
 }
 
+// kickAll wakes all pollers.
+func (o *poolOwnership) kickAll() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, p := range o.pollers {
+		p.kick.send()
+	}
+}
+
 // poller returns the poller of a worker, or nil.
 func (o *poolOwnership) poller(worker string) *poller {
 	o.mu.Lock()
--- a/internal/poolmanager/poller.go
+++ b/internal/poolmanager/poller.go
@@ -29,6 +29,9 @@
 	// retireInterval is how often an idle poller checks whether the pool still has
 	// its worker.
 	retireInterval = 10 * time.Second
+	// loadingPollInterval is the pause between two polls that extend leases while the
+	// pool's jobs are being read. It is well below the lease of a run.
+	loadingPollInterval = time.Second
 	// maxSaveWait bounds how long a poll waits until earlier ends are saved. A
 	// worker lists ends until they are acknowledged, and replies at once while it
 	// lists any, so polls before the save would follow each other without a pause.
@@ -42,7 +45,7 @@
 		p.awaitSaved()
 		req, due := p.pool.NextPoll(p.worker, p.Clock.Now())
 		if !due {
-			if !p.awaitKick() || p.retire() {
+			if !p.awaitKick(retireInterval) || p.retire() {
 				return
 			}
 			continue
@@ -50,6 +53,9 @@
 		p.address = req.Address
 		if p.poll(req) {
 			retry = pollRetry
+			if req.Deadline > 0 && p.pool.Loading() {
+				p.awaitKick(loadingPollInterval)
+			}
 			continue
 		}
 		sleep(p.ctx, p.Clock, retry)
@@ -57,10 +63,10 @@
 	}
 }
 
-// awaitKick waits until the poller is woken, or retireInterval has passed; false if
+// awaitKick waits until the poller is woken, or the given time has passed; false if
 // the ownership has ended.
-func (p *poller) awaitKick() bool {
-	timer := p.Clock.NewTimer(retireInterval)
+func (p *poller) awaitKick(longest time.Duration) bool {
+	timer := p.Clock.NewTimer(longest)
 	defer timer.Stop()
 	select {
 	case <-p.ctx.Done():
--- a/internal/scheduler/overlap_faults_test.go
+++ b/internal/scheduler/overlap_faults_test.go
@@ -10,6 +10,7 @@
 	ThreeOwners       bool // the same, and the next owner loses the pool within the same lease
 	UnnoticedRestarts bool // workers restart under their own ID, and the platform lists that late
 	LateWrites        bool // writes without an answer may be carried out seconds later
+	SlowLoad          bool // an owner needs up to maxSlowLoad until it has the jobs
 	StaleMachineList  bool // the list of machines is old when it arrives
 
 	// ReadDelay is the longest time for which the owner leaves an answer unread that has
--- a/internal/scheduler/overlap_owner_list_test.go
+++ b/internal/scheduler/overlap_owner_list_test.go
@@ -41,7 +41,9 @@
 	}
 	sort.Slice(infos, func(a, b int) bool { return infos[a].ID < infos[b].ID })
 	o.pool.SetWorkers(infos, o.s.now)
-	o.saveRoster()
+	if !o.pool.Loading() {
+		o.saveRoster()
+	}
 	for i := range infos {
 		if id := infos[i].ID; o.pollers[id] == nil {
 			o.pollers[id] = &overlapPoller{worker: id, retry: pollRetry}
--- a/internal/scheduler/overlap_owner_poll_test.go
+++ b/internal/scheduler/overlap_owner_poll_test.go
@@ -105,19 +105,19 @@
 		}
 		o.s.awaitEnd(inc, req.Wait, func() {
 			reply := inc.pollReply(req, sent, o.s.now)
-			send(func() { o.replyArrived(p, inc, reply) })
+			send(func() { o.replyArrived(p, inc, reply, req.Deadline > 0) })
 		})
 	}, pollFailed)
 }
 
 // replyArrived has a reply applied, later if this owner is slow.
-func (o *overlapOwner) replyArrived(p *overlapPoller, inc *overlapIncarnation, reply scheduler.PollReply) {
+func (o *overlapOwner) replyArrived(p *overlapPoller, inc *overlapIncarnation, reply scheduler.PollReply, extended bool) {
 	if o.s.faults.ReadDelay == 0 {
-		o.pollAnswered(p, inc, reply)
+		o.pollAnswered(p, inc, reply, extended)
 		return
 	}
 	o.s.endsArrived(inc, reply.Ends)
-	o.after(o.readDelay(), func() { o.pollAnswered(p, inc, reply) })
+	o.after(o.readDelay(), func() { o.pollAnswered(p, inc, reply, extended) })
 }
 
 // readDelay returns how long an answer that has arrived waits to be applied.
@@ -128,8 +128,8 @@
 	return time.Duration(o.random.Int63n(int64(o.s.faults.ReadDelay)))
 }
 
-// pollAnswered applies a reply.
-func (o *overlapOwner) pollAnswered(p *overlapPoller, inc *overlapIncarnation, reply scheduler.PollReply) {
+// pollAnswered applies a reply. extended tells whether its poll extended leases.
+func (o *overlapOwner) pollAnswered(p *overlapPoller, inc *overlapIncarnation, reply scheduler.PollReply, extended bool) {
 	if o.ended {
 		return
 	}
@@ -140,5 +140,9 @@
 	o.pool.ApplyPoll(reply)
 	p.retry = pollRetry
 	o.kickPlan()
+	if extended && o.pool.Loading() {
+		o.pauseLoading(p)
+		return
+	}
 	o.continuePolling(p)
 }
--- a/internal/scheduler/overlap_owner_test.go
+++ b/internal/scheduler/overlap_owner_test.go
@@ -94,16 +94,21 @@
 				o.after(50*time.Millisecond, o.load)
 				return
 			}
-			o.loadJobs(now)
+			if o.s.faults.SlowLoad {
+				o.loadSlowly(now)
+				return
+			}
+			o.loadJobs(now, o.load)
 		})
 	})
 }
 
-func (o *overlapOwner) loadJobs(now time.Time) {
+// loadJobs reads the jobs. After a failed read it calls again.
+func (o *overlapOwner) loadJobs(now time.Time, again func()) {
 	var jobs []*overlapJob
 	o.after(o.s.between(1, 20), func() {
 		if o.storeUnreachable {
-			o.after(900*time.Millisecond, o.load)
+			o.after(900*time.Millisecond, again)
 			return
 		}
 		o.loadedTo = o.s.store.revision
@@ -114,7 +119,7 @@
 		}
 		o.after(o.s.between(1, 20), func() {
 			if o.storeUnreachable {
-				o.after(900*time.Millisecond, o.load)
+				o.after(900*time.Millisecond, again)
 				return
 			}
 			for _, j := range jobs {
@@ -134,7 +139,11 @@
 	for _, j := range early {
 		o.watched(j)
 	}
-	o.after(o.s.between(1, 20), o.readList)
+	if o.pool.Loading() {
+		o.endLoad()
+	} else {
+		o.after(o.s.between(1, 20), o.readList)
+	}
 	o.saveLoop()
 	o.rosterLoop()
 	o.machineWorkersLoop()
--- a/internal/scheduler/overlap_test.go
+++ b/internal/scheduler/overlap_test.go
@@ -61,6 +61,15 @@
 		Entry("all at once", int64(700_000), allFaults),
 	)
 
+	// Issue 32: the leases of the former owner's runs ended during a long load. Their
+	// extension must not let a task run twice, nor lose an end.
+	DescribeTable("do so also where owners poll the workers long before they have the jobs", runSeedsFrom,
+		Entry("one after the other", int64(900_000), overlapFaults{SlowLoad: true}),
+		Entry("owners overlap", int64(910_000), overlapFaults{SlowLoad: true, OverlappingOwners: true, LateWrites: true}),
+		Entry("three owners within one lease", int64(920_000), overlapFaults{SlowLoad: true, ThreeOwners: true, LateWrites: true}),
+		Entry("workers restart unnoticed", int64(930_000), overlapFaults{SlowLoad: true, UnnoticedRestarts: true}),
+	)
+
 	// Incident 20, an owner that could not keep up: answers that it had received but not
 	// read were taken for none. Its tasks ran again although it had the ends of their runs.
 	DescribeTable("do so also where the owner reads what has arrived late", runSeedsFrom,
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -15,6 +15,7 @@
 	epoch   int // number of this ownership of the pool: rises by one with each owner
 
 	mu                    sync.Mutex
+	loading               bool // the jobs are being read
 	takenAt               time.Time
 	formerOrdersEndAt     time.Time                 // from then on, no former owner sends orders
 	formerRunsEndAt       time.Time                 // by then, the leases of all runs that a former owner started have expired, unless this owner extended them
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -11,6 +11,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var plan Plan
+	if p.loading {
+		return plan
+	}
 	p.wallTime = wall
 	p.sweepWorkers(now, &plan)
 	p.removeEndedJobs(now)
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -21,9 +21,12 @@
 	if w.ackableEnds > w.ackedEnds && w.mayAckEnds(now) {
 		req.AckedEnds = w.ackableEnds
 	}
-	if w.fenced && !w.pollSentAt.IsZero() && w.clock.known() {
+	if !w.pollSentAt.IsZero() && w.clock.known() {
 		req.Deadline = w.clock.leaseDeadline(now, &p.timing)
 		w.expiresAt = Later(w.expiresAt, now.Add(p.timing.granted()))
+		if !w.fenced {
+			w.extendUnknownRuns(w.expiresAt)
+		}
 	}
 	return req, true
 }
@@ -64,12 +67,18 @@
 	}
 	w.pollOver()
 	if w.lost || reply.Incarnation < w.incarnation || w.formerIncarnation != 0 && reply.Incarnation == w.formerIncarnation {
-		p.applyFormerEnds(w, &reply)
+		if !p.loading {
+			p.applyFormerEnds(w, &reply)
+		}
 		if w.lost {
 			p.incarnationEnded(w)
 		}
 		return false
 	}
+	if p.loading {
+		p.applyContact(w, &reply)
+		return true
+	}
 	first := !w.fenced
 	p.applyIdentity(w, &reply)
 	if first {
@@ -95,11 +104,8 @@
 		p.workerRestarted(w)
 		w.appliedEnds, w.ackableEnds, w.ackedEnds, w.endMarks, w.unsavedEnds = 0, 0, 0, nil, nil
 	}
-	w.incarnation = reply.Incarnation
-	w.clock = clockReading{readAt: reply.ReceivedAt, millis: reply.Clock}
+	w.answered(reply)
 	w.fenced = true
-	w.reachable, w.silent = true, false
-	w.pollSentAt, w.pollAnsweredAt = reply.SentAt, reply.ReceivedAt
 	w.ackedEnds = max(w.ackedEnds, reply.AckedEnds)
 }
 
--- a/internal/scheduler/pool_settle.go
+++ b/internal/scheduler/pool_settle.go
@@ -12,9 +12,16 @@
 		return
 	}
 	p.awaitListed()
-	p.formerWorkersAnswered = len(p.awaited) == 0 || !now.Before(p.formerRunsEndAt)
-	if now.Before(p.formerRunsEndAt) && len(p.awaited) > 0 {
-		plan.wakeAt(p.formerRunsEndAt)
+	for id := range p.awaited {
+		end := p.formerRunsEndOn(id)
+		if now.Before(end) {
+			plan.wakeAt(end)
+		} else {
+			delete(p.awaited, id)
+		}
+	}
+	p.formerWorkersAnswered = len(p.awaited) == 0
+	if !p.formerWorkersAnswered {
 		return
 	}
 	if now.Before(p.formerOrdersEndAt) {
@@ -22,7 +29,15 @@
 		return // a former owner may still start tasks on a worker that restarts
 	}
 	p.formerRunsKnown = true
-	clear(p.awaited)
+}
+
+// formerRunsEndOn returns by when the leases of all runs that a former owner started on
+// an awaited worker have expired.
+func (p *Pool) formerRunsEndOn(id string) time.Time {
+	if w := p.workers[id]; w != nil {
+		return Later(p.formerRunsEndAt, w.extendedUntil)
+	}
+	return p.formerRunsEndAt
 }
 
 // awaitListed adds the listed workers that have not answered yet to those that the
--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -62,6 +62,9 @@
 		next.polledAt, next.pollInterrupted = w.polledAt, w.pollInterrupted
 		next.formerIncarnation = w.incarnation
 		next.expiresAt = Later(w.expiresAt, now.Add(p.timing.longest()))
+		if !w.extendedUntil.IsZero() {
+			next.extendedUntil = next.expiresAt // the poll may reach the new incarnation
+		}
 		*w = *next
 		return
 	}
@@ -208,7 +211,7 @@
 }
 
 // sweepWorkers releases the runs on unreachable workers whose leases have expired, and
-// removes unlisted workers that are lost or unreachable and have no run left. A worker
+// removes unlisted workers that are lost, unreachable or not fenced and have no run left. A worker
 // is judged by all that it answered: while a reply may wait to be applied, because this
 // process is late, its runs stay.
 func (p *Pool) sweepWorkers(now time.Time, plan *Plan) {
@@ -229,7 +232,7 @@
 		if len(w.runs) > 0 && !w.reachable && now.After(w.expiresAt) {
 			p.expire(w)
 		}
-		if !w.listed && len(w.runs) == 0 && now.After(w.expiresAt) && (w.lost || !w.reachable) {
+		if !w.listed && len(w.runs) == 0 && now.After(w.expiresAt) && (w.lost || !w.reachable || !w.fenced) {
 			delete(p.workers, id)
 		}
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -13,7 +13,7 @@
 	offered           bool      // its machine is offered to other pools
 	listedAt          time.Time // when its incarnation was first listed
 	rostered          bool      // the saved roster does not name it as down: the next owner expects that any task may run there
-	fenced            bool      // it has seen this owner's fencing token
+	fenced            bool      // it has seen this owner's fencing token, and a reply since then was applied in full
 	reachable         bool      // it answered the last poll or order
 	silent            bool      // it did not answer the last poll or order; both are false before the first
 	lost              bool      // its incarnation has ended: another one runs at its address or on its machine
@@ -34,6 +34,7 @@
 	endMarks          []endMark
 	unsavedEnds       []unsavedEnd // in the order of their numbers
 	expiresAt         time.Time    // by then all leases that this owner granted have expired
+	extendedUntil     time.Time    // the same for leases that were extended before its runs were known; zero: none was
 	blockedUntil      time.Time    // no start before it: the worker refused a start or did not answer
 	suspendedUntil    time.Time    // no start before it: tasks of several jobs failed there
 	suspension        time.Duration
@@ -79,6 +80,21 @@
 	return !w.lost && (!w.fenced || !w.reachable || len(w.runs) > 0 || w.appliedEnds > w.ackedEnds)
 }
 
+// answered records that the worker's present incarnation has answered a poll.
+func (w *worker) answered(reply *PollReply) {
+	w.incarnation = reply.Incarnation
+	w.clock = clockReading{readAt: reply.ReceivedAt, millis: reply.Clock}
+	w.reachable, w.silent = true, false
+	w.pollSentAt, w.pollAnsweredAt = reply.SentAt, reply.ReceivedAt
+}
+
+// extendUnknownRuns records that leases there may last until the given time, of runs that
+// this owner does not know yet.
+func (w *worker) extendUnknownRuns(until time.Time) {
+	w.extendedUntil = Later(w.extendedUntil, until)
+	w.expiresAt = Later(w.expiresAt, until)
+}
+
 // pollOver records that the outcome of the last poll is known.
 func (w *worker) pollOver() { w.polledAt, w.pollInterrupted = time.Time{}, false }
 
