--- a/internal/poolmanager/ownership_pool.go
+++ b/internal/poolmanager/ownership_pool.go
@@ -18,9 +18,7 @@
 		return
 	}
 	o.loaded.Store(true)
-	o.spawn(o.watchRequests)
-	o.spawn(o.watchWorkers)
-	o.spawn(o.watchWorkersOfPool)
+	o.kickAll()
 	o.spawn(func() { o.watchWork(from) })
 	o.spawn(o.saveLoop)
 	o.spawn(o.planLoop)
@@ -35,8 +33,6 @@
 	case <-o.leaving:
 		o.release()
 	}
-	o.cancel()
-	o.goroutines.Wait()
 }
 
 // watchWork watches for accepted and cancelled jobs until the ownership ends.
@@ -169,6 +165,15 @@
 	}
 }
 
+// kickAll wakes all pollers.
+func (o *poolOwnership) kickAll() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, p := range o.pollers {
+		p.kick.send()
+	}
+}
+
 // poller returns the poller of a worker, or nil.
 func (o *poolOwnership) poller(worker string) *poller {
 	o.mu.Lock()
