Only a try without a response doubles the bound of the next one

Would be seen by callers: 504 in place of 503, once the store has refused for about 1 s within a caller's deadline, and reads and cancellations that can't reach a store that is back.

Cause: each try doubled the bound, refusals included; after 34 of them, one in 25 ms, it overflowed, and the next tries ended before they were sent, as tries of unknown outcome.

--- a/internal/intake/cancel.go
+++ b/internal/intake/cancel.go
@@ -19,9 +19,7 @@
 		if err != nil || found.state.Progress.State.Final() {
 			return err
 		}
-		limited, stop := t.next(ctx)
-		err = in.cancel(limited, id, found)
-		stop()
+		err = t.do(ctx, func(ctx context.Context) error { return in.cancel(ctx, id, found) })
 		if err == nil || !in.waitForRetry(ctx) {
 			return err
 		}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -53,9 +53,11 @@
 	outcomeUnknown := false
 	var t tries
 	for {
-		limited, cancel := t.next(ctx)
-		revision, err := in.store.Commit(limited, txn)
-		cancel()
+		var revision int64
+		err := t.do(ctx, func(ctx context.Context) (err error) {
+			revision, err = in.store.Commit(ctx, txn)
+			return err
+		})
 		if err == nil {
 			in.owners.Accepted(owner, sub.Service, sub.ID, txn.Writes[0].Value, revision)
 			return nil
--- a/internal/intake/state.go
+++ b/internal/intake/state.go
@@ -41,9 +41,11 @@
 func (in *Intake) get(ctx context.Context, key string) (store.Item, error) {
 	var t tries
 	for {
-		limited, cancel := t.next(ctx)
-		item, err := in.store.Get(limited, key)
-		cancel()
+		var item store.Item
+		err := t.do(ctx, func(ctx context.Context) (err error) {
+			item, err = in.store.Get(ctx, key)
+			return err
+		})
 		if err == nil || problem.Is(err, problem.NotFound) || !in.waitForRetry(ctx) {
 			return item, err
 		}
