--- a/internal/poolmanager/ownership_contain_test.go
+++ b/internal/poolmanager/ownership_contain_test.go
@@ -106,4 +106,3 @@
 		Expect(logs.All()).To(HaveLen(1))
 	})
 })
-
