A hand-over waits for the saves in progress

Would be seen by callers: completions of jobs come late at each planned hand-over, as the next owner first has to hear of the ends from the workers again.

saveLoop counts the batches that it has begun; the hand-over waits for them within its time, and saves what failed.

--- a/internal/poolmanager/in_flight.go
+++ b/internal/poolmanager/in_flight.go
@@ -5,7 +5,7 @@
 	"sync"
 )
 
-// inFlight counts orders that have no result yet. mu guards count and idle.
+// inFlight counts orders or saves that have no result yet. mu guards count and idle.
 type inFlight struct {
 	mu    sync.Mutex
 	count int
@@ -28,7 +28,7 @@
 	}
 }
 
-// wait returns when no order is in flight or ctx ends.
+// wait returns when none is in flight or ctx ends.
 func (f *inFlight) wait(ctx context.Context) {
 	f.mu.Lock()
 	if f.count == 0 {
--- a/internal/poolmanager/ownership_save.go
+++ b/internal/poolmanager/ownership_save.go
@@ -51,9 +51,11 @@
 			return
 		case slots <- struct{}{}:
 		}
+		o.savesInFlight.add()
 		items, _ := o.pool.ClaimUnsaved(saveBatch)
 		o.spawn(func() {
 			defer func() { <-slots }()
+			defer o.savesInFlight.remove()
 			if o.saveItems(o.ctx, items) {
 				failures.Store(0)
 				return
@@ -213,11 +215,7 @@
 	ctx, cancel := context.WithTimeout(o.ctx, releaseTimeout)
 	defer cancel()
 	o.ordersInFlight.wait(ctx)
-	for pending, _ := o.pool.SavePending(); pending && ctx.Err() == nil; pending, _ = o.pool.SavePending() {
-		if !o.saveOnce(ctx) {
-			sleep(ctx, o.Clock, minRetryDelay)
-		}
-	}
+	o.saveAll(ctx)
 	o.cancel()
 	o.rosterLoopDone.Wait()
 	final, stop := context.WithTimeout(context.WithoutCancel(ctx), o.timing.StoreTimeout)
@@ -227,6 +225,23 @@
 	}
 }
 
+// saveAll saves all progress, and waits for the saves that others have begun, until ctx
+// ends.
+func (o *poolOwnership) saveAll(ctx context.Context) {
+	for ctx.Err() == nil {
+		if pending, _ := o.pool.SavePending(); pending {
+			if !o.saveOnce(ctx) {
+				sleep(ctx, o.Clock, minRetryDelay)
+			}
+			continue
+		}
+		o.savesInFlight.wait(ctx)
+		if pending, _ := o.pool.SavePending(); !pending { // none of them failed
+			return
+		}
+	}
+}
+
 // releaseOwnership writes the last roster and deletes the owner's key in one
 // transaction. It tries again until the outcome is known or ctx ends.
 func (o *poolOwnership) releaseOwnership(ctx context.Context) error {
--- a/internal/poolmanager/pool_ownership.go
+++ b/internal/poolmanager/pool_ownership.go
@@ -40,6 +40,7 @@
 	confirm        signal      // machines may have been emptied
 	goroutines     sync.WaitGroup
 	ordersInFlight inFlight       // starts and stops without a result yet
+	savesInFlight  inFlight       // batches that saveLoop has claimed, without a result yet
 	own            ownKeys        // revisions of the keys that only the pool's owner writes
 	roster         []byte         // as stored, encoded; nil: unknown; only one goroutine at a time uses it
 	loading        poolLoad       // only the goroutine that loads the pool uses it
