--- a/internal/poolmanager/range_read.go
+++ b/internal/poolmanager/range_read.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"persimmonbay/internal/problem"
 	"persimmonbay/internal/store"
 )
 
@@ -16,11 +17,16 @@
 	revision int64  // of the store, current before the first page was read
 	after    string // key after which the next page begins
 	complete bool
+	timeout  time.Duration // of the next page; 0: firstPageTimeout
 }
 
-// pageTimeout bounds the read of one page. A page holds up to one megabyte, which
-// takes about one second on the slowest link.
-const pageTimeout = 3 * time.Second
+const (
+	// firstPageTimeout bounds the read of one page. A page holds up to one megabyte,
+	// which takes about one second on the slowest link. Each page that does not arrive in
+	// time doubles the bound, up to maxPageTimeout: it is read from its beginning again.
+	firstPageTimeout = 3 * time.Second
+	maxPageTimeout   = 24 * time.Second
+)
 
 // finish reads the pages that are left. After an error, the next call goes on with the
 // page that failed.
@@ -34,9 +40,15 @@
 }
 
 func (r *rangeRead) readPage(ctx context.Context, s store.Store) error {
-	limited, cancel := context.WithTimeout(ctx, pageTimeout)
+	if r.timeout == 0 {
+		r.timeout = firstPageTimeout
+	}
+	limited, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
 	page, err := s.RangePage(limited, r.prefix, r.after)
+	if problem.Is(err, problem.Timeout) {
+		r.timeout = min(2*r.timeout, maxPageTimeout)
+	}
 	if err != nil {
 		return err
 	}
