States that were read a minute ago are read again

Cause: a read that resumes keeps what it has read for any time, but a pool remembers ended jobs for two minutes only; a state that was read before the job's end then adds it anew.

A re-read that was begun more than a minute ago begins anew.

--- a/internal/poolmanager/ownership_pool.go
+++ b/internal/poolmanager/ownership_pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"persimmonbay/internal/poolstore"
 	"persimmonbay/internal/scheduler"
@@ -52,8 +53,8 @@
 		return ok && !o.pool.HasJob(id)
 	})
 	if unknown {
-		if o.stateReread == nil {
-			o.stateReread = &rangeRead{prefix: poolstore.StatePrefix(o.service)}
+		if now := o.Clock.Now(); o.stateReread == nil || now.Sub(o.rereadBegan) > maxRereadAge {
+			o.stateReread, o.rereadBegan = &rangeRead{prefix: poolstore.StatePrefix(o.service)}, now
 		}
 		if err := o.stateReread.finish(ctx, o.Store); err != nil {
 			return err
@@ -70,6 +71,11 @@
 	return nil
 }
 
+// maxRereadAge is the age from which states that were read are not used any more: they may
+// name a job as unfinished that has ended since. It is well below the time for which a pool
+// remembers ended jobs.
+const maxRereadAge = time.Minute
+
 func (o *poolOwnership) applyWork(events []store.Event) {
 	for _, e := range events {
 		if o.replacedBy(e.Item) {
--- a/internal/poolmanager/pool_ownership.go
+++ b/internal/poolmanager/pool_ownership.go
@@ -44,6 +44,7 @@
 	own            ownKeys        // revisions of the keys that only the pool's owner writes
 	roster         []byte         // as stored, encoded; nil: unknown; only one goroutine at a time uses it
 	loading        poolLoad       // only the goroutine that loads the pool uses it
+	rereadBegan    time.Time      // when stateReread was begun
 	stateReread    *rangeRead     // for resetWork, which one goroutine runs; nil: none in progress
 	rosterLoopDone sync.WaitGroup // done when rosterLoop has returned
 
