Cancellations are read last when a pool is loaded

Cause: a page of states may be read long before the load ends. The owner plans as soon as it ends, before its watch, which begins at the first page's revision, has shown what was cancelled since. Notices are dropped until then.

The load's last step reads the cancellations, which stand beside the pool's jobs and are few, anew with each try, and applies them before anything is planned.

--- a/internal/poolmanager/ownership_load.go
+++ b/internal/poolmanager/ownership_load.go
@@ -70,7 +70,14 @@
 	if err := p.states.finish(o.ctx, o.Store); err != nil {
 		return 0, nil, err
 	}
+	// Read last and anew with each try: a state may have been read long before its job
+	// was cancelled.
+	cancels := rangeRead{prefix: poolstore.CancelsPrefix(o.service)}
+	if err := cancels.finish(o.ctx, o.Store); err != nil {
+		return 0, nil, err
+	}
 	o.addJobs(p.jobs.items, o.statesByJob(p.states.items), o.Clock.Now())
+	o.cancelJobs(cancels.items)
 	o.pool.EndLoad()
 	from, offered := p.jobs.revision, p.offered
 	o.loading = poolLoad{} // the items are not needed any more
--- a/internal/poolmanager/ownership_pool.go
+++ b/internal/poolmanager/ownership_pool.go
@@ -62,13 +62,18 @@
 		o.addJobs(items, o.statesByJob(o.stateReread.items), o.Clock.Now())
 		o.stateReread = nil
 	}
+	o.cancelJobs(items)
+	o.plan.send()
+	return nil
+}
+
+// cancelJobs applies the cancellations among the items.
+func (o *poolOwnership) cancelJobs(items []store.Item) {
 	for _, item := range items {
 		if id, ok := poolstore.ParseCancel(o.service, item.Key); ok {
 			o.pool.CancelJob(id, item.Revision)
 		}
 	}
-	o.plan.send()
-	return nil
 }
 
 // maxRereadAge is the age from which states that were read are not used any more: they may
--- a/internal/poolstore/keys.go
+++ b/internal/poolstore/keys.go
@@ -71,7 +71,10 @@
 func JobKey(service, id string) string { return JobsPrefix(service) + "job/" + id }
 
 // CancelKey returns the key of a job's cancellation.
-func CancelKey(service, id string) string { return JobsPrefix(service) + "cancel/" + id }
+func CancelKey(service, id string) string { return CancelsPrefix(service) + id }
+
+// CancelsPrefix returns the prefix of the cancellations of a pool's jobs.
+func CancelsPrefix(service string) string { return JobsPrefix(service) + "cancel/" }
 
 // StatePrefix returns the prefix of the progress of a pool's jobs.
 func StatePrefix(service string) string { return "state/" + service + "/" }
@@ -105,7 +108,7 @@
 
 // ParseCancel returns the job in a key of CancelKey, or false for another key.
 func ParseCancel(service, key string) (id string, ok bool) {
-	return strings.CutPrefix(key, JobsPrefix(service)+"cancel/")
+	return strings.CutPrefix(key, CancelsPrefix(service))
 }
 
 // ParseState returns the job in a key of StateKey, or false for another key.
