A watch that times out again and again is replaced by a read of all keys

After six watches that timed out one after the other, all keys are read, page by page.

Whether the platform's store bounds the response of a watch is not known; its pages name no bound.

--- a/internal/poolmanager/watcher.go
+++ b/internal/poolmanager/watcher.go
@@ -37,21 +37,28 @@
 	maxRetryDelay = 400 * time.Millisecond
 )
 
+// maxWatchTimeouts is how many watches may time out one after the other. Then all keys
+// are read, page by page: the changes since the last watch may be too many for one response.
+const maxWatchTimeouts = 6
+
 // run reads and watches until ctx ends. from is the revision after which to watch;
 // with 0, all keys are read first.
 func (w *watcher) run(ctx context.Context, from int64) {
-	retry := minRetryDelay
+	retry, timeouts := minRetryDelay, 0
 	for ctx.Err() == nil {
 		next, err := w.step(ctx, from)
 		if err == nil {
-			from, retry = next, minRetryDelay
+			from, retry, timeouts = next, minRetryDelay, 0
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		if problem.Is(err, problem.Compacted) {
-			from = 0
+		if problem.Is(err, problem.Timeout) {
+			timeouts++
+		}
+		if problem.Is(err, problem.Compacted) || timeouts >= maxWatchTimeouts {
+			from, timeouts = 0, 0
 		}
 		w.log.Debug("read or watch of the store failed, trying again", append(telemetry.ProblemFields(err), zap.String("prefix", w.prefix))...)
 		sleep(ctx, w.clock, retry)
