A hand-over during a load ends the load

Cause: the load looks at the ownership's context only, and the entry waits for its hand-over.

The request to hand over ends the reads in progress, and the pool is released as it stands: its roster names all workers that the last owner's named.

--- a/internal/poolmanager/cancelled_while_loading_test.go
+++ b/internal/poolmanager/cancelled_while_loading_test.go
@@ -1,6 +1,7 @@
 package poolmanager
 
 import (
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -20,7 +21,7 @@
 		o := s.own()
 		s.store.pageSize, s.store.pages = 1, 0
 		s.store.failPage = 5 // after the offers, two pages of the jobs, and the first of the states
-		_, _, err := o.tryLoad()
+		_, _, err := o.tryLoad(context.Background())
 		Expect(err).To(HaveOccurred())
 		Expect(o.loading.states.items).To(HaveLen(1))
 		state, err := poolstore.EncodeState(&poolstore.JobProgress{Queue: "checks", Progress: scheduler.Progress{State: scheduler.Cancelled}})
@@ -29,7 +30,7 @@
 		s.store.put(poolstore.CancelKey(sceneService, "job-0"), nil, 0)
 		s.clock.Advance(20 * time.Second)
 		s.store.failPage = 0
-		_, _, err = o.tryLoad()
+		_, _, err = o.tryLoad(context.Background())
 		Expect(err).NotTo(HaveOccurred())
 		s.list(o, "a")
 		s.poll(o, "a")
--- a/internal/poolmanager/ownership_load.go
+++ b/internal/poolmanager/ownership_load.go
@@ -24,41 +24,51 @@
 	o.spawn(o.watchRequests)
 	o.spawn(o.watchWorkers)
 	o.spawn(o.watchWorkersOfPool)
-	ok = o.repeat(func() (err error) {
-		from, offered, err = o.tryLoad()
+	ok = o.repeat(func(ctx context.Context) (err error) {
+		from, offered, err = o.tryLoad(ctx)
 		return err
 	})
 	return from, offered, ok
 }
 
-// repeat calls a step of the load until it succeeds; false if the ownership ends before.
-func (o *poolOwnership) repeat(step func() error) bool {
+// repeat calls a step of the load until it succeeds; false if the ownership ends, or has
+// to be handed over, before.
+func (o *poolOwnership) repeat(step func(ctx context.Context) error) bool {
+	ctx, cancel := context.WithCancel(o.ctx)
+	defer cancel()
+	o.spawn(func() {
+		select {
+		case <-o.leaving:
+			cancel()
+		case <-ctx.Done():
+		}
+	})
 	retry := minRetryDelay
-	for o.ctx.Err() == nil {
-		err := step()
+	for ctx.Err() == nil {
+		err := step(ctx)
 		if err == nil {
 			return true
 		}
 		o.log.Info("pool not loaded from the store, trying again", append(telemetry.ProblemFields(err), zap.Int("read", o.loading.read()))...)
-		sleep(o.ctx, o.Clock, retry)
+		sleep(ctx, o.Clock, retry)
 		retry = min(2*retry, maxRetryDelay)
 	}
 	return false
 }
 
 // tryLoad goes on with the load of the pool, until a step of it fails.
-func (o *poolOwnership) tryLoad() (int64, map[string]int64, error) {
+func (o *poolOwnership) tryLoad(ctx context.Context) (int64, map[string]int64, error) {
 	p := &o.loading
-	if err := o.preparePool(); err != nil {
+	if err := o.preparePool(ctx); err != nil {
 		return 0, nil, err
 	}
-	if err := o.readOffers(); err != nil {
+	if err := o.readOffers(ctx); err != nil {
 		return 0, nil, err
 	}
 	if p.jobs == nil {
 		p.jobs = &rangeRead{prefix: poolstore.JobsPrefix(o.service)}
 	}
-	if err := p.jobs.finish(o.ctx, o.Store); err != nil {
+	if err := p.jobs.finish(ctx, o.Store); err != nil {
 		return 0, nil, err
 	}
 	if !o.ownsAll(p.jobs.items) {
@@ -67,13 +77,13 @@
 	if p.states == nil {
 		p.states = &rangeRead{prefix: poolstore.StatePrefix(o.service)}
 	}
-	if err := p.states.finish(o.ctx, o.Store); err != nil {
+	if err := p.states.finish(ctx, o.Store); err != nil {
 		return 0, nil, err
 	}
 	// Read last and anew with each try: a state may have been read long before its job
 	// was cancelled.
 	cancels := rangeRead{prefix: poolstore.CancelsPrefix(o.service)}
-	if err := cancels.finish(o.ctx, o.Store); err != nil {
+	if err := cancels.finish(ctx, o.Store); err != nil {
 		return 0, nil, err
 	}
 	o.addJobs(p.jobs.items, o.statesByJob(p.states.items), o.Clock.Now())
@@ -87,9 +97,9 @@
 // preparePool creates the pool from the roster of the last owner, and writes the roster
 // of this one. No worker is polled before that: the next owner learns from the roster that
 // this one may extend leases.
-func (o *poolOwnership) preparePool() error {
+func (o *poolOwnership) preparePool(ctx context.Context) error {
 	if o.pool == nil {
-		roster, err := o.readRoster()
+		roster, err := o.readRoster(ctx)
 		if err != nil {
 			return err
 		}
@@ -103,9 +113,9 @@
 	if o.loading.rosterWritten {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(o.ctx, o.timing.StoreTimeout)
+	limited, cancel := context.WithTimeout(ctx, o.timing.StoreTimeout)
 	defer cancel()
-	if err := o.writeRoster(ctx); err != nil {
+	if err := o.writeRoster(limited); err != nil {
 		return err
 	}
 	o.loading.rosterWritten = true
@@ -113,13 +123,13 @@
 }
 
 // readOffers reads which machines an earlier owner has offered.
-func (o *poolOwnership) readOffers() error {
+func (o *poolOwnership) readOffers(ctx context.Context) error {
 	if o.loading.offered != nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(o.ctx, readAllTimeout)
+	limited, cancel := context.WithTimeout(ctx, readAllTimeout)
 	defer cancel()
-	offered, err := o.loadOffers(ctx)
+	offered, err := o.loadOffers(limited)
 	if err != nil {
 		return err
 	}
@@ -128,11 +138,11 @@
 }
 
 // readRoster returns the roster of the last owner.
-func (o *poolOwnership) readRoster() (scheduler.WorkerRoster, error) {
-	ctx, cancel := context.WithTimeout(o.ctx, o.timing.StoreTimeout)
+func (o *poolOwnership) readRoster(ctx context.Context) (scheduler.WorkerRoster, error) {
+	limited, cancel := context.WithTimeout(ctx, o.timing.StoreTimeout)
 	defer cancel()
 	key := poolstore.RosterKey(o.service)
-	item, err := o.Store.Get(ctx, key)
+	item, err := o.Store.Get(limited, key)
 	if problem.Is(err, problem.NotFound) {
 		o.own.record(key, 0)
 		return scheduler.WorkerRoster{}, nil
--- a/internal/poolmanager/ownership_load_bench_test.go
+++ b/internal/poolmanager/ownership_load_bench_test.go
@@ -1,6 +1,7 @@
 package poolmanager
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -24,7 +25,7 @@
 			for b.Loop() {
 				s.store.pages = 0
 				o := s.own()
-				if _, _, err := o.tryLoad(); err != nil {
+				if _, _, err := o.tryLoad(context.Background()); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/internal/poolmanager/ownership_load_test.go
+++ b/internal/poolmanager/ownership_load_test.go
@@ -27,7 +27,7 @@
 	It("loads a pool of many pages in a number of reads that grows with the pages", func() {
 		o := s.own()
 		Eventually(func() error {
-			_, _, err := o.tryLoad()
+			_, _, err := o.tryLoad(context.Background())
 			return err
 		}).WithPolling(time.Millisecond).Should(Succeed())
 		Expect(o.pool.HasJob("job-00")).To(BeTrue())
--- a/internal/poolmanager/ownership_past_test.go
+++ b/internal/poolmanager/ownership_past_test.go
@@ -42,7 +42,7 @@
 		Expect(first.writeRoster(ctx)).To(Succeed())
 		o := s.own()
 		o.previousToken = first.token
-		_, _, err := o.tryLoad()
+		_, _, err := o.tryLoad(context.Background())
 		Expect(err).NotTo(HaveOccurred())
 		Expect(starts(o)).To(BeTrue())
 	})
@@ -52,7 +52,7 @@
 	It("waits for the lease of the owner before, if that may still send orders", func() {
 		o := s.own()
 		o.previousToken = first.token
-		_, _, err := o.tryLoad()
+		_, _, err := o.tryLoad(context.Background())
 		Expect(err).NotTo(HaveOccurred())
 		Expect(starts(o)).To(BeFalse())
 	})
@@ -66,7 +66,7 @@
 		unserved := s.own()
 		o := s.own()
 		o.previousToken = unserved.token
-		_, _, err := o.tryLoad()
+		_, _, err := o.tryLoad(context.Background())
 		Expect(err).NotTo(HaveOccurred())
 		Expect(starts(o)).To(BeFalse())
 	})
@@ -78,10 +78,10 @@
 		first.release()
 		o := s.own()
 		s.store.loseNextResponse(poolstore.RosterKey(sceneService))
-		_, _, err := o.tryLoad()
+		_, _, err := o.tryLoad(context.Background())
 		Expect(err).To(HaveOccurred())
 		s.store.applyDelayed()
-		_, _, err = o.tryLoad()
+		_, _, err = o.tryLoad(context.Background())
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.roster().Tenure).To(Equal(2))
 		Expect(s.roster().Workers).To(HaveLen(1))
--- a/internal/poolmanager/ownership_pool.go
+++ b/internal/poolmanager/ownership_pool.go
@@ -16,6 +16,7 @@
 	o.spawn(o.guard)
 	from, offered, ok := o.load()
 	if !ok {
+		o.releaseUnloaded()
 		return
 	}
 	o.loaded.Store(true)
--- a/internal/poolmanager/ownership_roster_test.go
+++ b/internal/poolmanager/ownership_roster_test.go
@@ -104,9 +104,9 @@
 	It("is stored by an owner whose first write was applied late", func() {
 		o = s.own()
 		s.store.loseNextResponse(poolstore.RosterKey(sceneService))
-		_, _, err := o.tryLoad()
+		_, _, err := o.tryLoad(context.Background())
 		Expect(err).To(HaveOccurred())
-		_, _, err = o.tryLoad()
+		_, _, err = o.tryLoad(context.Background())
 		Expect(err).NotTo(HaveOccurred())
 		stored := s.roster()
 		s.store.applyDelayed()
--- a/internal/poolmanager/ownership_scene_test.go
+++ b/internal/poolmanager/ownership_scene_test.go
@@ -54,7 +54,7 @@
 // load makes the entry the pool's owner, and returns the ownership after its load.
 func (s *ownershipScene) load() *poolOwnership {
 	o := s.own()
-	_, _, err := o.tryLoad()
+	_, _, err := o.tryLoad(context.Background())
 	ExpectWithOffset(1, err).NotTo(HaveOccurred())
 	return o
 }
