--- a/internal/ownership/patience.go
+++ b/internal/ownership/patience.go
@@ -1,8 +1,8 @@
 package ownership
 
-// maxPatience bounds Patience: if only small members are left, they take over before the
-// leases of the runs end.
-const maxPatience = 2
+// maxPatience bounds Patience, so that the leases of the runs do not end while small
+// members wait.
+const maxPatience = 1.5
 
 // Patience returns how many times as long a member waits for the assigned owner of a
 // service as the strongest one does, before it takes the service over itself: in
--- a/internal/ownership/patience_test.go
+++ b/internal/ownership/patience_test.go
@@ -16,10 +16,10 @@
 		Expect(ownership.Patience(name, members)).To(BeNumerically("~", want, 1e-9))
 	},
 		Entry("the strongest", "large", 1.0),
-		Entry("half as strong", "medium", 2.0),
+		Entry("half as strong", "medium", 1.5),
 		Entry("a little weaker", "other", 1.25),
-		Entry("a quarter as strong", "small", 2.0),
-		Entry("at most twice as long", "tiny", 2.0),
-		Entry("one that is not registered", "unknown", 2.0),
+		Entry("a quarter as strong", "small", 1.5),
+		Entry("at most half as long again", "tiny", 1.5),
+		Entry("one that is not registered", "unknown", 1.5),
 	)
 })
