--- a/internal/scheduler/pool_move_off.go
+++ b/internal/scheduler/pool_move_off.go
@@ -22,15 +22,15 @@
 			if r.task == nil || r.wantStop || r.phase != running {
 				continue
 			}
-			if p.mayMove(r, w) && p.fitsElsewhere(r.task, now) {
+			if p.mayMove(r, w, now) && p.fitsElsewhere(r.task, now) {
 				r.requestStop()
 			}
 		}
 	}
 }
 
-// mayMove reports whether the run's task may be stopped to start on another worker.
-func (p *Pool) mayMove(r *run, w *worker) bool {
+// mayMove reports whether the run's task may be stopped at now to start on another worker.
+func (p *Pool) mayMove(r *run, w *worker, now time.Time) bool {
 	step := r.stage.step
 	if !step.LongRunning {
 		return step.Checkpointing && r.task.checkpoint != "" && w.info.Draining
@@ -38,7 +38,7 @@
 	if w.info.Draining {
 		return true
 	}
-	return r.stage.unavailable(r.task) < max(step.MaxUnavailable, 1)
+	return r.stage.unavailable(r.task, now) < max(step.MaxUnavailable, 1)
 }
 
 // fitsElsewhere reports whether t could start on another worker at now.
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -202,7 +202,7 @@
 		if r.stage != nil {
 			p.markActive(r.stage.job)
 		}
-		r.percent, r.latencyOrUsage = report.Percent, report.LatencyOrUsage
+		r.percent, r.latencyOrUsage, r.reportedAt = report.Percent, report.LatencyOrUsage, reply.SentAt
 		if r.task != nil && r.stage.step.Checkpointing && report.Checkpoint != "" {
 			r.task.checkpoint = report.Checkpoint
 		}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -18,6 +18,7 @@
 	reserved          Resources
 	unknownJob        bool      // the pool does not have its job, so its resources are not known
 	percent           int       // share of its full speed that the worker reports
+	reportedAt        time.Time // when the poll was sent whose reply last listed the run; zero: none has
 	latencyOrUsage    int       // as in RunReport
 	wantStop          bool      // a stop has to be ordered
 	stopIfUnlisted    bool      // wantStop is set only because the worker restarted; a poll that lists the run clears it
--- a/internal/scheduler/stage.go
+++ b/internal/scheduler/stage.go
@@ -26,11 +26,11 @@
 }
 
 // unavailable returns the number of the stage's tasks, except aside, that are not
-// known to run at full speed.
-func (s *stage) unavailable(except *task) int {
+// known to run at full speed at now.
+func (s *stage) unavailable(except *task, now time.Time) int {
 	n := 0
 	for _, t := range s.tasks {
-		if t != except && !t.atFullSpeed() {
+		if t != except && !t.atFullSpeed(now) {
 			n++
 		}
 	}
