A worker is given up only after a poll that has waited long

Cause: every poll waited equally long for its reply. Replies that always take longer, because the owner's link is full or the worker is slow to answer, were cut off each time. The first cut made the worker unreachable, later polls granted no lease, and once the lease of the first had ended its tasks started again, though every reply had listed their ends. The same held with one cut-off poll, or one order that was not sent, where the poller did not get its turn afterwards: no poll was outstanding, so nothing kept the runs.

Change: after each poll without a reply the next one waits twice as long, up to half of a lease (0.7, 1.4, 2.25 s). The usual timeout is back after a reply within half of it. Meanwhile polls don't ask the worker to wait for an end. Runs on a listed worker are given up when their leases have ended and a poll that waited for the longest time got no reply. Runs on a worker that the platform no longer lists are given up as before. A clock reading may have been in transit as long as a poll waits.

Evidence: virtual time, a new class in which the owner's link is full for 1 to 9 s at a time and answers take up to 2 s longer, nothing else is wrong, and an end counts as noted 100 ms after it was listed (the users' rule). The simulation did not model the opening of connections then.

Three unit tests had one poll without a reply and then none for a whole lease. A silent worker now leaves three polls unanswered there; their times are as they were.

--- a/internal/poolmanager/poller.go
+++ b/internal/poolmanager/poller.go
@@ -115,10 +115,10 @@
 	if !p.isValid() {
 		return false
 	}
-	if req.Deadline > 0 && !p.pool.HasUnsavedEnds(p.worker) && p.pool.HasRuns(p.worker) {
+	if req.Deadline > 0 && !p.pool.HasUnsavedEnds(p.worker) && p.pool.HasRuns(p.worker) && req.Timeout <= p.timing.OrderTimeout {
 		req.Wait = p.timing.PollWait
 	}
-	ctx, cancel := context.WithTimeout(p.ctx, req.Wait+p.timing.OrderTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, req.Wait+req.Timeout)
 	defer cancel()
 	p.pending.Store(&cancel)
 	reply, answer := p.Workers.Poll(ctx, req)
--- a/internal/scheduler/clock_reading.go
+++ b/internal/scheduler/clock_reading.go
@@ -21,9 +21,9 @@
 }
 
 // maxMillis returns the highest value that the same clock can show at t. The
-// reading can have been in transit for up to OrderTimeout.
+// reading can have been in transit for as long as a poll waits for its reply.
 func (c clockReading) maxMillis(t time.Time, timing *Timing) int64 {
-	return c.millis + (t.Sub(c.readAt) + timing.OrderTimeout).Milliseconds() + clockRoundingMillis
+	return c.millis + (t.Sub(c.readAt) + timing.longestReplyTimeout()).Milliseconds() + clockRoundingMillis
 }
 
 // clockRoundingMillis covers the rounding of two readings to whole milliseconds.
--- a/internal/scheduler/incarnation_test.go
+++ b/internal/scheduler/incarnation_test.go
@@ -133,7 +133,7 @@
 		s.add(batchJob("j", 1))
 		s.pool.StartAnswered(only(s.plan().Starts), scheduler.Accepted, 5, s.now)
 		s.setWorkers(worker("a"), worker("b"))
-		s.pool.PollFailed("a", scheduler.NoResponse, s.now)
+		s.silent("a")
 		s.poll("b", nil)
 		s.advance(timing.RunLease + 800*time.Millisecond)
 		Expect(s.startAll()).To(BeEmpty())
--- a/internal/scheduler/order_test.go
+++ b/internal/scheduler/order_test.go
@@ -59,7 +59,7 @@
 		s := newScene(worker("a"), worker("b"))
 		s.add(batchJob("j", 1))
 		first := only(s.startAll())
-		s.pool.PollFailed(first.Worker, scheduler.NoResponse, s.now)
+		s.silent(first.Worker)
 		s.advance(timing.RunLease)
 		Expect(s.plan().Starts).To(BeEmpty())
 		s.advance(500 * time.Millisecond)
--- a/internal/scheduler/overlap_calls_test.go
+++ b/internal/scheduler/overlap_calls_test.go
@@ -39,13 +39,13 @@
 		execute(inc, send)
 	}
 	dropAnswer := func(func()) {}
-	if s.chance(3) {
+	if !s.faults.NoLosses && s.chance(3) {
 		if s.chance(60) {
 			s.after(s.between(1, 8000), func() { arrive(dropAnswer) })
 		}
 		return
 	}
-	lost := s.chance(3)
+	lost := !s.faults.NoLosses && s.chance(3)
 	s.after(s.between(1, 60), func() {
 		if s.now.Before(m.cutOffUntil) {
 			return
@@ -54,7 +54,7 @@
 			if lost || inc.dead || s.now.Before(m.cutOffUntil) {
 				return
 			}
-			s.after(s.between(1, 60), func() { answer(do) })
+			s.after(s.between(1, 60)+s.linkDelay(), func() { answer(do) })
 		})
 	})
 }
--- a/internal/scheduler/overlap_owner_poll_test.go
+++ b/internal/scheduler/overlap_owner_poll_test.go
@@ -76,15 +76,15 @@
 
 // failed has the poller continue after the pause that follows a poll without a reply.
 func (o *overlapOwner) failed(p *overlapPoller) {
-	o.after(p.retry, func() { o.continuePolling(p) })
+	p.connected = false
+	o.after(p.retry+o.pollPause(), func() { o.continuePolling(p) })
 	p.retry = min(2*p.retry, maxPollRetry)
 }
 
 func (o *overlapOwner) poll(p *overlapPoller, req scheduler.PollRequest) {
-	if req.Deadline > 0 && !o.pool.HasUnsavedEnds(p.worker) && o.pool.HasRuns(p.worker) {
+	if req.Deadline > 0 && !o.pool.HasUnsavedEnds(p.worker) && o.pool.HasRuns(p.worker) && req.Timeout <= orderTimeout {
 		req.Wait = pollWait
 	}
-	sent := o.s.now
 	pollFailed := func(result scheduler.OrderResult) {
 		switch {
 		case o.ended:
@@ -97,7 +97,16 @@
 			o.failed(p)
 		}
 	}
-	o.s.call(req.Address, req.Wait+orderTimeout, func(inc *overlapIncarnation, send func(func())) {
+	o.s.dial(p, req.Timeout, func() { o.sendPoll(p, req, pollFailed) }, pollFailed)
+}
+
+// sendPoll sends a poll on an open connection.
+func (o *overlapOwner) sendPoll(p *overlapPoller, req scheduler.PollRequest, pollFailed func(scheduler.OrderResult)) {
+	if o.ended {
+		return
+	}
+	sent := o.s.now
+	o.s.call(req.Address, req.Wait+req.Timeout, func(inc *overlapIncarnation, send func(func())) {
 		result := o.s.poll(inc, req)
 		if result != scheduler.Accepted {
 			send(func() { pollFailed(result) })
@@ -105,6 +114,7 @@
 		}
 		o.s.awaitEnd(inc, req.Wait, func() {
 			reply := inc.pollReply(req, sent, o.s.now)
+			o.s.endsListed(inc, reply.Ends)
 			send(func() { o.replyArrived(p, inc, reply) })
 		})
 	}, pollFailed)
@@ -138,7 +148,11 @@
 		o.s.log(e.Task.Job, e.Task, inc.name, "owner %d receives end %d of %v attempt %d on %s: %s; ends acknowledged up to %d", o.token, e.Number, e.Task, e.Attempt, inc.name, e.Kind, reply.AckedEnds)
 	}
 	o.pool.ApplyPoll(reply)
-	p.retry = pollRetry
+	p.retry, p.connected = pollRetry, true
 	o.kickPlan()
+	if pause := o.pollPause(); pause > 0 {
+		o.after(pause, func() { o.continuePolling(p) })
+		return
+	}
 	o.continuePolling(p)
 }
--- a/internal/scheduler/overlap_poller_test.go
+++ b/internal/scheduler/overlap_poller_test.go
@@ -10,4 +10,5 @@
 	idle         bool          // it waits for a kick
 	saveDeadline time.Time     // it waits until then for ends to be saved; zero: it does not wait
 	kicked       bool
+	connected    bool // it has a connection, on which the last poll was answered
 }
--- a/internal/scheduler/overlap_sim_test.go
+++ b/internal/scheduler/overlap_sim_test.go
@@ -27,7 +27,8 @@
 	starts        map[scheduler.TaskID][]overlapStart
 	ends          map[scheduler.TaskID][]*overlapEnd
 	failedRuns    map[scheduler.TaskID]int
-	jobCount      int // number of accepted jobs
+	jobCount      int           // number of accepted jobs
+	replyDelay    time.Duration // that the owner's full link adds to each answer
 	noFaults      bool
 	violation     string // the first violation of a rule, with its trace; empty: none
 }
@@ -47,7 +48,12 @@
 	s.acquire(0, 0)
 	s.after(s.between(2000, 5000), s.changeOwner)
 	s.after(s.between(300, 600), s.submit)
-	s.after(s.between(200, 1500), s.injectFault)
+	if !faults.NoLosses {
+		s.after(s.between(200, 1500), s.injectFault)
+	}
+	if faults.ReplyDelay > 0 {
+		s.after(s.between(500, 2000), s.fillLink)
+	}
 	return s
 }
 
@@ -91,7 +97,7 @@
 // rule that was violated with the trace, or an empty string.
 func (s *overlapSim) run() string {
 	s.runUntil(s.trace.startedAt.Add(20*time.Second), func() bool { return false })
-	s.noFaults = true
+	s.noFaults, s.replyDelay = true, 0
 	s.log("", scheduler.TaskID{}, "", "calm")
 	for _, m := range s.machines {
 		m.cutOffUntil = time.Time{}
--- a/internal/scheduler/overlap_test.go
+++ b/internal/scheduler/overlap_test.go
@@ -71,6 +71,15 @@
 		Entry("and workers restart unnoticed", int64(840_000), overlapFaults{ReadDelay: 200 * usualReadDelay, UnnoticedRestarts: true}),
 	)
 
+	// Incident 31: each reply of a worker took longer than its poll's timeout. The worker
+	// counted as gone, and its tasks ran again after it had listed the ends of their runs.
+	DescribeTable("do so also where answers take longer than a poll's timeout", runSeedsFrom,
+		Entry("nothing else is wrong", int64(850_000), overlapFaults{ReplyDelay: 2 * time.Second, NoLosses: true}),
+		Entry("and pollers do not get their turn for seconds", int64(860_000), overlapFaults{ReplyDelay: 2 * time.Second, PollPause: 6 * time.Second, NoLosses: true}),
+		Entry("and calls are lost, workers are cut off and crash", int64(870_000), overlapFaults{ReplyDelay: 2 * time.Second}),
+		Entry("and pollers do not get their turn either", int64(880_000), overlapFaults{ReplyDelay: 2 * time.Second, PollPause: 6 * time.Second}),
+	)
+
 	// Incident 20: a former owner that still works starts a task on the next incarnation
 	// of a worker, while the task runs elsewhere. The later owner had fenced the worker,
 	// but the next incarnation has not seen its fencing token.
--- a/internal/scheduler/owner_test.go
+++ b/internal/scheduler/owner_test.go
@@ -24,7 +24,7 @@
 		s := newScene(worker("a"), worker("b"))
 		s.addSaved(batchJob("j", 1), token-1, scheduler.Progress{})
 		s.poll("a", []scheduler.RunReport{{Task: scheduler.TaskID{Job: "j"}, Attempt: 1, Percent: 100}})
-		s.pool.PollFailed("a", scheduler.NoResponse, s.now)
+		s.silent("a")
 		s.advance(timing.RunLease)
 		Expect(s.startAll()).To(BeEmpty())
 		s.advance(time.Second)
--- a/internal/scheduler/poll_request.go
+++ b/internal/scheduler/poll_request.go
@@ -12,4 +12,5 @@
 	AckedEnds int64 // ends up to this number are acknowledged: the worker need not report them again
 	Deadline  int64 // the new end of the leases, on the worker's clock, in milliseconds; 0: no lease is extended
 	Wait      time.Duration
+	Timeout   time.Duration // how long the reply may take, beyond Wait
 }
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -186,8 +186,8 @@
 // longer blocked or suspended.
 func (p *Pool) planTimers(now time.Time, plan *Plan) {
 	for _, w := range p.workers {
-		if len(w.runs) > 0 && !w.reachable && (now.Before(w.expiresAt) || !w.replyOutstanding()) {
-			plan.wakeAt(w.expiresAt) // a reply that is outstanding then causes a plan
+		if len(w.runs) > 0 && !w.reachable && !now.After(w.expiresAt) {
+			plan.wakeAt(w.expiresAt) // the outcome of a poll after that causes a plan
 		}
 		if now.Before(w.suspendedUntil) {
 			plan.wakeAt(w.suspendedUntil)
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -17,7 +17,7 @@
 		return PollRequest{}, false
 	}
 	w.polledAt = now
-	req := PollRequest{Worker: id, Address: w.info.Address, Token: p.token}
+	req := PollRequest{Worker: id, Address: w.info.Address, Token: p.token, Timeout: p.replyTimeout(w)}
 	if w.ackableEnds > w.ackedEnds && w.mayAckEnds(now) {
 		req.AckedEnds = w.ackableEnds
 	}
@@ -99,6 +99,9 @@
 	w.clock = clockReading{readAt: reply.ReceivedAt, millis: reply.Clock}
 	w.fenced = true
 	w.reachable, w.silent = true, false
+	if p.timing.isQuick(reply.ReceivedAt.Sub(reply.SentAt)) {
+		w.unanswered = 0
+	}
 	w.pollSentAt, w.pollAnsweredAt = reply.SentAt, reply.ReceivedAt
 	w.ackedEnds = max(w.ackedEnds, reply.AckedEnds)
 }
@@ -223,6 +226,7 @@
 		return
 	}
 	w.reachable, w.silent, w.pollSentAt = false, true, time.Time{}
+	w.unanswered++
 	w.block(now.Add(blockAfterFailure))
 }
 
--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -209,8 +209,8 @@
 
 // sweepWorkers releases the runs on unreachable workers whose leases have expired, and
 // removes unlisted workers that are lost or unreachable and have no run left. A worker
-// is judged by all that it answered: while a reply may wait to be applied, because this
-// process is late, its runs stay.
+// is judged by all that it answered: while a reply may wait to be applied, or may have
+// come after its poll's timeout, its runs stay.
 func (p *Pool) sweepWorkers(now time.Time, plan *Plan) {
 	for id, w := range p.workers {
 		if w.lost && !w.polledAt.IsZero() {
@@ -226,7 +226,7 @@
 		if w.replyOutstanding() {
 			continue
 		}
-		if len(w.runs) > 0 && !w.reachable && now.After(w.expiresAt) {
+		if len(w.runs) > 0 && !w.reachable && now.After(w.expiresAt) && (!w.listed || !p.mayHaveRepliedLate(w)) {
 			p.expire(w)
 		}
 		if !w.listed && len(w.runs) == 0 && now.After(w.expiresAt) && (w.lost || !w.reachable) {
@@ -242,5 +242,5 @@
 		p.release(r)
 		p.counts.Lapsed++
 	}
-	w.fenced = false
+	w.fenced, w.unanswered = false, 0
 }
--- a/internal/scheduler/scene_test.go
+++ b/internal/scheduler/scene_test.go
@@ -104,6 +104,19 @@
 	s.applyReply(id, running, ends, req)
 }
 
+// silent has the worker leave unanswered as many polls as show that it is gone.
+func (s *scene) silent(id string) {
+	for range pollsUntilGone {
+		req, due := s.pool.NextPoll(id, s.now)
+		ExpectWithOffset(1, due).To(BeTrue())
+		ExpectWithOffset(1, req.Worker).To(Equal(id))
+		s.pool.PollFailed(id, scheduler.NoResponse, s.now)
+	}
+}
+
+// pollsUntilGone is the number of polls until one has waited for the longest time.
+const pollsUntilGone = 3
+
 func (s *scene) applyReply(id string, running []scheduler.RunReport, ends []scheduler.EndReport, req scheduler.PollRequest) {
 	sent := s.now
 	s.advance(time.Millisecond)
