--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -17,7 +17,7 @@
 		return PollRequest{}, false
 	}
 	w.polledAt = now
-	req := PollRequest{Worker: id, Address: w.info.Address, Token: p.token}
+	req := PollRequest{Worker: id, Address: w.info.Address, Token: p.token, Timeout: p.replyTimeout(w)}
 	if w.ackableEnds > w.ackedEnds && w.mayAckEnds(now) {
 		req.AckedEnds = w.ackableEnds
 	}
@@ -104,7 +104,7 @@
 		p.workerRestarted(w)
 		w.appliedEnds, w.ackableEnds, w.ackedEnds, w.endMarks, w.unsavedEnds = 0, 0, 0, nil, nil
 	}
-	w.answered(reply)
+	w.answered(reply, &p.timing)
 	w.fenced = true
 	w.ackedEnds = max(w.ackedEnds, reply.AckedEnds)
 }
@@ -229,6 +229,7 @@
 		return
 	}
 	w.reachable, w.silent, w.pollSentAt = false, true, time.Time{}
+	w.unanswered++
 	w.block(now.Add(blockAfterFailure))
 }
 
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -23,6 +23,7 @@
 	pollSentAt        time.Time // when the last answered poll was sent; zero: the next reply may be from another incarnation
 	pollAnsweredAt    time.Time // when the reply to that poll was received
 	polledAt          time.Time // when the poll was requested whose outcome is not known yet; zero: there is none
+	unanswered        int       // polls without a reply since the last quick one
 	pollInterrupted   bool      // a plan has asked to end that poll, because the worker is lost
 	runs              map[runKey]*run
 	mayNeedOrders     bool // some of runs may need a stop or a repeated start
@@ -81,7 +82,10 @@
 }
 
 // answered records that the worker's present incarnation has answered a poll.
-func (w *worker) answered(reply *PollReply) {
+func (w *worker) answered(reply *PollReply, timing *Timing) {
+	if timing.isQuick(reply.ReceivedAt.Sub(reply.SentAt)) {
+		w.unanswered = 0
+	}
 	w.incarnation = reply.Incarnation
 	w.clock = clockReading{readAt: reply.ReceivedAt, millis: reply.Clock}
 	w.reachable, w.silent = true, false
