An unexpected error in serving one call of a peer ends that call

Seen by callers: "One malformed message or unexpected error took a whole process down". A panic in the handshake, a frame or the handling of one call of a peer ended the process.

Why it works: the goroutine of the stream (or of the connection, before its session) logs the error and closes it. The caller sees the stream end without a response, so the outcome of its call is unknown; the session's other calls go on, and the shutdown waits for no call that has ended.

A panic inside yamux's own goroutines is not contained.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -59,6 +59,7 @@
 		}
 		sessions.Go(func() {
 			defer s.connections.Release(1)
+			defer s.contain(c.RemoteAddr())
 			s.serveConnection(ctx, c)
 		})
 	}
@@ -112,10 +113,20 @@
 // the peer closes it, it has been idle for serverIdleTimeout, or ctx ends.
 func (s *Server) serveStream(ctx context.Context, stream *yamux.Stream, calls *sync.RWMutex) {
 	defer stream.Close()
+	defer s.contain(stream.RemoteAddr())
 	for s.serveCall(ctx, stream, calls) {
 	}
 }
 
+// contain is deferred by the goroutines that serve a peer. After an unexpected error, the
+// peer sees the stream or the connection end without a response: the outcome of the call
+// is unknown.
+func (s *Server) contain(peer net.Addr) {
+	if cause := recover(); cause != nil {
+		s.log.Error("unexpected error while serving a peer", zap.String("step", string(problem.StepPeerCall)), zap.Stringer("peer", peer), zap.Any("cause", cause), zap.Stack("stack"))
+	}
+}
+
 // serveCall waits for a call, serves it, and reports whether the stream can
 // carry another. The end of ctx ends the wait, but not a call that was received.
 func (s *Server) serveCall(ctx context.Context, stream *yamux.Stream, calls *sync.RWMutex) bool {
