--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -232,9 +232,12 @@
 	if n, err := strconv.ParseInt(os.Getenv("PERSIMMONBAY_SEEDS"), 10, 64); err == nil {
 		return n
 	}
-	return 20
+	return usualSeeds
 }
 
+// usualSeeds is how many seeds a simulation plays in CI.
+const usualSeeds = 20
+
 var _ = Describe("successive owners, among workers that lose answers, act late, are cut off and restart", func() {
 	It("run no task twice, none after its end was saved, none too often, and lose no job", func() {
 		for seed := range simSeeds() {
