A batch of saves is chosen without sorting the whole backlog

Cause: each call collected and sorted all jobs with unsaved changes.

It now keeps the oldest ones only, while it goes through them once; same order.

--- a/internal/scheduler/pool_save.go
+++ b/internal/scheduler/pool_save.go
@@ -11,8 +11,7 @@
 func (p *Pool) ClaimUnsaved(limit int) (items []SaveItem, urgent bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	dirty := p.dirtyJobs()
-	for _, j := range dirty[:min(limit, len(dirty))] {
+	for _, j := range p.oldestUnsaved(limit) {
 		j.saving = true
 		urgent = urgent || j.urgentSave
 		items = append(items, SaveItem{
@@ -23,17 +22,25 @@
 	return items, urgent
 }
 
-func (p *Pool) dirtyJobs() []*job {
-	var dirty []*job
+// oldestUnsaved returns at most limit jobs with changes that are not claimed, those with
+// the oldest ones first. It is called for each batch of a backlog, so it does not sort
+// the whole of it.
+func (p *Pool) oldestUnsaved(limit int) []*job {
+	oldest := make([]*job, 0, limit+1)
 	for j := range p.unsavedJobs {
-		if !j.saving {
-			dirty = append(dirty, j)
+		if j.saving || len(oldest) == limit && j.compareUnsaved(oldest[limit-1]) > 0 {
+			continue
 		}
+		at, _ := slices.BinarySearchFunc(oldest, j, (*job).compareUnsaved)
+		oldest = slices.Insert(oldest, at, j)
+		oldest = oldest[:min(limit, len(oldest))]
 	}
-	slices.SortFunc(dirty, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(a.dirtyFrom, b.dirtyFrom), cmp.Compare(a.sub.ID, b.sub.ID))
-	})
-	return dirty
+	return oldest
+}
+
+// compareUnsaved orders jobs by their oldest unsaved changes.
+func (j *job) compareUnsaved(o *job) int {
+	return cmp.Or(cmp.Compare(j.dirtyFrom, o.dirtyFrom), cmp.Compare(j.sub.ID, o.sub.ID))
 }
 
 // SavePending reports whether there is progress to save that is not claimed, and
