An owner reads the offers of the last one page by page, and each page once

The same fault as that of the pool's jobs, found by reading: where each fourth page fails, no number of tries reads 12 pages of offers, and the pool never starts.

Cause: the offers of all pools were read with Range, anew after each failure, within 3 s.

They are a rangeRead now, like jobs and states.

--- a/internal/poolmanager/ownership_capacity.go
+++ b/internal/poolmanager/ownership_capacity.go
@@ -45,14 +45,10 @@
 	}
 }
 
-// loadOffers returns the machines of the pool that an earlier owner has offered, with
+// applyOffers returns the machines of the pool that an earlier owner has offered, with
 // the revisions of the offers, and marks them as offered in the pool: they may be
 // claimed at any time.
-func (o *poolOwnership) loadOffers(ctx context.Context) (map[string]int64, error) {
-	items, _, err := o.Store.Range(ctx, poolstore.OfferPrefix)
-	if err != nil {
-		return nil, err
-	}
+func (o *poolOwnership) applyOffers(items []store.Item) map[string]int64 {
 	offered := make(map[string]int64)
 	var machines []string
 	for _, item := range items {
@@ -68,7 +64,7 @@
 		}
 	}
 	o.pool.SetOffered(machines)
-	return offered, nil
+	return offered
 }
 
 // offer writes offers of machines that the pool can spare, up to maxOffersPerTxn.
--- a/internal/poolmanager/ownership_load.go
+++ b/internal/poolmanager/ownership_load.go
@@ -124,16 +124,17 @@
 
 // readOffers reads which machines an earlier owner has offered.
 func (o *poolOwnership) readOffers(ctx context.Context) error {
-	if o.loading.offered != nil {
+	p := &o.loading
+	if p.offered != nil {
 		return nil
 	}
-	limited, cancel := context.WithTimeout(ctx, readAllTimeout)
-	defer cancel()
-	offered, err := o.loadOffers(limited)
-	if err != nil {
+	if p.offers == nil {
+		p.offers = &rangeRead{prefix: poolstore.OfferPrefix}
+	}
+	if err := p.offers.finish(ctx, o.Store); err != nil {
 		return err
 	}
-	o.loading.offered = offered
+	p.offered = o.applyOffers(p.offers.items)
 	return nil
 }
 
--- a/internal/poolmanager/pool_load.go
+++ b/internal/poolmanager/pool_load.go
@@ -4,6 +4,7 @@
 // that fails, so that each try goes on where the last one ended.
 type poolLoad struct {
 	rosterWritten bool             // the roster names this owner
+	offers        *rangeRead       // of all pools; nil: not begun
 	offered       map[string]int64 // machines that an earlier owner has offered, with the revisions of the offers; nil: not read yet
 	jobs          *rangeRead       // nil: not begun
 	states        *rangeRead       // begun once jobs is complete; nil: not begun
