A machine that may be reported as empty gets no task on its next worker

Cause: an owner's confirmation that a machine is empty gets no response and may be carried out seconds later, under conditions that still hold. Only a confirmation that the watch has shown kept the machine's next worker, under a new id, from getting work. With the late copy the machine counts as empty and is taken down.

Change: ClaimEmpty tells the pool before the write, in one step with the look at the machine, as SetOffered does for offers. Until the request is withdrawn, no worker of the machine gets a task; a write that is conditional on the withdrawn request isn't carried out. The next worker counts as one being emptied, so the confirmation is tried again and the wave goes on. A machine that is not asked for (the owner's view may be older than the pool's) is not claimed, as nothing would end that. A next owner needs no claim: the write expects the ownership.

Evidence: before, "starts nothing on the machine's next worker, as the confirmation may still be applied" failed: 16 tasks were started on a machine that may be taken down. Now it passes. The two specs of the claim fail when claims are not dropped, or are made without a request.

--- a/internal/poolmanager/ownership_emptied.go
+++ b/internal/poolmanager/ownership_emptied.go
@@ -29,7 +29,7 @@
 func (o *poolOwnership) confirmEmptied(confirmed map[string]int64) {
 	view := o.requests.Get()
 	for machine, request := range view.empty {
-		if request.emptied || confirmed[machine] == request.revision || !o.pool.MachineEmpty(machine) {
+		if request.emptied || confirmed[machine] == request.revision {
 			continue
 		}
 		value, err := poolstore.EncodeEmptyRequest(request.by, true)
@@ -37,6 +37,9 @@
 			o.log.Error("machine not confirmed as empty, as the confirmation cannot be encoded", telemetry.ProblemFields(err)...)
 			continue
 		}
+		if !o.pool.ClaimEmpty(machine) {
+			continue
+		}
 		ctx, cancel := context.WithTimeout(o.ctx, o.timing.StoreTimeout)
 		key := poolstore.EmptyRequestKey(machine)
 		_, err = o.Store.Commit(ctx, store.Txn{
--- /dev/null
+++ b/internal/scheduler/claim_empty_test.go
@@ -0,0 +1,42 @@
+package scheduler_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a claim that a machine is empty", func() {
+	var s *scene
+
+	BeforeEach(func() {
+		s = newScene(worker("a"))
+		s.pool.SetMachinesToEmpty(map[string]time.Time{"m-a": s.now}, nil)
+		s.add(batchJob("j", 1))
+		s.plan()
+	})
+
+	// The claim of a machine that was back from its upkeep would keep it without work.
+	It("ends when the request to empty the machine is withdrawn", func() {
+		Expect(s.pool.ClaimEmpty("m-a")).To(BeTrue())
+		next := worker("a2")
+		next.Machine, next.Incarnation = "m-a", 2
+		s.setWorkers(next)
+		s.poll("a2", nil)
+		Expect(s.startAll()).To(BeEmpty())
+		s.pool.SetMachinesToEmpty(nil, nil)
+		next.ID, next.Address, next.Incarnation = "a3", "a3:1", 3
+		s.setWorkers(next)
+		s.poll("a3", nil)
+		Expect(only(s.startAll()).Worker).To(Equal("a3"))
+	})
+
+	// The owner's view may be older than the pool's: nothing would end such a claim.
+	It("is refused once the request is withdrawn, also while the machine is offered", func() {
+		s.pool.SetOffered([]string{"m-a"})
+		s.pool.SetMachinesToEmpty(nil, nil)
+		Expect(s.pool.MachineEmpty("m-a")).To(BeTrue())
+		Expect(s.pool.ClaimEmpty("m-a")).To(BeFalse())
+	})
+})
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -30,6 +30,7 @@
 	counts                Counts
 	toEmpty               map[string]time.Time // machines to be emptied, and the time of day by which their maintenance should be over
 	emptied               map[string]bool      // machines that were reported as empty: they may be taken down at any time
+	emptyClaims           map[string]bool      // machines whose report as empty may be on its way to the store
 	publishedOffers       map[string]bool      // machines that are offered in the store: they may be taken at any time
 	lastMachineCapacity   Resources            // mean capacity of the workers when last some were listed that had answered
 	loadPeak              float64              // recent peak of the load, in machines; decays with peakHalfLife
@@ -56,7 +57,7 @@
 	p := &Pool{
 		service: service, token: token, timing: timing, epoch: roster.Tenure + 1, takenAt: now,
 		awaited: make(map[string]*awaitedWorker), jobs: make(map[string]*job), workers: make(map[string]*worker),
-		durations: newDurations(), endedJobs: make(map[string]bool), unsavedJobs: make(map[*job]bool), unackedWorkers: make(map[*worker]bool), pendingCancels: make(map[string]int64), publishedOffers: make(map[string]bool),
+		durations: newDurations(), endedJobs: make(map[string]bool), unsavedJobs: make(map[*job]bool), unackedWorkers: make(map[*worker]bool), pendingCancels: make(map[string]int64), publishedOffers: make(map[string]bool), emptyClaims: make(map[string]bool),
 		shortArrivals: arrivalRate{window: shortArrivalWindow}, longArrivals: arrivalRate{window: longArrivalWindow},
 	}
 	p.formerOrdersEndAt = now
--- a/internal/scheduler/pool_emptying.go
+++ b/internal/scheduler/pool_emptying.go
@@ -15,6 +15,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.toEmpty, p.emptied = machines, emptied
+	p.dropEmptyClaims()
 	for _, w := range p.workers {
 		if p.toEmpty[w.info.Machine].IsZero() {
 			w.emptying = false
--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -50,7 +50,7 @@
 	if !ok {
 		w = newWorker(info)
 		w.listedAt = now
-		w.offered, w.emptying = p.publishedOffers[info.Machine], p.emptied[info.Machine]
+		w.offered, w.emptying = p.publishedOffers[info.Machine], p.emptied[info.Machine] || p.emptyClaims[info.Machine]
 		p.workers[info.ID] = w
 		return
 	}
@@ -85,24 +85,6 @@
 	return info.Incarnation > w.incarnation || info.Incarnation != w.incarnation && info.Incarnation != w.info.Incarnation
 }
 
-// MachineEmpty reports whether the pool has workers on the machine, and no task runs or
-// will start on any of them.
-func (p *Pool) MachineEmpty(machine string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	found := false
-	for _, w := range p.workers {
-		if w.info.Machine != machine {
-			continue
-		}
-		if !w.vacating() || !w.idle() || !w.fenced {
-			return false
-		}
-		found = true
-	}
-	return found
-}
-
 // incarnationEnded releases all runs on a worker whose incarnation has ended.
 func (p *Pool) incarnationEnded(w *worker) {
 	for _, r := range w.runs {
