--- a/internal/scheduler/overlap_change_test.go
+++ b/internal/scheduler/overlap_change_test.go
@@ -5,7 +5,7 @@
 // changeOwner ends the present ownership in one of several ways, and schedules the next
 // change.
 func (s *overlapSim) changeOwner() {
-	if s.noFaults || s.faults.ReadDelay > 0 || s.faults.ReplyDelay > 0 {
+	if s.noFaults || s.faults.ReadDelay > 0 || s.faults.NoLosses {
 		return
 	}
 	s.after(s.between(3000, 8000), s.changeOwner)
--- a/internal/scheduler/overlap_faults_test.go
+++ b/internal/scheduler/overlap_faults_test.go
@@ -18,13 +18,13 @@
 	ReadDelay time.Duration
 
 	// ReplyDelay is the longest time that an answer takes to the owner while its link is
-	// full, which it is for some seconds at a time; 0: it never is. There is one owner all
-	// the time.
+	// full, which it is for some seconds at a time; 0: it never is.
 	ReplyDelay time.Duration
 	// PollPause is the longest time for which a poller does not get its turn; 0: it
 	// always does.
 	PollPause time.Duration
 	// NoLosses stands for a platform without other faults: no call is lost, no worker is
-	// cut off or crashes. An end counts as acknowledged 100 ms after a reply has listed it.
+	// cut off or crashes, and there is one owner all the time. An end counts as
+	// acknowledged 100 ms after a reply has listed it.
 	NoLosses bool
 }
