A write without a response no longer takes the whole step of the machine controller

Found by a test: after one lost response in a step, no machine is taken down or moved for 3 s, in any wave.

Cause: all calls of a step share readAllTimeout (3 s), and a commit had no bound of its own. A lost response used up the step's time; what followed failed at once, and the step began anew.

What was read or written is kept as before: progress is read once for each wave, and a repeated write expects the key's last revision.

--- a/internal/poolmanager/fake_store_test.go
+++ b/internal/poolmanager/fake_store_test.go
@@ -108,6 +108,9 @@
 		<-ctx.Done()
 		return 0, problem.Wrap(problem.Timeout, problem.StepStoreWrite, "", ctx.Err())
 	}
+	if err := expired(ctx); err != nil {
+		return 0, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.loseNext != "" && s.writesPrefix(&txn, s.loseNext) {
@@ -128,7 +131,18 @@
 	return s.revision, nil
 }
 
-func (s *fakeStore) Get(_ context.Context, key string) (store.Item, error) {
+// expired returns the error of a call whose time is over before it is sent.
+func expired(ctx context.Context) error {
+	if ctx.Err() == nil {
+		return nil
+	}
+	return problem.Wrap(problem.Timeout, problem.StepStoreRead, "", ctx.Err())
+}
+
+func (s *fakeStore) Get(ctx context.Context, key string) (store.Item, error) {
+	if err := expired(ctx); err != nil {
+		return store.Item{}, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	item, ok := s.items[key]
--- a/internal/poolmanager/machine_controller_recent.go
+++ b/internal/poolmanager/machine_controller_recent.go
@@ -52,7 +52,7 @@
 	txn := c.guardedTxn()
 	txn.Expected = append(txn.Expected, store.Expectation{Key: poolstore.OwnMachinesKey})
 	txn.Writes = []store.Write{{Key: poolstore.OwnMachinesKey, Value: value}}
-	_, err = c.Store.Commit(ctx, txn)
+	_, err = c.commitOnce(ctx, txn)
 	if problem.Is(err, problem.Conflict) {
 		return nil // stored meanwhile, or the role is lost: the next write shows which
 	}
--- a/internal/poolmanager/machine_controller_wave.go
+++ b/internal/poolmanager/machine_controller_wave.go
@@ -54,7 +54,9 @@
 		return p, nil
 	}
 	key := poolstore.UpkeepKey(wave)
-	item, err := c.Store.Get(ctx, key)
+	limited, cancel := context.WithTimeout(ctx, c.timing.StoreTimeout)
+	defer cancel()
+	item, err := c.Store.Get(limited, key)
 	if problem.Is(err, problem.NotFound) {
 		c.own.record(key, 0)
 		p := upkeep.NewProgress()
