A save counts as that of a job's end only if it held the end

It happens when a job ends while an earlier save of it is in flight, that is, often under load.

Cause: applySave looked at what the pool knows of the job when the response came, not at what was saved.

Change: the progress of the saved item decides. A job whose end is saved stays so, also with a write that removes its submission.

Evidence: before, "is not taken as saved with its end" failed: EndSaved was true. Now it passes.

--- a/internal/scheduler/pool_save.go
+++ b/internal/scheduler/pool_save.go
@@ -63,7 +63,7 @@
 		j.saving = false
 		j.revision = revision
 		p.markSaved(j, &items[i])
-		p.applySave(j, items[i].Remove)
+		p.applySave(j, &items[i])
 	}
 	return p.advanceAckable()
 }
@@ -78,15 +78,15 @@
 	j.dirtyFrom = item.upTo + 1
 }
 
-// applySave records that a job's progress is saved. removed means that the same write
-// removed the submission. If the job has ended and the write did not, because runs were
-// left, removeEndedJobs has the submission removed later.
-func (p *Pool) applySave(j *job, removed bool) {
-	if removed {
+// applySave records that the progress in item is saved; the job may have gone on since.
+// If the job's end is saved and the write did not remove the submission, because runs
+// were left, removeEndedJobs has it removed later.
+func (p *Pool) applySave(j *job, item *SaveItem) {
+	j.endSaved = j.endSaved || item.Progress.State.Final()
+	if item.Remove {
 		j.submissionRemoved = true
 		return
 	}
-	j.endSaved = j.progress.State.Final()
 	j.removeWhenIdle = j.endSaved
 }
 
