--- a/internal/poolmanager/ownership_pool.go
+++ b/internal/poolmanager/ownership_pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"persimmonbay/internal/poolstore"
 	"persimmonbay/internal/scheduler"
@@ -15,6 +16,7 @@
 	o.spawn(o.guard)
 	from, offered, ok := o.load()
 	if !ok {
+		o.releaseUnloaded()
 		return
 	}
 	o.loaded.Store(true)
@@ -52,8 +54,8 @@
 		return ok && !o.pool.HasJob(id)
 	})
 	if unknown {
-		if o.stateReread == nil {
-			o.stateReread = &rangeRead{prefix: poolstore.StatePrefix(o.service)}
+		if now := o.Clock.Now(); o.stateReread == nil || now.Sub(o.rereadBegan) > maxRereadAge {
+			o.stateReread, o.rereadBegan = &rangeRead{prefix: poolstore.StatePrefix(o.service)}, now
 		}
 		if err := o.stateReread.finish(ctx, o.Store); err != nil {
 			return err
@@ -61,15 +63,25 @@
 		o.addJobs(items, o.statesByJob(o.stateReread.items), o.Clock.Now())
 		o.stateReread = nil
 	}
+	o.cancelJobs(items)
+	o.plan.send()
+	return nil
+}
+
+// cancelJobs applies the cancellations among the items.
+func (o *poolOwnership) cancelJobs(items []store.Item) {
 	for _, item := range items {
 		if id, ok := poolstore.ParseCancel(o.service, item.Key); ok {
 			o.pool.CancelJob(id, item.Revision)
 		}
 	}
-	o.plan.send()
-	return nil
 }
 
+// maxRereadAge is the age from which states that were read are not used any more: they may
+// name a job as unfinished that has ended since. It is well below the time for which a pool
+// remembers ended jobs.
+const maxRereadAge = time.Minute
+
 func (o *poolOwnership) applyWork(events []store.Event) {
 	for _, e := range events {
 		if o.replacedBy(e.Item) {
--- a/internal/scheduler/pool_loading.go
+++ b/internal/scheduler/pool_loading.go
@@ -30,5 +30,5 @@
 		// A poll with a deadline on the former incarnation's clock may have reached this one.
 		w.extendUnknownRuns(reply.ReceivedAt.Add(p.timing.longest()))
 	}
-	w.answered(reply)
+	w.answered(reply, &p.timing)
 }
