A refused connection is no proof that a worker is gone

Cause: a poll that found no connection, because a limit was reached, counted like one that had waited for the longest time. After two cut-off replies one refused connection was enough to give the worker's runs up at the end of their leases.

Change: polls that fail at once are counted apart. Runs are given up after six of them in a row, which a crashed worker reaches in 2.3 s, within its lease; so its tasks start again as soon as before (unit test, RunLease + 500 ms).

Unit test "keeps its tasks when the poll that would have waited long enough finds no connection" failed before.

--- a/internal/scheduler/late_reply_test.go
+++ b/internal/scheduler/late_reply_test.go
@@ -85,6 +85,32 @@
 		Expect(s.save(300)["j"].Progress.State).To(Equal(scheduler.Completed))
 	})
 
+	// Incident 31: a refused connection counted like a poll that had waited for the longest time.
+	It("keeps its tasks when the poll that would have waited long enough finds no connection", func() {
+		s, run := started(batchJob("j", 1))
+		nextReply(s, run.Worker, 2*time.Second)
+		s.pool.PollFailed(run.Worker, scheduler.NotReached, s.now)
+		s.advance(timing.RunLease)
+		Expect(s.plan().Starts).To(BeEmpty())
+		s.poll(run.Worker, nil, endReport(run, scheduler.EndDone))
+		expectCompleted(s)
+	})
+
+	It("loses its tasks at the end of their leases if it refuses all connections meanwhile", func() {
+		s, run := started(longRunningJob("j", 1))
+		ended := s.now.Add(timing.RunLease + 500*time.Millisecond)
+		retry := pollRetry
+		for s.now.Before(ended) {
+			Expect(s.plan().Starts).To(BeEmpty())
+			_, due := s.pool.NextPoll(run.Worker, s.now)
+			Expect(due).To(BeTrue())
+			s.pool.PollFailed(run.Worker, scheduler.NotReached, s.now)
+			s.advance(min(retry, ended.Sub(s.now)))
+			retry = min(2*retry, maxPollRetry)
+		}
+		Expect(only(s.plan().Starts).Worker).NotTo(Equal(run.Worker))
+	})
+
 	It("is polled with the usual timeout again once it replies quickly", func() {
 		s, run := started(longRunningJob("j", 1))
 		req := nextReply(s, run.Worker, 2*time.Second)
--- a/internal/scheduler/overlap_faults_test.go
+++ b/internal/scheduler/overlap_faults_test.go
@@ -23,6 +23,9 @@
 	// PollPause is the longest time for which a poller does not get its turn; 0: it
 	// always does.
 	PollPause time.Duration
+	// RefusedDials is the percentage of new connections for polls that are not opened,
+	// because a limit of connections is reached.
+	RefusedDials int
 	// NoLosses stands for a platform without other faults: no call is lost, no worker is
 	// cut off or crashes, and there is one owner all the time. An end counts as
 	// acknowledged 100 ms after a reply has listed it.
--- a/internal/scheduler/overlap_link_test.go
+++ b/internal/scheduler/overlap_link_test.go
@@ -35,6 +35,8 @@
 		delay = s.linkDelay()
 	}
 	switch {
+	case !p.connected && s.faults.RefusedDials > 0 && s.chance(s.faults.RefusedDials):
+		s.after(s.between(1, 30), func() { failed(scheduler.NotReached) })
 	case delay == 0:
 		opened()
 	case delay > timeout:
--- a/internal/scheduler/overlap_test.go
+++ b/internal/scheduler/overlap_test.go
@@ -78,6 +78,7 @@
 		Entry("and pollers do not get their turn for seconds", int64(860_000), overlapFaults{ReplyDelay: 2 * time.Second, PollPause: 6 * time.Second, NoLosses: true}),
 		Entry("and calls are lost, workers are cut off and crash", int64(870_000), overlapFaults{ReplyDelay: 2 * time.Second}),
 		Entry("and pollers do not get their turn either", int64(880_000), overlapFaults{ReplyDelay: 2 * time.Second, PollPause: 6 * time.Second}),
+		Entry("and half of the new connections are refused", int64(910_000), overlapFaults{ReplyDelay: 2 * time.Second, RefusedDials: 50, NoLosses: true}),
 		Entry("and an owner still works after it has lost the pool", int64(890_000), overlapFaults{ReplyDelay: 2 * time.Second, OverlappingOwners: true}),
 	)
 
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -99,6 +99,7 @@
 	w.clock = clockReading{readAt: reply.ReceivedAt, millis: reply.Clock}
 	w.fenced = true
 	w.reachable, w.silent = true, false
+	w.refusals = 0
 	if p.timing.isQuick(reply.ReceivedAt.Sub(reply.SentAt)) {
 		w.unanswered = 0
 	}
@@ -215,6 +216,7 @@
 	if !ok {
 		return
 	}
+	requestedAt := w.polledAt
 	w.pollOver()
 	if result == OtherIncarnation {
 		p.addEvent(Event{Kind: OtherIncarnationAtAddress, Worker: id}, now)
@@ -226,7 +228,7 @@
 		return
 	}
 	w.reachable, w.silent, w.pollSentAt = false, true, time.Time{}
-	w.unanswered++
+	p.countPollFailure(w, now.Sub(requestedAt))
 	w.block(now.Add(blockAfterFailure))
 }
 
--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -242,5 +242,5 @@
 		p.release(r)
 		p.counts.Lapsed++
 	}
-	w.fenced, w.unanswered = false, 0
+	w.fenced, w.unanswered, w.refusals = false, 0, 0
 }
--- a/internal/scheduler/reply_timeout.go
+++ b/internal/scheduler/reply_timeout.go
@@ -21,7 +21,7 @@
 // replyTimeoutsPerLease is how often the longest timeout of a poll fits into a lease.
 const replyTimeoutsPerLease = 2
 
-// isQuick reports whether a reply that took so long is far from its timeout.
+// isQuick reports whether a reply or a failure that took so long is far from a timeout.
 func (t *Timing) isQuick(took time.Duration) bool { return took <= t.OrderTimeout/2 }
 
 // replyTimeout returns how long the worker's next poll waits for its reply. Only a worker
@@ -33,8 +33,26 @@
 	return p.timing.replyTimeout(w.unanswered)
 }
 
+// countPollFailure counts a poll that failed after the given time.
+func (p *Pool) countPollFailure(w *worker, took time.Duration) {
+	if p.timing.isQuick(took) {
+		w.refusals++
+		return
+	}
+	w.unanswered++
+	w.refusals = 0
+}
+
 // mayHaveRepliedLate reports whether the worker may have replied to the polls that got no
-// reply, if there were any: none of them waited for the longest time.
+// reply, if there were any: none of them waited for the longest time, and few failed
+// without a wait, as they do at a limit of connections.
 func (p *Pool) mayHaveRepliedLate(w *worker) bool {
+	if w.refusals >= refusalsWhenGone {
+		return false
+	}
 	return w.unanswered == 0 || p.timing.replyTimeout(w.unanswered-1) < p.timing.longestReplyTimeout()
 }
+
+// refusalsWhenGone is the number of polls in a row that fail at once when no process
+// accepts connections at the worker's address. So many fail within a lease.
+const refusalsWhenGone = 6
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -23,7 +23,8 @@
 	pollSentAt        time.Time // when the last answered poll was sent; zero: the next reply may be from another incarnation
 	pollAnsweredAt    time.Time // when the reply to that poll was received
 	polledAt          time.Time // when the poll was requested whose outcome is not known yet; zero: there is none
-	unanswered        int       // polls without a reply since the last quick one
+	unanswered        int       // polls that waited and got no reply, since the last quick one
+	refusals          int       // polls in a row that failed without a wait
 	pollInterrupted   bool      // a plan has asked to end that poll, because the worker is lost
 	runs              map[runKey]*run
 	mayNeedOrders     bool // some of runs may need a stop or a repeated start
