--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -218,6 +218,7 @@
 	if !ok {
 		return
 	}
+	requestedAt := w.polledAt
 	w.pollOver()
 	if result == OtherIncarnation {
 		p.addEvent(Event{Kind: OtherIncarnationAtAddress, Worker: id}, now)
@@ -229,7 +230,7 @@
 		return
 	}
 	w.reachable, w.silent, w.pollSentAt = false, true, time.Time{}
-	w.unanswered++
+	p.countPollFailure(w, now.Sub(requestedAt))
 	w.block(now.Add(blockAfterFailure))
 }
 
