Lease polls are held open for 250 ms instead of a second

A poll that was lost is given up after its wait and OrderTimeout, 1.7 s together. For that long the owner doesn't see what has ended there, counts its room as used, and the steps and jobs of those tasks wait. 16 to 54 polls a second failed, so some 30 to 90 of the 200 workers were out of sight at any time.

On a worker that is full of tasks of 0.64 s an end is due every 64 ms, so a shorter wait costs no polls there.

Why it works: a lost poll is given up after 0.95 s. RunLease counts a whole lost poll as the age of the last lease now: 5.45 s instead of 5.5 s where a lease is 3 s.

The overlap simulation has the same wait as the entry.

--- a/internal/jobentry/timing.go
+++ b/internal/jobentry/timing.go
@@ -17,7 +17,7 @@
 	watchWait           = time.Second             // bounds how long a dead connection goes unnoticed
 	storeTimeout        = 900 * time.Millisecond
 	orderTimeout        = 700 * time.Millisecond
-	pollWait            = time.Second
+	pollWait            = 250 * time.Millisecond // adds to the time for which a poll that was lost hides what ended on its worker
 	saveInterval        = 20 * time.Millisecond
 	lazySaveDelay       = 80 * time.Millisecond
 	workerListInterval  = 100 * time.Millisecond // adds to the time of a move; only owners of pools read the list
@@ -38,7 +38,7 @@
 		OrderTimeout: orderTimeout, PollWait: pollWait, SaveInterval: saveInterval, LazySaveDelay: lazySaveDelay,
 		Retention: retentionFactor * t.Retention, ControllerPause: t.ControllerPause + pauseMargin, MachineListInterval: machineListInterval, WorkerListInterval: workerListInterval,
 		Scheduler: scheduler.Timing{
-			RunLease: min(t.MaxRunLease, lease+pollWait+ownerGap), MaxRunLease: t.MaxRunLease, OrderTimeout: orderTimeout, ClockDrift: clockDrift,
+			RunLease: min(t.MaxRunLease, lease+pollWait+orderTimeout+ownerGap), MaxRunLease: t.MaxRunLease, OrderTimeout: orderTimeout, ClockDrift: clockDrift,
 			StartEarly: t.StartEarly, FormerOwnerLease: lease, StopTimeout: t.MaxStopTime, FirstSuspension: firstSuspension, MaxSuspension: maxSuspension,
 		},
 	}
--- a/internal/scheduler/overlap_owner_plan_test.go
+++ b/internal/scheduler/overlap_owner_plan_test.go
@@ -12,7 +12,7 @@
 const (
 	orderTimeout = 700 * time.Millisecond
 	storeTimeout = 900 * time.Millisecond
-	pollWait     = time.Second // how long a worker delays a reply without ends
+	pollWait     = 250 * time.Millisecond // how long a worker delays a reply without ends
 )
 
 // kickPlan has a plan made soon.
