A start without an answer is sent again after 150 ms

Cause: the call of a start was given up after OrderTimeout (700 ms), and the order sent again another 700 ms later. Its worker got no start for 300 ms beside: 20 to 40 of 190 workers were blocked at any moment.

Why it works: a worker runs an attempt once, however many copies of the order reach it, so the first copy is waited for 150 ms, thirty times the usual answer, and sent again then. The second copy and later ones have OrderTimeout and the pause between them as before, so a worker that is down gets one more order at most. One order without an answer no longer keeps other tasks from its worker; two do.

The spec "reserves its capacity until a poll shows that it can no longer be carried out" expected no start at all after 400 ms. The copies are due by then: it expects these 16, of the same job and attempt, and no other, and after that none. The overlap simulation gives the starts of an owner the same timeouts.

--- a/internal/jobentry/timing.go
+++ b/internal/jobentry/timing.go
@@ -16,6 +16,7 @@
 	takeOverAfter       = 800 * time.Millisecond  // the assigned owner is several answer times late after it
 	watchWait           = time.Second             // bounds how long a dead connection goes unnoticed
 	storeTimeout        = 900 * time.Millisecond
+	startTimeout        = 150 * time.Millisecond // many times a worker's usual answer time, and short compared with a task
 	orderTimeout        = 700 * time.Millisecond
 	pollWait            = 250 * time.Millisecond // adds to the time for which a poll that was lost hides what ended on its worker
 	saveInterval        = 20 * time.Millisecond
@@ -38,7 +39,7 @@
 		OrderTimeout: orderTimeout, PollWait: pollWait, SaveInterval: saveInterval, LazySaveDelay: lazySaveDelay,
 		Retention: retentionFactor * t.Retention, ControllerPause: t.ControllerPause + pauseMargin, MachineListInterval: machineListInterval, WorkerListInterval: workerListInterval,
 		Scheduler: scheduler.Timing{
-			RunLease: min(t.MaxRunLease, lease+pollWait+orderTimeout+ownerGap), MaxRunLease: t.MaxRunLease, OrderTimeout: orderTimeout, ClockDrift: clockDrift,
+			RunLease: min(t.MaxRunLease, lease+pollWait+orderTimeout+ownerGap), MaxRunLease: t.MaxRunLease, StartTimeout: startTimeout, OrderTimeout: orderTimeout, ClockDrift: clockDrift,
 			StartEarly: t.StartEarly, FormerOwnerLease: lease, StopTimeout: t.MaxStopTime, FirstSuspension: firstSuspension, MaxSuspension: maxSuspension,
 		},
 	}
--- a/internal/poolmanager/ownership_plan.go
+++ b/internal/poolmanager/ownership_plan.go
@@ -95,7 +95,7 @@
 func (o *poolOwnership) startTask(order scheduler.StartOrder) {
 	answer, clock := scheduler.NotReached, int64(0)
 	if o.isValid() {
-		ctx, cancel := context.WithTimeout(o.ctx, o.timing.OrderTimeout)
+		ctx, cancel := context.WithTimeout(o.ctx, order.Timeout)
 		defer cancel()
 		answer, clock = o.Workers.Start(ctx, order)
 	}
--- a/internal/scheduler/order_test.go
+++ b/internal/scheduler/order_test.go
@@ -49,6 +49,12 @@
 		s.poll("a", nil)
 		s.add(batchJob("k", 1))
 		s.advance(400 * time.Millisecond)
+		again := s.plan().Starts
+		Expect(again).To(HaveLen(16))
+		Expect(again).To(HaveEach(And(HaveField("Task.Job", "j"), HaveField("Attempt", 1))))
+		for _, o := range again {
+			s.pool.StartAnswered(o, scheduler.NoResponse, 0, s.now)
+		}
 		Expect(s.plan().Starts).To(BeEmpty())
 		s.advance(timing.RunLease)
 		s.poll("a", nil)
--- a/internal/scheduler/overlap_owner_plan_test.go
+++ b/internal/scheduler/overlap_owner_plan_test.go
@@ -72,7 +72,7 @@
 			o.kickPlan()
 		}
 	}
-	o.s.call(order.Address, orderTimeout, func(inc *overlapIncarnation, send func(func())) {
+	o.s.call(order.Address, order.Timeout, func(inc *overlapIncarnation, send func(func())) {
 		result, clock := o.s.startAt(inc, order)
 		send(func() { o.after(o.readDelay(), func() { answered(result, clock) }) })
 	}, func(a scheduler.OrderResult) { answered(a, 0) })
--- a/internal/scheduler/pool_order_results.go
+++ b/internal/scheduler/pool_order_results.go
@@ -52,9 +52,11 @@
 		return
 	case NoResponse:
 		r.markStartUnknown()
-		r.resentAt = now
 		r.lateStartPossible = true
-		w.block(now.Add(blockAfterFailure))
+		if repeated { // one call may get lost; a worker that answers neither is probably down
+			r.resentAt = now
+			w.block(now.Add(blockAfterFailure))
+		}
 		return
 	case Outdated:
 		// The worker has the end of this attempt, or has run a later attempt.
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -63,7 +63,7 @@
 	if r.task == nil {
 		return
 	}
-	if retryAt := r.resentAt.Add(p.timing.OrderTimeout); now.Before(retryAt) {
+	if retryAt := r.repeatAt(&p.timing); now.Before(retryAt) {
 		plan.wakeAt(retryAt)
 		return
 	}
@@ -73,9 +73,13 @@
 }
 
 func (p *Pool) startOrder(r *run) StartOrder {
+	timeout := p.timing.StartTimeout
+	if !r.resentAt.IsZero() {
+		timeout = p.timing.OrderTimeout
+	}
 	return StartOrder{
 		Worker: r.worker.info.ID, Address: r.worker.info.Address, Task: r.id, Attempt: r.attempt,
-		Spec: r.stage.job.sub.Spec, Checkpoint: r.checkpoint, Ticket: r.ticket, Token: p.token, Deadline: r.deadline, SentAt: r.sentAt(),
+		Spec: r.stage.job.sub.Spec, Checkpoint: r.checkpoint, Ticket: r.ticket, Token: p.token, Deadline: r.deadline, SentAt: r.sentAt(), Timeout: timeout,
 	}
 }
 
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -12,7 +12,7 @@
 	phase             runPhase
 	orderedAt         time.Time
 	answeredAt        time.Time // when the start was answered or a poll first listed the run; zero: neither
-	resentAt          time.Time // when the start was last sent again, or the last copy of it timed out
+	resentAt          time.Time // when the start was last sent again, or the last such copy timed out; zero: it was not sent again
 	lateStartPossible bool      // a start got no answer: a copy of it may still reach the worker
 	deadline          int64     // until which the worker accepts the start, on its clock, in milliseconds; 0: none
 	reserved          Resources
@@ -32,6 +32,15 @@
 // sentAt returns when the start, or the last copy of it, was ordered.
 func (r *run) sentAt() time.Time { return Later(r.orderedAt, r.resentAt) }
 
+// repeatAt returns when a start that got no answer may be sent again. The worker starts
+// an attempt once, however many copies reach it, so the second copy need not wait long.
+func (r *run) repeatAt(t *Timing) time.Time {
+	if r.resentAt.IsZero() {
+		return r.orderedAt.Add(t.StartTimeout)
+	}
+	return r.resentAt.Add(t.OrderTimeout)
+}
+
 // requestStop makes the next plan order a stop.
 func (r *run) requestStop() { r.wantStop, r.worker.mayNeedOrders = true, true }
 
--- a/internal/scheduler/start_order.go
+++ b/internal/scheduler/start_order.go
@@ -11,7 +11,8 @@
 	Spec       string
 	Checkpoint string
 	Ticket     string
-	Token      int64     // fencing token
-	Deadline   int64     // until which the worker may accept it, on its clock, in milliseconds
-	SentAt     time.Time // on this process's monotonic clock
+	Token      int64         // fencing token
+	Deadline   int64         // until which the worker may accept it, on its clock, in milliseconds
+	Timeout    time.Duration // how long its answer is waited for
+	SentAt     time.Time     // on this process's monotonic clock
 }
--- a/internal/scheduler/timing.go
+++ b/internal/scheduler/timing.go
@@ -6,7 +6,8 @@
 type Timing struct {
 	RunLease         time.Duration // lease that a poll or an order grants to runs
 	MaxRunLease      time.Duration // the longest lease that a worker accepts, by its own clock
-	OrderTimeout     time.Duration // how long an answer to an order is waited for, before the order is sent again
+	StartTimeout     time.Duration // how long an answer to the first copy of a start is waited for, before it is sent again
+	OrderTimeout     time.Duration // the same for its later copies and for other orders
 	ClockDrift       float64       // share by which a worker's monotonic clock may be slow
 	StartEarly       time.Duration // how long before its due time an occurrence may start
 	StopTimeout      time.Duration // the longest time that a stop takes on the worker
