An order is permitted once more right before it is sent

Seen by users: "A process that had been paused or delayed for some seconds acted on a permission that had run out meanwhile". An owner or machine controller that was suspended between its check of the lease and the sending of a start, stop, throttle, move or upkeep sent the order when it went on. Workers refuse a lower fencing token only once they have seen a higher one, and the platform refuses one for a machine only where fencing is on.

Cause: the lease was checked before the waits for a connection slot and for the connection. No timeout ends these in time: Go's timers don't count a suspension of the machine, and the deadline of the context does not count in an exchange with a worker.

An order that is not permitted counts as not sent.

Not covered: a pause between that question and the write of the kernel, against which only fencing tokens and the deadline of a start help.

--- a/internal/poolmanager/fake_workers_test.go
+++ b/internal/poolmanager/fake_workers_test.go
@@ -16,15 +16,15 @@
 
 var _ Workers = (*fakeWorkers)(nil)
 
-func (*fakeWorkers) Start(context.Context, scheduler.StartOrder) (scheduler.OrderResult, int64) {
+func (*fakeWorkers) Start(context.Context, scheduler.StartOrder, Permission) (scheduler.OrderResult, int64) {
 	return scheduler.Accepted, 1
 }
 
-func (*fakeWorkers) Stop(context.Context, scheduler.StopOrder) scheduler.OrderResult {
+func (*fakeWorkers) Stop(context.Context, scheduler.StopOrder, Permission) scheduler.OrderResult {
 	return scheduler.Accepted
 }
 
-func (*fakeWorkers) Throttle(context.Context, scheduler.ThrottleOrder) scheduler.OrderResult {
+func (*fakeWorkers) Throttle(context.Context, scheduler.ThrottleOrder, Permission) scheduler.OrderResult {
 	return scheduler.Accepted
 }
 
--- a/internal/poolmanager/machine_controller.go
+++ b/internal/poolmanager/machine_controller.go
@@ -132,6 +132,11 @@
 	}
 }
 
+// order returns what identifies and permits an order of this machine controller.
+func (c *machineController) order() MachineOrder {
+	return MachineOrder{Controller: c.entryID, Token: c.token, Permitted: c.isValid}
+}
+
 // releaseRole deletes the role's owner in the store, so that another entry can take the
 // role over at once.
 func (c *machineController) releaseRole() {
--- a/internal/poolmanager/machine_controller_move.go
+++ b/internal/poolmanager/machine_controller_move.go
@@ -47,7 +47,7 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, c.timing.OrderTimeout)
 	defer cancel()
-	return c.Machines.Move(limited, m.Machine, m.Target, MachineOrder{Controller: c.entryID, Token: c.token})
+	return c.Machines.Move(limited, m.Machine, m.Target, c.order())
 }
 
 func (c *machineController) recordMove(ctx context.Context, m lending.Move, err error) {
--- a/internal/poolmanager/machine_controller_wave.go
+++ b/internal/poolmanager/machine_controller_wave.go
@@ -199,7 +199,7 @@
 func (c *machineController) takeDownOne(ctx context.Context, wave int64, p *upkeep.Progress, machine string) {
 	limited, cancel := context.WithTimeout(ctx, c.timing.OrderTimeout)
 	defer cancel()
-	err := c.Machines.Upkeep(limited, machine, wave, MachineOrder{Controller: c.entryID, Token: c.token})
+	err := c.Machines.Upkeep(limited, machine, wave, c.order())
 	switch problem.KindOf(err) {
 	case problem.NotFound:
 		p.Done[machine] = true
--- a/internal/poolmanager/machine_order.go
+++ b/internal/poolmanager/machine_order.go
@@ -4,4 +4,5 @@
 type MachineOrder struct {
 	Controller string // name of the entry
 	Token      int64  // fencing token of the machine controller role
+	Permitted  Permission
 }
--- a/internal/poolmanager/machines.go
+++ b/internal/poolmanager/machines.go
@@ -6,7 +6,8 @@
 	"persimmonbay/internal/upkeep"
 )
 
-// Machines lists the platform's machines and sends it orders for them.
+// Machines lists the platform's machines and sends it orders for them. An order that is
+// not permitted any more when it would be sent is Unavailable.
 type Machines interface {
 	// List returns all machines.
 	List(ctx context.Context) ([]upkeep.Machine, error)
--- a/internal/poolmanager/ownership_plan.go
+++ b/internal/poolmanager/ownership_plan.go
@@ -97,7 +97,7 @@
 	if o.isValid() {
 		ctx, cancel := context.WithTimeout(o.ctx, order.Timeout)
 		defer cancel()
-		answer, clock = o.Workers.Start(ctx, order)
+		answer, clock = o.Workers.Start(ctx, order, o.isValid)
 	}
 	if answer == scheduler.Fenced {
 		o.lose("a worker has seen a later owner")
@@ -118,7 +118,7 @@
 	if o.isValid() {
 		ctx, cancel := context.WithTimeout(o.ctx, o.timing.OrderTimeout)
 		defer cancel()
-		answer = o.Workers.Stop(ctx, order)
+		answer = o.Workers.Stop(ctx, order, o.isValid)
 	}
 	if answer == scheduler.Fenced {
 		o.lose("a worker has seen a later owner")
@@ -133,7 +133,7 @@
 	}
 	ctx, cancel := context.WithTimeout(o.ctx, o.timing.OrderTimeout)
 	defer cancel()
-	if answer := o.Workers.Throttle(ctx, order); answer != scheduler.Accepted {
+	if answer := o.Workers.Throttle(ctx, order, o.isValid); answer != scheduler.Accepted {
 		o.log.Info("order to throttle a task not accepted by its worker", zap.String("job", order.Task.Job), zap.String("worker", order.Worker), zap.Stringer("answer", answer))
 	}
 }
--- a/internal/poolmanager/workers.go
+++ b/internal/poolmanager/workers.go
@@ -7,14 +7,15 @@
 )
 
 // Workers sends orders to workers. The result is NoResponse or NotReached unless it
-// comes from the worker itself.
+// comes from the worker itself. An order that is not permitted any more when it would be
+// sent is NotReached.
 type Workers interface {
 	// Start also returns the worker's clock in milliseconds; 0 if unknown.
-	Start(ctx context.Context, o scheduler.StartOrder) (answer scheduler.OrderResult, clock int64)
+	Start(ctx context.Context, o scheduler.StartOrder, permitted Permission) (answer scheduler.OrderResult, clock int64)
 	// Stop stops a task.
-	Stop(ctx context.Context, o scheduler.StopOrder) scheduler.OrderResult
+	Stop(ctx context.Context, o scheduler.StopOrder, permitted Permission) scheduler.OrderResult
 	// Throttle sets the share of its full speed at which a task runs.
-	Throttle(ctx context.Context, o scheduler.ThrottleOrder) scheduler.OrderResult
+	Throttle(ctx context.Context, o scheduler.ThrottleOrder, permitted Permission) scheduler.OrderResult
 	// Poll sends a lease poll. The reply is valid only with the result Accepted.
 	Poll(ctx context.Context, r scheduler.PollRequest) (scheduler.PollReply, scheduler.OrderResult)
 	// CloseIdle closes the connections to an address.
