A start is sent only while it is wanted

Cause: an order waits for a connection after its plan. On a process short of processor time that takes long, and nothing asked then whether the job still stood: its cancellation only ordered a stop beside the start.

Evidence: "sends no start of a job that was cancelled meanwhile, and does not take the worker for unreachable" failed: the start was sent.

Why it works: the permission that the client asks after its last wait includes that the run is still to be started and no stop of it was requested. Such an order has the result Withdrawn: its run is released, and the worker is not taken for unreachable, as it would be with NotReached.

--- a/internal/poolmanager/ownership_pause_test.go
+++ b/internal/poolmanager/ownership_pause_test.go
@@ -26,8 +26,9 @@
 		o := s.load()
 		c := newMachineController(o)
 		task := scheduler.TaskID{Job: "j"}
+		start := s.planStart(o, "j")
 		for _, send := range []func(){
-			func() { o.startTask(scheduler.StartOrder{Worker: "a", Task: task, Attempt: 1}) },
+			func() { o.startTask(start) },
 			func() { o.stopTask(scheduler.StopOrder{Worker: "a", Task: task, Attempt: 1}) },
 			func() { o.throttleTask(scheduler.ThrottleOrder{Worker: "a", Task: task, Attempt: 1}) },
 			func() {
--- a/internal/poolmanager/ownership_plan.go
+++ b/internal/poolmanager/ownership_plan.go
@@ -97,7 +97,11 @@
 	if o.isValid() {
 		ctx, cancel := context.WithTimeout(o.ctx, order.Timeout)
 		defer cancel()
-		answer, clock = o.Workers.Start(ctx, order, o.isValid)
+		permitted := func() bool { return o.isValid() && o.pool.StartWanted(order) }
+		answer, clock = o.Workers.Start(ctx, order, permitted)
+	}
+	if answer == scheduler.NotReached && o.isValid() && !o.pool.StartWanted(order) {
+		answer = scheduler.Withdrawn
 	}
 	if answer == scheduler.Fenced {
 		o.lose("a worker has seen a later owner")
--- a/internal/scheduler/order_result.go
+++ b/internal/scheduler/order_result.go
@@ -16,9 +16,10 @@
 	OtherIncarnation                 // another incarnation answers at the address
 	Unhealthy                        // the worker accepts no tasks at present
 	Malformed                        // the worker cannot decode the order
+	Withdrawn                        // the order was not sent, as it was not wanted any more
 )
 
-var orderResultNames = [...]string{"accepted", "unanswered", "not-reached", "fenced", "outdated", "too-late", "no-room", "no-ticket", "other-life", "unhealthy", "malformed"}
+var orderResultNames = [...]string{"accepted", "unanswered", "not-reached", "fenced", "outdated", "too-late", "no-room", "no-ticket", "other-life", "unhealthy", "malformed", "withdrawn"}
 
 // String returns the name of the result in the logs.
 func (r OrderResult) String() string { return orderResultNames[r] }
