--- a/internal/poolmanager/leased_worker_test.go
+++ b/internal/poolmanager/leased_worker_test.go
@@ -59,7 +59,7 @@
 	return w.polls, len(w.starts), len(w.stops)
 }
 
-func (w *leasedWorker) Start(_ context.Context, o scheduler.StartOrder) (scheduler.OrderResult, int64) {
+func (w *leasedWorker) Start(_ context.Context, o scheduler.StartOrder, _ Permission) (scheduler.OrderResult, int64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.starts = append(w.starts, o)
@@ -68,14 +68,14 @@
 	return scheduler.Accepted, w.now()
 }
 
-func (w *leasedWorker) Stop(_ context.Context, o scheduler.StopOrder) scheduler.OrderResult {
+func (w *leasedWorker) Stop(_ context.Context, o scheduler.StopOrder, _ Permission) scheduler.OrderResult {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stops = append(w.stops, o)
 	return scheduler.Accepted
 }
 
-func (w *leasedWorker) Throttle(context.Context, scheduler.ThrottleOrder) scheduler.OrderResult {
+func (w *leasedWorker) Throttle(context.Context, scheduler.ThrottleOrder, Permission) scheduler.OrderResult {
 	return scheduler.Accepted
 }
 
