--- a/internal/poolmanager/poller_test.go
+++ b/internal/poolmanager/poller_test.go
@@ -39,7 +39,7 @@
 		s := newOwnershipScene()
 		s.manager.timing.PollWait = time.Second
 		s.manager.timing.OrderTimeout = sceneTiming.OrderTimeout
-		workers := &fakeSilentWorkers{requests: make(chan scheduler.PollRequest), deadlines: make(chan time.Time, 1)}
+		workers := &fakeSilentWorkers{clock: s.clock, requests: make(chan scheduler.PollRequest), deadlines: make(chan time.Time, 1)}
 		s.manager.Workers = workers
 		o := s.load()
 		s.list(o, "a")
