The pause after a failed page of a load begins anew once pages were read

Cause: the pause doubled with each failure of the whole load up to 0.4 s, however many pages were read in between: with a quarter of 34 pages refused, some 4 s of pauses.

--- a/internal/poolmanager/ownership_load.go
+++ b/internal/poolmanager/ownership_load.go
@@ -45,10 +45,14 @@
 	})
 	retry := minRetryDelay
 	for ctx.Err() == nil {
+		before := o.loading.read()
 		err := step(ctx)
 		if err == nil {
 			return true
 		}
+		if o.loading.read() > before {
+			retry = minRetryDelay // the store serves some reads
+		}
 		o.log.Info("pool not loaded from the store, trying again", append(telemetry.ProblemFields(err), zap.Int("read", o.loading.read()))...)
 		sleep(ctx, o.Clock, retry)
 		retry = min(2*retry, maxRetryDelay)
--- a/internal/poolmanager/ownership_load_test.go
+++ b/internal/poolmanager/ownership_load_test.go
@@ -36,6 +36,34 @@
 		Expect(s.store.pages).To(BeNumerically("<=", 2*pages))
 	})
 
+	// The pause grew with each failure of the load, however many pages were read between.
+	It("pauses shortly after a failed page, if pages were read before it", func() {
+		o := s.own()
+		begun := s.clock.Now()
+		loaded := make(chan struct{})
+		go func() {
+			defer close(loaded)
+			o.repeat(func(context.Context) error {
+				_, _, err := o.tryLoad(context.Background())
+				return err
+			})
+		}()
+		Eventually(func() bool {
+			select {
+			case <-loaded:
+				return true
+			default:
+			}
+			limited, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+			defer cancel()
+			if s.clock.BlockUntilContext(limited, 1) == nil {
+				s.clock.Advance(minRetryDelay)
+			}
+			return false
+		}).WithPolling(time.Millisecond).Should(BeTrue())
+		Expect(s.clock.Now().Sub(begun)).To(BeNumerically("<=", time.Duration(s.store.pages/s.store.failPage)*minRetryDelay))
+	})
+
 	// The same after the store has compacted the changes that the owner would watch.
 	It("reads the pool again, page by page, after a watch was cut off", func() {
 		s.store.failPage = 0
--- a/internal/poolmanager/pool_load.go
+++ b/internal/poolmanager/pool_load.go
@@ -13,7 +13,7 @@
 // read returns how many items have been read.
 func (l *poolLoad) read() int {
 	n := 0
-	for _, r := range []*rangeRead{l.jobs, l.states} {
+	for _, r := range []*rangeRead{l.offers, l.jobs, l.states} {
 		if r != nil {
 			n += len(r.items)
 		}
