A worker with unsaved ends stays in the roster after it left the list

Callers could see: a task that was done runs again under the next owner. The worker listed the end, the owner applied it and had not saved it; the worker falls silent and leaves the list. The next owner neither finds the end in the job's progress nor the worker in the roster, so it starts the task before it has polled the worker.

Cause: sweepWorkers removed a worker without runs, whatever ends were unsaved.

Change: a worker that is not lost stays until its ends are saved (isOver). It is not listed, so it is neither polled nor used. One that is lost goes as before: it can list nothing any more.

--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -193,9 +193,9 @@
 }
 
 // sweepWorkers releases the runs on unreachable workers whose leases have expired, and
-// removes unlisted workers that are lost, unreachable or not fenced and have no run left. A worker
-// is judged by all that it answered: while a reply may wait to be applied, or may have
-// come after its poll's timeout, its runs stay.
+// removes unlisted workers that are over. A worker is judged by all that it answered:
+// while a reply may wait to be applied, or may have come after its poll's timeout, its
+// runs stay.
 func (p *Pool) sweepWorkers(now time.Time, plan *Plan) {
 	for id, w := range p.workers {
 		if w.lost && !w.polledAt.IsZero() {
@@ -214,7 +214,7 @@
 		if len(w.runs) > 0 && !w.reachable && now.After(w.expiresAt) && (!w.listed || !p.mayHaveRepliedLate(w)) {
 			p.expire(w)
 		}
-		if !w.listed && len(w.runs) == 0 && now.After(w.expiresAt) && (w.lost || !w.reachable || !w.fenced) {
+		if !w.listed && now.After(w.expiresAt) && w.isOver() {
 			delete(p.workers, id)
 		}
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -137,6 +137,15 @@
 // idle reports whether no run is going on or possible there, and all ends are saved.
 func (w *worker) idle() bool { return len(w.runs) == 0 && len(w.unsavedEnds) == 0 }
 
+// isOver reports whether nothing runs there and no next owner has to know of the worker:
+// it is lost, or it does not answer and the ends that it may still list are saved.
+func (w *worker) isOver() bool {
+	if w.lost {
+		return len(w.runs) == 0
+	}
+	return w.idle() && (!w.reachable || !w.fenced)
+}
+
 // block prevents starts on the worker until the given time, or a later one set before.
 func (w *worker) block(until time.Time) {
 	if until.After(w.blockedUntil) {
