--- a/internal/poolmanager/fake_silent_workers_test.go
+++ b/internal/poolmanager/fake_silent_workers_test.go
@@ -9,8 +9,8 @@
 	"persimmonbay/internal/scheduler"
 )
 
-// fakeSilentWorkers answers no poll, and lets its time pass on the clock. It passes on each request, and until when the poller
-// would have waited for its reply.
+// fakeSilentWorkers answers no poll, and lets its time pass on the clock. It passes on
+// each request, and until when the poller would have waited for its reply.
 type fakeSilentWorkers struct {
 	fakeWorkers
 	clock     *clockwork.FakeClock
