--- a/internal/scheduler/overlap_test.go
+++ b/internal/scheduler/overlap_test.go
@@ -95,6 +95,6 @@
 	// of a worker, while the task runs elsewhere. The later owner had fenced the worker,
 	// but the next incarnation has not seen its fencing token.
 	It("start nothing on a worker that has started again since a later owner fenced it", func() {
-		runSeeds([]int64{701_075, 702_003, 702_597, 700_591, 700_611, 700_994, 702_532, 702_708}, allFaults)
+		runSeeds([]int64{701_075, 702_003, 702_597, 700_591, 700_611, 700_994, 702_532, 702_708, 700_534, 702_720}, allFaults)
 	})
 })
