--- a/internal/poolmanager/poller.go
+++ b/internal/poolmanager/poller.go
@@ -122,7 +122,7 @@
 		return false
 	}
 	if req.Deadline > 0 && !p.pool.HasUnsavedEnds(p.worker) && p.pool.HasRuns(p.worker) && req.Timeout <= p.timing.OrderTimeout {
-		req.Wait = p.pollWait()
+		req.Wait = p.timing.PollWait
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, req.Wait+req.Timeout)
 	defer cancel()
