--- /dev/null
+++ b/review/standins/object.go
@@ -0,0 +1,4 @@
+package main
+
+// object is a CBOR map with text keys.
+type object = map[string]any
