A gang that waits for room uses no attempt numbers

Callers: none seen. The review saw the attempts of a waiting gang rise to 721 in less than a minute; the next owner's numbers begin attemptsPerEpoch (1,000) higher, so those of two owners could have overlapped. Each trial also counted as a start and extended the time until which the worker's leases count as running.

Cause: planGang started task by task and released all when one had no room. Evidence: the new spec ("uses no attempt number until it starts") failed with attempt 6 instead of 1 after five plans. Now placeGang looks for all workers first and reserves nothing; only a whole gang is started, which the spec shows.

--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -153,20 +153,9 @@
 			checkpoint = t.checkpoint
 		}
 	}
-	runs := make([]*run, 0, len(s.tasks))
-	for _, t := range s.tasks {
-		w := p.place(t)
-		if w == nil {
-			for _, r := range runs {
-				p.release(r)
-			}
-			p.startCandidates.measure()
-			return
-		}
-		runs = append(runs, p.start(t, w, attempt+1, checkpoint, now))
-	}
-	for _, r := range runs {
-		plan.Starts = append(plan.Starts, p.startOrder(r))
+	workers := p.placeGang(s)
+	for i, w := range workers {
+		plan.Starts = append(plan.Starts, p.startOrder(p.start(s.tasks[i], w, attempt+1, checkpoint, now)))
 	}
 }
 
