Offers are withdrawn of machines that alone have room for a waiting task

Cause: what a pool keeps, offers and asks for was decided by sums of capacity. The machines that stayed had room enough in sum, none had the job's label, and no offer was withdrawn.

Now each plan notes the stages that had no room.

--- a/internal/poolmanager/capacity_reporter.go
+++ b/internal/poolmanager/capacity_reporter.go
@@ -26,6 +26,17 @@
 	if err := r.checkClaimed(ctx); err != nil {
 		return err
 	}
+	if len(report.TakeBack) > 0 {
+		r.log.Info("offers withdrawn, as waiting tasks have room on no other machine", zap.Strings("machines", report.TakeBack))
+	}
+	for _, m := range report.TakeBack {
+		if r.offered[m] == 0 {
+			continue // its offer was taken
+		}
+		if _, err := r.withdraw(ctx, m); err != nil {
+			return err
+		}
+	}
 	need := report.Need
 	for m := range r.offered {
 		gone := !slices.Contains(report.Offers, m) // its worker has ended
@@ -40,7 +51,7 @@
 			need--
 		}
 	}
-	spare := slices.DeleteFunc(report.Offers, func(m string) bool { return r.offered[m] != 0 || r.claimed[m] })
+	spare := slices.DeleteFunc(report.Offers, func(m string) bool { return r.offered[m] != 0 || r.claimed[m] || slices.Contains(report.TakeBack, m) })
 	if need != r.reportedNeed || len(spare) > 0 {
 		r.log.Info("balance", zap.Int("need", need), zap.Int("offers", len(spare)), zap.Float64("used", report.Load.Used),
 			zap.Float64("waiting", report.Load.Waiting), zap.Float64("backlog", report.Load.Backlog), zap.Float64("coming", report.Load.Expected), zap.Float64("have", report.Load.Usable))
--- a/internal/poolmanager/capacity_reporter_test.go
+++ b/internal/poolmanager/capacity_reporter_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"persimmonbay/internal/poolstore"
+	"persimmonbay/internal/scheduler"
 )
 
 var _ = Describe("the report of a pool to the machine controller", func() {
@@ -74,4 +76,29 @@
 		Expect(s.store.has(offer)).To(BeFalse())
 		Expect(r.offered).To(BeEmpty())
 	})
+
+	// Guards against a job that never starts as only an offered machine can run it, while
+	// the pool has room enough in sum (review/2).
+	It("withdraws the offer of a machine that a waiting task needs, though the pool needs no further one", func() {
+		labelled := scheduler.WorkerInfo{
+			ID: "b", Service: sceneService, Address: "b:1", Machine: "m-b", Incarnation: 1, Labels: []string{"large"},
+			Capacity: scheduler.Resources{MilliCPU: 32000, MemoryMB: 131072},
+		}
+		plain := labelled
+		plain.ID, plain.Address, plain.Machine, plain.Labels = "a", "a:1", "m-a", nil
+		r.pool.SetWorkers([]scheduler.WorkerInfo{plain, labelled}, s.clock.Now())
+		s.poll(r.poolOwnership, "b")
+		Expect(r.writeRoster(ctx)).To(Succeed())
+		s.clock.Advance(10 * time.Second) // a former owner's orders and leases are over
+		r.pool.Plan(s.clock.Now(), s.clock.Now())
+		Expect(r.offer(ctx, []string{"m-b"})).To(Succeed())
+		r.pool.AddJob(scheduler.Submission{ID: "j", Queue: "checks", Service: sceneService, Stretch: 1, AcceptedAt: s.clock.Now(), Objective: time.Minute, Steps: []scheduler.Step{
+			{Count: 1, Need: scheduler.Resources{MilliCPU: 2000}, Estimate: time.Second, Label: "large"},
+		}}, r.token+1, r.token+1, scheduler.Progress{}, s.clock.Now())
+		r.pool.Plan(s.clock.Now(), s.clock.Now())
+		s.clock.Advance(time.Second)
+		Expect(r.step(ctx)).To(Succeed())
+		Expect(s.store.has(poolstore.OfferKey("m-b"))).To(BeFalse())
+		Expect(r.pool.Plan(s.clock.Now(), s.clock.Now()).Starts).To(HaveLen(1))
+	})
 })
--- a/internal/poolmanager/ownership_capacity.go
+++ b/internal/poolmanager/ownership_capacity.go
@@ -163,6 +163,7 @@
 	}
 	delete(r.offered, machine)
 	r.claimed[machine] = true
+	r.pool.OfferTaken(machine)
 	return false, nil
 }
 
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -32,6 +32,7 @@
 	emptied               map[string]bool      // machines that were reported as empty: they may be taken down at any time
 	emptyClaims           map[string]bool      // machines whose report as empty may be on its way to the store
 	publishedOffers       map[string]bool      // machines that are offered in the store: they may be taken at any time
+	takenOffers           map[string]bool      // machines whose offers are taken: they leave the pool
 	lastMachineCapacity   Resources            // mean capacity of the workers when last some were listed that had answered
 	loadPeak              float64              // recent peak of the load, in machines; decays with peakHalfLife
 	longLoadPeak          float64              // the same over a longer time, up to the usable machines; decays with longHalfLife
@@ -41,6 +42,7 @@
 	shortSince            time.Time        // since when more work arrives than the pool can serve; zero: less arrives
 	throttlesPlannedAt    time.Time        // when throttles were last planned
 	startCandidates       startCandidates  // of the plan that is being made
+	waitingStages         []*stage         // those that had no room in the last plan, in the order of their ranks
 	rankedJobs            []*job           // in the order of the last plan
 	shortArrivals         arrivalRate      // over shortArrivalWindow
 	longArrivals          arrivalRate      // over longArrivalWindow
@@ -57,7 +59,7 @@
 	p := &Pool{
 		service: service, token: token, timing: timing, epoch: roster.Tenure + 1, takenAt: now,
 		awaited: make(map[string]*awaitedWorker), jobs: make(map[string]*job), workers: make(map[string]*worker),
-		durations: newDurations(), endedJobs: make(map[string]bool), unsavedJobs: make(map[*job]bool), unackedWorkers: make(map[*worker]bool), pendingCancels: make(map[string]int64), publishedOffers: make(map[string]bool), emptyClaims: make(map[string]bool),
+		durations: newDurations(), endedJobs: make(map[string]bool), unsavedJobs: make(map[*job]bool), unackedWorkers: make(map[*worker]bool), pendingCancels: make(map[string]int64), publishedOffers: make(map[string]bool), takenOffers: make(map[string]bool), emptyClaims: make(map[string]bool),
 		shortArrivals: arrivalRate{window: shortArrivalWindow}, longArrivals: arrivalRate{window: longArrivalWindow},
 	}
 	p.formerOrdersEndAt = now
--- a/internal/scheduler/pool_advice.go
+++ b/internal/scheduler/pool_advice.go
@@ -22,14 +22,16 @@
 }
 
 // adviceCandidates returns the IDs of up to maxAdvisedWorkers workers on which the stage
-// could run.
+// could run. After an answer that granted none of the workers that stay in the pool, they
+// include the offered ones, whose offers can be withdrawn.
 func (p *Pool) adviceCandidates(s *stage, now time.Time) []string {
 	ids := make([]string, 0, maxAdvisedWorkers)
+	refused := len(s.tickets.byWorker) == 0 && !s.tickets.retryAt.IsZero()
 	for id, w := range p.workers {
 		if len(ids) == maxAdvisedWorkers {
 			break
 		}
-		if w.usable(now) && s.step.reserved().Fits(w.info.Capacity) && (s.step.Label == "" || w.info.HasLabel(s.step.Label)) {
+		if (w.usable(now) || refused && p.canTakeBack(w)) && s.step.reserved().Fits(w.info.Capacity) && (s.step.Label == "" || w.info.HasLabel(s.step.Label)) {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/scheduler/pool_capacity.go
+++ b/internal/scheduler/pool_capacity.go
@@ -16,8 +16,11 @@
 	p.updatePeaks(&l, now)
 	report := CapacityReport{Load: l, ToGiveUp: p.toGiveUp}
 	if p.formerWorkersAnswered {
-		report.Need = p.machinesNeeded(&l, now)
-		p.chooseOffers(&l, now)
+		needs := p.findRoomNeeds(now)
+		report.Need = max(p.machinesNeeded(&l, now), needs.machines)
+		report.Kinds = needs.kinds
+		report.TakeBack = p.holdMachines(needs.held)
+		p.chooseOffers(&l, needs.held, now)
 	}
 	for _, w := range p.workers {
 		if w.offered && w.listed && w.idle() {
@@ -65,13 +68,14 @@
 // so that no task starts there. It chooses idle machines first, then the least used
 // ones, since these become idle soonest; a machine is in the report once it is idle.
 // Until then, a later call may choose others. Machines with long-running tasks are not
-// chosen.
-func (p *Pool) chooseOffers(l *Load, now time.Time) {
+// chosen, nor are held ones.
+func (p *Pool) chooseOffers(l *Load, held map[*worker]bool, now time.Time) {
 	toKeep := max(p.loadPeak*peakHeadroom+1, p.ownMachineCount()*ownReserveShare, float64(l.Widest)+1, l.Expected+l.LongRunning)
 	idleOffered := 0
 	var busyOffered, busy []*worker
 	for _, w := range p.workers {
 		switch {
+		case held[w]:
 		case p.finishingForOffer(w):
 			busyOffered = append(busyOffered, w)
 		case w.offered && w.listed && !w.lost:
@@ -82,7 +86,8 @@
 	}
 	vacateCount := max(int(math.Floor(l.Usable-toKeep)), p.toGiveUp-idleOffered, 0)
 	slices.SortFunc(busyOffered, compareUsed)
-	chosen := append(p.idleWorkers(now), busyOffered...)
+	idle := slices.DeleteFunc(p.idleWorkers(now), func(w *worker) bool { return held[w] })
+	chosen := append(idle, busyOffered...)
 	if len(chosen) < vacateCount {
 		slices.SortFunc(busy, compareUsed)
 		busy = slices.DeleteFunc(busy, (*worker).hasLongRunning)
@@ -144,6 +149,15 @@
 		}
 	}
 	delete(p.publishedOffers, machine)
+	delete(p.takenOffers, machine)
+}
+
+// OfferTaken records that an offered machine was taken: it leaves the pool, and its offer
+// cannot be withdrawn.
+func (p *Pool) OfferTaken(machine string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.takenOffers[machine] = true
 }
 
 // SetOffered adds machines whose offers are published, by this owner or a former one.
--- a/internal/scheduler/pool_place.go
+++ b/internal/scheduler/pool_place.go
@@ -27,19 +27,18 @@
 // suits reports whether w has free capacity for t and meets the conditions of its step.
 func (p *Pool) suits(t *task, w *worker) bool {
 	step := t.stage.step
-	if !step.reserved().Fits(w.free()) {
+	if !step.reserved().Fits(w.free()) || !p.eligible(t.stage, w) {
 		return false
 	}
-	if step.Label != "" && !w.info.HasLabel(step.Label) {
-		return false
-	}
-	if step.MaxPerWorker > 0 && t.stage.runsOn(w) >= step.MaxPerWorker {
-		return false
-	}
-	if t.stage.job.sub.Advice != nil && t.stage.tickets.byWorker[w.info.ID] == "" {
+	return step.MaxPerWorker <= 0 || t.stage.runsOn(w) < step.MaxPerWorker
+}
+
+// eligible reports whether w has the label and the ticket that tasks of s need.
+func (p *Pool) eligible(s *stage, w *worker) bool {
+	if s.step.Label != "" && !w.info.HasLabel(s.step.Label) {
 		return false
 	}
-	return true
+	return s.job.sub.Advice == nil || s.tickets.byWorker[w.info.ID] != ""
 }
 
 // fitOn returns how w compares with other workers as a place for t.
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -91,6 +91,7 @@
 func (p *Pool) planStarts(now, wall time.Time, plan *Plan) {
 	p.startCandidates.reset(p.workers, now)
 	p.rankJobs(now)
+	p.waitingStages = p.waitingStages[:0]
 	for _, j := range p.rankedJobs {
 		p.openDue(j, wall.Add(p.timing.StartEarly))
 		for _, o := range j.occurrences {
@@ -131,12 +132,11 @@
 			continue
 		}
 		w := p.place(t)
-		if w == nil && t.avoidWorker == "" {
+		if w == nil {
+			p.waitsForRoom(s, now)
 			return // the tasks of a step are alike: the others would not fit either
 		}
-		if w != nil {
-			plan.Starts = append(plan.Starts, p.startOrder(p.start(t, w, t.attempt+1, t.checkpoint, now)))
-		}
+		plan.Starts = append(plan.Starts, p.startOrder(p.start(t, w, t.attempt+1, t.checkpoint, now)))
 	}
 }
 
@@ -154,6 +154,9 @@
 		}
 	}
 	workers := p.placeGang(s)
+	if workers == nil {
+		p.waitsForRoom(s, now)
+	}
 	for i, w := range workers {
 		plan.Starts = append(plan.Starts, p.startOrder(p.start(s.tasks[i], w, attempt+1, checkpoint, now)))
 	}
@@ -168,6 +171,7 @@
 		ticket: s.tickets.byWorker[w.info.ID],
 	}
 	t.attempt = attempt
+	s.noRoomSince = time.Time{}
 	w.runs[runKey{t.id, attempt}] = r
 	w.used = w.used.Plus(r.reserved)
 	p.startCandidates.maxFreeStale = true
--- a/internal/scheduler/stage.go
+++ b/internal/scheduler/stage.go
@@ -12,6 +12,18 @@
 	incomplete  int           // tasks that are not done
 	longestTask time.Duration // the longest time that one of its tasks took
 	tickets     tickets
+	noRoomSince time.Time // since when one of its tasks has had no room and none has started; zero: all had room
+}
+
+// waitingTasks returns the number of tasks that may start at now.
+func (s *stage) waitingTasks(now time.Time) int {
+	n := 0
+	for _, t := range s.tasks {
+		if t.startable(now) {
+			n++
+		}
+	}
+	return n
 }
 
 // runsOn returns the number of the stage's tasks that run, or may run, on w.
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -22,6 +22,16 @@
 	MaxUnavailable int           // tasks that may be unavailable through the system's own doing
 }
 
+// machinesFor returns how many machines of the given capacity n tasks need, at
+// least one.
+func (s *Step) machinesFor(n int, unit Resources) int {
+	each := max(s.reserved().timesIn(unit), 1)
+	if s.MaxPerWorker > 0 {
+		each = min(each, s.MaxPerWorker)
+	}
+	return 1 + (n-1)/each
+}
+
 // reserved returns the part of a worker's capacity that a task of the step takes. A
 // best-effort task takes no processor capacity.
 func (s *Step) reserved() Resources {
