Pools ask for machines of the kind that a waiting task needs

Once the offer of a pool's last machine with a label was taken, a need counted in machines would bring any machine, and the task would go on waiting.

Now the pool reports label and capacity with the number of machines, in the same transaction as its need, and lending moves machines of that kind first, from offers and from standby; those in transit count. Machines are not recalled from pools that keep them: open.

--- a/internal/lending/plan.go
+++ b/internal/lending/plan.go
@@ -13,10 +13,12 @@
 // number (OwnMachines), then to the pools that have the fewest in proportion to it.
 // Offered machines that no pool needs go on standby, where they cost nothing. A
 // pool with more machines than its own number gives them up if another one lacks
-// some of its own.
+// some of its own. Before all that, pools get the machines of certain kinds that they
+// need, as far as these are offered or on standby.
 func Plan(s *Snapshot) Steps {
 	p := newPlanState(s)
 	steps := Steps{Recalls: make(map[string]int)}
+	steps.Moves = p.takeKinds()
 	for {
 		pool := p.nextInNeed()
 		if pool == "" {
--- a/internal/lending/plan_state.go
+++ b/internal/lending/plan_state.go
@@ -103,3 +103,42 @@
 	}
 	return p.have[pool] - p.s.OwnMachines[pool] - recalls[pool]
 }
+
+// takeKinds plans the moves of machines of the kinds that pools need. Machines in transit
+// to a pool count first.
+func (p *planState) takeKinds() []Move {
+	var moves []Move
+	for _, pool := range slices.Sorted(maps.Keys(p.s.Kinds)) {
+		inTransit := p.machinesInTransit(pool)
+		for _, need := range p.s.Kinds[pool] {
+			suits := func(id string) bool { return need.Suits(p.s.Machines[id].Labels, p.s.Machines[id].Capacity) }
+			for range need.Count {
+				if takeFrom(&inTransit, suits) != "" {
+					continue
+				}
+				machine := takeFrom(&p.offered, func(id string) bool { return p.s.Offers[id].Pool != pool && suits(id) })
+				if machine == "" {
+					machine = takeFrom(&p.standby, suits)
+				}
+				if machine == "" {
+					break
+				}
+				p.have[pool]++
+				moves = append(moves, Move{Machine: machine, Target: pool})
+			}
+		}
+	}
+	return moves
+}
+
+// machinesInTransit returns the IDs, sorted, of the machines in transit to the pool.
+func (p *planState) machinesInTransit(pool string) []string {
+	var ids []string
+	for id, target := range p.s.InTransit {
+		if target == pool {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- a/internal/lending/plan_test.go
+++ b/internal/lending/plan_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"persimmonbay/internal/lending"
+	"persimmonbay/internal/scheduler"
 	"persimmonbay/internal/upkeep"
 )
 
@@ -94,4 +95,23 @@
 		s.Offers["spare-2"] = lending.Offer{Pool: "spare", Target: "vets"}
 		Expect(lending.Plan(s).Moves).To(BeEmpty())
 	})
+
+	// Guards against a job that waits for the one kind of machine that can run it, while its
+	// pool receives others (review/2).
+	It("moves machines of the kind that a pool needs, from other pools' offers and from standby, and no others", func() {
+		s := fleet("tags", 4, 9, "deeds", 3, 9, "spare", 3, 8)
+		for _, id := range []string{"deeds-1", "spare-2", "tags-0"} {
+			m := s.Machines[id]
+			m.Labels, m.Capacity = []string{"rack-1"}, scheduler.Resources{MilliCPU: 32000}
+			s.Machines[id] = m
+		}
+		s.Offers["deeds-0"], s.Offers["deeds-1"], s.Offers["tags-0"] = lending.Offer{Pool: "deeds"}, lending.Offer{Pool: "deeds"}, lending.Offer{Pool: "tags"}
+		s.Kinds = map[string][]scheduler.KindNeed{"tags": {{Label: "rack-1", Capacity: scheduler.Resources{MilliCPU: 4000}, Count: 3}}}
+		s.Standby["spare"] = true
+		moves := lending.Plan(s).Moves
+		Expect(moves).To(ContainElements(lending.Move{Machine: "deeds-1", Target: "tags"}, lending.Move{Machine: "spare-2", Target: "tags"}))
+		Expect(targets(lending.Plan(s))["tags"]).To(Equal(2))
+		s.InTransit["spare-2"] = "tags"
+		Expect(targets(lending.Plan(s))["tags"]).To(Equal(1), "one is on its way")
+	})
 })
--- a/internal/poolmanager/capacity_reporter.go
+++ b/internal/poolmanager/capacity_reporter.go
@@ -6,17 +6,22 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"persimmonbay/internal/scheduler"
 )
 
 // capacityReporter reports to the machine controller how many machines the pool needs
 // and which ones it can spare. Only one goroutine uses it.
 type capacityReporter struct {
 	*poolOwnership
-	offered         map[string]int64 // by machine: the revision of the offer
-	claimed         map[string]bool  // offered machines that the machine controller has claimed for a move
-	claimsCheckedAt time.Time        // when the claimed machines were last checked
-	reportedNeed    int              // the need last stored
-	offerAfter      time.Time        // no offer before then, as the last one was refused
+	offered         map[string]int64     // by machine: the revision of the offer
+	claimed         map[string]bool      // offered machines that the machine controller has claimed for a move
+	claimsCheckedAt time.Time            // when the claimed machines were last checked
+	reportedNeed    int                  // the need last stored
+	kinds           []scheduler.KindNeed // kinds of machines that the pool needs now
+	storedKinds     []scheduler.KindNeed // the same as last stored, if kindsStored
+	kindsStored     bool
+	offerAfter      time.Time // no offer before then, as the last one was refused
 }
 
 // step reports the changes since the last step: it withdraws offers of machines that
@@ -52,11 +57,12 @@
 		}
 	}
 	spare := slices.DeleteFunc(report.Offers, func(m string) bool { return r.offered[m] != 0 || r.claimed[m] || slices.Contains(report.TakeBack, m) })
-	if need != r.reportedNeed || len(spare) > 0 {
-		r.log.Info("balance", zap.Int("need", need), zap.Int("offers", len(spare)), zap.Float64("used", report.Load.Used),
+	r.kinds = report.Kinds
+	if need != r.reportedNeed || r.kindsChanged() || len(spare) > 0 {
+		r.log.Info("balance", zap.Int("need", need), zap.Any("kinds", r.kinds), zap.Int("offers", len(spare)), zap.Float64("used", report.Load.Used),
 			zap.Float64("waiting", report.Load.Waiting), zap.Float64("backlog", report.Load.Backlog), zap.Float64("coming", report.Load.Expected), zap.Float64("have", report.Load.Usable))
 	}
-	if need != r.reportedNeed {
+	if need != r.reportedNeed || r.kindsChanged() {
 		if err := r.writeNeed(ctx, need); err != nil {
 			return err
 		}
@@ -66,3 +72,9 @@
 	}
 	return nil
 }
+
+// kindsChanged reports whether the stored kinds of machines differ from those that the
+// pool needs, or are not known.
+func (r *capacityReporter) kindsChanged() bool {
+	return !r.kindsStored || !slices.Equal(r.kinds, r.storedKinds)
+}
--- a/internal/poolmanager/machine_controller.go
+++ b/internal/poolmanager/machine_controller.go
@@ -51,7 +51,7 @@
 		waves, wavesChanged := o.waves.Watch()
 		reports, reportsChanged := c.reports.Watch()
 		open := c.openWaves(waves)
-		busy := len(open) > 0 || o.fleet.Get().ownMachines == nil || len(c.inTransit) > 0 || len(reports.needs) > 0 || len(reports.offers) > 0 || c.mayHaveRecalls()
+		busy := len(open) > 0 || o.fleet.Get().ownMachines == nil || len(c.inTransit) > 0 || len(reports.needs) > 0 || len(reports.kinds) > 0 || len(reports.offers) > 0 || c.mayHaveRecalls()
 		if busy {
 			c.step(open)
 		}
--- a/internal/poolmanager/machine_controller_lend.go
+++ b/internal/poolmanager/machine_controller_lend.go
@@ -61,7 +61,7 @@
 	moves := c.unfinishedMoves(machines, view, recent)
 	deferrable := c.upkeepDeferrable(machines)
 	steps := lending.Plan(&lending.Snapshot{
-		Needs: view.needs, OwnMachines: c.fleet.Get().ownMachines, Offers: view.offers, Machines: machines, Standby: c.standby(),
+		Needs: view.needs, Kinds: view.kinds, OwnMachines: c.fleet.Get().ownMachines, Offers: view.offers, Machines: machines, Standby: c.standby(),
 		InTransit: c.targets(), UpkeepPending: c.upkeepPending(deferrable), UpkeepDeferrable: deferrable, RecentlyOrdered: recent,
 	})
 	if err := c.writeRecalls(ctx, steps.Recalls); err != nil {
--- a/internal/poolmanager/ownership_capacity.go
+++ b/internal/poolmanager/ownership_capacity.go
@@ -194,14 +194,23 @@
 	return true
 }
 
-// writeNeed writes how many machines the pool needs. After an error, the stored need
-// counts as unknown.
+// writeNeed writes how many machines the pool needs, and of which kinds if these have
+// changed. After an error, what is stored counts as unknown.
 func (r *capacityReporter) writeNeed(ctx context.Context, need int) error {
 	key := poolstore.NeedKey(r.service)
-	r.reportedNeed = unknownNeed
-	_, err := r.commitAsOwner(ctx, store.Txn{Writes: []store.Write{{Key: key, Value: []byte(strconv.Itoa(need))}}}, key)
+	keys, txn := []string{key}, store.Txn{Writes: []store.Write{{Key: key, Value: []byte(strconv.Itoa(need))}}}
+	if r.kindsChanged() {
+		value, err := poolstore.EncodeKinds(r.kinds)
+		if err != nil {
+			return err
+		}
+		keys = append(keys, poolstore.KindsKey(r.service))
+		txn.Writes = append(txn.Writes, store.Write{Key: poolstore.KindsKey(r.service), Value: value})
+	}
+	r.reportedNeed, r.kindsStored = unknownNeed, false
+	_, err := r.commitAsOwner(ctx, txn, keys...)
 	if err == nil {
-		r.reportedNeed = need
+		r.reportedNeed, r.storedKinds, r.kindsStored = need, r.kinds, true
 	}
 	return err
 }
--- a/internal/poolmanager/report_view.go
+++ b/internal/poolmanager/report_view.go
@@ -5,24 +5,26 @@
 
 	"persimmonbay/internal/lending"
 	"persimmonbay/internal/poolstore"
+	"persimmonbay/internal/scheduler"
 	"persimmonbay/internal/store"
 )
 
 // reportView is what pools report to the machine controller. It is immutable once
 // shared: an update replaces it.
 type reportView struct {
-	needs     map[string]int           // machines that pools need, by service
-	offers    map[string]lending.Offer // by machine
-	revisions map[string]int64         // of the offers, by machine
-	known     bool                     // the store has been read
+	needs     map[string]int                  // machines that pools need, by service
+	kinds     map[string][]scheduler.KindNeed // kinds of machines that pools need, by service
+	offers    map[string]lending.Offer        // by machine
+	revisions map[string]int64                // of the offers, by machine
+	known     bool                            // the store has been read
 }
 
 func newReportView() reportView {
-	return reportView{needs: map[string]int{}, offers: map[string]lending.Offer{}, revisions: map[string]int64{}}
+	return reportView{needs: map[string]int{}, kinds: map[string][]scheduler.KindNeed{}, offers: map[string]lending.Offer{}, revisions: map[string]int64{}}
 }
 
 func (v reportView) clone() reportView {
-	return reportView{needs: maps.Clone(v.needs), offers: maps.Clone(v.offers), revisions: maps.Clone(v.revisions), known: v.known}
+	return reportView{needs: maps.Clone(v.needs), kinds: maps.Clone(v.kinds), offers: maps.Clone(v.offers), revisions: maps.Clone(v.revisions), known: v.known}
 }
 
 // apply applies an event to a view that is not shared yet. A value that cannot be
@@ -39,6 +41,17 @@
 		}
 		return err
 	}
+	if service, ok := poolstore.ParseKinds(e.Key); ok {
+		delete(v.kinds, service)
+		if e.Deleted {
+			return nil
+		}
+		kinds, err := poolstore.DecodeKinds(e.Key, e.Value)
+		if len(kinds) > 0 {
+			v.kinds[service] = kinds
+		}
+		return err
+	}
 	machine, ok := poolstore.ParseOffer(e.Key)
 	if !ok {
 		return nil
--- a/internal/poolstore/fuzz_test.go
+++ b/internal/poolstore/fuzz_test.go
@@ -33,6 +33,7 @@
 	add(poolstore.EncodeMember("127.0.0.1:1", 4))
 	add(poolstore.EncodeOwnMachines(map[string]int{"q": 3}))
 	add(poolstore.EncodeEmptyRequest(now, true))
+	add(poolstore.EncodeKinds([]scheduler.KindNeed{{Label: "rack-1", Capacity: scheduler.Resources{MilliCPU: 1000}, Count: 2}}))
 	for _, seed := range seeds {
 		f.Add(seed)
 	}
@@ -57,6 +58,13 @@
 		}
 		_, _ = poolstore.DecodeCount("k", data) // must not panic
 		_, _ = poolstore.DecodeOffer("k", data) // must not panic
+		if kinds, err := poolstore.DecodeKinds("k", data); err == nil {
+			for _, k := range kinds {
+				if k.Count < 0 {
+					t.Fatalf("need for %d machines", k.Count)
+				}
+			}
+		}
 		by, _, err := poolstore.DecodeEmptyRequest("k", data)
 		if err != nil {
 			by = time.Time{}
--- a/internal/poolstore/keys.go
+++ b/internal/poolstore/keys.go
@@ -21,12 +21,19 @@
 const (
 	ReportPrefix = "duty/"
 	needPrefix   = "duty/need/"
+	kindsPrefix  = "duty/kinds/"
 	offerPrefix  = "duty/offer/"
 )
 
 // NeedKey returns the key of the number of further machines that a pool needs.
 func NeedKey(service string) string { return needPrefix + service }
 
+// KindsKey returns the key of the kinds of machines that a pool needs.
+func KindsKey(service string) string { return kindsPrefix + service }
+
+// ParseKinds returns the service in a key of KindsKey, or false for another key.
+func ParseKinds(key string) (service string, ok bool) { return strings.CutPrefix(key, kindsPrefix) }
+
 // OfferKey returns the key of a machine that its pool can spare.
 func OfferKey(machine string) string { return offerPrefix + machine }
 
--- a/internal/upkeep/machine.go
+++ b/internal/upkeep/machine.go
@@ -1,5 +1,7 @@
 package upkeep
 
+import "persimmonbay/internal/scheduler"
+
 // Machine is a machine as the platform lists it.
 type Machine struct {
 	ID     string
@@ -8,4 +10,6 @@
 	Zone   string
 	Labels []string
 	Worker string // ID of the worker that runs on it; empty: none
+
+	Capacity scheduler.Resources // of its worker
 }
