Late jobs get room to go on

Cause: jobs that end later than three times their objective did not count in the pool's load, so it went on offering machines that the gang needed, for good.

Now a late job without any run has room held or asked for, one task or one gang at a time; the load that sizes the pool still leaves late jobs out. Among themselves late jobs go in the order of their acceptance, so that a large one comes too.

--- a/internal/scheduler/pool_load.go
+++ b/internal/scheduler/pool_load.go
@@ -48,8 +48,8 @@
 	return max(part(r.MilliCPU, unit.MilliCPU), part(r.MemoryMB, unit.MemoryMB), part(r.Accelerators, unit.Accelerators))
 }
 
-// measure returns the pool's load at now. Jobs in veryLateClass do not count as work to
-// be done.
+// measure returns the pool's load at now. Jobs in veryLateClass do not count, so that the
+// pool keeps no machines for all their work at once: findRoomNeeds keeps them going.
 func (p *Pool) measure(now time.Time) Load {
 	unit := p.machineCapacity()
 	var l Load
--- a/internal/scheduler/pool_room.go
+++ b/internal/scheduler/pool_room.go
@@ -30,7 +30,7 @@
 	staying, offered := p.stayingAndOffered(now)
 	for _, s := range waiting {
 		hold := func(w *worker) { needs.held[w] = true }
-		n := free.takeFrom(staying, s, s.waitingTasks(now), hold)
+		n := free.takeFrom(staying, s, s.tasksOwedRoom(now), hold)
 		if n == 0 || s.step.Gang && s.step.machinesFor(s.step.Count, unit) > max(p.ownMachines, len(p.workers)) {
 			continue
 		}
@@ -53,7 +53,7 @@
 func (p *Pool) longestWaiting(now time.Time) []*stage {
 	var waiting []*stage
 	for _, s := range p.waitingStages {
-		if !s.job.progress.State.Final() && s.job.rank.class < veryLateClass && !s.noRoomSince.IsZero() && now.Sub(s.noRoomSince) >= roomPatience {
+		if !s.job.progress.State.Final() && !s.noRoomSince.IsZero() && now.Sub(s.noRoomSince) >= roomPatience {
 			waiting = append(waiting, s)
 		}
 	}
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -34,17 +34,14 @@
 	if j.sub.LongRunning() {
 		return rank{class: -1, accepted: j.sub.AcceptedAt}
 	}
-	from := j.sub.AcceptedAt
-	if k := len(j.occurrences) - 1; k > 0 {
-		from = j.sub.DueAt(k)
-	}
+	from := Later(j.sub.AcceptedAt, j.sub.DueAt(max(len(j.occurrences)-1, 0)))
 	if j.estimatedAt.IsZero() || now.Sub(j.estimatedAt) > estimateMaxAge {
 		p.estimateRemaining(j, now)
 	}
 	r := rank{class: j.sub.Priority, remainingWork: j.remainingWork, accepted: j.sub.AcceptedAt}
 	switch end := now.Add(j.remainingChain); {
 	case end.After(from.Add(lateFactor * j.objectiveTime)):
-		r.class = veryLateClass
+		r.class, r.remainingWork = veryLateClass, 0 // in the order of their acceptance, so that none starves
 	case end.After(from.Add(j.objectiveTime)):
 		r.class += lateClass
 	}
--- a/internal/scheduler/stage.go
+++ b/internal/scheduler/stage.go
@@ -15,6 +15,22 @@
 	noRoomSince time.Time // since when one of its tasks has had no room and none has started; zero: all had room
 }
 
+// tasksOwedRoom returns for how many of the waiting tasks the pool changes what it offers
+// and asks for. A job that ends too late to be of use gets room to go on, for one task or
+// one gang at a time.
+func (s *stage) tasksOwedRoom(now time.Time) int {
+	n := s.waitingTasks(now)
+	switch {
+	case s.job.rank.class < veryLateClass:
+		return n
+	case s.job.activeRuns > 0:
+		return 0
+	case s.step.Gang:
+		return n
+	}
+	return min(n, 1)
+}
+
 // waitingTasks returns the number of tasks that may start at now.
 func (s *stage) waitingTasks(now time.Time) int {
 	n := 0
