Workers are kept free for a gang that smaller tasks keep out

A gang starts only when all its tasks have room at once. Smaller tasks take each part of that room as it becomes free, and with a steady flow of them the gang never starts, though most of the pool is free.

--- a/internal/scheduler/pool_place.go
+++ b/internal/scheduler/pool_place.go
@@ -10,7 +10,7 @@
 	var best *worker
 	var bestFit fit
 	for _, w := range p.startCandidates.workers {
-		if !p.suits(t, w) {
+		if !p.suits(t, w) || p.hold.keeps(t.stage, w) {
 			continue
 		}
 		f := p.fitOn(t, w)
