A machine counts as empty only on the word of the pool and worker that it has

Cause: the request to empty a machine named no pool. The pool that the machine had left still had its former worker there, idle and offered, and confirmed the machine as empty; the machine controller took it down on that word.

Now request and confirmation name the pool and the worker that the platform lists on the machine. Pools answer only what is addressed to them and to a worker of theirs, and the machine controller drops a word about another pool or worker and asks anew, also after a move there and back. The spec of a second wave on an old confirmation names the present worker now, as the check of the worker would stop it earlier: it still reaches the check of the revision.

--- a/internal/poolmanager/late_confirmation_test.go
+++ b/internal/poolmanager/late_confirmation_test.go
@@ -11,6 +11,7 @@
 	"persimmonbay/internal/poolstore"
 	"persimmonbay/internal/scheduler"
 	"persimmonbay/internal/store"
+	"persimmonbay/internal/upkeep"
 )
 
 var _ = Describe("an owner whose confirmation of an empty machine has no response", func() {
@@ -22,14 +23,15 @@
 		o.pool.RosterSaved(o.pool.Roster(s.clock.Now()))
 		key := poolstore.EmptyRequestKey("m-a")
 		by := s.clock.Now().Add(time.Hour)
-		value, err := poolstore.EncodeEmptyRequest(by, false)
+		request := upkeep.EmptyRequest{Pool: sceneService, Worker: "a", By: by}
+		value, err := poolstore.EncodeEmptyRequest(&request)
 		Expect(err).NotTo(HaveOccurred())
 		revision := s.store.put(key, value, 0)
 		view := newRequestView()
 		view.known = true
-		view.empty["m-a"] = emptyRequest{revision: revision, by: by}
+		view.empty["m-a"] = emptyRequest{EmptyRequest: request, revision: revision}
 		o.requests.Update(func(requestView) (requestView, bool) { return view, true })
-		o.pool.SetMachinesToEmpty(view.machines(), view.emptied())
+		o.pool.SetMachinesToEmpty(view.machines(sceneService), view.emptied())
 		s.clock.Advance(3 * time.Second)
 		s.poll(o, "a")
 		o.pool.Plan(s.clock.Now(), s.clock.Now())
@@ -55,8 +57,8 @@
 		s.store.applyDelayed()
 		item, err := s.store.Get(context.Background(), key)
 		Expect(err).NotTo(HaveOccurred())
-		_, emptied, err := poolstore.DecodeEmptyRequest(key, item.Value)
+		stored, err := poolstore.DecodeEmptyRequest(key, item.Value)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(emptied && len(plan.Starts) > 0).To(BeFalse(), "%d tasks were started on a machine that may be taken down", len(plan.Starts))
+		Expect(stored.Emptied && len(plan.Starts) > 0).To(BeFalse(), "%d tasks were started on a machine that may be taken down", len(plan.Starts))
 	})
 })
--- a/internal/poolmanager/machine_controller_claims_test.go
+++ b/internal/poolmanager/machine_controller_claims_test.go
@@ -27,7 +27,7 @@
 			v = v.clone()
 			v.known = true
 			if machine != "" {
-				v.empty[machine] = emptyRequest{revision: revision, emptied: true}
+				v.empty[machine] = emptyRequest{EmptyRequest: upkeep.EmptyRequest{Pool: sceneService, Worker: "a2", Emptied: true}, revision: revision}
 			}
 			return v, true
 		})
@@ -62,7 +62,7 @@
 	It("takes no machine down for a second wave on the confirmation that it was empty for the first", func() {
 		ctx := context.Background()
 		c.since = s.clock.Now().Add(-time.Hour)
-		value, err := poolstore.EncodeEmptyRequest(s.clock.Now(), true)
+		value, err := poolstore.EncodeEmptyRequest(&upkeep.EmptyRequest{Pool: sceneService, Worker: "a2", By: s.clock.Now(), Emptied: true})
 		Expect(err).NotTo(HaveOccurred())
 		addRequest("m-a", s.store.put(poolstore.EmptyRequestKey("m-a"), value, 0))
 		p, err := c.loadProgress(ctx, 3)
--- a/internal/poolmanager/machine_controller_late_test.go
+++ b/internal/poolmanager/machine_controller_late_test.go
@@ -64,7 +64,7 @@
 	// controller deleted the request.
 	It("leaves no delayed request to empty a machine that is back", func() {
 		s.store.loseNextResponse(poolstore.EmptyRequestKey("m-a"))
-		Expect(c.requestEmptying(ctx, wave, []string{"m-a"}, s.clock.Now().Add(time.Minute))).NotTo(Succeed())
+		Expect(c.requestEmptying(ctx, wave, []string{"m-a"}, machines, s.clock.Now().Add(time.Minute))).NotTo(Succeed())
 		Expect(c.recordReturned(ctx, wave, &p, []string{"m-a"})).To(Succeed())
 		s.store.applyDelayed()
 		Expect(s.store.has(poolstore.EmptyRequestKey("m-a"))).To(BeFalse())
--- a/internal/poolmanager/machine_controller_wave.go
+++ b/internal/poolmanager/machine_controller_wave.go
@@ -28,12 +28,12 @@
 		}
 		c.reportedStarted[w.Number] = true
 	}
-	snapshot := upkeep.Snapshot{Wave: w, Machines: machines, Emptying: c.emptying(), Progress: progress}
+	snapshot := upkeep.Snapshot{Wave: w, Machines: machines, Emptying: c.emptying(machines, &progress), Progress: progress}
 	steps := upkeep.Plan(&snapshot)
 	if err := c.recordReturned(ctx, w.Number, &progress, steps.Returned); err != nil {
 		return err
 	}
-	if err := c.requestEmptying(ctx, w.Number, steps.Empty, progress.Since.Add(w.Within-emptyingMargin)); err != nil {
+	if err := c.requestEmptying(ctx, w.Number, steps.Empty, machines, progress.Since.Add(w.Within-emptyingMargin)); err != nil {
 		return err
 	}
 	if steps.Completed {
@@ -82,14 +82,14 @@
 	return p, nil
 }
 
-// emptying returns the state of each request to empty a machine.
-func (c *machineController) emptying() map[string]upkeep.Emptying {
+// emptying returns the state of each request to empty a machine, as far as it still is
+// about the worker that the platform lists on the machine.
+func (c *machineController) emptying(machines map[string]upkeep.Machine, p *upkeep.Progress) map[string]upkeep.Emptying {
 	states := make(map[string]upkeep.Emptying)
-	for machine, request := range c.requests.Get().empty {
-		states[machine] = upkeep.Requested
-		if request.emptied {
-			states[machine] = upkeep.Emptied
-		}
+	for id, request := range c.requests.Get().empty {
+		m := machines[id]
+		_, ordered := p.Ordered[id]
+		states[id] = request.State(&m, ordered)
 	}
 	return states
 }
@@ -132,23 +132,23 @@
 // to come back.
 const emptyingMargin = 1500 * time.Millisecond
 
-// requestEmptying requests that pools empty machines. The write is conditional on the
-// wave's progress, so that a delayed copy does not request a machine that is back.
-func (c *machineController) requestEmptying(ctx context.Context, wave int64, machines []string, by time.Time) error {
-	value, err := poolstore.EncodeEmptyRequest(by, false)
-	if err != nil {
-		return err
-	}
-	for len(machines) > 0 {
-		n := min(len(machines), store.MaxTxnEntries/2)
+// requestEmptying requests that the machines' pools empty them. The write is conditional on
+// the wave's progress, so that a delayed copy does not request a machine that is back.
+func (c *machineController) requestEmptying(ctx context.Context, wave int64, ids []string, machines map[string]upkeep.Machine, by time.Time) error {
+	for len(ids) > 0 {
+		n := min(len(ids), store.MaxTxnEntries/2)
 		var txn store.Txn
-		for _, m := range machines[:n] {
+		for _, m := range ids[:n] {
+			value, err := poolstore.EncodeEmptyRequest(&upkeep.EmptyRequest{Pool: machines[m].Pool, Worker: machines[m].Worker, By: by})
+			if err != nil {
+				return err
+			}
 			txn.Writes = append(txn.Writes, store.Write{Key: poolstore.EmptyRequestKey(m), Value: value})
 		}
 		if _, err := c.commitAsOwner(ctx, txn, poolstore.UpkeepKey(wave)); err != nil {
 			return err
 		}
-		machines = machines[n:]
+		ids = ids[n:]
 	}
 	return nil
 }
--- a/internal/poolmanager/ownership_emptied.go
+++ b/internal/poolmanager/ownership_emptied.go
@@ -29,15 +29,16 @@
 func (o *poolOwnership) confirmEmptied(confirmed map[string]int64) {
 	view := o.requests.Get()
 	for machine, request := range view.empty {
-		if request.emptied || confirmed[machine] == request.revision {
+		if request.Pool != o.service || request.Emptied || confirmed[machine] == request.revision {
 			continue
 		}
-		value, err := poolstore.EncodeEmptyRequest(request.by, true)
+		request.Emptied = true
+		value, err := poolstore.EncodeEmptyRequest(&request.EmptyRequest)
 		if err != nil {
 			o.log.Error("machine not confirmed as empty, as the confirmation cannot be encoded", telemetry.ProblemFields(err)...)
 			continue
 		}
-		if !o.pool.ClaimEmpty(machine) {
+		if !o.pool.ClaimEmpty(machine, request.Worker) {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(o.ctx, o.timing.StoreTimeout)
--- a/internal/poolmanager/ownership_pool.go
+++ b/internal/poolmanager/ownership_pool.go
@@ -149,7 +149,7 @@
 			own = append(own, w)
 		}
 	}
-	o.pool.SetMachinesToEmpty(requests.machines(), requests.emptied())
+	o.pool.SetMachinesToEmpty(requests.machines(o.service), requests.emptied())
 	o.pool.SetWorkers(own, o.Clock.Now())
 	o.pool.SetShare(fleet.ownMachines[o.service], requests.recalls[o.service])
 	o.rosterChanged.send()
--- a/internal/poolmanager/request_view.go
+++ b/internal/poolmanager/request_view.go
@@ -54,28 +54,31 @@
 		delete(v.empty, machine)
 		return nil
 	}
-	by, emptied, err := poolstore.DecodeEmptyRequest(e.Key, e.Value)
+	request, err := poolstore.DecodeEmptyRequest(e.Key, e.Value)
 	if err == nil {
-		v.empty[machine] = emptyRequest{revision: e.Revision, by: by, emptied: emptied}
+		v.empty[machine] = emptyRequest{EmptyRequest: request, revision: e.Revision}
 	}
 	return err
 }
 
-// machines returns the machines that have to be emptied, or are empty already, with the
-// times by which their upkeep should be over.
-func (v *requestView) machines() map[string]time.Time {
+// machines returns the machines that the pool has to empty, or that are empty already,
+// with the times by which their upkeep should be over.
+func (v *requestView) machines(pool string) map[string]time.Time {
 	machines := make(map[string]time.Time, len(v.empty))
 	for m, request := range v.empty {
-		machines[m] = request.by
+		if request.Pool == pool {
+			machines[m] = request.By
+		}
 	}
 	return machines
 }
 
-// emptied returns the machines that their pools have confirmed to be empty.
+// emptied returns the machines that any pool has confirmed to be empty: they may be taken
+// down at any time, also in another pool.
 func (v *requestView) emptied() map[string]bool {
 	machines := make(map[string]bool)
 	for m, request := range v.empty {
-		if request.emptied {
+		if request.Emptied {
 			machines[m] = true
 		}
 	}
--- a/internal/poolstore/fuzz_test.go
+++ b/internal/poolstore/fuzz_test.go
@@ -7,6 +7,7 @@
 
 	"persimmonbay/internal/poolstore"
 	"persimmonbay/internal/scheduler"
+	"persimmonbay/internal/upkeep"
 )
 
 // fuzzTasks limits the number of tasks of a job that the fuzz target plans.
@@ -32,7 +33,7 @@
 	add(poolstore.EncodeRoster(&scheduler.WorkerRoster{Tenure: 1, Workers: []scheduler.RosterWorker{{ID: "w", Down: true, Tasks: []scheduler.TaskID{{Job: "j"}}}}}))
 	add(poolstore.EncodeMember("127.0.0.1:1", 4))
 	add(poolstore.EncodeOwnMachines(map[string]int{"q": 3}))
-	add(poolstore.EncodeEmptyRequest(now, true))
+	add(poolstore.EncodeEmptyRequest(&upkeep.EmptyRequest{Pool: "tags", Worker: "w", By: now, Emptied: true}))
 	add(poolstore.EncodeKinds([]scheduler.KindNeed{{Label: "rack-1", Capacity: scheduler.Resources{MilliCPU: 1000}, Count: 2}}))
 	for _, seed := range seeds {
 		f.Add(seed)
@@ -65,11 +66,11 @@
 				}
 			}
 		}
-		by, _, err := poolstore.DecodeEmptyRequest("k", data)
+		request, err := poolstore.DecodeEmptyRequest("k", data)
 		if err != nil {
-			by = time.Time{}
+			request.By = time.Time{}
 		}
-		plan(t, data, roster, state.Progress, by)
+		plan(t, data, roster, state.Progress, request.By)
 	})
 }
 
--- a/internal/poolstore/invalid_records_test.go
+++ b/internal/poolstore/invalid_records_test.go
@@ -12,6 +12,7 @@
 	"persimmonbay/internal/poolstore"
 	"persimmonbay/internal/problem"
 	"persimmonbay/internal/scheduler"
+	"persimmonbay/internal/upkeep"
 )
 
 // record returns a record with the given fields, by number.
@@ -107,15 +108,18 @@
 	// A time of 2^63 ms overflowed: the machine was never emptied.
 	It("is refused as a request to empty a machine", func() {
 		for _, by := range []int64{math.MaxInt64, math.MinInt64, -1, 0} {
-			_, _, err := poolstore.DecodeEmptyRequest("asked/empty/m", record(map[int]any{1: by}))
+			_, err := poolstore.DecodeEmptyRequest("asked/empty/m", record(map[int]any{1: by}))
 			Expect(problem.Is(err, problem.Internal)).To(BeTrue(), fmt.Sprint(by))
 		}
 		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-		data, err := poolstore.EncodeEmptyRequest(now, true)
+		request := upkeep.EmptyRequest{Pool: "tags", Worker: "w", By: now, Emptied: true}
+		data, err := poolstore.EncodeEmptyRequest(&request)
 		Expect(err).NotTo(HaveOccurred())
-		by, emptied, err := poolstore.DecodeEmptyRequest("asked/empty/m", data)
+		decoded, err := poolstore.DecodeEmptyRequest("asked/empty/m", data)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(by.Equal(now) && emptied).To(BeTrue())
+		Expect(decoded.By.Equal(now)).To(BeTrue())
+		decoded.By = now
+		Expect(decoded).To(Equal(request))
 	})
 
 	// Null fields became nil maps; a write to one made the process panic.
--- a/internal/scheduler/claim_empty_test.go
+++ b/internal/scheduler/claim_empty_test.go
@@ -19,7 +19,7 @@
 
 	// The claim of a machine that was back from its upkeep would keep it without work.
 	It("ends when the request to empty the machine is withdrawn", func() {
-		Expect(s.pool.ClaimEmpty("m-a")).To(BeTrue())
+		Expect(s.pool.ClaimEmpty("m-a", "a")).To(BeTrue())
 		next := worker("a2")
 		next.Machine, next.Incarnation = "m-a", 2
 		s.setWorkers(next)
@@ -37,6 +37,13 @@
 		s.pool.SetOffered([]string{"m-a"})
 		s.pool.SetMachinesToEmpty(nil, nil)
 		Expect(s.pool.MachineEmpty("m-a")).To(BeTrue())
-		Expect(s.pool.ClaimEmpty("m-a")).To(BeFalse())
+		Expect(s.pool.ClaimEmpty("m-a", "a")).To(BeFalse())
+	})
+
+	// Guards against a pool that reports a machine as empty which it has left: its former
+	// worker is still known and idle, and tasks of another pool run there (review/5).
+	It("is refused for a worker that the pool does not have", func() {
+		Expect(s.pool.MachineEmpty("m-a")).To(BeTrue())
+		Expect(s.pool.ClaimEmpty("m-a", "a2")).To(BeFalse())
 	})
 })
--- a/internal/scheduler/pool_emptied.go
+++ b/internal/scheduler/pool_emptied.go
@@ -9,12 +9,16 @@
 }
 
 // ClaimEmpty reports whether a machine that is to be emptied is empty, so that the
-// caller may report that. If so, no task starts there until the request to empty the
+// caller may report that. The pool speaks only for the given worker, which has to be one of
+// its own: after a move, workers of the machine's former life may still be known. If so, no task starts there until the request to empty the
 // machine is withdrawn, whichever worker runs there: a report without a response may be
 // carried out at any time.
-func (p *Pool) ClaimEmpty(machine string) bool {
+func (p *Pool) ClaimEmpty(machine, worker string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if w := p.workers[worker]; w == nil || w.info.Machine != machine {
+		return false
+	}
 	if _, requested := p.toEmpty[machine]; !requested || !p.machineEmpty(machine) {
 		return false
 	}
--- a/internal/upkeep/plan.go
+++ b/internal/upkeep/plan.go
@@ -55,12 +55,13 @@
 	return picked
 }
 
-// toEmpty returns the machines whose emptying has not been requested yet.
+// toEmpty returns the machines whose emptying has not been requested yet, or was requested
+// of a pool or a worker that they have no longer. A machine that moves waits.
 func (s *Snapshot) toEmpty() []string {
 	var rest []string
 	for _, id := range s.Wave.Machines {
 		m, listed := s.Machines[id]
-		if listed && m.Worker != "" && !s.Progress.Done[id] && !s.Progress.Confirmed[id] && s.Emptying[id] == NotRequested {
+		if listed && m.State == Up && m.Worker != "" && !s.Progress.Done[id] && !s.Progress.Confirmed[id] && s.Emptying[id] == NotRequested {
 			rest = append(rest, id)
 		}
 	}
