An owner that takes a pool over leaves claims of its machines alone

Cause: a new owner took the claims that it found among the offers (a machine that is about to be moved to another pool) for offers that it may withdraw. When it needed machines it deleted the claim and started tasks on the machine, and the move that was on its way ended them.

Evidence: the new spec "leaves the claim, and starts nothing on the machine" failed: the claim was deleted. Now claims are kept apart from offers at the load, as they are once an offer of the owner's own is claimed; only the machine controller deletes one.

--- a/internal/poolmanager/capacity_reporter.go
+++ b/internal/poolmanager/capacity_reporter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,6 +25,12 @@
 	offerAfter      time.Time // no offer before then, as the last one was refused
 }
 
+func newCapacityReporter(o *poolOwnership, offered map[string]int64) *capacityReporter {
+	r := &capacityReporter{poolOwnership: o, offered: offered, claimed: map[string]bool{}, reportedNeed: unknownNeed}
+	maps.Copy(r.claimed, o.claimedOffers)
+	return r
+}
+
 // step reports the changes since the last step: it withdraws offers of machines that
 // the pool needs itself, writes the need, and offers machines that have become spare.
 func (r *capacityReporter) step(ctx context.Context) error {
--- a/internal/poolmanager/ownership_capacity.go
+++ b/internal/poolmanager/ownership_capacity.go
@@ -31,7 +31,7 @@
 // capacityLoop reports what the pool needs and can spare to the machine controller,
 // until the ownership ends. offered holds the offers of an earlier owner.
 func (o *poolOwnership) capacityLoop(offered map[string]int64) {
-	r := &capacityReporter{poolOwnership: o, offered: offered, claimed: map[string]bool{}, reportedNeed: unknownNeed}
+	r := newCapacityReporter(o, offered)
 	for o.ctx.Err() == nil {
 		sleep(o.ctx, o.Clock, capacityInterval)
 		if !o.isValid() || o.isLeaving() {
@@ -47,9 +47,11 @@
 
 // applyOffers returns the machines of the pool that an earlier owner has offered, with
 // the revisions of the offers, and marks them as offered in the pool: they may be
-// claimed at any time.
+// claimed at any time. Those that are claimed already are kept in claimedOffers: the claim
+// is the machine controller's, and only it may delete it.
 func (o *poolOwnership) applyOffers(items []store.Item) map[string]int64 {
 	offered := make(map[string]int64)
+	claimed := make(map[string]bool)
 	var machines []string
 	for _, item := range items {
 		machine, _ := poolstore.ParseOffer(item.Key)
@@ -58,12 +60,21 @@
 			o.invalid.logOnce(o.log, "offer of a machine not understood, skipped", &item, err)
 			continue // its pool is not known
 		}
-		if offer.Pool == o.service {
+		switch {
+		case offer.Pool != o.service:
+			continue
+		case offer.Target != "":
+			claimed[machine] = true
+		default:
 			offered[machine] = item.Revision
-			machines = append(machines, machine)
 		}
+		machines = append(machines, machine)
 	}
 	o.pool.SetOffered(machines)
+	for machine := range claimed {
+		o.pool.OfferTaken(machine)
+	}
+	o.claimedOffers = claimed
 	return offered
 }
 
--- a/internal/poolmanager/ownership_offers_test.go
+++ b/internal/poolmanager/ownership_offers_test.go
@@ -10,6 +10,7 @@
 
 	"persimmonbay/internal/lending"
 	"persimmonbay/internal/poolstore"
+	"persimmonbay/internal/store"
 )
 
 var _ = Describe("an owner that loads the offers of the last one", func() {
@@ -34,3 +35,30 @@
 		Expect(s.store.pages).To(BeNumerically("<=", 2*offers/s.store.pageSize+4))
 	})
 })
+
+var _ = Describe("an owner that takes a pool over while one of its machines is claimed for a move", func() {
+	// The claim was taken for the owner's own offer and deleted: tasks started on the machine,
+	// and the move that was on its way ended them.
+	It("leaves the claim, and starts nothing on the machine", func() {
+		s := newOwnershipScene()
+		value, err := poolstore.EncodeOffer(lending.Offer{Pool: sceneService, Target: "other"})
+		Expect(err).NotTo(HaveOccurred())
+		s.store.put(poolstore.OfferKey("m-a"), value, 0)
+		o := s.own()
+		_, offered, err := o.tryLoad(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		s.list(o, "a")
+		s.poll(o, "a")
+		Expect(o.writeRoster(context.Background())).To(Succeed())
+		s.clock.Advance(10 * time.Second) // a former owner's orders and leases are over
+		r := newCapacityReporter(o, offered)
+		o.addJob("j", s.accept("j"), store.Item{}, s.clock.Now())
+		for range 3 {
+			o.pool.Plan(s.clock.Now(), s.clock.Now())
+			s.clock.Advance(time.Second)
+			Expect(r.step(context.Background())).To(Succeed())
+		}
+		Expect(s.store.has(poolstore.OfferKey("m-a"))).To(BeTrue())
+		Expect(o.pool.Plan(s.clock.Now(), s.clock.Now()).Starts).To(BeEmpty())
+	})
+})
