--- a/internal/poolmanager/pool_ownership.go
+++ b/internal/poolmanager/pool_ownership.go
@@ -39,15 +39,15 @@
 	rosterChanged  signal      // the roster may have changed
 	confirm        signal      // machines may have been emptied
 	goroutines     sync.WaitGroup
-	ordersInFlight inFlight       // starts and stops without a result yet
-	savesInFlight  inFlight       // batches that saveLoop has claimed, without a result yet
-	own            ownKeys        // revisions of the keys that only the pool's owner writes
-	roster         []byte         // as stored, encoded; nil: unknown; only one goroutine at a time uses it
+	ordersInFlight inFlight        // starts and stops without a result yet
+	savesInFlight  inFlight        // batches that saveLoop has claimed, without a result yet
+	own            ownKeys         // revisions of the keys that only the pool's owner writes
+	roster         []byte          // as stored, encoded; nil: unknown; only one goroutine at a time uses it
 	claimedOffers  map[string]bool // machines of the pool that were claimed for a move when the offers were read; not changed after that
-	loading        poolLoad       // only the goroutine that loads the pool uses it
-	rereadBegan    time.Time      // when stateReread was begun
-	stateReread    *rangeRead     // for resetWork, which one goroutine runs; nil: none in progress
-	rosterLoopDone sync.WaitGroup // done when rosterLoop has returned
+	loading        poolLoad        // only the goroutine that loads the pool uses it
+	rereadBegan    time.Time       // when stateReread was begun
+	stateReread    *rangeRead      // for resetWork, which one goroutine runs; nil: none in progress
+	rosterLoopDone sync.WaitGroup  // done when rosterLoop has returned
 
 	mu      sync.Mutex
 	pollers map[string]*poller // by worker
