An acknowledgement that reached another incarnation counts for none of its ends

Cause: a poll that acknowledges ends up to N of one incarnation of a worker can be answered by the next one, which numbers its ends anew. N counted as acknowledged there: its ends up to N were never acknowledged, and no poll was due for them.

Now the acknowledgement counts only if the incarnation answers whose ends it names.

--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -19,7 +19,7 @@
 	w.polledAt = now
 	req := PollRequest{Worker: id, Address: w.info.Address, Token: p.token, Timeout: p.replyTimeout(w)}
 	if w.ackableEnds > w.ackedEnds && w.mayAckEnds(now) {
-		req.AckedEnds = w.ackableEnds
+		req.AckedEnds, w.ackedIncarnation = w.ackableEnds, w.incarnation
 	}
 	if !w.pollSentAt.IsZero() && w.clock.known() {
 		req.Deadline = w.clock.leaseDeadline(now, &p.timing)
@@ -106,7 +106,9 @@
 	}
 	w.answered(reply, &p.timing)
 	w.fenced = true
-	w.ackedEnds = max(w.ackedEnds, reply.AckedEnds)
+	if reply.Incarnation == w.ackedIncarnation { // another one has ends of its own with these numbers
+		w.ackedEnds = max(w.ackedEnds, reply.AckedEnds)
+	}
 }
 
 func (p *Pool) applyEnds(w *worker, reply *PollReply) {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -33,6 +33,7 @@
 	appliedEnds       int64 // ends up to this number are applied
 	ackableEnds       int64 // ends up to this number are saved and may be acknowledged
 	ackedEnds         int64 // ends up to this number are acknowledged
+	ackedIncarnation  int64 // the one whose ends the last poll acknowledged that did so
 	endMarks          []endMark
 	unsavedEnds       []unsavedEnd // in the order of their numbers
 	expiresAt         time.Time    // by then all leases that this owner granted have expired
