An entry never owns a pool twice under one fencing token

Cause: an ownership can end while the store still has its key and lease, as after a freeze of almost a lease. The entry acquires the pool anew; if that write has no answer and is not applied yet, the read that follows found the old key, with the entry's name and lease, and its revision was taken for the new fencing token. Two ownerships in turn had one token. Workers then carried out late starts of the first one, notices of jobs that were for the first one counted for the second one, which has forgotten what ended, and saves of the first one could still be applied.

Evidence: the new spec "does not run the pool under the token of its last ownership" failed. Now the acquisition counts only with a revision other than the last token; a write that is applied later is found by the next try (the spec beside it).

--- a/internal/poolmanager/manager_acquire_test.go
+++ b/internal/poolmanager/manager_acquire_test.go
@@ -54,4 +54,20 @@
 		o.cancel()
 		Eventually(o.done, 5*time.Second).Should(BeClosed())
 	})
+
+	// Two ownerships of the entry had one fencing token: the orders of the one that had
+	// ended were still on their way, and nothing told them from those of the next.
+	It("does not run the pool under the token of its last ownership, which has ended", func() {
+		ctx := context.Background()
+		owner := poolstore.OwnerKey(sceneService)
+		s := newOwnershipScene()
+		last := s.own()
+		s.store.loseNextResponse(owner)
+		s.manager.acquire(ctx, sceneService, poolOwner{entry: sceneEntry, token: last.token}, sceneLease)
+		Expect(s.manager.owns(sceneService)).To(BeFalse())
+		s.store.applyDelayed()
+		item, err := s.store.Get(ctx, owner)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(item.Revision).To(BeNumerically(">", last.token))
+	})
 })
--- a/internal/poolmanager/manager_manage.go
+++ b/internal/poolmanager/manager_manage.go
@@ -141,7 +141,7 @@
 		Writes:   []store.Write{{Key: key, Value: []byte(m.entryID), Lease: lease}, {Key: poolstore.OwnerChangeKey(service), Value: []byte(m.entryID)}},
 	})
 	if store.OutcomeUnknown(err) {
-		token, err = m.confirmAcquired(ctx, key, lease)
+		token, err = m.confirmAcquired(ctx, key, lease, expected)
 	}
 	if err != nil {
 		if !problem.Is(err, problem.Conflict) {
@@ -153,15 +153,16 @@
 }
 
 // confirmAcquired reads the owner's key after a write whose outcome is unknown. It
-// returns the fencing token if the write was applied, else a conflict.
-func (m *Manager) confirmAcquired(ctx context.Context, key string, lease int64) (int64, error) {
+// returns the fencing token if the write was applied, else a conflict. The key may still
+// name this entry under the token of an ownership that has ended (previousToken).
+func (m *Manager) confirmAcquired(ctx context.Context, key string, lease, previousToken int64) (int64, error) {
 	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), m.timing.StoreTimeout)
 	defer cancel()
 	item, err := m.Store.Get(limited, key)
 	if err != nil {
 		return 0, err
 	}
-	if string(item.Value) != m.entryID || item.Lease != lease {
+	if string(item.Value) != m.entryID || item.Lease != lease || item.Revision == previousToken {
 		return 0, problem.New(problem.Conflict, problem.StepLease, key, "the pool has another owner")
 	}
 	return item.Revision, nil
