A job that is cancelled before it is stored is not stored later

Cause: nothing was stored for a job that was not there, and the write that accepted it, without an answer so far, was carried out after the 410.

Evidence: the new spec failed: the job was stored. Now Cancel stores that the job is barred before it answers; the acceptance is conditional on the absence of that key. A later POST of the ID is refused as not accepted, which is true.

--- a/internal/intake/cancel.go
+++ b/internal/intake/cancel.go
@@ -11,11 +11,22 @@
 
 // Cancel cancels a job and returns once that is stored. The pool's owner is
 // notified, and also reads the cancellation from the store. A job in a final
-// state is left unchanged, without an error.
+// state is left unchanged, without an error. The error NotFound guarantees that the job
+// does not run later either.
 func (in *Intake) Cancel(ctx context.Context, service, id string) error {
 	var t tries
 	for {
 		found, err := in.find(ctx, service, id)
+		if problem.Is(err, problem.NotFound) && !found.state.Barred {
+			barred := t.do(ctx, func(ctx context.Context) error { return in.bar(ctx, service, id) })
+			if barred == nil {
+				return err
+			}
+			if !in.waitForRetry(ctx) {
+				return barred
+			}
+			continue // it may have been stored meanwhile
+		}
 		if err != nil || found.state.Progress.State.Final() {
 			return err
 		}
@@ -44,3 +55,18 @@
 	in.owners.Cancelled(found.service, id, revision)
 	return nil
 }
+
+// bar stores that a job which is not stored was cancelled. A write that accepts the job
+// and is carried out later is conditional on the absence of this key.
+func (in *Intake) bar(ctx context.Context, service, id string) error {
+	state, err := poolstore.EncodeState(&poolstore.JobProgress{Progress: scheduler.Progress{State: scheduler.Cancelled}, EndedAt: in.clock.Now(), Barred: true})
+	if err != nil {
+		return err
+	}
+	key := poolstore.StateKey(service, id)
+	_, err = in.store.Commit(ctx, store.Txn{Expected: []store.Expectation{{Key: key}}, Writes: []store.Write{{Key: key, Value: state}}})
+	if err != nil {
+		return problem.Wrap(problem.KindOf(err), problem.StepStoreWrite, id, err)
+	}
+	return nil
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -64,7 +63,9 @@
 		}
 		var conflict *store.ConflictError
 		if errors.As(err, &conflict) {
-			if in.alreadyAccepted(conflict, &txn) {
+			if state, stored := in.storedState(conflict, &txn); stored && state.Barred {
+				return problem.New(problem.Unavailable, problem.StepClaim, sub.ID, "the job was cancelled before it was stored")
+			} else if stored {
 				return nil
 			}
 			previous := owner
@@ -81,14 +82,21 @@
 	}
 }
 
-// alreadyAccepted reports whether the conflict shows that the job was accepted
-// before, under any service. The first expectation of txn is the pool's owner;
-// the others are the absence of the job under each service.
-func (in *Intake) alreadyAccepted(conflict *store.ConflictError, txn *store.Txn) bool {
-	return slices.ContainsFunc(txn.Expected[1:], func(e store.Expectation) bool {
-		_, stored := conflict.Find(e.Key)
-		return stored
-	})
+// storedState returns the state that the conflict shows to be stored for the job, under
+// any service, and false if there is none. The first expectation of txn is the pool's
+// owner; the others are the absence of the job under each service. A state that cannot be
+// decoded is one of a job that was accepted.
+func (in *Intake) storedState(conflict *store.ConflictError, txn *store.Txn) (poolstore.JobProgress, bool) {
+	for _, e := range txn.Expected[1:] {
+		if item, stored := conflict.Find(e.Key); stored {
+			state, err := poolstore.DecodeState(item.Key, item.Value)
+			if err != nil {
+				state = poolstore.JobProgress{}
+			}
+			return state, true
+		}
+	}
+	return poolstore.JobProgress{}, false
 }
 
 // acceptanceTxn returns the transaction that accepts a job. It requires that
--- a/internal/intake/state.go
+++ b/internal/intake/state.go
@@ -20,7 +20,8 @@
 }
 
 // find reads a job's progress under service, and then under the other services,
-// since its queue may have belonged to one of them when the job was accepted.
+// since its queue may have belonged to one of them when the job was accepted. For a job
+// that was cancelled before it was stored it returns the record of that, and NotFound.
 func (in *Intake) find(ctx context.Context, service, id string) (foundState, error) {
 	for _, s := range in.servicesFrom(service) {
 		item, err := in.get(ctx, poolstore.StateKey(s, id))
@@ -31,9 +32,16 @@
 			return foundState{}, err
 		}
 		state, err := poolstore.DecodeState(item.Key, item.Value)
+		if err == nil && state.Barred {
+			err = errNoSuchJob(id)
+		}
 		return foundState{service: s, revision: item.Revision, state: state}, err
 	}
-	return foundState{}, problem.New(problem.NotFound, problem.StepStoreRead, id, "no such job")
+	return foundState{}, errNoSuchJob(id)
+}
+
+func errNoSuchJob(id string) error {
+	return problem.New(problem.NotFound, problem.StepStoreRead, id, "no such job")
 }
 
 // get reads a key and retries until the store responds or the caller's time is
--- a/internal/poolstore/job_progress.go
+++ b/internal/poolstore/job_progress.go
@@ -11,4 +11,5 @@
 	Queue    string
 	Progress scheduler.Progress
 	EndedAt  time.Time // zero: not ended
+	Barred   bool      // there is no such job: it was cancelled before it was stored, and must not be stored later
 }
--- a/internal/poolstore/state_record.go
+++ b/internal/poolstore/state_record.go
@@ -9,4 +9,5 @@
 	Done     []byte             `cbor:"3,keyasint,omitempty"`
 	Failures map[int][]int      `cbor:"4,keyasint,omitempty"`
 	EndedAt  int64              `cbor:"5,keyasint,omitempty"` // Unix time in milliseconds; 0: not ended
+	Barred   bool               `cbor:"6,keyasint,omitempty"`
 }
