--- a/internal/scheduler/pool_capacity.go
+++ b/internal/scheduler/pool_capacity.go
@@ -17,8 +17,11 @@
 	report := CapacityReport{Load: l, ToGiveUp: p.toGiveUp}
 	if p.formerWorkersAnswered {
 		needs := p.findRoomNeeds(now)
-		report.Need = max(p.machinesNeeded(&l, now), needs.machines)
-		report.Kinds = needs.kinds
+		report.Need = p.machinesNeeded(&l, now)
+		if report.Need == 0 {
+			report.Need = int(math.Ceil(needs.machines))
+		}
+		report.Kinds = needs.kindNeeds()
 		report.TakeBack = p.holdMachines(needs.held)
 		p.chooseOffers(&l, needs.held, now)
 	}
--- a/internal/scheduler/pool_hold.go
+++ b/internal/scheduler/pool_hold.go
@@ -88,9 +88,14 @@
 			used, capacity = used.Plus(w.used), capacity.Plus(w.info.Capacity)
 		}
 	}
-	return used.share(capacity) > 0.5
+	return used.share(capacity) > holdMaxUse
 }
 
-// holdPatience is how long a stage waits before workers are kept free for it: well below
-// the users' bound on a job with nothing running (3 s), as short tasks have to end first.
-const holdPatience = time.Second
+const (
+	// holdMaxUse is the share of the pool's capacity in use up to which workers are kept
+	// free: the users' bound on a job with nothing running holds up to there.
+	holdMaxUse = 0.5
+	// holdPatience is how long a stage waits before workers are kept free for it: well below
+	// that bound (3 s), as short tasks have to end first.
+	holdPatience = time.Second
+)
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -31,30 +31,6 @@
 	return req, true
 }
 
-// HasUnsavedEnds reports whether ends that the worker reported are not saved yet.
-func (p *Pool) HasUnsavedEnds(id string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	w, ok := p.workers[id]
-	return ok && w.appliedEnds > w.ackableEnds
-}
-
-// HasWorker reports whether the pool has the worker.
-func (p *Pool) HasWorker(id string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_, ok := p.workers[id]
-	return ok
-}
-
-// HasRuns reports whether a task runs, or may run, on the worker.
-func (p *Pool) HasRuns(id string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	w, ok := p.workers[id]
-	return ok && len(w.runs) > 0
-}
-
 // ApplyPoll applies a worker's reply. It returns false if the pool does not have the
 // worker, or the reply is not from the worker's present incarnation: only the ends in it
 // are applied then.
--- a/internal/scheduler/pool_room.go
+++ b/internal/scheduler/pool_room.go
@@ -31,19 +31,14 @@
 	for _, s := range waiting {
 		hold := func(w *worker) { needs.held[w] = true }
 		n := free.takeFrom(staying, s, s.tasksOwedRoom(now), hold)
-		if n == 0 || s.step.Gang && s.step.machinesFor(s.step.Count, unit) > max(p.ownMachines, len(p.workers)) {
+		if n == 0 || s.step.Gang && s.step.machinesFor(s.step.Count, unit) > float64(max(p.ownMachines, len(p.workers))) {
 			continue
 		}
 		n = free.takeFrom(offered, s, n, hold)
 		if n == 0 {
 			continue
 		}
-		machines := s.step.machinesFor(n, unit)
-		if s.step.Label == "" && s.step.reserved().Fits(unit) {
-			needs.machines += machines
-		} else {
-			needs.addKind(s.step, machines)
-		}
+		needs.add(s.step, s.step.machinesFor(n, unit), s.step.Label == "" && s.step.reserved().Fits(unit))
 	}
 	return needs
 }
--- a/internal/scheduler/pool_settle.go
+++ b/internal/scheduler/pool_settle.go
@@ -68,9 +68,9 @@
 }
 
 // mayRunUnderFormerOwner reports whether a run of the task that a former owner started
-// may go on unknown to this owner, or may still be started. Former owners start no job that was accepted after
-// this one acquired the pool: notices name the owner that they are for, and a watch
-// shows the change of the owner first.
+// may go on unknown to this owner, or may still be started. Former owners start no job
+// that was accepted after this one acquired the pool: notices name the owner that they are
+// for, and a watch shows the change of the owner first.
 func (p *Pool) mayRunUnderFormerOwner(t *task) bool {
 	if p.formerRunsKnown || t.stage.job.created > p.token {
 		return false
--- a/internal/scheduler/room_test.go
+++ b/internal/scheduler/room_test.go
@@ -128,4 +128,21 @@
 		Expect(r.Kinds).To(Equal([]scheduler.KindNeed{{Label: "rack-0", Capacity: job.Steps[0].Need, Count: 1}}))
 		Expect(r.Need).To(BeZero(), "a machine of any other kind would not help")
 	})
+
+	// Each stage asked for a whole machine: with many small jobs that wait, the pool asked
+	// for as many machines as there were jobs.
+	It("asks for no more machines than all waiting tasks fill together", func() {
+		s = newScene(workers[:4]...)
+		s.pool.SetShare(4, 0)
+		full := longRunningJob("full", 4)
+		full.Steps[0].Need.MilliCPU = 20000
+		s.add(full)
+		Expect(s.startAll()).To(HaveLen(4))
+		for _, name := range []string{"a", "b"} {
+			half := batchJob(name, 1)
+			half.Steps[0].Need.MilliCPU = 16000
+			s.add(half)
+		}
+		Expect(report().Need).To(Equal(1))
+	})
 })
--- a/internal/scheduler/step.go
+++ b/internal/scheduler/step.go
@@ -22,14 +22,14 @@
 	MaxUnavailable int           // tasks that may be unavailable through the system's own doing
 }
 
-// machinesFor returns how many machines of the given capacity n tasks need, at
-// least one.
-func (s *Step) machinesFor(n int, unit Resources) int {
-	each := max(s.reserved().timesIn(unit), 1)
+// machinesFor returns how many machines of the given capacity n tasks need: at least the
+// part of a machine that they take, and more if few of them may share one.
+func (s *Step) machinesFor(n int, unit Resources) float64 {
+	each := max(float64(s.reserved().timesIn(unit)), 1)
 	if s.MaxPerWorker > 0 {
-		each = min(each, s.MaxPerWorker)
+		each = min(each, float64(s.MaxPerWorker))
 	}
-	return 1 + (n-1)/each
+	return float64(n) / each
 }
 
 // reserved returns the part of a worker's capacity that a task of the step takes. A
