--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -15,10 +15,9 @@
 	loading               bool // the jobs are being read
 	takenAt               time.Time
 	formerOrdersEndAt     time.Time                 // from then on, no former owner sends orders
-	formerOrdersOver      bool                      // formerOrdersEndAt has passed, as of the last plan
 	formerRunsEndAt       time.Time                 // by then, the leases of all runs that a former owner started have expired, unless this owner extended them
 	formerRunsKnown       bool                      // each run that a former owner may have started is known or has ended
-	formerWorkersAnswered bool                      // each worker that may have run tasks of a former owner has answered this one once, or its leases have expired
+	formerWorkersAnswered bool                      // awaited is empty or its workers' leases have expired
 	awaited               map[string]*awaitedWorker // by worker ID: workers that may run tasks of a former owner and have not answered yet
 	jobs                  map[string]*job
 	jobOrder              []*job // the jobs in the order in which they were added
--- a/internal/scheduler/pool_settle.go
+++ b/internal/scheduler/pool_settle.go
@@ -1,21 +1,16 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 )
 
 // settleFormerRuns finds out whether each run that a former owner may have started is
-// known: no former owner sends orders any longer, and every worker that may have such runs
-// has answered since, or their leases have expired.
+// known: every worker that may have such runs has answered, or their leases have
+// expired, and no former owner sends orders any longer.
 func (p *Pool) settleFormerRuns(now time.Time, plan *Plan) {
 	if p.formerRunsKnown {
 		return
 	}
-	if !p.formerOrdersOver && !now.Before(p.formerOrdersEndAt) {
-		p.formerOrdersOver = true
-		p.recheckWorkers(plan)
-	}
 	p.awaitListed()
 	for id := range p.awaited {
 		end := p.formerRunsEndOn(id)
@@ -25,25 +20,15 @@
 			delete(p.awaited, id)
 		}
 	}
-	p.formerWorkersAnswered = p.formerWorkersAnswered || len(p.awaited) == 0
-	if !p.formerOrdersOver {
+	p.formerWorkersAnswered = len(p.awaited) == 0
+	if !p.formerWorkersAnswered {
+		return
+	}
+	if now.Before(p.formerOrdersEndAt) {
 		plan.wakeAt(p.formerOrdersEndAt)
 		return // a former owner may still start tasks on a worker that restarts
 	}
-	p.formerRunsKnown = len(p.awaited) == 0
-}
-
-// recheckWorkers has all workers polled once more that have answered this owner: one that
-// has started again since, unnoticed, has accepted what a former owner ordered. One that
-// does not answer anyway is polled until it does.
-func (p *Pool) recheckWorkers(plan *Plan) {
-	for id, w := range p.workers {
-		if w.fenced && w.reachable && !w.lost && w.pollAnsweredAt.Before(p.formerOrdersEndAt) {
-			w.recheck = true
-			plan.Polls = append(plan.Polls, id)
-		}
-	}
-	slices.Sort(plan.Polls)
+	p.formerRunsKnown = true
 }
 
 // formerRunsEndOn returns by when the leases of all runs that a former owner started on
@@ -59,7 +44,7 @@
 // roster named, and removes those that have answered or are lost.
 func (p *Pool) awaitListed() {
 	for id, w := range p.workers {
-		if w.fenced && !w.recheck || w.lost {
+		if w.fenced || w.lost {
 			delete(p.awaited, id)
 		} else if p.awaited[id] == nil {
 			p.awaited[id] = &awaitedWorker{machine: w.info.Machine}
@@ -68,16 +53,13 @@
 }
 
 // mayRunUnderFormerOwner reports whether a run of the task that a former owner started
-// may go on unknown to this owner, or may still be started. Former owners start no job
-// that was accepted after this one acquired the pool: notices name the owner that they are
-// for, and a watch shows the change of the owner first.
+// may go on unknown to this owner. Former owners start no job that was accepted after
+// this one acquired the pool: notices name the owner that they are for, and a watch
+// shows the change of the owner first.
 func (p *Pool) mayRunUnderFormerOwner(t *task) bool {
 	if p.formerRunsKnown || t.stage.job.created > p.token {
 		return false
 	}
-	if !p.formerOrdersOver {
-		return true // on a worker that has started again since it answered this owner
-	}
 	for _, a := range p.awaited {
 		if a.mayRun(t.id) {
 			return true
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -12,7 +12,6 @@
 	emptying          bool      // its machine is being emptied
 	offered           bool      // its machine is offered to other pools
 	listedAt          time.Time // when its incarnation was first listed
-	recheck           bool      // it has not answered yet since former owners can send no orders any more
 	rostered          bool      // the saved roster does not name it as down: the next owner expects that any task may run there
 	fenced            bool      // it has seen this owner's fencing token, and a reply since then was applied in full
 	reachable         bool      // it answered the last poll or order
@@ -81,12 +80,12 @@
 
 // needsPoll reports whether the worker has to be polled.
 func (w *worker) needsPoll() bool {
-	return !w.lost && (!w.fenced || !w.reachable || w.recheck || len(w.runs) > 0 || w.appliedEnds > w.ackedEnds)
+	return !w.lost && (!w.fenced || !w.reachable || len(w.runs) > 0 || w.appliedEnds > w.ackedEnds)
 }
 
 // answered records that the worker's present incarnation has answered a poll.
 func (w *worker) answered(reply *PollReply, timing *Timing) {
-	w.refusals, w.recheck = 0, false
+	w.refusals = 0
 	if timing.isQuick(reply.ReceivedAt.Sub(reply.SentAt)) {
 		w.unanswered = 0
 	}
