The simulation's owners check the record of the owner when they load the jobs

An owner that has lost its pool during a slow load reads jobs that were accepted under the later owner. The product ends the ownership then: the record of the owner is read after the jobs (tryLoad, ownsAll). The check makes the simulated owner do what the product does; no check of a rule changed.

--- a/internal/scheduler/overlap_owner_test.go
+++ b/internal/scheduler/overlap_owner_test.go
@@ -122,6 +122,10 @@
 				o.after(900*time.Millisecond, again)
 				return
 			}
+			if o.s.store.ownerChanged(o.token, o.loadedTo) {
+				o.end("the record of the owner among the pool's jobs names a later one")
+				return
+			}
 			for _, j := range jobs {
 				o.s.log(j.sub.ID, scheduler.TaskID{}, "", "owner %d loads %s: %v", o.token, j.sub.ID, j.progress)
 				o.pool.AddJob(j.sub, j.created, j.revision, j.progress, now)
