A new owner polls idle workers while a former one may send orders

Cause: an idle worker is not polled. One that started again after it had answered the new owner knew no fencing token until the platform listed it, and both owners started the task.

Now idle workers are polled each 0.2 s until the former owner's lease is over. A worker that starts again learns the token then, and what the former owner has started there is known.

--- a/internal/poolmanager/ownership_plan.go
+++ b/internal/poolmanager/ownership_plan.go
@@ -69,6 +69,9 @@
 			p.interrupt()
 		}
 	}
+	for _, worker := range plan.Polls {
+		o.kick(worker)
+	}
 	for _, order := range plan.Stops {
 		o.sendTracked(func() { o.stopTask(order) })
 	}
--- a/internal/scheduler/overlap_owner_plan_test.go
+++ b/internal/scheduler/overlap_owner_plan_test.go
@@ -41,6 +41,9 @@
 	slices.SortStableFunc(plan.Starts, func(a, b scheduler.StartOrder) int {
 		return cmp.Or(cmp.Compare(a.Worker, b.Worker), cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Attempt, b.Attempt))
 	})
+	for _, worker := range plan.Polls {
+		o.kick(worker)
+	}
 	for _, stop := range plan.Stops {
 		o.stop(stop)
 	}
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -8,6 +8,7 @@
 	Stops      []StopOrder
 	Throttles  []ThrottleOrder
 	Advice     []AdviceRequest
+	Polls      []string  // workers to poll now, though nothing is known to run there
 	Interrupts []string  // workers that are lost: their polls in progress are to end now, with what has arrived
 	Next       time.Time // when to plan again if nothing changes before; zero: not needed
 }
--- a/internal/scheduler/pool_settle.go
+++ b/internal/scheduler/pool_settle.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 )
 
@@ -11,6 +12,7 @@
 	if p.formerRunsKnown {
 		return
 	}
+	p.pollIdleWorkers(now, plan)
 	p.awaitListed()
 	for id := range p.awaited {
 		end := p.formerRunsEndOn(id)
@@ -31,6 +33,27 @@
 	p.formerRunsKnown = true
 }
 
+// pollIdleWorkers has idle workers polled again and again while a former owner may send
+// orders: one that starts again knows no fencing token, and the platform lists that only
+// later.
+func (p *Pool) pollIdleWorkers(now time.Time, plan *Plan) {
+	if !now.Before(p.formerOrdersEndAt) {
+		return
+	}
+	for id, w := range p.workers {
+		if w.fenced && w.reachable && !w.lost && len(w.runs) == 0 && now.Sub(w.pollAnsweredAt) >= idlePollInterval {
+			w.pollWanted = true
+			plan.Polls = append(plan.Polls, id)
+		}
+	}
+	slices.Sort(plan.Polls)
+	plan.wakeAt(now.Add(idlePollInterval))
+}
+
+// idlePollInterval is short compared with the restart of a worker and the time in which
+// another owner's start can follow it.
+const idlePollInterval = 200 * time.Millisecond
+
 // formerRunsEndOn returns by when the leases of all runs that a former owner started on
 // an awaited worker have expired.
 func (p *Pool) formerRunsEndOn(id string) time.Time {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -12,6 +12,7 @@
 	emptying          bool      // its machine is being emptied
 	offered           bool      // its machine is offered to other pools
 	listedAt          time.Time // when its incarnation was first listed
+	pollWanted        bool      // it is to be polled although nothing is known to run there
 	rostered          bool      // the saved roster does not name it as down: the next owner expects that any task may run there
 	fenced            bool      // it has seen this owner's fencing token, and a reply since then was applied in full
 	reachable         bool      // it answered the last poll or order
@@ -80,12 +81,12 @@
 
 // needsPoll reports whether the worker has to be polled.
 func (w *worker) needsPoll() bool {
-	return !w.lost && (!w.fenced || !w.reachable || len(w.runs) > 0 || w.appliedEnds > w.ackedEnds)
+	return !w.lost && (!w.fenced || !w.reachable || w.pollWanted || len(w.runs) > 0 || w.appliedEnds > w.ackedEnds)
 }
 
 // answered records that the worker's present incarnation has answered a poll.
 func (w *worker) answered(reply *PollReply, timing *Timing) {
-	w.refusals = 0
+	w.refusals, w.pollWanted = 0, false
 	if timing.isQuick(reply.ReceivedAt.Sub(reply.SentAt)) {
 		w.unanswered = 0
 	}
