A request that waits is shed once it is too late to be answered, not started

Callers saw: in another team's flood, requests of a team within its share waited up to their timeout of 2 s and some were refused there (429, one 504).

Cause: what waits was started until its deadline. A start with 2 ms left breaks off unanswered and keeps its slot for the service's timeout, as the upstream may still work on it. Once all slots of an entry are taken so, the queue ages by another timeout and the next start is too late as well.

Why this works: the bound for a start is the one that a new request is admitted by, two mean service times before the deadline, at most half of the time to it. The state above then has no way to go on: the first slot that becomes free takes a request that can be answered.

--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -62,16 +62,22 @@
 	return f.charge(class, fl), true
 }
 
+// serviceTime returns the mean service time of the team's requests, of all requests
+// while none of the team's was measured.
+func (f *Fair) serviceTime(fl *flow) time.Duration {
+	return fl.service.Or(f.service.Or(defaultServiceTime))
+}
+
 // recordDemand records the expected work of one more request of the team.
 func (f *Fair) recordDemand(q *classQueue, fl *flow) {
-	cost := fl.service.Or(f.service.Or(defaultServiceTime)).Seconds()
+	cost := f.serviceTime(fl).Seconds()
 	fl.demanded += cost
 	q.demanded += cost
 }
 
 // charge accounts for a request that starts and returns its expected service time.
 func (f *Fair) charge(class fleet.Class, fl *flow) time.Duration {
-	cost := fl.service.Or(f.service.Or(defaultServiceTime))
+	cost := f.serviceTime(fl)
 	q := &f.queues[class]
 	start := max(q.tag, f.virtual)
 	f.virtual = start
@@ -114,7 +120,7 @@
 		}
 		q, t := &f.queues[class], fl.first
 		f.remove(q, fl, t)
-		if expired(t, now) {
+		if t.TooLate(now, f.serviceTime(fl)) {
 			t.Receiver.Shed()
 			continue
 		}
--- a/internal/admission/fair_offer.go
+++ b/internal/admission/fair_offer.go
@@ -13,8 +13,8 @@
 	if f.full(q, fl, t) {
 		return QueueFull
 	}
-	service := fl.service.Or(f.service.Or(defaultServiceTime))
-	if !t.Deadline.IsZero() && now.Add(f.wait(q, fl, slots, service)).After(latestStart(t, now, service)) {
+	service := f.serviceTime(fl)
+	if t.TooLate(now.Add(f.wait(q, fl, slots, service)), service) {
 		return TooLate
 	}
 	f.push(q, fl, t)
--- a/internal/admission/fair_refresh.go
+++ b/internal/admission/fair_refresh.go
@@ -28,7 +28,7 @@
 	}
 }
 
-// expire sheds all tickets whose deadline has passed.
+// expire sheds all tickets that can no longer be answered before their deadline.
 func (f *Fair) expire(now time.Time) {
 	for c := range f.queues {
 		q := &f.queues[c]
@@ -39,18 +39,13 @@
 }
 
 func (f *Fair) expireFlow(q *classQueue, fl *flow, now time.Time) {
+	service := f.serviceTime(fl)
 	for t := fl.first; t != nil; {
 		next := t.next
-		if expired(t, now) {
+		if t.TooLate(now, service) {
 			f.remove(q, fl, t)
 			t.Receiver.Shed()
 		}
 		t = next
 	}
 }
-
-// expired reports whether the deadline of t has passed, so that its caller no
-// longer waits.
-func expired(t *Ticket, now time.Time) bool {
-	return !t.Deadline.IsZero() && !now.Before(t.Deadline)
-}
--- a/internal/admission/fair_test.go
+++ b/internal/admission/fair_test.go
@@ -104,6 +104,21 @@
 		Expect(f.Len()).To(BeZero())
 	})
 
+	// Guards against starting work that breaks off at its deadline and blocks its slot.
+	It("sheds requests that have become too late to be answered instead of starting them", func() {
+		f, late := admission.NewFair(shares(), admission.DefaultLimits), &testReceiver{}
+		charge, _ := f.Start(fleet.Normal, "herders", true)
+		f.Finish(fleet.Normal, "herders", charge, testWork)
+		for _, timeout := range []time.Duration{10 * testWork, 20 * testWork} {
+			t := ticket(fleet.Normal, "herders", late)
+			t.Deadline = now.Add(timeout)
+			Expect(f.Offer(t, 1, now)).To(Equal(admission.Queue))
+		}
+		t, _ := f.Next(now.Add(10*testWork - testWork/2))
+		Expect(late.shed).To(Equal(1))
+		Expect(t.Deadline).To(Equal(now.Add(20 * testWork)))
+	})
+
 	It("bounds the queue by class and team, so that overload by one leaves the others their room", func() {
 		f := admission.NewFair(shares(), admission.Limits{Requests: 240, Bytes: 1 << 20})
 		queued := 0
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -1,7 +1,5 @@
 package admission
 
-import "time"
-
 // flow is the waiting requests of one team in one class, in order of arrival.
 type flow struct {
 	usage
@@ -45,14 +43,3 @@
 	f.count--
 	f.bytes -= t.Bytes
 }
-
-// latestStart returns when t must start to be answered before its deadline, given
-// the mean service time.
-func latestStart(t *Ticket, now time.Time, service time.Duration) time.Time {
-	left := t.Deadline.Sub(now)
-	return t.Deadline.Add(-min(serviceMargin*service, left/serviceMargin))
-}
-
-// serviceMargin is how many mean service times are set aside for a request to run.
-// Never more than half of the time to the deadline is set aside.
-const serviceMargin = 2
--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -22,11 +22,12 @@
 	// is how many requests this entry can run concurrently.
 	Offer(t *Ticket, slots int, now time.Time) Verdict
 	// Next removes the ticket that starts next and returns it with its charge, or
-	// nil if none may start. It sheds expired tickets that it comes across.
+	// nil if none may start. It sheds tickets that it comes across too late for an
+	// answer before their deadline.
 	Next(now time.Time) (*Ticket, time.Duration)
 	// Withdraw removes a ticket whose caller has given up.
 	Withdraw(t *Ticket)
-	// Refresh sheds expired tickets and updates slots, how many requests this entry
+	// Refresh sheds tickets that are too late and updates slots, how many requests this entry
 	// can run concurrently, and even, how many it could run if every entry had an
 	// equal number of slots. It is called several times a second.
 	Refresh(slots, even int, now time.Time)
--- /dev/null
+++ b/internal/dispatch/deadline_test.go
@@ -0,0 +1,78 @@
+package dispatch_test
+
+import (
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/admission"
+	"persimmonbay/internal/fleet"
+)
+
+// Load of the overload after a stall: twice what needUpstreams slots serve, and a
+// little of another class.
+const (
+	stallTimeout = 500 * time.Millisecond // of each request
+	stallWork    = 20 * time.Millisecond
+	stallStep    = 5 * time.Millisecond
+	stallRound   = 100 * time.Millisecond // interval of ticks and of the other class's requests
+	stallSpan    = 5 * time.Second
+)
+
+var _ = Describe("an overload after all upstreams stalled for as long as a timeout", func() {
+	// Guards against slots that are all taken by requests started too late to be
+	// answered: each keeps its slot for the service's timeout, and by then the next
+	// in the queue is too late as well.
+	It("is served at the capacity of the upstreams and leaves the other class its share", func() {
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		p, _ := idlePlacer(now)
+		var running []*timedRequest
+		var calm []*timedRequest
+		send := func(class fleet.Class, work time.Duration) *timedRequest {
+			r := &timedRequest{work: work, clock: &now}
+			r.ticket = admission.Ticket{Class: class, Team: "herders", Arrived: now, Deadline: now.Add(stallTimeout), Receiver: r}
+			if start, verdict := p.Acquire(testService, &r.ticket, now); verdict == admission.Started {
+				r.start, r.started = start, now
+			} else {
+				r.shed = verdict != admission.Queue
+			}
+			running = append(running, r)
+			return r
+		}
+		for range needUpstreams {
+			send(fleet.Urgent, stallTimeout)
+		}
+		began, completed := now, 0
+		for now.Sub(began) < stallSpan {
+			for range 4 {
+				send(fleet.Urgent, stallWork)
+			}
+			if now.Sub(began)%stallRound == 0 {
+				p.Tick(now)
+				calm = append(calm, send(fleet.Background, stallWork))
+			}
+			now = now.Add(stallStep)
+			running = slices.DeleteFunc(running, func(r *timedRequest) bool {
+				if r.shed || r.started.IsZero() {
+					return r.shed
+				}
+				at, answered := r.end()
+				if at.After(now) {
+					return false
+				}
+				p.Release(testService, r.completion(), now)
+				if answered && r.ticket.Class == fleet.Urgent {
+					completed++
+				}
+				return true
+			})
+		}
+		capacity := needUpstreams * int((stallSpan-stallTimeout)/stallWork)
+		Expect(completed).To(BeNumerically(">", capacity*3/4))
+		for i, r := range calm[int(stallTimeout/stallRound):] {
+			Expect(r.shed).To(BeFalse(), "request %d after the stall", i)
+		}
+	})
+})
