An attempt that follows a failed one gets its own silence limit

Callers saw: an idempotent request to a service whose connections went silent could use up its three attempts within one silence limit and get 504 with the outcome unknown, with time left to its deadline.

Cause: an attempt on a silent connection is ended at the silence limit, at which the request's own timer starts an attempt beside it, too. When the failure came first, it started the second attempt and the timer the third one at the same moment. Two equal requests reached the upstream, and none was left after another silence limit.

Evidence: the new spec failed before: 3 attempts, 1 ms after the second one.

Why this works: the timer starts again with each attempt, so that the next one starts after a failure or after a whole limit without an answer, whichever comes first.

Measured: internal/request and internal/upstream pass.

--- a/internal/request/attempts.go
+++ b/internal/request/attempts.go
@@ -47,27 +47,32 @@
 // deadline has passed, or the attempts or the retry budget are used up. When an
 // attempt at an idempotent request has no answer within the service's silence
 // limit, another attempt is started beside it, on another instance if there is
-// one; the first answer is returned.
+// one; the first answer is returned. Each attempt has the whole limit.
 func (a *attempts) run(ctx context.Context) Result {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // cancels the attempts that are still running
 	a.server.RetryBudget.Earn(a.service.Name)
 	a.start(ctx)
-	silence := a.server.Clock.NewTimer(max(a.service.SilenceLimit, minSilenceLimit))
+	limit := max(a.service.SilenceLimit, minSilenceLimit)
+	silence := a.server.Clock.NewTimer(limit)
 	defer silence.Stop()
 	for a.running > 0 {
 		select {
 		case r := <-a.results:
 			a.running--
+			before := a.started
 			if a.handleResult(ctx, r) {
 				a.discardOthers()
 				return Result{Outcome: fleet.Completed, Answer: r.answer}
 			}
+			if a.started > before {
+				silence.Reset(limit)
+			}
 		case <-silence.Chan():
 			if a.mayRepeat(ctx) && a.server.RetryBudget.Spend(a.service.Name) {
 				a.start(ctx)
 			}
-			silence.Reset(max(a.service.SilenceLimit, minSilenceLimit))
+			silence.Reset(limit)
 		}
 	}
 	if a.refusal != nil {
--- a/internal/request/attempts_test.go
+++ b/internal/request/attempts_test.go
@@ -192,6 +192,29 @@
 			Expect(result.Answer.Remainder.Close()).To(Succeed())
 		})
 
+		// Guards against two attempts at the same moment, after which none is left.
+		It("give an attempt that follows a failed one its own silence limit", func() {
+			fail := make(chan struct{})
+			sender.script = func(ctx context.Context, id string) (Answer, error) {
+				select {
+				case <-ctx.Done():
+				case <-fail:
+				}
+				return fails(problem.Interrupted)(ctx, id)
+			}
+			done := started("")
+			clock.Advance(silenceLimit - time.Millisecond)
+			fail <- struct{}{}
+			Eventually(sender.instances, eventuallyTimeout).Should(HaveLen(2))
+			Expect(clock.BlockUntilContext(context.Background(), 1)).To(Succeed())
+			clock.Advance(silenceLimit - time.Millisecond)
+			Consistently(sender.instances, "50ms").Should(HaveLen(2))
+			clock.Advance(time.Millisecond)
+			Eventually(sender.instances, eventuallyTimeout).Should(HaveLen(3))
+			close(fail)
+			Eventually(done, eventuallyTimeout).Should(Receive())
+		})
+
 		It("return a slow answer when it is the first one", func() {
 			cancelled := make(chan struct{})
 			first := sender.script
