A request that breaks off does not lower the expected service time

Callers saw: where callers leave early, or requests break off at their deadline, requests of others were started too late to be answered: they broke off too, and their slots stayed taken for the service's timeout.

Cause: the time until a request broke off went into the mean service time of its team and its service as if it were an answer's. The mean decides who is admitted, what is started late and, five times it, which upstream is ejected.

Evidence: the new spec failed before: after 80 requests that broke off after 1 ms, of a service that takes 100 ms, a request with 50 ms left was started.

Why this works: a request without an answer took at least that long; it counts with the expected time, or with its own where that is longer.

Measured: internal/dispatch and internal/replay pass.

--- a/internal/dispatch/completion.go
+++ b/internal/dispatch/completion.go
@@ -16,3 +16,15 @@
 	Charge   time.Duration // of its Start
 	Feedback request.Feedback
 }
+
+// serviceTime returns how long the request took or, when it has no answer, may have
+// taken: at least expected.
+func (e Completion) serviceTime(expected time.Duration) time.Duration {
+	switch {
+	case !e.Feedback.Sent:
+		return expected
+	case !e.Feedback.Answered:
+		return max(e.Feedback.Took, expected)
+	}
+	return e.Feedback.Took
+}
--- a/internal/dispatch/deadline_test.go
+++ b/internal/dispatch/deadline_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"persimmonbay/internal/admission"
+	"persimmonbay/internal/dispatch"
 	"persimmonbay/internal/fleet"
 )
 
@@ -76,3 +77,60 @@
 		}
 	})
 })
+
+var _ = Describe("the service time that is expected of a request", func() {
+	const usual = 100 * time.Millisecond
+	var (
+		now     time.Time
+		p       *dispatch.Placer
+		running []*timedRequest
+	)
+
+	// begin starts a request in each slot; each is to be answered in the usual time.
+	begin := func() {
+		running = nil
+		for range needUpstreams {
+			r := &timedRequest{work: usual, clock: &now}
+			r.ticket = admission.Ticket{Team: "herders", Arrived: now, Deadline: now.Add(time.Minute), Receiver: r}
+			start, verdict := p.Acquire(testService, &r.ticket, now)
+			Expect(verdict).To(Equal(admission.Started))
+			r.start, r.started = start, now
+			running = append(running, r)
+		}
+	}
+
+	BeforeEach(func() {
+		now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		p, _ = idlePlacer(now)
+		for range 10 {
+			begin()
+			now = now.Add(usual)
+			for _, r := range running {
+				p.Release(testService, r.completion(), now)
+			}
+		}
+	})
+
+	// Guards against late starts: requests that break off early had the others count as
+	// quick, and what was then started too late broke off as well.
+	It("does not fall when callers leave before their answers", func() {
+		for range 10 {
+			begin()
+			now = now.Add(time.Millisecond)
+			for _, r := range running {
+				r.ticket.Deadline = now
+				p.Release(testService, r.completion(), now)
+			}
+			now = now.Add(time.Minute) // the slots are free again
+			p.Tick(now)
+		}
+		begin()
+		late := &timedRequest{clock: &now}
+		late.ticket = admission.Ticket{Team: "herders", Arrived: now, Deadline: now.Add(5 * usual), Receiver: late}
+		_, verdict := p.Acquire(testService, &late.ticket, now)
+		Expect(verdict).To(Equal(admission.Queue))
+		now = late.ticket.Deadline.Add(-usual / 2)
+		p.Release(testService, running[0].completion(), now)
+		Expect(late.started.IsZero()).To(BeTrue())
+	})
+})
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -89,15 +89,11 @@
 // requests. The slot of a request without a whole answer stays in use until the
 // request has timed out on the upstream.
 func (s *service) release(e Completion, now time.Time) {
-	took := e.Feedback.Took
-	if !e.Feedback.Sent {
-		took = e.Charge // not sent, so its real time is not known
-	}
-	s.order.Finish(e.Class, e.Team, e.Charge, took)
+	s.order.Finish(e.Class, e.Team, e.Charge, e.serviceTime(e.Charge))
 	if u := s.upstream(e.Upstream); u != nil {
 		s.recordHealth(u, e, now)
 		if e.Feedback.Sent && !e.Feedback.Answered {
-			u.unanswered = append(u.unanswered, now.Add(max(s.timeout-took, minUnansweredTime)))
+			u.unanswered = append(u.unanswered, now.Add(max(s.timeout-e.Feedback.Took, minUnansweredTime)))
 		} else {
 			u.holding.Release()
 		}
--- a/internal/dispatch/service_health.go
+++ b/internal/dispatch/service_health.go
@@ -11,7 +11,7 @@
 		eject = u.health.Failed()
 	} else {
 		eject = u.health.Succeeded(e.Feedback.Took, s.latency.Or(0))
-		s.latency.Add(e.Feedback.Took)
+		s.latency.Add(e.serviceTime(s.latency.Or(0)))
 	}
 	if eject && s.mayEject(now) {
 		u.health.Eject(now)
