A queued retry is shed once it is too late to be answered

Cause: retries that wait for another upstream stand outside the order, with a check of their own, which was the deadline.

Evidence: the new spec failed before: a retry with half a service time left was started instead of shed.

Why this works: the same bound as for what waits in the order, with the mean service time of the service.

Measured: internal/dispatch passes.

--- a/internal/dispatch/deadline_test.go
+++ b/internal/dispatch/deadline_test.go
@@ -133,4 +133,18 @@
 		p.Release(testService, running[0].completion(), now)
 		Expect(late.started.IsZero()).To(BeTrue())
 	})
+
+	// Guards against a retry that breaks off at its deadline and blocks its slot.
+	It("decides whether a queued retry is still started", func() {
+		begin()
+		late := &timedRequest{clock: &now}
+		late.ticket = admission.Ticket{Team: "herders", Arrived: now, Deadline: now.Add(5 * usual), ExcludedInstances: []string{"tags-1"}, Receiver: late}
+		_, verdict := p.Acquire(testService, &late.ticket, now)
+		Expect(verdict).To(Equal(admission.Queue))
+		now = late.ticket.Deadline.Add(-usual / 2)
+		for _, r := range running {
+			p.Release(testService, r.completion(), now)
+		}
+		Expect(late.shed).To(BeTrue())
+	})
 })
--- a/internal/dispatch/service_queue.go
+++ b/internal/dispatch/service_queue.go
@@ -23,14 +23,14 @@
 	}
 }
 
-// startQueuedRetries sheds the queued retries whose deadline has passed and starts
-// those for which another upstream has a free slot.
+// startQueuedRetries sheds the queued retries that can no longer be answered before
+// their deadline and starts those for which another upstream has a free slot.
 func (s *service) startQueuedRetries(now time.Time) {
 	if len(s.retries) == 0 {
 		return
 	}
 	s.retries = slices.DeleteFunc(s.retries, func(t *admission.Ticket) bool {
-		if !t.Deadline.IsZero() && !now.Before(t.Deadline) {
+		if t.TooLate(now, s.latency.Or(0)) {
 			t.Receiver.Shed()
 			return true
 		}
