Entries follow the secret that they share when it is withdrawn

An operator who deleted or replaced the entries' secret had no effect on entries that ran on: a withdrawn secret authenticated notices until their restart, and entries with the next one exchanged none with them.

Cause: servePeers read the secret once; the view of the store passed over its deletion, so that no entry wrote another one.

Why this works: a deletion leaves no secret in the view, for which an entry writes a new one, and the service for peers ends and begins with each secret that differs. While there is none, the old one serves on, as a stale read may lack it.

--- a/internal/jobentry/peers.go
+++ b/internal/jobentry/peers.go
@@ -13,18 +13,15 @@
 // peerTimeout bounds one call to another entry.
 const peerTimeout = 500 * time.Millisecond
 
-// servePeers receives the notices of other entries and sends those of this one. It
-// starts once the secret that the entries share is known.
+// servePeers receives the notices of other entries and sends those of this one, with
+// the secret that the entries share now.
 func (e *Entry) servePeers(ctx context.Context) error {
-	secret, changed := e.manager.Secret()
-	for secret == nil {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-changed:
-		}
-		secret, changed = e.manager.Secret()
-	}
+	follower := &secretFollower{source: e.manager, serve: e.servePeersWith}
+	return follower.run(ctx)
+}
+
+// servePeersWith does so with one secret, until ctx ends.
+func (e *Entry) servePeersWith(ctx context.Context, secret []byte) error {
 	listener, err := listen(e.settings.Listen.Peers)
 	if err != nil {
 		return err
--- a/internal/poolmanager/fleet_view.go
+++ b/internal/poolmanager/fleet_view.go
@@ -40,8 +40,11 @@
 	if e.Unreadable {
 		return problem.New(problem.Invalid, problem.StepStoreRead, e.Key, "the item cannot be read")
 	}
-	if e.Key == poolstore.SecretKey && !e.Deleted {
+	if e.Key == poolstore.SecretKey {
 		v.secret = e.Value
+		if e.Deleted {
+			v.secret = nil
+		}
 	}
 	if service, ok := poolstore.ParseOwner(e.Key); ok {
 		if e.Deleted {
