Older tasks wait until a worker has listed all its ends

Cause: a worker lists at most 500 ends in a reply. A new owner took the first reply for all that the worker had to report, so tasks whose ends stood in the replies to come counted as free to start. The flag `fenced` stood both for "has seen the token and said what runs" and for "nothing is left to be read". Failed ends had the same way to a start beyond the budget.

Change: `endsKnown` says that a reply without more to come has been applied. Older tasks, the leases that they wait for, the roster, empty machines and the next poll go by it; new tasks and capacity go by `fenced` as before.

--- a/internal/scheduler/awaited_worker.go
+++ b/internal/scheduler/awaited_worker.go
@@ -1,7 +1,7 @@
 package scheduler
 
-// awaitedWorker is a worker that may run tasks of a former owner and has not answered
-// a poll of this owner yet.
+// awaitedWorker is a worker that may run tasks of a former owner, or have their ends to
+// list: it has not answered a poll of this owner yet, or more ends stand in replies to come.
 type awaitedWorker struct {
 	machine    string // the machine that it runs on; empty: not known
 	tasksKnown bool   // only the tasks in tasks may run there; false: any task may
--- a/internal/scheduler/overlap_incarnation_test.go
+++ b/internal/scheduler/overlap_incarnation_test.go
@@ -25,12 +25,15 @@
 	return min(deadline, inc.clock(now)+overlapMaxRunLease.Milliseconds())
 }
 
-// pollReply returns the reply to a poll, as of now.
-func (inc *overlapIncarnation) pollReply(r scheduler.PollRequest, sent, now time.Time) scheduler.PollReply {
+// pollReply returns the reply to a poll, as of now. It lists at most mostEnds ends; 0: all.
+func (inc *overlapIncarnation) pollReply(r scheduler.PollRequest, sent, now time.Time, mostEnds int) scheduler.PollReply {
 	reply := scheduler.PollReply{
 		Worker: r.Worker, SentAt: sent, AckedEnds: r.AckedEnds, Incarnation: inc.incarnation.UnixMilli(), Clock: inc.clock(now),
 		Ends: append([]scheduler.EndReport(nil), inc.ends...),
 	}
+	if mostEnds > 0 && len(reply.Ends) >= mostEnds {
+		reply.Ends, reply.Partial = reply.Ends[:mostEnds], true
+	}
 	for id, run := range inc.running {
 		reply.Running = append(reply.Running, scheduler.RunReport{Task: id, Attempt: run.attempt, Percent: 100})
 	}
--- a/internal/scheduler/overlap_owner_poll_test.go
+++ b/internal/scheduler/overlap_owner_poll_test.go
@@ -113,7 +113,7 @@
 			return
 		}
 		o.s.awaitEnd(inc, req.Wait, func() {
-			reply := inc.pollReply(req, sent, o.s.now)
+			reply := inc.pollReply(req, sent, o.s.now, o.s.faults.EndsPerReply)
 			o.s.endsListed(inc, reply.Ends)
 			send(func() { o.replyArrived(p, inc, reply, req.Deadline > 0) })
 		})
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -18,7 +18,7 @@
 	formerRunsEndAt       time.Time                 // by then, the leases of all runs that a former owner started have expired, unless this owner extended them
 	formerRunsKnown       bool                      // each run that a former owner may have started is known or has ended
 	formerWorkersAnswered bool                      // awaited is empty or its workers' leases have expired
-	awaited               map[string]*awaitedWorker // by worker ID: workers that may run tasks of a former owner and have not answered yet
+	awaited               map[string]*awaitedWorker // by worker ID: workers that may run tasks of a former owner, or have their ends to list
 	jobs                  map[string]*job
 	jobOrder              []*job // the jobs in the order in which they were added
 	workers               map[string]*worker
--- a/internal/scheduler/pool_emptied.go
+++ b/internal/scheduler/pool_emptied.go
@@ -32,7 +32,7 @@
 		if w.info.Machine != machine {
 			continue
 		}
-		if !w.vacating() || !w.idle() || !w.fenced {
+		if !w.vacating() || !w.idle() {
 			return false
 		}
 		found = true
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -24,7 +24,7 @@
 	if !w.pollSentAt.IsZero() && w.clock.known() {
 		req.Deadline = w.clock.leaseDeadline(now, &p.timing)
 		w.expiresAt = Later(w.expiresAt, now.Add(p.timing.granted()))
-		if !w.fenced {
+		if !w.endsKnown {
 			w.extendUnknownRuns(w.expiresAt)
 		}
 	}
@@ -64,8 +64,9 @@
 	listed := p.applyRunning(w, &reply)
 	if !reply.Partial {
 		p.releaseEnded(w, &reply, listed)
+		w.endsKnown = true
+		delete(p.awaited, reply.Worker)
 	}
-	delete(p.awaited, reply.Worker)
 	return true
 }
 
@@ -79,6 +80,7 @@
 		p.addEvent(Event{Kind: NewIncarnationAnswered, Worker: reply.Worker, Number: w.ackableEnds, Incarnation: reply.Incarnation}, reply.ReceivedAt)
 		p.workerRestarted(w)
 		w.appliedEnds, w.ackableEnds, w.ackedEnds, w.endMarks, w.unsavedEnds = 0, 0, 0, nil, nil
+		w.endsKnown = false
 	}
 	w.answered(reply, &p.timing)
 	w.fenced = true
--- a/internal/scheduler/pool_settle.go
+++ b/internal/scheduler/pool_settle.go
@@ -6,8 +6,8 @@
 )
 
 // settleFormerRuns finds out whether each run that a former owner may have started is
-// known: every worker that may have such runs has answered, or their leases have
-// expired, and no former owner sends orders any longer.
+// known: every worker that may have such runs has listed all that it has to report, or
+// their leases have expired, and no former owner sends orders any longer.
 func (p *Pool) settleFormerRuns(now time.Time, plan *Plan) {
 	if p.formerRunsKnown {
 		return
@@ -63,11 +63,11 @@
 	return p.formerRunsEndAt
 }
 
-// awaitListed adds the listed workers that have not answered yet to those that the
-// roster named, and removes those that have answered or are lost.
+// awaitListed adds the listed workers whose ends are not known yet to those that the
+// roster named, and removes those whose ends are known and those that are lost.
 func (p *Pool) awaitListed() {
 	for id, w := range p.workers {
-		if w.fenced || w.lost {
+		if w.endsKnown || w.lost {
 			delete(p.awaited, id)
 		} else if p.awaited[id] == nil {
 			p.awaited[id] = &awaitedWorker{machine: w.info.Machine}
--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -227,5 +227,5 @@
 		p.release(r)
 		p.counts.Lapsed++
 	}
-	w.fenced, w.unanswered, w.refusals = false, 0, 0
+	w.fenced, w.endsKnown, w.unanswered, w.refusals = false, false, 0, 0
 }
--- a/internal/scheduler/takeover_worker_test.go
+++ b/internal/scheduler/takeover_worker_test.go
@@ -97,7 +97,7 @@
 	}
 	reply := scheduler.PollReply{Worker: w.info.ID, SentAt: w.s.now, ReceivedAt: w.s.now, AckedEnds: r.AckedEnds, Incarnation: 1, Clock: w.clock()}
 	reply.Ends = slices.Clone(w.ends[:min(len(w.ends), 500)])
-	reply.Partial = len(w.ends) > 500
+	reply.Partial = len(w.ends) >= 500
 	for _, run := range w.sortedRuns() {
 		reply.Running = append(reply.Running, scheduler.RunReport{Task: run.task, Attempt: run.attempt, Percent: 100})
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -14,7 +14,8 @@
 	listedAt          time.Time // when its incarnation was first listed
 	pollWanted        bool      // it is to be polled although nothing is known to run there
 	rostered          bool      // the saved roster does not name it as down: the next owner expects that any task may run there
-	fenced            bool      // it has seen this owner's fencing token, and a reply since then was applied in full
+	fenced            bool      // it has seen this owner's fencing token, and a reply since then was applied: what runs there is known
+	endsKnown         bool      // it is fenced, and its replies have listed all ends of runs that this owner did not order
 	reachable         bool      // it answered the last poll or order
 	silent            bool      // it did not answer the last poll or order; both are false before the first
 	lost              bool      // its incarnation has ended: another one runs at its address or on its machine
@@ -81,7 +82,7 @@
 
 // needsPoll reports whether the worker has to be polled.
 func (w *worker) needsPoll() bool {
-	return !w.lost && (!w.fenced || !w.reachable || w.pollWanted || len(w.runs) > 0 || w.appliedEnds > w.ackedEnds)
+	return !w.lost && (!w.endsKnown || !w.reachable || w.pollWanted || len(w.runs) > 0 || w.appliedEnds > w.ackedEnds)
 }
 
 // answered records that the worker's present incarnation has answered a poll.
@@ -138,8 +139,11 @@
 	maxOrderTransit = 100 * time.Millisecond
 )
 
-// idle reports whether no run is going on or possible there, and all ends are saved.
-func (w *worker) idle() bool { return len(w.runs) == 0 && len(w.unsavedEnds) == 0 }
+// idle reports whether no run is going on or possible there, and all ends are known and saved.
+func (w *worker) idle() bool { return w.endsKnown && w.nothingPending() }
+
+// nothingPending reports whether this owner knows of no run there and of no end to be saved.
+func (w *worker) nothingPending() bool { return len(w.runs) == 0 && len(w.unsavedEnds) == 0 }
 
 // isOver reports whether nothing runs there and no next owner has to know of the worker:
 // it is lost, or it does not answer and the ends that it may still list are saved.
@@ -147,7 +151,7 @@
 	if w.lost {
 		return len(w.runs) == 0
 	}
-	return w.idle() && (!w.reachable || !w.fenced)
+	return w.nothingPending() && (!w.reachable || !w.fenced)
 }
 
 // block prevents starts on the worker until the given time, or a later one set before.
