Steps call the advice service as fast as it answers

Cause: the service handles one call of a process after the other. All waiting steps called at one moment; the wait for one of two connections counted as age of the tickets and of the call. From 33 waiting steps on each answer came too late, and its step called again at the end of the queue.

Change: a pool has two calls on their way at most, by rank, first for steps that can start on the answer; steps whose tasks all run don't call; a call without an answer pauses all; age and time-out count from the sending; workers refused for a step are not named again beside granted ones.

--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -49,7 +49,7 @@
 		Operators: platform.NewOperators(codec), Clock: clock, SinceBoot: sinceBoot, Log: log, Metrics: telemetry.NewMetrics(),
 	}
 	if s.Platform.Advice != "" {
-		dependencies.Adviser = platform.NewAdviser(s.Platform.Advice, codec)
+		dependencies.Adviser = platform.NewAdviser(s.Platform.Advice, codec, clock)
 	}
 	if s.Platform.Machines != "" {
 		dependencies.Machines = platform.NewMachines(s.Platform.Machines, codec)
--- a/internal/poolmanager/ownership_plan.go
+++ b/internal/poolmanager/ownership_plan.go
@@ -148,19 +148,13 @@
 func (o *poolOwnership) requestAdvice(r scheduler.AdviceRequest) {
 	if o.Adviser == nil {
 		o.log.Error("queue of a job needs advice, but no address of the advice service is set", zap.String("job", r.Job))
+		o.pool.ApplyAdvice(r, scheduler.AdviceReply{}, o.Clock.Now())
 		return
 	}
-	ctx, cancel := context.WithTimeout(o.ctx, adviceTimeout)
-	defer cancel()
-	sent := o.Clock.Now()
-	tickets, valid, err := o.Adviser.Advise(ctx, r)
+	reply, err := o.Adviser.Advise(o.ctx, r)
 	if err != nil {
 		o.log.Info("advice for a step not received, trying again", append(telemetry.ProblemFields(err), zap.String("job", r.Job))...)
 	}
-	o.pool.ApplyAdvice(r, tickets, valid, sent)
+	o.pool.ApplyAdvice(r, reply, o.Clock.Now())
 	o.plan.send()
 }
-
-// adviceTimeout bounds one call to the advice service, which handles calls one after
-// the other.
-const adviceTimeout = 3 * time.Second
--- a/internal/scheduler/advice_policy.go
+++ b/internal/scheduler/advice_policy.go
@@ -9,3 +9,8 @@
 	PerWorker      time.Duration // more for each worker that the call names
 	TicketValidity time.Duration // how long a ticket may be used
 }
+
+// callTime returns how long the service takes to answer a call that names n workers.
+func (a *AdvicePolicy) callTime(n int) time.Duration {
+	return a.DecideTime + time.Duration(n)*a.PerWorker
+}
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -91,6 +91,7 @@
 func (p *Pool) planStarts(now, wall time.Time, plan *Plan) {
 	p.startCandidates.reset(p.workers, now)
 	p.rankJobs(now)
+	p.advice.beginPlan()
 	p.planHeldStage(now, plan)
 	p.waitingStages = p.waitingStages[:0]
 	for _, j := range p.rankedJobs {
@@ -106,6 +107,7 @@
 			}
 		}
 	}
+	p.planDeferredAdvice(now, plan)
 }
 
 // rankJobs sorts the jobs that have not ended by rank.
@@ -121,7 +123,8 @@
 }
 
 func (p *Pool) planStage(s *stage, now time.Time, plan *Plan) {
-	if s.job.sub.Advice != nil && !p.ensureTickets(s, now, plan) {
+	if s.job.sub.Advice != nil && !s.tickets.valid(now) {
+		p.planAdvice(s, now, plan)
 		return
 	}
 	if s.step.Gang {
--- a/internal/scheduler/room_test.go
+++ b/internal/scheduler/room_test.go
@@ -106,12 +106,12 @@
 		job := batchJob("j", 1)
 		job.Advice = &scheduler.AdvicePolicy{}
 		s.add(job)
-		s.pool.ApplyAdvice(only(s.plan().Advice), nil, time.Second, s.now)
+		s.pool.ApplyAdvice(only(s.plan().Advice), scheduler.AdviceReply{SentAt: s.now, Answered: true}, s.now)
 		s.advance(time.Second)
 		request := only(s.plan().Advice)
 		Expect(request.Workers).To(HaveLen(12))
 		granted := offers[0][len("m-"):]
-		s.pool.ApplyAdvice(request, map[string]string{granted: "ticket"}, time.Minute, s.now)
+		s.pool.ApplyAdvice(request, scheduler.AdviceReply{SentAt: s.now, Answered: true, Granted: map[string]string{granted: "ticket"}, ValidFor: time.Minute}, s.now)
 		Expect(report().TakeBack).To(Equal(offers[:1]))
 	})
 
--- a/internal/scheduler/stage.go
+++ b/internal/scheduler/stage.go
@@ -31,6 +31,16 @@
 	return min(n, 1)
 }
 
+// firstWaiting returns the first task that may start at now, or nil if none may.
+func (s *stage) firstWaiting(now time.Time) *task {
+	for _, t := range s.tasks {
+		if t.startable(now) {
+			return t
+		}
+	}
+	return nil
+}
+
 // waitingTasks returns the number of tasks that may start at now.
 func (s *stage) waitingTasks(now time.Time) int {
 	n := 0
