One bound decides on every stop that moves a long-running task

Cause: stops on draining workers were always allowed, also while a stop on a machine to be emptied was on its way. If they ended their runs first, the latter ended one task too many.

Change: a stop on a draining worker keeps to the step's allowance while a stop of another task on a worker that does not drain may not be over; draining workers come first; a stop is not sent again once others have become unavailable; a new owner waits for stops of the former one from the time when the last worker has answered, not from the take-over.

--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -11,47 +11,47 @@
 	timing  Timing
 	epoch   int // number of this ownership of the pool: rises by one with each owner
 
-	mu                    poolLock
-	loading               bool // the jobs are being read
-	takenAt               time.Time
-	formerOrdersEndAt     time.Time                 // from then on, no former owner sends orders
-	formerRunsEndAt       time.Time                 // by then, the leases of all runs that a former owner started have expired, unless this owner extended them
-	formerRunsKnown       bool                      // each run that a former owner may have started is known or has ended
-	formerWorkersAnswered bool                      // awaited is empty or its workers' leases have expired
-	awaited               map[string]*awaitedWorker // by worker ID: workers that may run tasks of a former owner, or have their ends to list
-	jobs                  map[string]*job
-	jobOrder              []*job // the jobs in the order in which they were added
-	workers               map[string]*worker
-	wallTime              time.Time        // time of day at the last plan
-	changeSequence        int64            // sequence number of the last change that has to be saved
-	unsavedJobs           map[*job]bool    // those with changes that have to be saved
-	unackedWorkers        map[*worker]bool // those with ends that may not be acknowledged yet
-	durations             *durations
-	counts                Counts
-	toEmpty               map[string]time.Time // machines to be emptied, and the time of day by which their maintenance should be over
-	emptied               map[string]bool      // machines that were reported as empty: they may be taken down at any time
-	emptyClaims           map[string]bool      // machines whose report as empty may be on its way to the store
-	publishedOffers       map[string]bool      // machines that are offered in the store: they may be taken at any time
-	advice                adviceCalls          // to the advice service
-	hold                  roomHold             // workers that are kept free for a stage
-	takenOffers           map[string]bool      // machines whose offers are taken: they leave the pool
-	lastMachineCapacity   Resources            // mean capacity of the workers when last some were listed that had answered
-	loadPeak              float64              // recent peak of the load, in machines; decays with peakHalfLife
-	longLoadPeak          float64              // the same over a longer time, up to the usable machines; decays with longHalfLife
-	ownMachines           int                  // number of machines that belong to the pool; 0: not known
-	toGiveUp              int                  // number of machines that the pool has to give up
-	loadPeakAt            time.Time
-	shortSince            time.Time        // since when more work arrives than the pool can serve; zero: less arrives
-	throttlesPlannedAt    time.Time        // when throttles were last planned
-	startCandidates       startCandidates  // of the plan that is being made
-	waitingStages         []*stage         // those that had no room in the last plan, in the order of their ranks
-	rankedJobs            []*job           // in the order of the last plan
-	shortArrivals         arrivalRate      // over shortArrivalWindow
-	longArrivals          arrivalRate      // over longArrivalWindow
-	pendingCancels        map[string]int64 // by job ID: revisions of cancellations that were received before their jobs
-	endedJobs             map[string]bool  // jobs that have ended and were removed from jobs lately
-	endedOrder            []endedJob       // the same in the order of their removal
-	events                []Event          // not yet returned by TakeEvents
+	mu                  poolLock
+	loading             bool // the jobs are being read
+	takenAt             time.Time
+	formerOrdersEndAt   time.Time                 // from then on, no former owner sends orders
+	formerRunsEndAt     time.Time                 // by then, the leases of all runs that a former owner started have expired, unless this owner extended them
+	formerRunsKnown     bool                      // each run that a former owner may have started is known or has ended
+	formerAnsweredAt    time.Time                 // since when awaited has been empty; zero: it is not
+	awaited             map[string]*awaitedWorker // by worker ID: workers that may run tasks of a former owner, or have their ends to list
+	jobs                map[string]*job
+	jobOrder            []*job // the jobs in the order in which they were added
+	workers             map[string]*worker
+	wallTime            time.Time        // time of day at the last plan
+	changeSequence      int64            // sequence number of the last change that has to be saved
+	unsavedJobs         map[*job]bool    // those with changes that have to be saved
+	unackedWorkers      map[*worker]bool // those with ends that may not be acknowledged yet
+	durations           *durations
+	counts              Counts
+	toEmpty             map[string]time.Time // machines to be emptied, and the time of day by which their maintenance should be over
+	emptied             map[string]bool      // machines that were reported as empty: they may be taken down at any time
+	emptyClaims         map[string]bool      // machines whose report as empty may be on its way to the store
+	publishedOffers     map[string]bool      // machines that are offered in the store: they may be taken at any time
+	advice              adviceCalls          // to the advice service
+	hold                roomHold             // workers that are kept free for a stage
+	takenOffers         map[string]bool      // machines whose offers are taken: they leave the pool
+	lastMachineCapacity Resources            // mean capacity of the workers when last some were listed that had answered
+	loadPeak            float64              // recent peak of the load, in machines; decays with peakHalfLife
+	longLoadPeak        float64              // the same over a longer time, up to the usable machines; decays with longHalfLife
+	ownMachines         int                  // number of machines that belong to the pool; 0: not known
+	toGiveUp            int                  // number of machines that the pool has to give up
+	loadPeakAt          time.Time
+	shortSince          time.Time        // since when more work arrives than the pool can serve; zero: less arrives
+	throttlesPlannedAt  time.Time        // when throttles were last planned
+	startCandidates     startCandidates  // of the plan that is being made
+	waitingStages       []*stage         // those that had no room in the last plan, in the order of their ranks
+	rankedJobs          []*job           // in the order of the last plan
+	shortArrivals       arrivalRate      // over shortArrivalWindow
+	longArrivals        arrivalRate      // over longArrivalWindow
+	pendingCancels      map[string]int64 // by job ID: revisions of cancellations that were received before their jobs
+	endedJobs           map[string]bool  // jobs that have ended and were removed from jobs lately
+	endedOrder          []endedJob       // the same in the order of their removal
+	events              []Event          // not yet returned by TakeEvents
 }
 
 // NewPool returns the pool of service for the owner with the given fencing token.
--- a/internal/scheduler/pool_capacity.go
+++ b/internal/scheduler/pool_capacity.go
@@ -15,7 +15,7 @@
 	l := p.measure(now)
 	p.updatePeaks(&l, now)
 	report := CapacityReport{Load: l, ToGiveUp: p.toGiveUp}
-	if p.formerWorkersAnswered {
+	if !p.formerAnsweredAt.IsZero() {
 		needs := p.findRoomNeeds(now)
 		report.Need = p.machinesNeeded(&l, now)
 		if report.Need == 0 {
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -57,6 +57,9 @@
 		plan.wakeAt(retryAt)
 		return
 	}
+	if r.movesOff && r.stage.step.LongRunning && !p.mayMove(r, now) {
+		return // other tasks of the step have become unavailable since an earlier copy was sent
+	}
 	r.stopSentAt = now
 	p.counts.Stops++
 	plan.Stops = append(plan.Stops, StopOrder{Worker: r.worker.info.ID, Address: r.worker.info.Address, Task: r.id, Attempt: r.attempt, Token: p.token})
--- a/internal/scheduler/pool_settle.go
+++ b/internal/scheduler/pool_settle.go
@@ -22,10 +22,13 @@
 			delete(p.awaited, id)
 		}
 	}
-	p.formerWorkersAnswered = len(p.awaited) == 0
-	if !p.formerWorkersAnswered {
+	if len(p.awaited) > 0 {
+		p.formerAnsweredAt = time.Time{}
 		return
 	}
+	if p.formerAnsweredAt.IsZero() {
+		p.formerAnsweredAt = now
+	}
 	if now.Before(p.formerOrdersEndAt) {
 		plan.wakeAt(p.formerOrdersEndAt)
 		return // a former owner may still start tasks on a worker that restarts
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -21,6 +21,7 @@
 	reportedAt        time.Time // when the poll was sent whose reply last listed the run; zero: none has
 	latencyOrUsage    int       // as in RunReport
 	wantStop          bool      // a stop has to be ordered
+	movesOff          bool      // wantStop is set only because its task is to start on another worker
 	stopIfUnlisted    bool      // wantStop is set only because the worker restarted; a poll that lists the run clears it
 	stopSentAt        time.Time // when the last stop was sent; zero: never
 	stoppedAt         time.Time // from then on nothing starts it: its stop was answered, or its start was refused as late or outdated; zero: not yet
@@ -42,8 +43,14 @@
 	return r.resentAt.Add(t.OrderTimeout)
 }
 
-// requestStop makes the next plan order a stop.
-func (r *run) requestStop() { r.wantStop, r.worker.mayNeedOrders = true, true }
+// requestStop makes the next plan order a stop, whatever it takes away.
+func (r *run) requestStop() { r.wantStop, r.movesOff, r.worker.mayNeedOrders = true, false, true }
+
+// requestMove makes plans order a stop for as long as the task may be moved.
+func (r *run) requestMove() {
+	r.requestStop()
+	r.movesOff = true
+}
 
 // confirm records that the worker's present incarnation lists the run. A stop that
 // was requested only because the worker restarted is withdrawn if it was not sent.
--- a/internal/scheduler/stage.go
+++ b/internal/scheduler/stage.go
@@ -63,6 +63,17 @@
 	return n
 }
 
+// stopPending reports whether a task of the stage, except the given one, is being stopped
+// on a worker that does not drain.
+func (s *stage) stopPending(except *task) bool {
+	for _, t := range s.tasks {
+		if t != except && t.run != nil && t.run.wantStop && !t.run.worker.info.Draining {
+			return true
+		}
+	}
+	return false
+}
+
 // unavailable returns the number of the stage's tasks, except aside, that are not
 // known to run at full speed at now.
 func (s *stage) unavailable(except *task, now time.Time) int {
