Calls to a worker reach only the incarnation that they are for

Cause: the ID and the address of a worker stay over a restart, so a deadline on the clock of the former incarnation reached the present one. It took that as far in the future and granted its longest lease; an owner that took over then waited for a shorter one. Acknowledgements and starts sent again reached the wrong incarnation in the same way.

Change: starts and polls name their incarnation.

--- a/internal/scheduler/order_result.go
+++ b/internal/scheduler/order_result.go
@@ -17,9 +17,10 @@
 	Unhealthy                        // the worker accepts no tasks at present
 	Malformed                        // the worker cannot decode the order
 	Withdrawn                        // the order was not sent, as it was not wanted any more
+	Restarted                        // the order was not sent: the worker has restarted under its ID since it was decided
 )
 
-var orderResultNames = [...]string{"accepted", "unanswered", "not-reached", "fenced", "outdated", "too-late", "no-room", "no-ticket", "other-life", "unhealthy", "malformed", "withdrawn"}
+var orderResultNames = [...]string{"accepted", "unanswered", "not-reached", "fenced", "outdated", "too-late", "no-room", "no-ticket", "other-life", "unhealthy", "malformed", "withdrawn", "restarted"}
 
 // String returns the name of the result in the logs.
 func (r OrderResult) String() string { return orderResultNames[r] }
--- a/internal/scheduler/overlap_faults_test.go
+++ b/internal/scheduler/overlap_faults_test.go
@@ -12,6 +12,7 @@
 	LateWrites        bool // writes without an answer may be carried out seconds later
 	SlowLoad          bool // an owner needs up to maxSlowLoad until it has the jobs
 	StaleMachineList  bool // the list of machines is old when it arrives
+	Recuts            bool // workers restart under their own ID, with clocks of all kinds, and are cut off soon after, while long tasks run
 	EndsPerReply      int  // the most ends that a reply lists; 0: all
 
 	// ReadDelay is the longest time for which the owner leaves an answer unread that has
--- a/internal/scheduler/overlap_incarnation_test.go
+++ b/internal/scheduler/overlap_incarnation_test.go
@@ -6,7 +6,9 @@
 	"persimmonbay/internal/scheduler"
 )
 
-// overlapMaxRunLease is the longest lease that a worker grants, by its own clock.
+// overlapMaxRunLease is the longest lease that a worker grants, by its own clock, where it
+// restarts unnoticed only with the faults named UnnoticedRestarts. With Recuts it grants
+// timing.MaxRunLease, more than owners ask for.
 const overlapMaxRunLease = 4500 * time.Millisecond
 
 // overlapIncarnation is one incarnation of a worker, with the polls whose replies wait
@@ -16,13 +18,14 @@
 	name         string // machine/id#number
 	machine      *overlapMachine
 	dead         bool
+	maxRunLease  time.Duration
 	recordedEnds int64 // ends up to this number are recorded
 	waitingPolls []func()
 }
 
 // capDeadline shortens a deadline to the longest lease.
 func (inc *overlapIncarnation) capDeadline(deadline int64, now time.Time) int64 {
-	return min(deadline, inc.clock(now)+overlapMaxRunLease.Milliseconds())
+	return min(deadline, inc.clock(now)+inc.maxRunLease.Milliseconds())
 }
 
 // pollReply returns the reply to a poll, as of now. It lists at most mostEnds ends; 0: all.
--- a/internal/scheduler/overlap_owner_poll_test.go
+++ b/internal/scheduler/overlap_owner_poll_test.go
@@ -112,7 +112,11 @@
 			send(func() { pollFailed(result) })
 			return
 		}
-		o.s.awaitEnd(inc, req.Wait, func() {
+		wait := req.Wait
+		if req.Incarnation != inc.incarnation.UnixMilli() {
+			req.Deadline, req.AckedEnds, wait = 0, 0, 0
+		}
+		o.s.awaitEnd(inc, wait, func() {
 			reply := inc.pollReply(req, sent, o.s.now, o.s.faults.EndsPerReply)
 			o.s.endsListed(inc, reply.Ends)
 			send(func() { o.replyArrived(p, inc, reply, req.Deadline > 0) })
--- a/internal/scheduler/overlap_sim_test.go
+++ b/internal/scheduler/overlap_sim_test.go
@@ -124,7 +124,11 @@
 	if s.noFaults {
 		return
 	}
-	s.after(s.between(50, 400), s.submit)
+	pause := s.between(50, 400)
+	if s.faults.Recuts {
+		pause = s.between(200, 2500) // workers are idle at times, and are not polled then
+	}
+	s.after(pause, s.submit)
 	s.jobCount++
 	sub := batchJob(fmt.Sprintf("job-%04d", s.jobCount), 1+s.random.Intn(3))
 	sub.Steps[0].Need = simTaskNeed
--- a/internal/scheduler/overlap_test.go
+++ b/internal/scheduler/overlap_test.go
@@ -59,6 +59,9 @@
 		Entry("writes are carried out late", int64(500_000), overlapFaults{LateWrites: true}),
 		Entry("the list of machines is old", int64(600_000), overlapFaults{StaleMachineList: true}),
 		Entry("all at once", int64(700_000), allFaults),
+		// Workers that restarted took deadlines on their former clocks as far in the future:
+		// they ran on for longer than their owner expected.
+		Entry("workers restart unnoticed and are cut off soon after", int64(980_000), overlapFaults{Recuts: true}),
 		// Review case 6: an owner took a reply with the first ends for all of them.
 		Entry("a reply lists one end", int64(960_000), overlapFaults{EndsPerReply: 1}),
 		Entry("a reply lists two ends, and three owners work within one lease", int64(970_000), overlapFaults{EndsPerReply: 2, ThreeOwners: true}),
--- a/internal/scheduler/overlap_workers_test.go
+++ b/internal/scheduler/overlap_workers_test.go
@@ -10,8 +10,11 @@
 // startWorker starts a worker on a machine. The platform lists it after a delay.
 func (s *overlapSim) startWorker(m *overlapMachine, id string, registered time.Duration) {
 	m.incarnations++
-	inc := &overlapIncarnation{name: fmt.Sprintf("%s/%s#%d", m.name, id, m.incarnations), machine: m}
+	inc := &overlapIncarnation{name: fmt.Sprintf("%s/%s#%d", m.name, id, m.incarnations), machine: m, maxRunLease: overlapMaxRunLease}
 	inc.simWorker = newSimWorker(m.info(id, s.now), s.now, s.failedRuns, func(report scheduler.EndReport) { s.endAcked(inc, report) })
+	if s.faults.Recuts {
+		inc.maxRunLease, inc.longRuns, inc.clockStart = timing.MaxRunLease, true, s.clockStart(m)
+	}
 	m.incarnation = inc
 	s.log("", scheduler.TaskID{}, inc.name, "%s starts", inc.name)
 	s.after(registered, func() {
@@ -21,6 +24,24 @@
 	})
 }
 
+// clockStart returns what the clock of a worker shows that starts on a machine: it starts
+// anew, goes on over the restart, or starts above that of the worker before.
+func (s *overlapSim) clockStart(m *overlapMachine) int64 {
+	goesOn := s.now.Sub(s.trace.startedAt).Milliseconds() + firstClock
+	switch {
+	case m.incarnations == 1 || s.chance(20):
+		return goesOn
+	case s.chance(20):
+		return goesOn + int64(s.random.Intn(10_000))
+	}
+	return int64(s.random.Intn(1000))
+}
+
+// firstClock is what the clocks of the first workers show at the start, in milliseconds:
+// more than a lease, so that a deadline on such a clock is far in the future on a clock
+// that has started anew.
+const firstClock = 100_000
+
 // updateList changes the platform's list of workers. Each owner receives the change
 // later; delays preserve the order of changes.
 func (s *overlapSim) updateList(id string, info scheduler.WorkerInfo, present bool) {
@@ -67,6 +88,11 @@
 			d = s.between(50, 1500)
 		}
 		s.cutOff(m, d)
+	case s.faults.Recuts && s.chance(60):
+		s.crashWorker(inc)
+		dark := s.between(100, 600)
+		s.after(dark, func() { s.startWorker(m, inc.info.ID, s.between(0, 3000)) })
+		s.after(dark+s.between(100, 2500), func() { s.cutOff(m, s.between(1000, 9000)) })
 	case s.faults.UnnoticedRestarts && s.chance(50):
 		s.crashWorker(inc)
 		s.after(s.between(1, 400), func() { s.startWorker(m, inc.info.ID, s.between(0, 1500)) })
@@ -156,6 +182,9 @@
 	if inc.info.ID != o.Worker {
 		return scheduler.OtherIncarnation, 0
 	}
+	if o.Incarnation != inc.incarnation.UnixMilli() {
+		return scheduler.Restarted, 0
+	}
 	before := inc.simWorker.running[o.Task].attempt
 	o.Deadline = inc.capDeadline(o.Deadline, s.now)
 	result := inc.start(o, s.now, s.random)
@@ -195,6 +224,9 @@
 	if inc.info.ID != r.Worker {
 		return scheduler.OtherIncarnation
 	}
+	if r.Incarnation != inc.incarnation.UnixMilli() {
+		r.Deadline, r.AckedEnds = 0, 0
+	}
 	first := inc.token < r.Token
 	if r.Deadline > 0 {
 		r.Deadline = inc.capDeadline(r.Deadline, s.now)
--- a/internal/scheduler/pool_order_results.go
+++ b/internal/scheduler/pool_order_results.go
@@ -11,7 +11,7 @@
 	if !ok {
 		return
 	}
-	if clock > 0 {
+	if clock > 0 && (o.Incarnation == 0 || o.Incarnation == w.incarnation) { // another one's clock says nothing of the present one
 		p.applyClock(w, clock, &o, now)
 		w.reachable, w.silent = true, false
 	}
@@ -84,6 +84,8 @@
 		w.block(now.Add(blockAfterRefusal))
 	case NotReached:
 		w.reachable, w.silent, w.pollSentAt = false, true, time.Time{}
+	case Restarted:
+		w.reachable, w.pollSentAt = false, time.Time{} // a poll shows the new incarnation
 	case Unhealthy:
 		w.block(now.Add(blockAfterFailure))
 	case NoTicket:
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -84,7 +84,7 @@
 		timeout = p.timing.OrderTimeout
 	}
 	return StartOrder{
-		Worker: r.worker.info.ID, Address: r.worker.info.Address, Task: r.id, Attempt: r.attempt,
+		Worker: r.worker.info.ID, Address: r.worker.info.Address, Incarnation: r.incarnation, Task: r.id, Attempt: r.attempt,
 		Spec: r.stage.job.sub.Spec, Checkpoint: r.checkpoint, Ticket: r.ticket, Token: p.token, Deadline: r.deadline, SentAt: r.sentAt(), Timeout: timeout,
 	}
 }
@@ -173,7 +173,7 @@
 func (p *Pool) start(t *task, w *worker, attempt int, checkpoint string, now time.Time) *run {
 	s := t.stage
 	r := &run{
-		id: t.id, attempt: attempt, worker: w, orderedAt: now, reserved: s.step.reserved(), checkpoint: checkpoint,
+		id: t.id, attempt: attempt, worker: w, incarnation: w.incarnation, orderedAt: now, reserved: s.step.reserved(), checkpoint: checkpoint,
 		deadline: w.clock.leaseDeadline(now, &p.timing), orderedPercent: fullSpeedPercent,
 		ticket: s.tickets.byWorker[w.info.ID],
 	}
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -17,7 +17,7 @@
 		return PollRequest{}, false
 	}
 	w.polledAt = now
-	req := PollRequest{Worker: id, Address: w.info.Address, Token: p.token, Timeout: p.replyTimeout(w)}
+	req := PollRequest{Worker: id, Address: w.info.Address, Token: p.token, Incarnation: w.incarnation, Timeout: p.replyTimeout(w)}
 	if w.ackableEnds > w.ackedEnds && w.mayAckEnds(now) {
 		req.AckedEnds, w.ackedIncarnation = w.ackableEnds, w.incarnation
 	}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -9,6 +9,7 @@
 	stage             *stage
 	attempt           int
 	worker            *worker
+	incarnation       int64 // of the worker that its start is for: the start of its process, Unix time in milliseconds; 0: any
 	phase             runPhase
 	orderedAt         time.Time
 	answeredAt        time.Time // when the start was answered or a poll first listed the run; zero: neither
--- a/internal/scheduler/sim_worker_test.go
+++ b/internal/scheduler/sim_worker_test.go
@@ -15,6 +15,8 @@
 type simWorker struct {
 	info           scheduler.WorkerInfo
 	incarnation    time.Time // when its process started
+	clockStart     int64     // what its clock showed then, in milliseconds
+	longRuns       bool      // some of its runs take longer than a lease
 	token          int64     // highest fencing token that it has seen
 	lease          time.Time // end of the lease of all its runs
 	running        map[scheduler.TaskID]simRun
@@ -34,7 +36,9 @@
 }
 
 // clock returns the worker's clock at now, in milliseconds.
-func (w *simWorker) clock(now time.Time) int64 { return now.Sub(w.incarnation).Milliseconds() + 1 }
+func (w *simWorker) clock(now time.Time) int64 {
+	return w.clockStart + now.Sub(w.incarnation).Milliseconds() + 1
+}
 
 // advance ends the runs that are complete by now or whose lease has expired.
 func (w *simWorker) advance(now time.Time) {
@@ -114,13 +118,24 @@
 	}
 	w.token = o.Token
 	w.extend(o.Deadline)
-	w.running[o.Task] = simRun{attempt: o.Attempt, endsAt: now.Add(time.Duration(100+random.Intn(1500)) * time.Millisecond), fails: random.Intn(12) == 0}
+	w.running[o.Task] = simRun{attempt: o.Attempt, endsAt: now.Add(w.runTime(random)), fails: random.Intn(12) == 0}
 	return scheduler.Accepted
 }
 
+// runTime returns how long the next run takes.
+func (w *simWorker) runTime(random *rand.Rand) time.Duration {
+	if w.longRuns && random.Intn(100) < longRunPercent {
+		return time.Duration(3000+random.Intn(6000)) * time.Millisecond
+	}
+	return time.Duration(100+random.Intn(1500)) * time.Millisecond
+}
+
+// longRunPercent is the share of runs that take longer than a lease, where there are some.
+const longRunPercent = 40
+
 // extend extends the lease to a deadline on the worker's clock, in milliseconds.
 func (w *simWorker) extend(deadline int64) {
-	if until := w.incarnation.Add(time.Duration(deadline-1) * time.Millisecond); until.After(w.lease) {
+	if until := w.incarnation.Add(time.Duration(deadline-1-w.clockStart) * time.Millisecond); until.After(w.lease) {
 		w.lease, w.leaseExpired = until, false
 	}
 }
