A restart that a poll shows bounds the leases there by the longest one

Here a relay between the owner and a worker keeps a connection open over the worker's restart, which the binding to a connection does not see.

Cause: if a poll's reply showed the restart before the answer to a start came, that answer looked ordinary, and the owner reckoned with the lease that it had asked for. The worker had taken the deadline, on its former clock, as far in the future and granted its longest lease.

Change: a later incarnation that answers sets the bound that a listed one sets.

Evidence: spec "may have granted the longest lease if a poll's reply shows the restart first" fails without the change.

--- a/internal/scheduler/bound_order_test.go
+++ b/internal/scheduler/bound_order_test.go
@@ -44,6 +44,26 @@
 		Expect(only(s.plan().Starts).Incarnation).To(BeEquivalentTo(former))
 	})
 
+	// A worker behind a relay takes the start although it has restarted, and a poll's reply
+	// shows that before the start's answer arrives.
+	It("may have granted the longest lease if a poll's reply shows the restart first", func() {
+		s.setWorkers(worker("a"), worker("b"))
+		s.poll("b", nil)
+		answer(present, 5)
+		s.pool.StartAnswered(started, scheduler.Accepted, 7, s.now)
+		run := []scheduler.RunReport{runReport(started)}
+		s.pool.ApplyPoll(scheduler.PollReply{Worker: "a", SentAt: s.now, ReceivedAt: s.now, Incarnation: present, Clock: 8, Running: run})
+		s.silent("a")
+		s.advance(timing.RunLease + 500*time.Millisecond)
+		s.silent("a")
+		s.poll("b", nil)
+		Expect(s.plan().Starts).To(BeEmpty())
+		s.advance(timing.MaxRunLease - timing.RunLease)
+		s.silent("a")
+		s.poll("b", nil)
+		Expect(only(s.plan().Starts).Worker).To(Equal("b"))
+	})
+
 	It("says nothing of the present incarnation's clock when the former one's answer comes late", func() {
 		answer(present, 900_000)
 		s.pool.StartAnswered(started, scheduler.Accepted, s.clock, s.now)
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -81,6 +81,9 @@
 		p.workerRestarted(w)
 		w.appliedEnds, w.ackableEnds, w.ackedEnds, w.endMarks, w.unsavedEnds = 0, 0, 0, nil, nil
 		w.endsKnown = false
+		// A relay may keep a connection open over the restart. An order that was sent
+		// on it carries a deadline on the clock of the former incarnation.
+		w.expiresAt = Later(w.expiresAt, reply.ReceivedAt.Add(p.timing.longest()))
 	}
 	w.answered(reply, &p.timing)
 	w.fenced = true
