A watch whose response is too large is replaced by a read of all keys

Cause: the response to its watch held 9 MB, of which a process reads 8. The rest could not be decoded, and the watcher asked for the same changes again; it reads all keys only after Compacted and time-outs.

Change: the response is an error of kind TooLarge, after which the watcher reads all keys page by page, as it does after six responses that can't be decoded.

--- a/internal/poolmanager/watcher.go
+++ b/internal/poolmanager/watcher.go
@@ -13,7 +13,8 @@
 )
 
 // watcher reads all keys of a prefix and then watches them. It reads all of them
-// again when the store has compacted the revisions that the watch would need.
+// again when the store has compacted the revisions that the watch would need, and when
+// the changes since then can't be received in one response.
 type watcher struct {
 	store      store.Store
 	clock      clockwork.Clock
@@ -37,28 +38,29 @@
 	maxRetryDelay = 400 * time.Millisecond
 )
 
-// maxWatchTimeouts is how many watches may time out one after the other. Then all keys
-// are read, page by page: the changes since the last watch may be too many for one response.
-const maxWatchTimeouts = 6
+// maxWatchFailures is how many watches may time out, or have a response that can't be
+// decoded, one after the other. Then all keys are read, page by page: the changes since
+// the last watch may be too many for one response.
+const maxWatchFailures = 6
 
 // run reads and watches until ctx ends. from is the revision after which to watch;
 // with 0, all keys are read first.
 func (w *watcher) run(ctx context.Context, from int64) {
-	retry, timeouts := minRetryDelay, 0
+	retry, failures := minRetryDelay, 0
 	for ctx.Err() == nil {
 		next, err := w.step(ctx, from)
 		if err == nil {
-			from, retry, timeouts = next, minRetryDelay, 0
+			from, retry, failures = next, minRetryDelay, 0
 			continue
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		if problem.Is(err, problem.Timeout) {
-			timeouts++
+		if problem.Is(err, problem.Timeout) || problem.Is(err, problem.Internal) {
+			failures++
 		}
-		if problem.Is(err, problem.Compacted) || timeouts >= maxWatchTimeouts {
-			from, timeouts = 0, 0
+		if problem.Is(err, problem.Compacted) || problem.Is(err, problem.TooLarge) || failures >= maxWatchFailures {
+			from, failures = 0, 0
 		}
 		w.log.Debug("read or watch of the store failed, trying again", append(telemetry.ProblemFields(err), zap.String("prefix", w.prefix))...)
 		sleep(ctx, w.clock, retry)
--- a/internal/poolmanager/watcher_test.go
+++ b/internal/poolmanager/watcher_test.go
@@ -11,15 +11,13 @@
 	"persimmonbay/internal/poolstore"
 )
 
-var _ = Describe("a watch whose response never arrives in time", func() {
-	// A watch begins at the revision of the first page that the load has read, however
-	// long ago that was; its response has no bound but the time.
-	It("is replaced by a read of all keys", func() {
+var _ = Describe("a watch whose response never arrives", func() {
+	readsAll := func(tooLarge bool) {
 		s := newOwnershipScene()
 		s.accept("job-0")
 		o := s.load()
 		s.accept("job-1") // during the load
-		o.Store = &largeWatches{fakeStore: s.store, upTo: s.store.revision}
+		o.Store = &largeWatches{fakeStore: s.store, upTo: s.store.revision, tooLarge: tooLarge}
 		w := o.newWatcher(poolstore.JobsPrefix(sceneService), o.resetWork, o.applyWork)
 		w.clock, w.wait, w.timeout = clockwork.NewRealClock(), time.Millisecond, time.Millisecond
 		ctx, cancel := context.WithCancel(context.Background())
@@ -30,5 +28,13 @@
 		}()
 		defer func() { cancel(); <-done }()
 		Eventually(func() bool { return o.pool.HasJob("job-1") }, 3*time.Second, 10*time.Millisecond).Should(BeTrue())
-	})
+	}
+
+	// A watch begins at the revision of the first page that the load has read, however
+	// long ago that was; its response has no bound but the time.
+	It("is replaced by a read of all keys", func() { readsAll(false) })
+
+	// Review case 8 (CONFIG): an entry that had been cut off while 25 large versions of the
+	// configuration came asked for all of them again and again.
+	It("is replaced by a read of all keys if the response is larger than a process reads", func() { readsAll(true) })
 })
