A step whose granted workers have left asks for tickets of all workers again

Callers would have seen: a step that waits although a worker could run it.

Cause: workers that the advice service had refused for a step were not named again while it had granted others. Once those had left the pool no worker was named, not even offered ones, and the call with an empty list was repeated.

Change: without a worker to name, a step forgets what was granted and refused, and asks again after the usual pause.

Evidence: spec "names all workers again once those that the service granted have left".

--- a/internal/scheduler/advice_test.go
+++ b/internal/scheduler/advice_test.go
@@ -210,6 +210,22 @@
 		Expect(s.plan().Starts).NotTo(BeEmpty())
 	})
 
+	It("names all workers again once those that the service granted have left", func() {
+		newPool("a", "b")
+		s.add(advised("j", 1))
+		call := only(s.plan().Advice)
+		s.pool.ApplyAdvice(call, granted(call, "a"), s.now)
+		s.advance(policy.TicketValidity)
+		left := worker("a")
+		left.Draining = true
+		s.setWorkers(left, worker("b"))
+		s.poll("b", nil)
+		Expect(s.plan().Advice).To(BeEmpty())
+		s.advance(time.Second)
+		s.poll("b", nil)
+		Expect(only(s.plan().Advice).Workers).To(Equal([]string{"b"}))
+	})
+
 	It("does not name workers again that the service has refused for the step, while it granted others", func() {
 		newPool(ids...)
 		s.add(advised("j", 1))
--- a/internal/scheduler/pool_advice.go
+++ b/internal/scheduler/pool_advice.go
@@ -48,6 +48,11 @@
 func (p *Pool) callForAdvice(s *stage, now time.Time, plan *Plan) bool {
 	policy := s.job.sub.Advice
 	workers := p.adviceCandidates(s, now)
+	if len(workers) == 0 {
+		s.tickets.forget(now)
+		plan.wakeAt(s.tickets.retryAt)
+		return false
+	}
 	takes := policy.callTime(len(workers))
 	if !p.advice.mayCall(takes, policy.TicketValidity, now) {
 		if now.Before(p.advice.pausedUntil) {
--- a/internal/scheduler/tickets.go
+++ b/internal/scheduler/tickets.go
@@ -19,6 +19,12 @@
 // refused it and granted others.
 func (t *tickets) excludes(worker string) bool { return len(t.byWorker) > 0 && t.refused[worker] }
 
+// forget forgets which workers were granted and refused, since none of those that may be
+// named are left. The next call names any worker.
+func (t *tickets) forget(now time.Time) {
+	t.byWorker, t.refused, t.retryAt = nil, nil, now.Add(adviceRetryDelay)
+}
+
 // apply applies an answer to a call that named the given workers.
 func (t *tickets) apply(named []string, r *AdviceReply, policy *AdvicePolicy, now time.Time) {
 	validFor := r.ValidFor
