The spec on the pause after an unexpected error waits for the pause itself

Cause: the spec advanced its clock once one goroutine waited on it. Others of the scene wait on it too, so the pause could begin after the advance and never end.

Change: the spec advances the clock by the pause until the ownership is over.

--- a/internal/poolmanager/ownership_contain_test.go
+++ b/internal/poolmanager/ownership_contain_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"sync"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
@@ -42,10 +44,11 @@
 	It("ends that ownership alone, with one line in the log, and the pool can be taken over again after a pause", func() {
 		o := start()
 		Eventually(o.ctx.Done()).Should(BeClosed())
-		Expect(s.clock.BlockUntilContext(context.Background(), 1)).To(Succeed(), "the pause")
 		Expect(s.manager.owns(sceneService)).To(BeTrue())
-		s.clock.Advance(failedOwnershipPause)
-		Eventually(o.done).Should(BeClosed())
+		Eventually(func() <-chan struct{} { // other goroutines wait on the clock too, so the pause may begin later
+			s.clock.Advance(failedOwnershipPause)
+			return o.done
+		}).Should(BeClosed())
 		Expect(s.manager.owns(sceneService)).To(BeFalse())
 		Expect(logs.All()).To(HaveLen(1))
 
@@ -57,6 +60,22 @@
 		Eventually(again.done).Should(BeClosed())
 	})
 
+	It("delays the next take-over for exactly the pause", func() {
+		clock := clockwork.NewFakeClock()
+		o := &poolOwnership{Manager: &Manager{Dependencies: Dependencies{Clock: clock}}, leaving: make(chan struct{})}
+		o.failed.Store(true)
+		over := make(chan struct{})
+		go func() {
+			defer close(over)
+			o.pauseIfFailed()
+		}()
+		Expect(clock.BlockUntilContext(context.Background(), 1)).To(Succeed(), "nobody else waits on this clock")
+		clock.Advance(failedOwnershipPause - 1)
+		Consistently(over, 50*time.Millisecond).ShouldNot(BeClosed())
+		clock.Advance(1)
+		Eventually(over).Should(BeClosed())
+	})
+
 	It("does not delay a hand-over of all pools", func() {
 		o := start()
 		Eventually(o.ctx.Done()).Should(BeClosed())
