--- a/internal/scheduler/overlap_test.go
+++ b/internal/scheduler/overlap_test.go
@@ -97,6 +97,12 @@
 		Entry("and an owner still works after it has lost the pool", int64(890_000), overlapFaults{ReplyDelay: 2 * time.Second, OverlappingOwners: true}),
 	)
 
+	// Issue 44 (TWICE): the seeds that broke before calls were bound to an incarnation, as CI
+	// plays only the first ones of the class above.
+	It("run no task twice on workers that restarted unnoticed and were cut off", func() {
+		runSeeds([]int64{980_021, 980_254, 980_482, 982_439}, overlapFaults{Recuts: true})
+	})
+
 	// Incident 20: a former owner that still works starts a task on the next incarnation
 	// of a worker, while the task runs elsewhere. The later owner had fenced the worker,
 	// but the next incarnation has not seen its fencing token.
