Simulation: calls without an answer reach the next incarnation of their worker

Cause of the gap: in the simulation a late call ended with the incarnation that it was sent to, and the simulated worker refused starts for another one.

Change: the owner's binding to a connection decides when a call is sent; a late call is carried out by the incarnation that runs at that time under the same ID, also while its worker is cut off.

--- a/internal/scheduler/overlap_calls_test.go
+++ b/internal/scheduler/overlap_calls_test.go
@@ -7,10 +7,12 @@
 )
 
 // call delivers a call to the worker at an address. execute runs there, and passes to
-// send what the owner does on the answer. failed is called instead if the timeout
-// passes without an answer or the connection fails. Faults delay or drop the call, or
-// drop its answer.
-func (s *overlapSim) call(address string, timeout time.Duration, execute func(inc *overlapIncarnation, send func(func())), failed func(scheduler.OrderResult)) {
+// send what the owner does on the answer; sentTo is the incarnation that the call's
+// connection led to. failed is called instead if the timeout passes without an answer or
+// the connection fails. Faults delay or drop the call, or drop its answer. A call that gets
+// no answer may be carried out seconds later, and then by the next incarnation with the
+// same ID.
+func (s *overlapSim) call(address string, timeout time.Duration, execute func(sentTo, inc *overlapIncarnation, send func(func())), failed func(scheduler.OrderResult)) {
 	m := s.machineAt(address)
 	inc := m.incarnation
 	answered := false
@@ -31,26 +33,19 @@
 		s.after(s.between(5, 100), func() { answer(func() { failed(scheduler.NotReached) }) })
 		return
 	}
-	arrive := func(send func(func())) {
-		if inc.dead {
-			return
-		}
-		s.advanceWorkers()
-		execute(inc, send)
-	}
-	dropAnswer := func(func()) {}
 	if !s.faults.NoLosses && s.chance(3) {
 		if s.chance(60) {
-			s.after(s.between(1, 8000), func() { arrive(dropAnswer) })
+			s.after(s.between(1, latestCallMillis), func() { s.carryOutLate(inc, execute) })
 		}
 		return
 	}
 	lost := !s.faults.NoLosses && s.chance(3)
 	s.after(s.between(1, 60), func() {
-		if s.now.Before(m.cutOffUntil) {
+		if s.now.Before(m.cutOffUntil) || inc.dead {
 			return
 		}
-		arrive(func(do func()) {
+		s.advanceWorkers()
+		execute(inc, inc, func(do func()) {
 			if lost || inc.dead || s.now.Before(m.cutOffUntil) {
 				return
 			}
@@ -59,6 +54,20 @@
 	})
 }
 
+// latestCallMillis is how late a call without an answer is carried out at most.
+const latestCallMillis = 8000
+
+// carryOutLate has the worker with the ID of sentTo carry out a call that was sent to that
+// incarnation, if one runs there. No answer is sent.
+func (s *overlapSim) carryOutLate(sentTo *overlapIncarnation, execute func(sentTo, inc *overlapIncarnation, send func(func()))) {
+	inc := sentTo.machine.incarnation
+	if inc == nil || inc.info.ID != sentTo.info.ID {
+		return
+	}
+	s.advanceWorkers()
+	execute(sentTo, inc, func(func()) {})
+}
+
 func (s *overlapSim) machineAt(address string) *overlapMachine {
 	for _, m := range s.machines {
 		if m.address == address {
--- a/internal/scheduler/overlap_owner_plan_test.go
+++ b/internal/scheduler/overlap_owner_plan_test.go
@@ -75,7 +75,11 @@
 			o.kickPlan()
 		}
 	}
-	o.s.call(order.Address, order.Timeout, func(inc *overlapIncarnation, send func(func())) {
+	o.s.call(order.Address, order.Timeout, func(sentTo, inc *overlapIncarnation, send func(func())) {
+		if sentTo.info.ID == order.Worker && sentTo.startedAtMillis() != order.Incarnation {
+			send(func() { answered(scheduler.Restarted, 0) })
+			return
+		}
 		result, clock := o.s.startAt(inc, order)
 		send(func() { o.after(o.readDelay(), func() { answered(result, clock) }) })
 	}, func(a scheduler.OrderResult) { answered(a, 0) })
@@ -95,7 +99,7 @@
 		o.pool.StopAnswered(order, result, o.s.now)
 		o.kick(order.Worker)
 	}
-	o.s.call(order.Address, orderTimeout, func(inc *overlapIncarnation, send func(func())) {
+	o.s.call(order.Address, orderTimeout, func(_, inc *overlapIncarnation, send func(func())) {
 		result := o.s.stopAt(inc, order)
 		send(func() { answered(result) })
 	}, answered)
--- a/internal/scheduler/overlap_owner_poll_test.go
+++ b/internal/scheduler/overlap_owner_poll_test.go
@@ -106,17 +106,16 @@
 		return
 	}
 	sent := o.s.now
-	o.s.call(req.Address, req.Wait+req.Timeout, func(inc *overlapIncarnation, send func(func())) {
+	o.s.call(req.Address, req.Wait+req.Timeout, func(sentTo, inc *overlapIncarnation, send func(func())) {
+		if req.Incarnation != sentTo.startedAtMillis() {
+			req.Deadline, req.AckedEnds, req.Wait = 0, 0, 0
+		}
 		result := o.s.poll(inc, req)
 		if result != scheduler.Accepted {
 			send(func() { pollFailed(result) })
 			return
 		}
-		wait := req.Wait
-		if req.Incarnation != inc.incarnation.UnixMilli() {
-			req.Deadline, req.AckedEnds, wait = 0, 0, 0
-		}
-		o.s.awaitEnd(inc, wait, func() {
+		o.s.awaitEnd(inc, req.Wait, func() {
 			reply := inc.pollReply(req, sent, o.s.now, o.s.faults.EndsPerReply)
 			o.s.endsListed(inc, reply.Ends)
 			send(func() { o.replyArrived(p, inc, reply, req.Deadline > 0) })
--- a/internal/scheduler/overlap_workers_test.go
+++ b/internal/scheduler/overlap_workers_test.go
@@ -182,9 +182,6 @@
 	if inc.info.ID != o.Worker {
 		return scheduler.OtherIncarnation, 0
 	}
-	if o.Incarnation != inc.incarnation.UnixMilli() {
-		return scheduler.Restarted, 0
-	}
 	before := inc.simWorker.running[o.Task].attempt
 	o.Deadline = inc.capDeadline(o.Deadline, s.now)
 	result := inc.start(o, s.now, s.random)
@@ -224,9 +221,6 @@
 	if inc.info.ID != r.Worker {
 		return scheduler.OtherIncarnation
 	}
-	if r.Incarnation != inc.incarnation.UnixMilli() {
-		r.Deadline, r.AckedEnds = 0, 0
-	}
 	first := inc.token < r.Token
 	if r.Deadline > 0 {
 		r.Deadline = inc.capDeadline(r.Deadline, s.now)
