Events about runs: taken over, given up, started again elsewhere

Cause: the pool told of restarts and unknown jobs only. What an owner took over, why it released a run without an end, and which run a task had before its next start were not recorded.

Change: five kinds of events with worker, incarnation, attempt and the lease's end as the owner reckons it; both incarnations on the events of a restart; a start order carries the end of the lease and the time of the clock reading that its deadline rests on. At most 2048 events about runs wait for a plan, others have 512 places beside them; what exceeds that is counted in Untold. No decision reads any of it, and no poll adds an event for a run that is known.

Cost was not measured.

--- a/internal/scheduler/pool_events.go
+++ b/internal/scheduler/pool_events.go
@@ -3,7 +3,7 @@
 import "time"
 
 // maxEvents bounds the events that wait for TakeEvents.
-const maxEvents = 512
+const maxEvents = maxRunEvents + 512
 
 // TakeEvents returns the events since the last call, and removes them.
 func (p *Pool) TakeEvents() []Event {
--- a/internal/scheduler/pool_former_ends.go
+++ b/internal/scheduler/pool_former_ends.go
@@ -15,6 +15,7 @@
 			continue
 		}
 		t.attempt = max(t.attempt, e.Attempt)
+		t.noteEnd(w, reply.Incarnation, e)
 		switch e.Kind {
 		case EndDone:
 			p.applyDone(w, t, nil, reply.ReceivedAt)
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -86,6 +86,7 @@
 	return StartOrder{
 		Worker: r.worker.info.ID, Address: r.worker.info.Address, Incarnation: r.incarnation, Task: r.id, Attempt: r.attempt,
 		Spec: r.stage.job.sub.Spec, Checkpoint: r.checkpoint, Ticket: r.ticket, Token: p.token, Deadline: r.deadline, SentAt: r.sentAt(), Timeout: timeout,
+		LeaseEndsAt: r.worker.expiresAt, ClockReadAt: r.trace.clockReadAt,
 	}
 }
 
@@ -184,6 +185,7 @@
 	p.startCandidates.maxFreeStale = true
 	w.expiresAt = Later(w.expiresAt, now.Add(p.timing.granted()))
 	p.bind(r, t)
+	p.noteStart(r)
 	p.counts.Starts++
 	return r
 }
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -77,7 +77,7 @@
 		p.addEvent(Event{Kind: WorkerFenced, Worker: reply.Worker, Incarnation: reply.Incarnation}, reply.ReceivedAt)
 	}
 	if w.incarnation != 0 && reply.Incarnation > w.incarnation {
-		p.addEvent(Event{Kind: NewIncarnationAnswered, Worker: reply.Worker, Number: w.ackableEnds, Incarnation: reply.Incarnation}, reply.ReceivedAt)
+		p.addEvent(Event{Kind: NewIncarnationAnswered, Worker: reply.Worker, Number: w.ackableEnds, Incarnation: reply.Incarnation, FormerIncarnation: w.incarnation}, reply.ReceivedAt)
 		p.workerRestarted(w)
 		w.appliedEnds, w.ackableEnds, w.ackedEnds, w.endMarks, w.unsavedEnds = 0, 0, 0, nil, nil
 		w.endsKnown = false
@@ -128,6 +128,7 @@
 		return
 	}
 	t.attempt = max(t.attempt, e.Attempt)
+	t.noteEnd(w, w.incarnation, e)
 	p.markActive(j)
 	switch e.Kind {
 	case EndDone:
@@ -182,6 +183,7 @@
 			r.answeredAt = reply.ReceivedAt
 		}
 		r.confirm()
+		r.trace.listedBy = reply.Incarnation
 		if r.stage != nil {
 			p.markActive(r.stage.job)
 		}
--- a/internal/scheduler/pool_runs.go
+++ b/internal/scheduler/pool_runs.go
@@ -7,6 +7,7 @@
 func (p *Pool) addUnorderedRun(w *worker, report *RunReport, now time.Time) *run {
 	r := &run{id: report.Task, attempt: report.Attempt, worker: w, phase: running, orderedAt: now, answeredAt: now, orderedPercent: report.Percent}
 	r.requestStop()
+	defer p.noteTakenOver(w, r, now)
 	w.runs[runKey{report.Task, report.Attempt}] = r
 	j := p.jobs[report.Task.Job]
 	if j == nil {
@@ -54,6 +55,7 @@
 func (p *Pool) releaseEnded(w *worker, reply *PollReply, listed map[runKey]bool) {
 	for key, r := range w.runs {
 		if !listed[key] && hasEnded(r, reply) {
+			p.noteGivenUp(r, NotListed)
 			p.release(r)
 			p.counts.Lost++
 		}
--- a/internal/scheduler/pool_settle.go
+++ b/internal/scheduler/pool_settle.go
@@ -19,6 +19,7 @@
 		if now.Before(end) {
 			plan.wakeAt(end)
 		} else {
+			p.noteAwaitedOver(id, end)
 			delete(p.awaited, id)
 		}
 	}
--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -55,7 +55,7 @@
 		return
 	}
 	if w.lost && (info.Incarnation == 0 || info.Incarnation > w.info.Incarnation) || w.isOtherIncarnation(&info) {
-		p.addEvent(Event{Kind: NewIncarnationListed, Worker: info.ID, Number: w.ackableEnds, Incarnation: info.Incarnation}, now)
+		p.addEvent(Event{Kind: NewIncarnationListed, Worker: info.ID, Number: w.ackableEnds, Incarnation: info.Incarnation, FormerIncarnation: w.lastIncarnation()}, now)
 		p.workerRestarted(w)
 		next := newWorker(info)
 		next.emptying, next.offered, next.listedAt, next.runs, next.used, next.unknownRuns = w.emptying, w.offered, now, w.runs, w.used, w.unknownRuns
@@ -88,6 +88,7 @@
 // incarnationEnded releases all runs on a worker whose incarnation has ended.
 func (p *Pool) incarnationEnded(w *worker) {
 	for _, r := range w.runs {
+		p.noteGivenUp(r, IncarnationOver)
 		p.release(r)
 		p.counts.Lost++
 	}
@@ -224,6 +225,7 @@
 // The worker has to answer a poll before a task starts there again.
 func (p *Pool) expire(w *worker) {
 	for _, r := range w.runs {
+		p.noteGivenUp(r, LeaseOver)
 		p.release(r)
 		p.counts.Lapsed++
 	}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -30,6 +30,7 @@
 	throttledAt       time.Time
 	ticket            string
 	checkpoint        string // the checkpoint that the run starts from
+	trace             runTrace
 }
 
 // sentAt returns when the start, or the last copy of it, was ordered.
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -11,9 +11,10 @@
 	attempt     int // the last one ordered, or reported by a worker
 	done        bool
 	checkpoint  string
-	run         *run      // that goes on, may go on or is being stopped; nil: none
-	notBefore   time.Time // earliest next start
-	avoidWorker string    // the worker on which it last failed
+	run         *run       // that goes on, may go on or is being stopped; nil: none
+	notBefore   time.Time  // earliest next start
+	avoidWorker string     // the worker on which it last failed
+	former      *FormerRun // for the logs: its last run that is over; nil: none is known
 }
 
 // startable reports whether the task is not done, has no run, and may start at now.
