Log every answer to a start, and the events about runs

Cause: only starts that were not accepted had a line, without incarnation, lease and clock.

Change: "task started" and the line of other answers show incarnation, the time of the answer, the lease's end and the age of the clock reading; they are written after the answer is applied. Events about runs have messages of their own. Events since the last plan are logged when an ownership ends. A pool writes at most 100 lines a second about starts (burst 1000) and 200 about events (burst 2048); what it leaves out is counted in "lines about runs left out", at most once a second.

Evidence: specs on an observed logger for three answers, take-over, giving up, the next start, a restart and the bounds. go test ./internal/poolmanager passes, also with -race. Cost was not measured.

--- a/internal/poolmanager/ownership_plan.go
+++ b/internal/poolmanager/ownership_plan.go
@@ -50,6 +50,7 @@
 		}
 		timer.Stop()
 	}
+	o.logEvents() // those since the last plan
 }
 
 func (o *poolOwnership) isLeaving() bool {
@@ -96,6 +97,7 @@
 }
 
 func (o *poolOwnership) startTask(order scheduler.StartOrder) {
+	began := o.Clock.Now()
 	answer, clock := scheduler.NotReached, int64(0)
 	if o.isValid() {
 		ctx, cancel := context.WithTimeout(o.ctx, order.Timeout)
@@ -109,11 +111,9 @@
 	if answer == scheduler.Fenced {
 		o.lose("a worker has seen a later owner")
 	}
-	if answer != scheduler.Accepted {
-		o.log.Info("task not started, or its start not confirmed by its worker", zap.String("job", order.Task.Job), zap.Int("step", order.Task.Step), zap.Int("index", order.Task.Index),
-			zap.Int("attempt", order.Attempt), zap.String("worker", order.Worker), zap.Stringer("answer", answer))
-	}
-	o.pool.StartAnswered(order, answer, clock, o.Clock.Now())
+	answeredAt := o.Clock.Now()
+	o.pool.StartAnswered(order, answer, clock, answeredAt)
+	o.lines.logStart(&order, answer, answeredAt.Sub(began), answeredAt)
 	o.kick(order.Worker)
 	if answer != scheduler.Accepted {
 		o.plan.send()
--- a/internal/poolmanager/pool_ownership.go
+++ b/internal/poolmanager/pool_ownership.go
@@ -48,6 +48,7 @@
 	rereadBegan    time.Time       // when stateReread was begun
 	stateReread    *rangeRead      // for resetWork, which one goroutine runs; nil: none in progress
 	rosterLoopDone sync.WaitGroup  // done when rosterLoop has returned
+	lines          *runLines
 
 	mu      sync.Mutex
 	pollers map[string]*poller // by worker
@@ -60,6 +61,7 @@
 		done: make(chan struct{}), leaving: make(chan struct{}), plan: newSignal(), save: newSignal(), confirm: newSignal(), rosterChanged: newSignal(),
 		pollers: make(map[string]*poller), requests: shard.NewCell(newRequestView()), workers: shard.NewCell(map[string]scheduler.WorkerInfo(nil)),
 	}
+	o.lines = newRunLines(o.log, m.Clock)
 	o.ctx, o.cancel = context.WithCancel(context.Background())
 	return o
 }
