A start is sent again only after a reply shows that it was not carried out

Change: the lowest 20 bits of the fencing token in a call are a step that the owner raises at a worker whenever a call to it got no answer. The reply to a poll with a raised token shows what became of all calls with lower ones: that incarnation has carried them out, or refuses them from then on. A start is sent again only after such a reply has shown that its run is not there, and no stop is needed, neither after a refusal nor after a restart. The refusal of a call that this owner's own later token overtook is 'superseded' and does not end the ownership.

Specs that expected a second copy without a reply between now have that reply, and check that no copy is sent before it; the one that expected stops for the next incarnation checks the raised token, by which that incarnation refuses the start.

--- a/internal/poolmanager/ownership_plan.go
+++ b/internal/poolmanager/ownership_plan.go
@@ -108,9 +108,7 @@
 	if answer == scheduler.NotReached && o.isValid() && !o.pool.StartWanted(order) {
 		answer = scheduler.Withdrawn
 	}
-	if answer == scheduler.Fenced {
-		o.lose("a worker has seen a later owner")
-	}
+	answer = o.checkFenced(order.Worker, order.Token, answer)
 	answeredAt := o.Clock.Now()
 	o.pool.StartAnswered(order, answer, clock, answeredAt)
 	o.lines.logStart(&order, answer, answeredAt.Sub(began), answeredAt)
@@ -120,6 +118,20 @@
 	}
 }
 
+// checkFenced ends the ownership if a call with the given fencing token was refused because
+// its worker has seen a later owner. If the worker may have seen a later token of this one,
+// the answer is Superseded.
+func (o *poolOwnership) checkFenced(worker string, token int64, answer scheduler.OrderResult) scheduler.OrderResult {
+	switch {
+	case answer != scheduler.Fenced:
+	case o.pool.TokenRaised(worker, token):
+		return scheduler.Superseded
+	default:
+		o.lose("a worker has seen a later owner")
+	}
+	return answer
+}
+
 func (o *poolOwnership) stopTask(order scheduler.StopOrder) {
 	answer := scheduler.NotReached
 	if o.isValid() {
@@ -127,9 +139,7 @@
 		defer cancel()
 		answer = o.Workers.Stop(ctx, order, o.isValid)
 	}
-	if answer == scheduler.Fenced {
-		o.lose("a worker has seen a later owner")
-	}
+	answer = o.checkFenced(order.Worker, order.Token, answer)
 	o.pool.StopAnswered(order, answer, o.Clock.Now())
 	o.kick(order.Worker)
 }
--- a/internal/poolmanager/poller.go
+++ b/internal/poolmanager/poller.go
@@ -128,6 +128,7 @@
 	defer cancel()
 	p.pending.Store(&cancel)
 	reply, answer := p.Workers.Poll(ctx, req)
+	answer = p.checkFenced(p.worker, req.Token, answer)
 	switch answer {
 	case scheduler.Accepted:
 		p.logged = answer
@@ -136,7 +137,6 @@
 		p.plan.send()
 		return applied
 	case scheduler.Fenced:
-		p.lose("a worker has seen a later owner")
 		return false
 	}
 	if p.ctx.Err() != nil {
--- /dev/null
+++ b/internal/poolmanager/token_raised_test.go
@@ -0,0 +1,34 @@
+package poolmanager
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/scheduler"
+)
+
+// Issue 47: an owner raises its fencing token at a worker that left a call unanswered. The
+// refusal of an earlier call, overtaken by a later one, must not end its ownership.
+var _ = Describe("a refusal as fenced", func() {
+	var o *poolOwnership
+	var former, present scheduler.PollRequest
+	BeforeEach(func() {
+		s := newOwnershipScene()
+		o = s.load()
+		s.list(o, "a")
+		s.poll(o, "a")
+		former, _ = o.pool.NextPoll("a", s.clock.Now())
+		s.silence(o, "a")
+		present, _ = o.pool.NextPoll("a", s.clock.Now())
+	})
+
+	It("of a call with an earlier token of the same owner does not end the ownership", func() {
+		Expect(o.checkFenced("a", former.Token, scheduler.Fenced)).To(Equal(scheduler.Superseded))
+		Expect(o.ctx.Err()).NotTo(HaveOccurred())
+	})
+
+	It("of a call with its highest token does", func() {
+		Expect(o.checkFenced("a", present.Token, scheduler.Fenced)).To(Equal(scheduler.Fenced))
+		Expect(o.ctx.Err()).To(HaveOccurred())
+	})
+})
--- a/internal/scheduler/bound_order_test.go
+++ b/internal/scheduler/bound_order_test.go
@@ -41,6 +41,7 @@
 	It("names the same incarnation when it is sent again", func() {
 		s.pool.StartAnswered(started, scheduler.NoResponse, 0, s.now)
 		s.advance(timing.OrderTimeout)
+		s.poll("a", nil)
 		Expect(only(s.plan().Starts).Incarnation).To(BeEquivalentTo(former))
 	})
 
--- a/internal/scheduler/order_result.go
+++ b/internal/scheduler/order_result.go
@@ -18,9 +18,10 @@
 	Malformed                        // the worker cannot decode the order
 	Withdrawn                        // the order was not sent, as it was not wanted any more
 	Restarted                        // the order was not sent: the worker has restarted under its ID since it was decided
+	Superseded                       // the worker has seen a higher fencing token of the same owner
 )
 
-var orderResultNames = [...]string{"accepted", "unanswered", "not-reached", "fenced", "outdated", "too-late", "no-room", "no-ticket", "other-life", "unhealthy", "malformed", "withdrawn", "restarted"}
+var orderResultNames = [...]string{"accepted", "unanswered", "not-reached", "fenced", "outdated", "too-late", "no-room", "no-ticket", "other-life", "unhealthy", "malformed", "withdrawn", "restarted", "superseded"}
 
 // String returns the name of the result in the logs.
 func (r OrderResult) String() string { return orderResultNames[r] }
--- a/internal/scheduler/overlap_calls_test.go
+++ b/internal/scheduler/overlap_calls_test.go
@@ -11,8 +11,8 @@
 // connection led to. failed is called instead if the timeout passes without an answer or
 // the connection fails. Faults delay or drop the call, or drop its answer. A call that gets
 // no answer may be carried out seconds later, and then by the next incarnation with the
-// same ID.
-func (s *overlapSim) call(address string, timeout time.Duration, execute func(sentTo, inc *overlapIncarnation, send func(func())), failed func(scheduler.OrderResult)) {
+// same ID: call returns when; zero: this one is not.
+func (s *overlapSim) call(address string, timeout time.Duration, execute func(sentTo, inc *overlapIncarnation, send func(func())), failed func(scheduler.OrderResult)) (carriedOutLate time.Time) {
 	m := s.machineAt(address)
 	inc := m.incarnation
 	answered := false
@@ -27,17 +27,19 @@
 		if s.chance(50) {
 			s.after(s.between(1, 30), func() { answer(func() { failed(scheduler.NotReached) }) })
 		}
-		return
+		return time.Time{}
 	}
 	if s.now.Before(m.cutOffUntil) && s.chance(30) {
 		s.after(s.between(5, 100), func() { answer(func() { failed(scheduler.NotReached) }) })
-		return
+		return time.Time{}
 	}
 	if !s.faults.NoLosses && s.chance(3) {
 		if s.chance(60) {
-			s.after(s.between(1, latestCallMillis), func() { s.carryOutLate(inc, execute) })
+			late := s.between(1, latestCallMillis)
+			s.after(late, func() { s.carryOutLate(inc, execute) })
+			return s.now.Add(late)
 		}
-		return
+		return time.Time{}
 	}
 	lost := !s.faults.NoLosses && s.chance(3)
 	s.after(s.between(1, 60), func() {
@@ -52,6 +54,7 @@
 			s.after(s.between(1, 60)+s.linkDelay(), func() { answer(do) })
 		})
 	})
+	return time.Time{}
 }
 
 // latestCallMillis is how late a call without an answer is carried out at most.
--- a/internal/scheduler/overlap_owner_plan_test.go
+++ b/internal/scheduler/overlap_owner_plan_test.go
@@ -66,6 +66,9 @@
 			return
 		}
 		o.s.log(order.Task.Job, order.Task, "", "owner %d receives the result of its start of attempt %d on %s: %s", o.token, order.Attempt, order.Worker, result)
+		if result == scheduler.Fenced && o.pool.TokenRaised(order.Worker, order.Token) {
+			result = scheduler.Superseded
+		}
 		if result == scheduler.Fenced {
 			o.end("fenced by " + order.Worker)
 		}
@@ -75,7 +78,7 @@
 			o.kickPlan()
 		}
 	}
-	o.s.call(order.Address, order.Timeout, func(sentTo, inc *overlapIncarnation, send func(func())) {
+	late := o.s.call(order.Address, order.Timeout, func(sentTo, inc *overlapIncarnation, send func(func())) {
 		if sentTo.info.ID == order.Worker && sentTo.startedAtMillis() != order.Incarnation {
 			send(func() { answered(scheduler.Restarted, 0) })
 			return
@@ -83,6 +86,7 @@
 		result, clock := o.s.startAt(inc, order)
 		send(func() { o.after(o.readDelay(), func() { answered(result, clock) }) })
 	}, func(a scheduler.OrderResult) { answered(a, 0) })
+	o.s.lateStarts[order.Task] = scheduler.Later(o.s.lateStarts[order.Task], late)
 }
 
 func (o *overlapOwner) stop(order scheduler.StopOrder) {
@@ -93,6 +97,9 @@
 		if o.ended {
 			return
 		}
+		if result == scheduler.Fenced && o.pool.TokenRaised(order.Worker, order.Token) {
+			result = scheduler.Superseded
+		}
 		if result == scheduler.Fenced {
 			o.end("fenced by " + order.Worker)
 		}
--- a/internal/scheduler/overlap_owner_poll_test.go
+++ b/internal/scheduler/overlap_owner_poll_test.go
@@ -86,6 +86,9 @@
 		req.Wait = pollWait
 	}
 	pollFailed := func(result scheduler.OrderResult) {
+		if result == scheduler.Fenced && o.pool.TokenRaised(p.worker, req.Token) {
+			result = scheduler.Superseded
+		}
 		switch {
 		case o.ended:
 		case result == scheduler.Fenced:
--- a/internal/scheduler/overlap_sim_test.go
+++ b/internal/scheduler/overlap_sim_test.go
@@ -27,8 +27,9 @@
 	starts        map[scheduler.TaskID][]overlapStart
 	ends          map[scheduler.TaskID][]*overlapEnd
 	failedRuns    map[scheduler.TaskID]int
-	jobCount      int           // number of accepted jobs
-	replyDelay    time.Duration // that the owner's full link adds to each answer
+	lateStarts    map[scheduler.TaskID]time.Time // when the last start that has no answer is carried out
+	jobCount      int                            // number of accepted jobs
+	replyDelay    time.Duration                  // that the owner's full link adds to each answer
 	noFaults      bool
 	violation     string // the first violation of a rule, with its trace; empty: none
 }
@@ -36,7 +37,7 @@
 func newOverlapSim(seed int64, faults overlapFaults) *overlapSim {
 	s := &overlapSim{
 		faults: faults, random: rand.New(rand.NewSource(seed)), now: time.Unix(1_700_000_000, 0), store: newOverlapStore(),
-		starts: map[scheduler.TaskID][]overlapStart{}, ends: map[scheduler.TaskID][]*overlapEnd{}, failedRuns: map[scheduler.TaskID]int{},
+		starts: map[scheduler.TaskID][]overlapStart{}, ends: map[scheduler.TaskID][]*overlapEnd{}, failedRuns: map[scheduler.TaskID]int{}, lateStarts: map[scheduler.TaskID]time.Time{},
 	}
 	s.trace.startedAt = s.now
 	s.store.onSaved = s.checkSaved
--- a/internal/scheduler/poll_reply.go
+++ b/internal/scheduler/poll_reply.go
@@ -9,6 +9,7 @@
 	SentAt      time.Time // when the poll was sent, on this process's monotonic clock
 	ReceivedAt  time.Time
 	AckedEnds   int64 // ends up to this number were acknowledged by the poll, if it reached the incarnation that it named
+	Token       int64 // fencing token of the poll
 	Incarnation int64 // start of the worker's process, Unix time in milliseconds
 	Clock       int64 // the worker's clock, in milliseconds
 	Running     []RunReport
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -32,6 +32,7 @@
 	emptied             map[string]bool      // machines that were reported as empty: they may be taken down at any time
 	emptyClaims         map[string]bool      // machines whose report as empty may be on its way to the store
 	publishedOffers     map[string]bool      // machines that are offered in the store: they may be taken at any time
+	highestTokenStep    int64                // of the workers that were removed
 	advice              adviceCalls          // to the advice service
 	hold                roomHold             // workers that are kept free for a stage
 	takenOffers         map[string]bool      // machines whose offers are taken: they leave the pool
--- a/internal/scheduler/pool_order_results.go
+++ b/internal/scheduler/pool_order_results.go
@@ -44,6 +44,7 @@
 	case Accepted:
 		r.phase = running
 		r.answeredAt = now
+		r.refused = false
 		p.markActive(r.stage.job)
 		return
 	case OtherIncarnation:
@@ -52,7 +53,7 @@
 		return
 	case NoResponse:
 		r.markStartUnknown()
-		r.lateStartPossible = true
+		w.raiseToken()
 		if repeated { // one call may get lost; a worker that answers neither is probably down
 			r.resentAt = now
 			w.block(now.Add(blockAfterFailure))
@@ -66,14 +67,13 @@
 		return
 	}
 	p.applyRefusal(w, r, result, now)
-	switch {
-	case !repeated:
+	if !repeated {
 		p.release(r)
-	case result == TooLate:
-		r.stoppedAt = now // an earlier copy has started the run or never will: the next poll shows which
-	default:
-		r.requestStop() // an earlier copy may still be carried out
+		return
 	}
+	// This says nothing of the earlier copies: the next poll shows whether one was carried out.
+	r.refused = true
+	w.raiseToken()
 }
 
 // applyRefusal applies the reason why a worker did not start a task.
@@ -113,6 +113,9 @@
 		p.markSuperseded(w)
 		return
 	}
+	if result == NoResponse {
+		w.raiseToken()
+	}
 	r := w.runs[runKey{o.Task, o.Attempt}]
 	if r != nil && (result == Accepted || result == Outdated) {
 		r.stoppedAt = now
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -62,18 +62,19 @@
 	}
 	r.stopSentAt = now
 	p.counts.Stops++
-	plan.Stops = append(plan.Stops, StopOrder{Worker: r.worker.info.ID, Address: r.worker.info.Address, Task: r.id, Attempt: r.attempt, Token: p.token})
+	plan.Stops = append(plan.Stops, StopOrder{Worker: r.worker.info.ID, Address: r.worker.info.Address, Task: r.id, Attempt: r.attempt, Token: p.callToken(r.worker)})
 }
 
 func (p *Pool) planRepeat(r *run, now time.Time, plan *Plan) {
-	if r.task == nil {
-		return
+	if r.task == nil || !r.absent {
+		return // a poll's reply has to show first that no copy was carried out
 	}
 	if retryAt := r.repeatAt(&p.timing); now.Before(retryAt) {
 		plan.wakeAt(retryAt)
 		return
 	}
 	r.resentAt = now
+	r.sent(p.callToken(r.worker))
 	p.counts.Repeats++
 	plan.Starts = append(plan.Starts, p.startOrder(r))
 }
@@ -85,7 +86,7 @@
 	}
 	return StartOrder{
 		Worker: r.worker.info.ID, Address: r.worker.info.Address, Incarnation: r.incarnation, Task: r.id, Attempt: r.attempt,
-		Spec: r.stage.job.sub.Spec, Checkpoint: r.checkpoint, Ticket: r.ticket, Token: p.token, Deadline: r.deadline, SentAt: r.sentAt(), Timeout: timeout,
+		Spec: r.stage.job.sub.Spec, Checkpoint: r.checkpoint, Ticket: r.ticket, Token: r.token, Deadline: r.deadline, SentAt: r.sentAt(), Timeout: timeout,
 		LeaseEndsAt: r.worker.expiresAt, ClockReadAt: r.trace.clockReadAt,
 	}
 }
@@ -178,6 +179,7 @@
 		deadline: w.clock.leaseDeadline(now, &p.timing), orderedPercent: fullSpeedPercent,
 		ticket: s.tickets.byWorker[w.info.ID],
 	}
+	r.sent(p.callToken(w))
 	t.attempt = attempt
 	s.noRoomSince = time.Time{}
 	w.runs[runKey{t.id, attempt}] = r
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -17,7 +17,7 @@
 		return PollRequest{}, false
 	}
 	w.polledAt = now
-	req := PollRequest{Worker: id, Address: w.info.Address, Token: p.token, Incarnation: w.incarnation, Timeout: p.replyTimeout(w)}
+	req := PollRequest{Worker: id, Address: w.info.Address, Token: p.callToken(w), Incarnation: w.incarnation, Timeout: p.replyTimeout(w)}
 	if w.ackableEnds > w.ackedEnds && w.mayAckEnds(now) {
 		req.AckedEnds, w.ackedIncarnation = w.ackableEnds, w.incarnation
 	}
@@ -182,7 +182,7 @@
 			r.phase = running
 			r.answeredAt = reply.ReceivedAt
 		}
-		r.confirm()
+		r.seen()
 		r.trace.listedBy = reply.Incarnation
 		if r.stage != nil {
 			p.markActive(r.stage.job)
@@ -214,6 +214,10 @@
 		p.incarnationEnded(w)
 		return
 	}
+	if result == Superseded {
+		return // the worker answers, and the next poll has the token that it has seen
+	}
+	w.raiseToken()
 	w.reachable, w.silent, w.pollSentAt = false, true, time.Time{}
 	p.countPollFailure(w, now.Sub(requestedAt))
 	w.block(now.Add(blockAfterFailure))
--- a/internal/scheduler/pool_runs.go
+++ b/internal/scheduler/pool_runs.go
@@ -54,7 +54,11 @@
 // reply shows.
 func (p *Pool) releaseEnded(w *worker, reply *PollReply, listed map[runKey]bool) {
 	for key, r := range w.runs {
-		if !listed[key] && hasEnded(r, reply) {
+		if listed[key] {
+			continue
+		}
+		r.absent = r.phase == startUnknown && reply.Token > r.token
+		if hasEnded(r, reply) || r.absent && !r.mayRepeat(w) {
 			p.noteGivenUp(r, NotListed)
 			p.release(r)
 			p.counts.Lost++
@@ -62,6 +66,11 @@
 	}
 }
 
+// mayRepeat reports whether the start of a run that is absent may be sent again.
+func (r *run) mayRepeat(w *worker) bool {
+	return r.task != nil && !r.refused && !r.wantStop && r.incarnation == w.incarnation
+}
+
 // hasEnded reports whether a poll reply that does not list r shows that r has ended or
 // will never start: the run was there before the poll was sent, it was stopped before
 // that, or the deadline of its start has passed on the worker's clock.
--- a/internal/scheduler/pool_throttle.go
+++ b/internal/scheduler/pool_throttle.go
@@ -49,7 +49,7 @@
 	r.orderedPercent, r.throttledAt = want, now
 	p.counts.Paces++
 	plan.Throttles = append(plan.Throttles, ThrottleOrder{
-		Worker: r.worker.info.ID, Address: r.worker.info.Address, Task: r.id, Attempt: r.attempt, Percent: want, Token: p.token,
+		Worker: r.worker.info.ID, Address: r.worker.info.Address, Task: r.id, Attempt: r.attempt, Percent: want, Token: p.callToken(r.worker),
 	})
 }
 
--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -49,6 +49,7 @@
 	w, ok := p.workers[info.ID]
 	if !ok {
 		w = newWorker(info)
+		w.tokenStep = p.highestTokenStep
 		w.listedAt = now
 		w.offered, w.emptying = p.publishedOffers[info.Machine], p.emptied[info.Machine] || p.emptyClaims[info.Machine]
 		p.workers[info.ID] = w
@@ -61,6 +62,7 @@
 		next.emptying, next.offered, next.listedAt, next.runs, next.used, next.unknownRuns = w.emptying, w.offered, now, w.runs, w.used, w.unknownRuns
 		next.polledAt, next.pollInterrupted = w.polledAt, w.pollInterrupted
 		next.formerIncarnation = w.incarnation
+		next.tokenStep = w.tokenStep
 		next.expiresAt = Later(w.expiresAt, now.Add(p.timing.longest()))
 		if !w.extendedUntil.IsZero() {
 			next.extendedUntil = next.expiresAt // the poll may reach the new incarnation
@@ -96,22 +98,16 @@
 }
 
 // workerRestarted handles the restart of a worker under its name. The next poll shows
-// which running runs the new incarnation has. A start that got no answer may still
-// reach the new incarnation, which does not know of earlier stops and ends: a stop is
-// requested, so that the new incarnation refuses the start.
+// which runs the new incarnation has; a start that got no answer may have reached it. With
+// the raised token it refuses all calls that were meant for the former one from then on.
 func (p *Pool) workerRestarted(w *worker) {
 	p.counts.Reborn++
 	delete(p.awaited, w.info.ID)
+	w.raiseToken()
 	for _, r := range w.runs {
-		if r.phase == running && !r.lateStartPossible {
-			continue
-		}
-		if r.phase == running {
-			r.markStartUnknown()
+		if r.phase != running {
+			r.stopSentAt, r.stoppedAt, r.deadline, r.absent = time.Time{}, time.Time{}, 0, false
 		}
-		r.answeredAt, r.stopSentAt, r.stoppedAt, r.deadline = time.Time{}, time.Time{}, time.Time{}, 0
-		r.stopIfUnlisted = r.stopIfUnlisted || !r.wantStop
-		r.requestStop()
 	}
 }
 
@@ -216,6 +212,7 @@
 			p.expire(w)
 		}
 		if !w.listed && now.After(w.expiresAt) && w.isOver() {
+			p.highestTokenStep = max(p.highestTokenStep, w.tokenStep)
 			delete(p.workers, id)
 		}
 	}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -4,40 +4,40 @@
 
 // run is one attempt of a task on a worker. The pool's lock guards it.
 type run struct {
-	id                TaskID
-	task              *task // nil: no task needs the run, it is only to be stopped
-	stage             *stage
-	attempt           int
-	worker            *worker
-	incarnation       int64 // of the worker that its start is for: the start of its process, Unix time in milliseconds; 0: any
-	phase             runPhase
-	orderedAt         time.Time
-	answeredAt        time.Time // when the start was answered or a poll first listed the run; zero: neither
-	resentAt          time.Time // when the start was last sent again, or the last such copy timed out; zero: it was not sent again
-	lateStartPossible bool      // a start got no answer: a copy of it may still reach the worker
-	deadline          int64     // until which the worker accepts the start, on its clock, in milliseconds; 0: none
-	reserved          Resources
-	unknownJob        bool      // the pool does not have its job, so its resources are not known
-	percent           int       // share of its full speed that the worker reports
-	reportedAt        time.Time // when the poll was sent whose reply last listed the run; zero: none has
-	latencyOrUsage    int       // as in RunReport
-	wantStop          bool      // a stop has to be ordered
-	movesOff          bool      // wantStop is set only because its task is to start on another worker
-	stopIfUnlisted    bool      // wantStop is set only because the worker restarted; a poll that lists the run clears it
-	stopSentAt        time.Time // when the last stop was sent; zero: never
-	stoppedAt         time.Time // from then on nothing starts it: its stop was answered, or its start was refused as late or outdated; zero: not yet
-	orderedPercent    int       // share of its full speed that was last ordered
-	throttledAt       time.Time
-	ticket            string
-	checkpoint        string // the checkpoint that the run starts from
-	trace             runTrace
+	id             TaskID
+	task           *task // nil: no task needs the run, it is only to be stopped
+	stage          *stage
+	attempt        int
+	worker         *worker
+	incarnation    int64 // of the worker that its start is for: the start of its process, Unix time in milliseconds; 0: any
+	phase          runPhase
+	orderedAt      time.Time
+	answeredAt     time.Time // when the start was answered or a poll first listed the run; zero: neither
+	resentAt       time.Time // when the start was last sent again, or the last such copy timed out; zero: it was not sent again
+	token          int64     // fencing token of the last copy of its start
+	absent         bool      // a reply has shown that no copy sent so far is or will be carried out by its incarnation
+	refused        bool      // the last copy was refused or not sent, and a reply has yet to show what became of the earlier ones
+	deadline       int64     // until which the worker accepts the start, on its clock, in milliseconds; 0: none
+	reserved       Resources
+	unknownJob     bool      // the pool does not have its job, so its resources are not known
+	percent        int       // share of its full speed that the worker reports
+	reportedAt     time.Time // when the poll was sent whose reply last listed the run; zero: none has
+	latencyOrUsage int       // as in RunReport
+	wantStop       bool      // a stop has to be ordered
+	movesOff       bool      // wantStop is set only because its task is to start on another worker
+	stopSentAt     time.Time // when the last stop was sent; zero: never
+	stoppedAt      time.Time // from then on nothing starts it: its stop was answered, or its start was refused as late or outdated; zero: not yet
+	orderedPercent int       // share of its full speed that was last ordered
+	throttledAt    time.Time
+	ticket         string
+	checkpoint     string // the checkpoint that the run starts from
+	trace          runTrace
 }
 
 // sentAt returns when the start, or the last copy of it, was ordered.
 func (r *run) sentAt() time.Time { return Later(r.orderedAt, r.resentAt) }
 
-// repeatAt returns when a start that got no answer may be sent again. The worker starts
-// an attempt once, however many copies reach it, so the second copy need not wait long.
+// repeatAt returns when a start that got no answer may be sent again.
 func (r *run) repeatAt(t *Timing) time.Time {
 	if r.resentAt.IsZero() {
 		return r.orderedAt.Add(t.StartTimeout)
@@ -54,14 +54,11 @@
 	r.movesOff = true
 }
 
-// confirm records that the worker's present incarnation lists the run. A stop that
-// was requested only because the worker restarted is withdrawn if it was not sent.
-func (r *run) confirm() {
-	if r.stopIfUnlisted && r.stopSentAt.IsZero() {
-		r.wantStop = false
-	}
-	r.stopIfUnlisted = false
-}
+// seen records that the worker lists the run.
+func (r *run) seen() { r.absent, r.refused = false, false }
+
+// sent records that a copy of the start is sent with the given fencing token.
+func (r *run) sent(token int64) { r.token, r.absent = token, false }
 
 // markStartUnknown records that the outcome of the start order is unknown.
 func (r *run) markStartUnknown() { r.phase, r.worker.mayNeedOrders = startUnknown, true }
--- a/internal/scheduler/scene_test.go
+++ b/internal/scheduler/scene_test.go
@@ -126,7 +126,7 @@
 			ends[i].Number = s.lastEnd[id]
 		}
 	}
-	s.pool.ApplyPoll(scheduler.PollReply{Worker: id, SentAt: sent, ReceivedAt: s.now, AckedEnds: req.AckedEnds, Incarnation: 1, Clock: s.clock, Running: running, Ends: ends})
+	s.pool.ApplyPoll(scheduler.PollReply{Worker: id, SentAt: sent, ReceivedAt: s.now, AckedEnds: req.AckedEnds, Token: req.Token, Incarnation: 1, Clock: s.clock, Running: running, Ends: ends})
 }
 
 func endReport(o scheduler.StartOrder, kind scheduler.EndKind) scheduler.EndReport {
--- a/internal/scheduler/sim_worker_test.go
+++ b/internal/scheduler/sim_worker_test.go
@@ -166,7 +166,7 @@
 		w.onAck(w.ends[0])
 		w.ends = w.ends[1:]
 	}
-	reply := scheduler.PollReply{Worker: r.Worker, SentAt: sent, ReceivedAt: now, AckedEnds: r.AckedEnds, Incarnation: w.incarnation.UnixMilli(), Clock: w.clock(now), Ends: append([]scheduler.EndReport(nil), w.ends...)}
+	reply := scheduler.PollReply{Worker: r.Worker, SentAt: sent, ReceivedAt: now, AckedEnds: r.AckedEnds, Token: r.Token, Incarnation: w.incarnation.UnixMilli(), Clock: w.clock(now), Ends: append([]scheduler.EndReport(nil), w.ends...)}
 	for id, run := range w.running {
 		reply.Running = append(reply.Running, scheduler.RunReport{Task: id, Attempt: run.attempt, Percent: 100})
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -28,6 +28,7 @@
 	unanswered        int       // polls that waited and got no reply, since the last quick one
 	refusals          int       // polls in a row that failed without a wait
 	pollInterrupted   bool      // a plan has asked to end that poll, because the worker is lost
+	tokenStep         int64     // lowest bits of the fencing token of calls to it
 	runs              map[runKey]*run
 	mayNeedOrders     bool // some of runs may need a stop or a repeated start
 	used              Resources
--- a/internal/scheduler/worker_test.go
+++ b/internal/scheduler/worker_test.go
@@ -19,18 +19,21 @@
 	})
 
 	// In the simulation, a delayed start order reached the worker's next incarnation.
-	It("that restarts is sent stops for starts without an answer, before their tasks start elsewhere", func() {
+	It("that restarts refuses starts without an answer, before their tasks start again there and nowhere else", func() {
 		s := newScene(worker("a"), worker("b"))
 		s.add(batchJob("j", 1))
 		first := only(s.plan().Starts)
 		s.pool.StartAnswered(first, scheduler.NoResponse, 0, s.now)
-		s.pool.ApplyPoll(scheduler.PollReply{Worker: "a", SentAt: s.now, ReceivedAt: s.now, Incarnation: 2, Clock: 1})
-		plan := s.plan()
-		Expect(plan.Starts).To(BeEmpty())
-		s.pool.StopAnswered(only(plan.Stops), scheduler.Accepted, s.now)
+		s.pool.ApplyPoll(scheduler.PollReply{Worker: "a", SentAt: s.now, ReceivedAt: s.now, Token: first.Token, Incarnation: 2, Clock: 1})
+		Expect(s.plan().Starts).To(BeEmpty(), "it would still accept the first start")
 		s.advance(time.Millisecond)
-		s.pool.ApplyPoll(scheduler.PollReply{Worker: "a", SentAt: s.now, ReceivedAt: s.now, Incarnation: 2, Clock: 2})
-		Expect(only(s.startAll()).Attempt).To(Equal(2))
+		req, due := s.pool.NextPoll("a", s.now)
+		Expect(due).To(BeTrue())
+		Expect(req.Token).To(BeNumerically(">", first.Token))
+		s.pool.ApplyPoll(scheduler.PollReply{Worker: "a", SentAt: s.now, ReceivedAt: s.now, Token: req.Token, Incarnation: 2, Clock: 2})
+		again := only(s.startAll())
+		Expect(startTexts([]scheduler.StartOrder{again})).To(Equal([]string{"j/0@a#2"}))
+		Expect(again.Token).To(BeNumerically(">", first.Token))
 	})
 
 	// A machine that had been reported as empty crashed, its next worker got tasks, and
