Starts without an answer are reckoned with until no incarnation can carry them out

Cause: a call without an answer may be carried out seconds later, and by the worker's next incarnation, which knows neither the fencing token nor which attempts have ended. The owner forgot a copy of a start with its run: it acknowledged the end of another copy, and started the task elsewhere, while the copy was still on its way. The next owner knew of no copies at all.

Change: a copy that got no answer, and that its incarnation is known not to have carried out, is an open start for LateCalls (13 s: the platform carries calls out up to 12 s late).

- its task starts on that worker only, after a reply to a token above the copy's, and elsewhere once a run of it would have lapsed;
- no end of its task is acknowledged, so that it does not count, and none on that worker, as a late acknowledgement would drop the end of such a run unread.
Progress is saved and shown as before;
- the roster names it for the next owner.

The run that a new owner takes over may have begun so, and counts for the longest lease. One call is carried out once, so a start that was sent once and whose run was seen leaves nothing open.

--- a/internal/jobentry/timing.go
+++ b/internal/jobentry/timing.go
@@ -28,6 +28,7 @@
 	ownerGap            = 1500 * time.Millisecond // from the end of a lost owner's lease to the next owner's polls
 	firstSuspension     = time.Second
 	maxSuspension       = 8 * time.Second
+	lateCalls           = 13 * time.Second // the platform's workers carry out a call without an answer up to 12 s late
 	pauseMargin         = 300 * time.Millisecond
 )
 
@@ -55,7 +56,7 @@
 		Retention: retentionFactor * t.Retention, ControllerPause: t.ControllerPause + pauseMargin, MachineListInterval: machineListInterval, WorkerListInterval: workerListInterval,
 		Scheduler: scheduler.Timing{
 			RunLease: min(t.MaxRunLease, lease+pollWait+orderTimeout+ownerGap), MaxRunLease: t.MaxRunLease, StartTimeout: startTimeoutOf(cores), OrderTimeout: orderTimeout, ClockDrift: clockDrift,
-			StartEarly: t.StartEarly, FormerOwnerLease: lease, StopTimeout: t.MaxStopTime, FirstSuspension: firstSuspension, MaxSuspension: maxSuspension,
+			StartEarly: t.StartEarly, FormerOwnerLease: lease, StopTimeout: t.MaxStopTime, LateCalls: lateCalls, FirstSuspension: firstSuspension, MaxSuspension: maxSuspension,
 		},
 	}
 }
--- a/internal/poolmanager/ownership_plan.go
+++ b/internal/poolmanager/ownership_plan.go
@@ -113,6 +113,9 @@
 	o.pool.StartAnswered(order, answer, clock, answeredAt)
 	o.lines.logStart(&order, answer, answeredAt.Sub(began), answeredAt)
 	o.kick(order.Worker)
+	if answer == scheduler.NoResponse {
+		o.rosterChanged.send() // a next owner has to know of it
+	}
 	if answer != scheduler.Accepted {
 		o.plan.send()
 	}
--- /dev/null
+++ b/internal/scheduler/open_start.go
@@ -0,0 +1,13 @@
+package scheduler
+
+import "time"
+
+// openStart is a copy of a start that got no answer and was not carried out by the
+// incarnation of the worker that it was sent to. A later incarnation under the same ID may
+// carry it out until the given time, as it knows neither the fencing token nor the attempts
+// that have ended, and then runs the task until its lease has expired.
+type openStart struct {
+	worker string
+	token  int64 // fencing token that it carries
+	until  time.Time
+}
--- a/internal/scheduler/overlap_checks_test.go
+++ b/internal/scheduler/overlap_checks_test.go
@@ -50,10 +50,14 @@
 }
 
 // endsArrived records that the ends in a reply have arrived at the owner, which counts
-// like an acknowledgement to their worker.
+// like an acknowledgement to their worker. By the platform's rules it does so only with no
+// disruption near, and a start of the task that is still on its way is one.
 func (s *overlapSim) endsArrived(inc *overlapIncarnation, reports []scheduler.EndReport) {
 	s.recordEnds(inc)
 	for _, report := range reports {
+		if s.now.Before(s.lateStarts[report.Task]) {
+			continue
+		}
 		s.findEnd(inc, report).acked = true
 		s.checkTask(report.Task)
 	}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -32,6 +32,7 @@
 	emptied             map[string]bool      // machines that were reported as empty: they may be taken down at any time
 	emptyClaims         map[string]bool      // machines whose report as empty may be on its way to the store
 	publishedOffers     map[string]bool      // machines that are offered in the store: they may be taken at any time
+	openStarts          openStarts           // starts without an answer that a later incarnation of their worker may carry out
 	highestTokenStep    int64                // of the workers that were removed
 	advice              adviceCalls          // to the advice service
 	hold                roomHold             // workers that are kept free for a stage
@@ -63,6 +64,7 @@
 		service: service, token: token, timing: timing, epoch: roster.Tenure + 1, takenAt: now,
 		awaited: make(map[string]*awaitedWorker), jobs: make(map[string]*job), workers: make(map[string]*worker),
 		durations: newDurations(), endedJobs: make(map[string]bool), unsavedJobs: make(map[*job]bool), unackedWorkers: make(map[*worker]bool), pendingCancels: make(map[string]int64), publishedOffers: make(map[string]bool), takenOffers: make(map[string]bool), emptyClaims: make(map[string]bool),
+		openStarts:    make(openStarts),
 		shortArrivals: arrivalRate{window: shortArrivalWindow}, longArrivals: arrivalRate{window: longArrivalWindow},
 	}
 	p.formerOrdersEndAt = now
@@ -73,6 +75,7 @@
 	for i := range roster.Workers {
 		p.awaited[roster.Workers[i].ID] = newAwaitedWorker(&roster.Workers[i])
 	}
+	p.inheritOpenStarts(roster.OpenStarts, now)
 	return p
 }
 
--- a/internal/scheduler/pool_order_results.go
+++ b/internal/scheduler/pool_order_results.go
@@ -44,10 +44,11 @@
 	case Accepted:
 		r.phase = running
 		r.answeredAt = now
-		r.refused = false
+		r.copyOpen, r.refused = false, false
 		p.markActive(r.stage.job)
 		return
 	case OtherIncarnation:
+		r.copyOpen = false
 		p.addEvent(Event{Kind: OtherIncarnationAtAddress, Worker: w.info.ID}, now)
 		p.markSuperseded(w)
 		return
@@ -67,6 +68,7 @@
 		return
 	}
 	p.applyRefusal(w, r, result, now)
+	r.copyOpen = false
 	if !repeated {
 		p.release(r)
 		return
--- a/internal/scheduler/pool_place.go
+++ b/internal/scheduler/pool_place.go
@@ -30,6 +30,9 @@
 	if !step.reserved().Fits(w.free()) || !p.eligible(t.stage, w) {
 		return false
 	}
+	if !p.openStarts.allow(t.id, w) {
+		return false
+	}
 	return step.MaxPerWorker <= 0 || t.stage.runsOn(w) < step.MaxPerWorker
 }
 
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -16,6 +16,7 @@
 	}
 	p.wallTime = wall
 	p.sweepWorkers(now, &plan)
+	p.closeOpenStarts(now, &plan)
 	p.removeEndedJobs(now)
 	p.settleFormerRuns(now, &plan)
 	p.chooseMachinesToEmpty(now, wall)
@@ -73,6 +74,8 @@
 		plan.wakeAt(retryAt)
 		return
 	}
+	r.openUntil = Later(r.openUntil, p.copyOpenUntil(r))
+	r.worker.openStartUntil = Later(r.worker.openStartUntil, r.openUntil)
 	r.resentAt = now
 	r.sent(p.callToken(r.worker))
 	p.counts.Repeats++
@@ -141,6 +144,9 @@
 			continue
 		}
 		w := p.place(t)
+		if w == nil && len(p.openStarts[t.id]) > 0 {
+			continue // unlike the other tasks of its step, it may not start anywhere
+		}
 		if w == nil {
 			p.waitsForRoom(s, now)
 			return // the tasks of a step are alike: the others would not fit either
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -18,11 +18,12 @@
 	}
 	w.polledAt = now
 	req := PollRequest{Worker: id, Address: w.info.Address, Token: p.callToken(w), Incarnation: w.incarnation, Timeout: p.replyTimeout(w)}
-	if w.ackableEnds > w.ackedEnds && w.mayAckEnds(now) {
-		req.AckedEnds, w.ackedIncarnation = w.ackableEnds, w.incarnation
+	if ackable := w.ackable(now); ackable > w.ackedEnds && w.mayAckEnds(now) {
+		req.AckedEnds, w.ackedIncarnation = ackable, w.incarnation
 	}
 	if !w.pollSentAt.IsZero() && w.clock.known() {
 		req.Deadline = w.clock.leaseDeadline(now, &p.timing)
+		w.leaseSentAt = now
 		w.expiresAt = Later(w.expiresAt, now.Add(p.timing.granted()))
 		if !w.endsKnown {
 			w.extendUnknownRuns(w.expiresAt)
@@ -65,6 +66,7 @@
 	if !reply.Partial {
 		p.releaseEnded(w, &reply, listed)
 		w.endsKnown = true
+		w.seenToken = max(w.seenToken, reply.Token)
 		delete(p.awaited, reply.Worker)
 	}
 	return true
@@ -79,8 +81,8 @@
 	if w.incarnation != 0 && reply.Incarnation > w.incarnation {
 		p.addEvent(Event{Kind: NewIncarnationAnswered, Worker: reply.Worker, Number: w.ackableEnds, Incarnation: reply.Incarnation, FormerIncarnation: w.incarnation}, reply.ReceivedAt)
 		p.workerRestarted(w)
-		w.appliedEnds, w.ackableEnds, w.ackedEnds, w.endMarks, w.unsavedEnds = 0, 0, 0, nil, nil
-		w.endsKnown = false
+		w.appliedEnds, w.ackableEnds, w.ackedEnds, w.endMarks, w.unsavedEnds, w.heldEnds = 0, 0, 0, nil, nil, nil
+		w.endsKnown, w.seenToken = false, 0
 		// A relay may keep a connection open over the restart. An order that was sent
 		// on it carries a deadline on the clock of the former incarnation.
 		w.expiresAt = Later(w.expiresAt, reply.ReceivedAt.Add(p.timing.longest()))
@@ -102,7 +104,11 @@
 		if e.Task.Job != "" { // an end that could not be decoded names no task
 			w.unsavedEnds = append(w.unsavedEnds, unsavedEnd{number: e.Number, task: e.Task})
 		}
+		if r := w.runs[runKey{e.Task, e.Attempt}]; r != nil {
+			r.seen(reply.Incarnation, &p.timing)
+		}
 		p.applyEnd(w, e, reply.ReceivedAt)
+		p.holdEnd(w, e, reply.ReceivedAt)
 	}
 	if n := len(w.endMarks); w.appliedEnds > w.ackableEnds && (n == 0 || w.endMarks[n-1].endNumber < w.appliedEnds) {
 		w.endMarks = append(w.endMarks, endMark{changeSequence: p.changeSequence, endNumber: w.appliedEnds})
@@ -182,7 +188,7 @@
 			r.phase = running
 			r.answeredAt = reply.ReceivedAt
 		}
-		r.seen()
+		r.seen(reply.Incarnation, &p.timing)
 		r.trace.listedBy = reply.Incarnation
 		if r.stage != nil {
 			p.markActive(r.stage.job)
--- a/internal/scheduler/pool_runs.go
+++ b/internal/scheduler/pool_runs.go
@@ -30,7 +30,7 @@
 	}
 	p.bind(r, t)
 	r.wantStop = false
-	w.expiresAt = Later(w.expiresAt, now.Add(p.timing.granted())) // the former owner may have extended its lease until now
+	w.expiresAt = Later(w.expiresAt, now.Add(p.timing.longest())) // it may have begun on a start that was meant for another incarnation
 	p.counts.Adopted++
 	return r
 }
--- a/internal/scheduler/pool_worker_queries.go
+++ b/internal/scheduler/pool_worker_queries.go
@@ -1,11 +1,12 @@
 package scheduler
 
-// HasUnsavedEnds reports whether ends that the worker reported are not saved yet.
+// HasUnsavedEnds reports whether ends that the worker reported may not be acknowledged yet:
+// they are not saved, or their tasks may start once more.
 func (p *Pool) HasUnsavedEnds(id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w, ok := p.workers[id]
-	return ok && w.appliedEnds > w.ackableEnds
+	return ok && (w.appliedEnds > w.ackableEnds || len(w.heldEnds) > 0 || w.appliedEnds > w.ackedEnds && !w.openStartUntil.IsZero())
 }
 
 // HasWorker reports whether the pool has the worker.
--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -49,7 +49,7 @@
 	w, ok := p.workers[info.ID]
 	if !ok {
 		w = newWorker(info)
-		w.tokenStep = p.highestTokenStep
+		w.tokenStep, w.openStartUntil = p.highestTokenStep, p.openStarts.untilOn(info.ID)
 		w.listedAt = now
 		w.offered, w.emptying = p.publishedOffers[info.Machine], p.emptied[info.Machine] || p.emptyClaims[info.Machine]
 		p.workers[info.ID] = w
@@ -62,7 +62,7 @@
 		next.emptying, next.offered, next.listedAt, next.runs, next.used, next.unknownRuns = w.emptying, w.offered, now, w.runs, w.used, w.unknownRuns
 		next.polledAt, next.pollInterrupted = w.polledAt, w.pollInterrupted
 		next.formerIncarnation = w.incarnation
-		next.tokenStep = w.tokenStep
+		next.tokenStep, next.openStartUntil, next.leaseSentAt = w.tokenStep, w.openStartUntil, w.leaseSentAt
 		next.expiresAt = Later(w.expiresAt, now.Add(p.timing.longest()))
 		if !w.extendedUntil.IsZero() {
 			next.extendedUntil = next.expiresAt // the poll may reach the new incarnation
@@ -114,6 +114,7 @@
 // release removes a run that has ended, in whatever way, or never started.
 func (p *Pool) release(r *run) {
 	w := r.worker
+	p.keepOpenStarts(r)
 	delete(w.runs, runKey{r.id, r.attempt})
 	w.used = w.used.Minus(r.reserved)
 	if r.unknownJob {
@@ -143,6 +144,7 @@
 			r.Workers = append(r.Workers, a.rosterEntry(id))
 		}
 	}
+	r.OpenStarts = p.rosterStarts(now)
 	slices.SortFunc(r.Workers, func(a, b RosterWorker) int { return strings.Compare(a.ID, b.ID) })
 	return r
 }
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -15,6 +15,8 @@
 	answeredAt     time.Time // when the start was answered or a poll first listed the run; zero: neither
 	resentAt       time.Time // when the start was last sent again, or the last such copy timed out; zero: it was not sent again
 	token          int64     // fencing token of the last copy of its start
+	copyOpen       bool      // that copy has no answer, and no reply has shown the run
+	openUntil      time.Time // until when an earlier copy may be carried out by a later incarnation; zero: there is none
 	absent         bool      // a reply has shown that no copy sent so far is or will be carried out by its incarnation
 	refused        bool      // the last copy was refused or not sent, and a reply has yet to show what became of the earlier ones
 	deadline       int64     // until which the worker accepts the start, on its clock, in milliseconds; 0: none
@@ -54,11 +56,17 @@
 	r.movesOff = true
 }
 
-// seen records that the worker lists the run.
-func (r *run) seen() { r.absent, r.refused = false, false }
+// seen records that an incarnation of the worker lists the run or its end, so that one copy
+// of its start was carried out: the last one, unless a later incarnation took an earlier one.
+func (r *run) seen(incarnation int64, t *Timing) {
+	if r.copyOpen && incarnation != r.incarnation && !r.openUntil.IsZero() {
+		r.openUntil = Later(r.openUntil, r.sentAt().Add(t.LateCalls))
+	}
+	r.copyOpen, r.absent, r.refused = false, false, false
+}
 
 // sent records that a copy of the start is sent with the given fencing token.
-func (r *run) sent(token int64) { r.token, r.absent = token, false }
+func (r *run) sent(token int64) { r.token, r.copyOpen, r.absent = token, true, false }
 
 // markStartUnknown records that the outcome of the start order is unknown.
 func (r *run) markStartUnknown() { r.phase, r.worker.mayNeedOrders = startUnknown, true }
--- a/internal/scheduler/timing.go
+++ b/internal/scheduler/timing.go
@@ -11,6 +11,7 @@
 	ClockDrift       float64       // share by which a worker's monotonic clock may be slow
 	StartEarly       time.Duration // how long before its due time an occurrence may start
 	StopTimeout      time.Duration // the longest time that a stop takes on the worker
+	LateCalls        time.Duration // how long after it was sent a call without an answer may be carried out at most
 	FormerOwnerLease time.Duration // how long a former owner may send orders after it lost the pool
 	FirstSuspension  time.Duration // first suspension of a worker on which tasks of several jobs failed
 	MaxSuspension    time.Duration // longest suspension of a worker
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -29,6 +29,9 @@
 	refusals          int       // polls in a row that failed without a wait
 	pollInterrupted   bool      // a plan has asked to end that poll, because the worker is lost
 	tokenStep         int64     // lowest bits of the fencing token of calls to it
+	seenToken         int64     // highest fencing token of a poll whose reply showed what its present incarnation runs
+	heldEnds          []heldEnd // in the order of their numbers
+	openStartUntil    time.Time // until when a later incarnation of it may carry out an open start; zero: there is none
 	runs              map[runKey]*run
 	mayNeedOrders     bool // some of runs may need a stop or a repeated start
 	used              Resources
@@ -40,6 +43,7 @@
 	endMarks          []endMark
 	unsavedEnds       []unsavedEnd // in the order of their numbers
 	expiresAt         time.Time    // by then all leases that this owner granted have expired
+	leaseSentAt       time.Time    // when a poll was last sent that extends leases
 	extendedUntil     time.Time    // the same for leases that were extended before its runs were known; zero: none was
 	blockedUntil      time.Time    // no start before it: the worker refused a start or did not answer
 	suspendedUntil    time.Time    // no start before it: tasks of several jobs failed there
--- a/internal/scheduler/worker_roster.go
+++ b/internal/scheduler/worker_roster.go
@@ -9,4 +9,7 @@
 	Quiet    bool  // no owner before that one sends orders any longer
 	Released bool  // the owner sent no order after it saved the roster
 	Workers  []RosterWorker
+	// OpenStarts lists the starts that may be carried out although their owner reckons with
+	// them no more.
+	OpenStarts []RosterStart
 }
