--- /dev/null
+++ b/internal/scheduler/open_start_acks_test.go
@@ -0,0 +1,120 @@
+package scheduler_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/scheduler"
+)
+
+// Review of issue 47: acknowledgements while copies of starts are open.
+var _ = Describe("the acknowledgement of ends while a start is open", func() {
+	// One end as done represents all members of a gang. A copy of another member's start that
+	// its worker's next incarnation carries out follows an end that was taken note of (TWICE).
+	It("waits also for the starts of the other members of a gang", func() {
+		s := newScene(worker("a"), worker("b"))
+		job := gangJob("j", 2)
+		job.Steps[0].MaxPerWorker = 1
+		s.add(job)
+		starts := s.plan().Starts
+		Expect(starts).To(HaveLen(2))
+		answered, open := starts[0], starts[1]
+		s.pool.StartAnswered(answered, scheduler.Accepted, s.clock, s.now)
+		s.advance(timing.StartTimeout)
+		s.pool.StartAnswered(open, scheduler.NoResponse, 0, s.now)
+		s.poll(open.Worker, nil)
+		again := only(s.plan().Starts)
+		s.pool.StartAnswered(again, scheduler.Accepted, s.clock, s.now)
+		s.poll(answered.Worker, nil, endReport(answered, scheduler.EndDone))
+		s.poll(open.Worker, nil, endReport(again, scheduler.EndDone))
+		s.save(300)
+		req, due := s.pool.NextPoll(open.Worker, s.now)
+		Expect(due).To(BeTrue())
+		Expect(req.AckedEnds).To(BeZero())
+		req, due = s.pool.NextPoll(answered.Worker, s.now)
+		Expect(due).To(BeTrue())
+		Expect(req.AckedEnds).To(BeZero(), "the first copy for the other member may still be carried out")
+	})
+
+	// Acks: ends have to be taken note of. A worker lists the oldest 500 ends only, so the
+	// later ones are never seen while none is acknowledged.
+	It("is not put off for ever where starts stay without an answer every few seconds", func() {
+		const every = 5 * time.Second
+		s := newScene(worker("a"))
+		acked := int64(0)
+		for i := range 12 {
+			s.add(batchJob(string(rune('a'+i)), 1))
+			first := only(s.plan().Starts)
+			s.advance(timing.StartTimeout)
+			s.pool.StartAnswered(first, scheduler.NoResponse, 0, s.now)
+			s.poll("a", nil)
+			again := only(s.plan().Starts)
+			s.pool.StartAnswered(again, scheduler.Accepted, s.clock, s.now)
+			s.poll("a", nil, endReport(again, scheduler.EndDone))
+			s.save(int64(300 + i))
+			for range 10 {
+				s.advance(every / 10)
+				req, due := s.pool.NextPoll("a", s.now)
+				Expect(due).To(BeTrue())
+				acked = max(acked, req.AckedEnds)
+				s.applyReply("a", nil, nil, req)
+			}
+		}
+		Expect(acked).To(BeNumerically(">", 0), "of 12 ends in a minute")
+	})
+
+	// The owner's process did not run for a while, or the question which incarnation answers
+	// took its time: the order left later than it was planned.
+	It("counts from when a start may have been sent last", func() {
+		const heldUp = 1500 * time.Millisecond
+		s := newScene(worker("a"))
+		s.add(batchJob("j", 1))
+		first := only(s.plan().Starts)
+		s.advance(heldUp)
+		s.pool.StartAnswered(first, scheduler.NoResponse, 0, s.now)
+		sentBy := s.now
+		s.poll("a", nil)
+		again := only(s.plan().Starts)
+		s.pool.StartAnswered(again, scheduler.Accepted, s.clock, s.now)
+		s.poll("a", nil, endReport(again, scheduler.EndDone))
+		s.save(300)
+		s.advance(sentBy.Add(timing.LateCalls - 200*time.Millisecond).Sub(s.now))
+		s.poll("a", nil)
+		req, due := s.pool.NextPoll("a", s.now)
+		Expect(due).To(BeTrue())
+		Expect(req.AckedEnds).To(BeZero())
+	})
+
+	// The answer to an earlier copy arrives after the next copy was sent.
+	It("counts the last copy of a start as open whatever the answer to an earlier one", func() {
+		s := newScene(worker("a"))
+		s.add(batchJob("j", 1))
+		s.pool.StartAnswered(only(s.plan().Starts), scheduler.NoResponse, 0, s.now)
+		s.advance(timing.StartTimeout)
+		s.poll("a", nil)
+		second := only(s.plan().Starts)
+		s.pool.PollFailed("a", scheduler.NoResponse, s.now) // raises the token
+		s.poll("a", nil)
+		s.advance(timing.OrderTimeout)
+		third := only(s.plan().Starts)
+		s.pool.StartAnswered(second, scheduler.Superseded, 0, s.now)
+		s.advance(timing.OrderTimeout)
+		s.pool.StartAnswered(third, scheduler.NoResponse, 0, s.now)
+		s.poll("a", nil) // the third copy was not carried out
+		s.setWorkers(worker("b"), drained("a"))
+		s.poll("b", nil)
+		s.advance(third.SentAt.Add(timing.LateCalls - 100*time.Millisecond).Sub(s.now))
+		s.pool.PollFailed("a", scheduler.NoResponse, s.now)
+		s.poll("a", nil)
+		Expect(s.plan().Starts).To(BeEmpty(), "the third copy may still be carried out by the next incarnation")
+	})
+})
+
+// drained returns the entry of a worker that drains.
+func drained(id string) scheduler.WorkerInfo {
+	w := worker(id)
+	w.Draining = true
+	return w
+}
