--- a/internal/scheduler/call_token.go
+++ b/internal/scheduler/call_token.go
@@ -22,6 +22,9 @@
 func (p *Pool) TokenRaised(id string, token int64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	w, ok := p.workers[id]
-	return ok && token < p.callToken(w)
+	step := p.highestTokenStep
+	if w, ok := p.workers[id]; ok {
+		step = w.tokenStep
+	}
+	return token < p.token<<TokenStepBits+step
 }
--- a/internal/scheduler/open_start.go
+++ b/internal/scheduler/open_start.go
@@ -7,7 +7,9 @@
 // carry it out until the given time, as it knows neither the fencing token nor the attempts
 // that have ended, and then runs the task until its lease has expired.
 type openStart struct {
-	worker string
-	token  int64 // fencing token that it carries
-	until  time.Time
+	worker     string
+	token      int64 // fencing token that it carries
+	attempt    int   // that no incarnation is known to have run; 0: its attempt was run
+	until      time.Time
+	leaseUntil time.Time // until when late polls may extend the lease of its run, once the worker was removed; zero: it was not
 }
--- a/internal/scheduler/open_starts.go
+++ b/internal/scheduler/open_starts.go
@@ -21,6 +21,24 @@
 	return until
 }
 
+// attemptNotRun reports whether an open start has this attempt and no incarnation is known
+// to have run it. A worker runs each attempt once, however many starts name it.
+func (o openStarts) attemptNotRun(id TaskID, attempt int) bool {
+	return slices.ContainsFunc(o[id], func(s openStart) bool { return s.attempt == attempt })
+}
+
+// workerRemoved records until when late polls may extend leases at a worker that the pool
+// knows no longer.
+func (o openStarts) workerRemoved(worker string, leaseUntil time.Time) {
+	for _, list := range o {
+		for i := range list {
+			if list[i].worker == worker {
+				list[i].leaseUntil = leaseUntil
+			}
+		}
+	}
+}
+
 // untilOn returns the same for the open starts at a worker.
 func (o openStarts) untilOn(worker string) time.Time {
 	var until time.Time
--- a/internal/scheduler/pool_move_off.go
+++ b/internal/scheduler/pool_move_off.go
@@ -24,8 +24,8 @@
 			continue
 		}
 		for _, r := range w.runs {
-			if r.task == nil || r.wantStop || r.phase != running {
-				continue
+			if r.task == nil || r.wantStop || r.phase != running || now.Before(r.openUntil) {
+				continue // the last: it could start nowhere else
 			}
 			if p.mayMove(r, now) && p.fitsElsewhere(r.task, now) {
 				r.requestMove()
--- a/internal/scheduler/pool_open_starts.go
+++ b/internal/scheduler/pool_open_starts.go
@@ -19,23 +19,79 @@
 	if r.token == p.callToken(r.worker) {
 		r.worker.raiseToken()
 	}
-	p.openStarts.add(r.id, openStart{worker: r.worker.info.ID, token: r.token, until: until})
-	r.worker.openStartUntil = Later(r.worker.openStartUntil, until)
+	s := openStart{worker: r.worker.info.ID, token: r.token, until: until}
+	if r.answeredAt.IsZero() {
+		s.attempt = r.attempt
+	}
+	p.openStarts.add(r.id, s)
+	r.worker.openStart(until)
+}
+
+// copyOpenUntil returns until when the last copy of a run's start may be carried out. It was
+// sent at the latest when its time for an answer had passed; StartAnswered sees to one that
+// is still to be sent as its run is released.
+func (p *Pool) copyOpenUntil(r *run) time.Time {
+	return Later(r.sentAt(), r.unansweredAt).Add(p.timing.LateCalls)
+}
+
+// openStart records until when an open start may be carried out by a later incarnation. An
+// acknowledgement that is late as well would drop the end of that run before any owner has
+// read it, so the ends that are listed now wait, each of them once.
+func (w *worker) openStart(until time.Time) {
+	w.openStartUntil = Later(w.openStartUntil, until)
+	w.hold(w.appliedEnds, until)
+}
+
+// hold keeps the ends up to the given number that were not held before from being
+// acknowledged until the given time.
+func (w *worker) hold(upTo int64, until time.Time) {
+	first := max(w.heldUpTo, w.ackedEnds) + 1
+	if upTo >= first {
+		w.heldEnds = append(w.heldEnds, heldEnd{number: first, until: until})
+		w.heldUpTo = upTo
+	}
 }
 
-// copyOpenUntil returns until when the last copy of a run's start may be carried out.
-func (p *Pool) copyOpenUntil(r *run) time.Time { return r.sentAt().Add(p.timing.LateCalls) }
+// holdEnd keeps an end that was just applied from being acknowledged while its task may
+// start once more, or an open start may be carried out on its worker.
+func (p *Pool) holdEnd(w *worker, e *EndReport, now time.Time) {
+	until := p.mayStartLateUntil(e.Task)
+	if now.Before(w.openStartUntil) {
+		until = Later(until, w.openStartUntil)
+	}
+	if latest := now.Add(p.timing.LateCalls); until.After(latest) {
+		until = latest // one of a former owner, whose time is not known exactly
+	}
+	if now.Before(until) {
+		w.hold(e.Number, until)
+	}
+}
 
 // mayStartLateUntil returns until when a copy of a start of the task may be carried out
-// beside the runs that are known; zero: there is none.
+// beside the runs that are known; zero: there is none. One end of a gang represents all of
+// its members, so their starts count as well.
 func (p *Pool) mayStartLateUntil(id TaskID) time.Time {
 	until := p.openStarts.until(id)
-	if j := p.jobs[id.Job]; j != nil {
-		if t := p.taskOf(j, id); t != nil && t.run != nil {
-			until = Later(until, t.run.openUntil)
-			if t.run.copyOpen {
-				until = Later(until, p.copyOpenUntil(t.run))
-			}
+	j := p.jobs[id.Job]
+	if j == nil {
+		return until
+	}
+	t := p.taskOf(j, id)
+	if t == nil {
+		return until
+	}
+	members := []*task{t}
+	if t.stage.step.Gang {
+		members = t.stage.tasks
+	}
+	for _, m := range members {
+		until = Later(until, p.openStarts.until(m.id))
+		if m.run == nil {
+			continue
+		}
+		until = Later(until, m.run.openUntil)
+		if m.run.copyOpen {
+			until = Later(until, p.copyOpenUntil(m.run))
 		}
 	}
 	return until
@@ -53,22 +109,43 @@
 		if w := p.workers[s.worker]; w != nil && w.endsKnown && w.reachable && w.pollSentAt.After(s.until) {
 			return true
 		}
-		expired := Later(s.until, p.lateLeaseUntil(s.worker)).Add(p.timing.longest())
+		expired := Later(Later(s.until, s.leaseUntil), p.lateLeaseUntil(p.workers[s.worker])).Add(p.timing.longest())
 		plan.wakeAt(expired)
 		return now.After(expired)
 	})
 }
 
-// lateLeaseUntil returns until when a late call with a deadline may extend leases at the
-// worker.
-func (p *Pool) lateLeaseUntil(worker string) time.Time {
-	w := p.workers[worker]
+// lateLeaseUntil returns until when a late poll may extend leases at the worker; nil: none
+// is known.
+func (p *Pool) lateLeaseUntil(w *worker) time.Time {
 	if w == nil || w.leaseSentAt.IsZero() {
 		return time.Time{}
 	}
 	return w.leaseSentAt.Add(p.timing.LateCalls)
 }
 
+// pollForOpenStarts has idle workers polled now and then while an open start may be carried
+// out there, as the platform may list a restart late.
+func (p *Pool) pollForOpenStarts(now time.Time, plan *Plan) {
+	for id, w := range p.workers {
+		if !w.fenced || !w.reachable || w.lost || len(w.runs) > 0 || !w.pollAnsweredAt.Before(w.openStartUntil) {
+			continue
+		}
+		next := w.pollAnsweredAt.Add(openStartPollInterval)
+		if now.Before(next) {
+			plan.wakeAt(next)
+			continue
+		}
+		w.pollWanted = true
+		plan.Polls = append(plan.Polls, id)
+	}
+	slices.Sort(plan.Polls)
+}
+
+// openStartPollInterval is short compared with the time in which a run that nobody asked for
+// has to be gone.
+const openStartPollInterval = time.Second
+
 // inheritOpenStarts takes over what the former owner's roster says of its open starts. When
 // it was saved is not known.
 func (p *Pool) inheritOpenStarts(starts []RosterStart, now time.Time) {
@@ -111,21 +188,8 @@
 // whenever it has changed.
 const rosterStartStep = 2 * time.Second
 
-// holdEnd keeps an end from being acknowledged while its task may start once more.
-func (p *Pool) holdEnd(w *worker, e *EndReport, now time.Time) {
-	if until := p.mayStartLateUntil(e.Task); now.Before(until) {
-		w.heldEnds = append(w.heldEnds, heldEnd{number: e.Number, until: until})
-	}
-}
-
-// ackable returns up to which number ends may be acknowledged at now. While a later
-// incarnation may carry out a start none is: an acknowledgement that is late as well would
-// drop the end of that run before any owner has read it.
+// ackable returns up to which number ends may be acknowledged at now.
 func (w *worker) ackable(now time.Time) int64 {
-	if now.Before(w.openStartUntil) {
-		return w.ackedEnds
-	}
-	w.openStartUntil = time.Time{}
 	w.heldEnds = slices.DeleteFunc(w.heldEnds, func(h heldEnd) bool { return !now.Before(h.until) })
 	if len(w.heldEnds) == 0 {
 		return w.ackableEnds
--- a/internal/scheduler/pool_order_results.go
+++ b/internal/scheduler/pool_order_results.go
@@ -16,10 +16,18 @@
 		w.reachable, w.silent = true, false
 	}
 	r := w.runs[runKey{o.Task, o.Attempt}]
-	if r == nil || r.phase == running {
-		return
+	switch {
+	case r == nil && result == NoResponse:
+		p.openStarts.add(o.Task, openStart{worker: o.Worker, token: o.Token, until: now.Add(p.timing.LateCalls)})
+		w.raiseToken()
+		w.openStart(now.Add(p.timing.LateCalls))
+	case r == nil || r.phase == running:
+	case o.Token == r.token || result == Accepted || result == OtherIncarnation:
+		p.applyStartResult(w, r, result, now)
+	case result == NoResponse: // of an earlier copy than the last one
+		r.openUntil = Later(r.openUntil, now.Add(p.timing.LateCalls))
+		w.openStart(r.openUntil)
 	}
-	p.applyStartResult(w, r, result, now)
 }
 
 // applyClock applies the clock reading of an order's answer. A worker's clock starts
@@ -49,11 +57,11 @@
 		return
 	case OtherIncarnation:
 		r.copyOpen = false
-		p.addEvent(Event{Kind: OtherIncarnationAtAddress, Worker: w.info.ID}, now)
-		p.markSuperseded(w)
+		p.otherAtAddress(w, now)
 		return
 	case NoResponse:
 		r.markStartUnknown()
+		r.unansweredAt = now
 		w.raiseToken()
 		if repeated { // one call may get lost; a worker that answers neither is probably down
 			r.resentAt = now
@@ -111,8 +119,7 @@
 		return
 	}
 	if result == OtherIncarnation {
-		p.addEvent(Event{Kind: OtherIncarnationAtAddress, Worker: o.Worker}, now)
-		p.markSuperseded(w)
+		p.otherAtAddress(w, now)
 		return
 	}
 	if result == NoResponse {
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -17,6 +17,7 @@
 	p.wallTime = wall
 	p.sweepWorkers(now, &plan)
 	p.closeOpenStarts(now, &plan)
+	p.pollForOpenStarts(now, &plan)
 	p.removeEndedJobs(now)
 	p.settleFormerRuns(now, &plan)
 	p.chooseMachinesToEmpty(now, wall)
@@ -75,7 +76,7 @@
 		return
 	}
 	r.openUntil = Later(r.openUntil, p.copyOpenUntil(r))
-	r.worker.openStartUntil = Later(r.worker.openStartUntil, r.openUntil)
+	r.worker.openStart(r.openUntil)
 	r.resentAt = now
 	r.sent(p.callToken(r.worker))
 	p.counts.Repeats++
@@ -151,10 +152,18 @@
 			p.waitsForRoom(s, now)
 			return // the tasks of a step are alike: the others would not fit either
 		}
-		plan.Starts = append(plan.Starts, p.startOrder(p.start(t, w, t.attempt+1, t.checkpoint, now)))
+		plan.Starts = append(plan.Starts, p.startOrder(p.start(t, w, p.nextAttempt(t), t.checkpoint, now)))
 	}
 }
 
+// nextAttempt returns the number of the task's next attempt.
+func (p *Pool) nextAttempt(t *task) int {
+	if p.openStarts.attemptNotRun(t.id, t.attempt) {
+		return t.attempt
+	}
+	return t.attempt + 1
+}
+
 // planGang starts all tasks of a gang, or none. They share one attempt number and one
 // checkpoint.
 func (p *Pool) planGang(s *stage, now time.Time, plan *Plan) {
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -81,7 +81,7 @@
 	if w.incarnation != 0 && reply.Incarnation > w.incarnation {
 		p.addEvent(Event{Kind: NewIncarnationAnswered, Worker: reply.Worker, Number: w.ackableEnds, Incarnation: reply.Incarnation, FormerIncarnation: w.incarnation}, reply.ReceivedAt)
 		p.workerRestarted(w)
-		w.appliedEnds, w.ackableEnds, w.ackedEnds, w.endMarks, w.unsavedEnds, w.heldEnds = 0, 0, 0, nil, nil, nil
+		w.appliedEnds, w.ackableEnds, w.ackedEnds, w.endMarks, w.heldUpTo, w.unsavedEnds, w.heldEnds = 0, 0, 0, nil, 0, nil, nil
 		w.endsKnown, w.seenToken = false, 0
 		// A relay may keep a connection open over the restart. An order that was sent
 		// on it carries a deadline on the clock of the former incarnation.
@@ -212,8 +212,7 @@
 	requestedAt := w.polledAt
 	w.pollOver()
 	if result == OtherIncarnation {
-		p.addEvent(Event{Kind: OtherIncarnationAtAddress, Worker: id}, now)
-		p.markSuperseded(w)
+		p.otherAtAddress(w, now)
 		return
 	}
 	if w.lost {
@@ -229,6 +228,14 @@
 	w.block(now.Add(blockAfterFailure))
 }
 
+// otherAtAddress records that a worker with another ID answers at the worker's address. It
+// refuses all calls that name the former ID, so none of its open starts is carried out.
+func (p *Pool) otherAtAddress(w *worker, now time.Time) {
+	p.addEvent(Event{Kind: OtherIncarnationAtAddress, Worker: w.info.ID}, now)
+	p.markSuperseded(w)
+	p.openStarts.closeOver(func(s *openStart) bool { return s.worker == w.info.ID })
+}
+
 // markSuperseded records that the worker's incarnation has ended, because another
 // one runs at its address or on its machine. If the outcome of a poll is not known yet,
 // the worker's runs stay until then: its reply may list ends.
--- a/internal/scheduler/pool_worker_queries.go
+++ b/internal/scheduler/pool_worker_queries.go
@@ -6,7 +6,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w, ok := p.workers[id]
-	return ok && (w.appliedEnds > w.ackableEnds || len(w.heldEnds) > 0 || w.appliedEnds > w.ackedEnds && !w.openStartUntil.IsZero())
+	return ok && (w.appliedEnds > w.ackableEnds || len(w.heldEnds) > 0)
 }
 
 // HasWorker reports whether the pool has the worker.
--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -215,6 +215,7 @@
 		}
 		if !w.listed && now.After(w.expiresAt) && w.isOver() {
 			p.highestTokenStep = max(p.highestTokenStep, w.tokenStep)
+			p.openStarts.workerRemoved(id, p.lateLeaseUntil(w))
 			delete(p.workers, id)
 		}
 	}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -17,6 +17,7 @@
 	token          int64     // fencing token of the last copy of its start
 	copyOpen       bool      // that copy has no answer, and no reply has shown the run
 	openUntil      time.Time // until when an earlier copy may be carried out by a later incarnation; zero: there is none
+	unansweredAt   time.Time // when the time for an answer to that copy had passed; zero: it has not
 	absent         bool      // a reply has shown that no copy sent so far is or will be carried out by its incarnation
 	refused        bool      // the last copy was refused or not sent, and a reply has yet to show what became of the earlier ones
 	deadline       int64     // until which the worker accepts the start, on its clock, in milliseconds; 0: none
@@ -60,13 +61,15 @@
 // of its start was carried out: the last one, unless a later incarnation took an earlier one.
 func (r *run) seen(incarnation int64, t *Timing) {
 	if r.copyOpen && incarnation != r.incarnation && !r.openUntil.IsZero() {
-		r.openUntil = Later(r.openUntil, r.sentAt().Add(t.LateCalls))
+		r.openUntil = Later(r.openUntil, Later(r.sentAt(), r.unansweredAt).Add(t.LateCalls))
 	}
 	r.copyOpen, r.absent, r.refused = false, false, false
 }
 
 // sent records that a copy of the start is sent with the given fencing token.
-func (r *run) sent(token int64) { r.token, r.copyOpen, r.absent = token, true, false }
+func (r *run) sent(token int64) {
+	r.token, r.copyOpen, r.absent, r.unansweredAt = token, true, false, time.Time{}
+}
 
 // markStartUnknown records that the outcome of the start order is unknown.
 func (r *run) markStartUnknown() { r.phase, r.worker.mayNeedOrders = startUnknown, true }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -31,6 +31,7 @@
 	tokenStep         int64     // lowest bits of the fencing token of calls to it
 	seenToken         int64     // highest fencing token of a poll whose reply showed what its present incarnation runs
 	heldEnds          []heldEnd // in the order of their numbers
+	heldUpTo          int64     // ends up to this number are held or were
 	openStartUntil    time.Time // until when a later incarnation of it may carry out an open start; zero: there is none
 	runs              map[runKey]*run
 	mayNeedOrders     bool // some of runs may need a stop or a repeated start
