A delayed delete of a claim deletes no later claim of the machine

A pool would take a machine back whose move is on its way, and that move ends the tasks which started there (AVAIL).

Cause: the machine controller deleted a claimed offer, some seconds after the move or when the platform did not know the machine, on condition of its role alone. The store may carry out such a delete seconds after its response was lost; 3.3 s later the machine may have been offered and claimed again.

Evidence: two specs, which failed before: a delete without a response, repeated, then applied beside the next claim, deleted that. go test ./internal/poolmanager passes since.

Why it works: each delete of a claim expects the revision of the claim that the controller has read, as the delete of stale claims did already.

--- a/internal/poolmanager/fake_machines_test.go
+++ b/internal/poolmanager/fake_machines_test.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 
+	"persimmonbay/internal/problem"
 	"persimmonbay/internal/upkeep"
 )
 
 // fakeMachines accepts and records every order, and lists the machines in listed.
 type fakeMachines struct {
-	listed []upkeep.Machine
-	moved  []string
-	down   []string
+	listed  []upkeep.Machine
+	moved   []string
+	down    []string
+	unknown bool // moves are refused, as of machines that do not exist
+	mute    bool // moves get no response
 }
 
 var _ Machines = (*fakeMachines)(nil)
@@ -27,5 +30,11 @@
 // Move records the machine; tests order one at a time.
 func (f *fakeMachines) Move(_ context.Context, machine, _ string, _ MachineOrder) error {
 	f.moved = append(f.moved, machine)
+	switch {
+	case f.unknown:
+		return problem.New(problem.NotFound, problem.StepReboot, machine, "no such machine")
+	case f.mute:
+		return problem.New(problem.Timeout, problem.StepReboot, machine, "no response")
+	}
 	return nil
 }
--- a/internal/poolmanager/fake_store_test.go
+++ b/internal/poolmanager/fake_store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -17,7 +18,7 @@
 	mu         sync.Mutex
 	revision   int64
 	items      map[string]store.Item
-	loseNext   string      // the response to the next write of a key with this prefix is lost; empty: none is
+	loseNext   string      // the response to the next write or delete of a key with this prefix is lost; empty: none is
 	delayed    []store.Txn // without a response, not applied yet
 	muteNext   string      // the next write of a key with this prefix gets no response until its caller gives up; empty: none does
 	renewals   int         // received
@@ -32,7 +33,6 @@
 
 func newFakeStore() *fakeStore { return &fakeStore{revision: 1, items: map[string]store.Item{}} }
 
-// loseNextResponse loses the response to the next write of a key with the prefix.
 // failPages makes all reads of pages under prefix fail; none if it is empty.
 func (s *fakeStore) failPages(prefix string) {
 	s.mu.Lock()
@@ -40,7 +40,8 @@
 	s.failPrefix = prefix
 }
 
-// applyDelayed applies the write.
+// loseNextResponse loses the response to the next write or delete of a key with the
+// prefix. applyDelayed applies the transaction.
 func (s *fakeStore) loseNextResponse(prefix string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -83,13 +84,14 @@
 	}
 }
 
+// writesPrefix reports whether the transaction writes or deletes a key with the prefix.
 func (s *fakeStore) writesPrefix(txn *store.Txn, prefix string) bool {
 	for _, w := range txn.Writes {
 		if strings.HasPrefix(w.Key, prefix) {
 			return true
 		}
 	}
-	return false
+	return slices.ContainsFunc(txn.Deletes, func(key string) bool { return strings.HasPrefix(key, prefix) })
 }
 
 // mute reports whether the transaction is to get no response.
--- a/internal/poolmanager/machine_controller_lend.go
+++ b/internal/poolmanager/machine_controller_lend.go
@@ -98,11 +98,11 @@
 			continue
 		}
 		transit.joined = true
-		if now.Sub(transit.ordered) < c.timing.ControllerPause || txn.Entries() == store.MaxTxnEntries-1 {
+		if now.Sub(transit.ordered) < c.timing.ControllerPause || len(txn.Deletes) == maxClaimsPerTxn {
 			continue
 		}
 		if view.revisions[id] != 0 {
-			txn.Deletes = append(txn.Deletes, poolstore.OfferKey(id))
+			view.deleteClaim(&txn, id)
 		}
 		delete(c.inTransit, id)
 	}
--- a/internal/poolmanager/machine_controller_move.go
+++ b/internal/poolmanager/machine_controller_move.go
@@ -7,7 +7,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"persimmonbay/internal/lending"
-	"persimmonbay/internal/poolstore"
 	"persimmonbay/internal/problem"
 	"persimmonbay/internal/store"
 	"persimmonbay/internal/telemetry"
@@ -60,7 +59,10 @@
 	if !problem.Is(err, problem.NotFound) {
 		return
 	}
-	if _, err := c.commitAsOwner(ctx, store.Txn{Deletes: []string{poolstore.OfferKey(m.Machine)}}); err != nil {
+	var txn store.Txn
+	view := c.reports.Get()
+	view.deleteClaim(&txn, m.Machine)
+	if _, err := c.commitAsOwner(ctx, txn); err != nil {
 		c.log.Info("offer of a machine unknown to the platform not deleted, trying again with the next step", telemetry.ProblemFields(err)...)
 	}
 }
--- a/internal/poolmanager/machine_controller_stale.go
+++ b/internal/poolmanager/machine_controller_stale.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"persimmonbay/internal/lending"
-	"persimmonbay/internal/poolstore"
 	"persimmonbay/internal/store"
 	"persimmonbay/internal/upkeep"
 )
@@ -24,9 +23,7 @@
 		if !listed || !isStaleClaim(offer, &m) || len(txn.Deletes) == maxClaimsPerTxn {
 			continue
 		}
-		key := poolstore.OfferKey(id)
-		txn.Expected = append(txn.Expected, store.Expectation{Key: key, Revision: view.revisions[id]})
-		txn.Deletes = append(txn.Deletes, key)
+		view.deleteClaim(&txn, id)
 	}
 	if len(txn.Deletes) == 0 {
 		return nil
--- a/internal/poolmanager/report_view.go
+++ b/internal/poolmanager/report_view.go
@@ -67,3 +67,11 @@
 	}
 	return err
 }
+
+// deleteClaim adds the delete of a machine's claimed offer to txn, on condition that it is
+// the one in the view: a copy that is applied late deletes no later offer.
+func (v *reportView) deleteClaim(txn *store.Txn, machine string) {
+	key := poolstore.OfferKey(machine)
+	txn.Expected = append(txn.Expected, store.Expectation{Key: key, Revision: v.revisions[machine]})
+	txn.Deletes = append(txn.Deletes, key)
+}
