A claim that is applied late moves no machine whose upkeep is not over

A long-running task ends on a machine that has just joined its pool, beside others of its step that are away (AVAIL).

Cause: the claim of a machine on standby gets no response, its upkeep is ordered in the same step and gets no answer either, and the store applies the claim later. The controller then ordered the move of each claimed machine that was listed as up, whatever order of it was still without an answer. The upkeep is carried out once the machine works in its next pool, which was never asked to empty it.

Evidence: a spec, which failed before. go test ./internal/poolmanager passes.

Why it works: an upkeep counts as ordered until the platform has confirmed it and the machine is back.

--- a/internal/poolmanager/machine_controller_late_claim_test.go
+++ b/internal/poolmanager/machine_controller_late_claim_test.go
@@ -76,4 +76,21 @@
 		s.store.applyDelayed()
 		Expect(s.store.has(key)).To(BeTrue())
 	})
+
+	// A delayed claim moved a machine whose upkeep had got no answer: the upkeep was carried
+	// out in the next pool and ended the tasks there (AVAIL).
+	It("orders no move of a delayed claim while the upkeep of the machine is not over", func() {
+		c.waves.Update(func(v waveView) (waveView, bool) {
+			return v.with("wave", upkeep.Wave{Number: 3, Machines: []string{"m-a"}}), true
+		})
+		p, err := c.loadProgress(ctx, 3)
+		Expect(err).NotTo(HaveOccurred())
+		p.Ordered["m-a"] = ""
+		put("spare", sceneService)
+		Expect(lend("spare")).To(Succeed())
+		Expect(s.machines.moved).To(BeEmpty())
+		p.Done["m-a"] = true
+		Expect(lend("spare")).To(Succeed())
+		Expect(s.machines.moved).To(Equal([]string{"m-a"}))
+	})
 })
--- a/internal/poolmanager/machine_controller_lend.go
+++ b/internal/poolmanager/machine_controller_lend.go
@@ -126,7 +126,7 @@
 				c.inTransit[id] = &inTransit{target: offer.Target, ordered: c.Clock.Now()}
 			}
 		case isStaleClaim(offer, &m):
-		case m.State == upkeep.Up && !recent[id]:
+		case m.State == upkeep.Up && !recent[id] && !c.upkeepOrdered(id):
 			moves = append(moves, lending.Move{Machine: id, Target: offer.Target})
 		}
 	}
@@ -201,6 +201,18 @@
 	return pending
 }
 
+// upkeepOrdered reports whether the machine's upkeep in a wave was ordered and is not known
+// to be over. An order without an answer may be carried out at any time until then.
+func (c *machineController) upkeepOrdered(machine string) bool {
+	for _, w := range c.waves.Get().waves {
+		p := c.progress[w.Number]
+		if _, ordered := p.Ordered[machine]; ordered && !p.Done[machine] {
+			return true
+		}
+	}
+	return false
+}
+
 // upkeepDeferrable returns the machines on standby whose upkeep can wait: the wave
 // leaves enough time to empty them again after a pool has used them.
 func (c *machineController) upkeepDeferrable(machines map[string]upkeep.Machine) map[string]bool {
