A machine whose move got no answer is not moved on while that may still be carried out

A machine leaves the pool that it works in, with all tasks there, for one that it was in before (AVAIL, work that is done again).

Cause: a move that got no answer is sent again until the platform lists the machine in its new pool. 3.3 s later its claim was deleted, and the machine could be offered, claimed and moved on. A first copy that is carried out after that takes it back: it has the same fencing token, so that the platform can't refuse it.

Evidence: two specs, which failed before. go test ./internal/poolmanager passes.

Why it works: the claim stays for 15 s after the last copy without an answer, and no pool can offer a machine that is claimed. The pool that has the machine uses it meanwhile; what it costs is that the pool can't give that machine back, and that offers in the same write wait with it. A next machine controller has a higher fencing token, which a late copy of the earlier one is below once it has ordered the machine.

--- a/internal/poolmanager/machine_controller.go
+++ b/internal/poolmanager/machine_controller.go
@@ -24,6 +24,7 @@
 	reportedDone    map[int64]bool            // waves whose completion is written for operators
 	reportedStarted map[int64]bool            // waves whose start is written for operators
 	inTransit       map[string]*inTransit     // by machine
+	unanswered      map[string]time.Time      // by machine: when the last move got no answer that may still be carried out
 	recalls         map[string]int            // by pool, as last stored by this entry
 	reports         *shard.Cell[reportView]
 }
@@ -31,7 +32,7 @@
 func newMachineController(o *poolOwnership) *machineController {
 	return &machineController{
 		poolOwnership: o, since: o.Clock.Now(), progress: map[int64]upkeep.Progress{}, reportedDone: map[int64]bool{}, reportedStarted: map[int64]bool{},
-		inTransit: map[string]*inTransit{}, recalls: map[string]int{}, reports: shard.NewCell(newReportView()),
+		inTransit: map[string]*inTransit{}, unanswered: map[string]time.Time{}, recalls: map[string]int{}, reports: shard.NewCell(newReportView()),
 	}
 }
 
--- a/internal/poolmanager/machine_controller_late_claim_test.go
+++ b/internal/poolmanager/machine_controller_late_claim_test.go
@@ -93,4 +93,30 @@
 		Expect(lend("spare")).To(Succeed())
 		Expect(s.machines.moved).To(Equal([]string{"m-a"}))
 	})
+
+	// The first copy of a move got no answer and was carried out after the next move of the
+	// machine: it took the machine away from its next pool and ended the tasks there (AVAIL).
+	It("keeps the claim of a move that got no answer while that may still be carried out", func() {
+		put("spare", sceneService)
+		s.machines.mute = true
+		Expect(lend("spare")).To(Succeed())
+		s.machines.mute = false
+		Expect(lend("spare")).To(Succeed())
+		Expect(lendFor(sceneService, 12*time.Second)).To(Succeed())
+		Expect(s.store.has(key)).To(BeTrue())
+		Expect(lendFor(sceneService, 4*time.Second)).To(Succeed())
+		Expect(s.store.has(key)).To(BeFalse())
+	})
+
+	// The same, where the list of machines shows that the first copy was carried out: another
+	// one may have been sent before that, and is still on its way.
+	It("keeps the claim of a move that got no answer, whether or not it was repeated", func() {
+		put("spare", sceneService)
+		s.machines.mute = true
+		Expect(lend("spare")).To(Succeed())
+		Expect(lendFor(sceneService, 12*time.Second)).To(Succeed())
+		Expect(s.store.has(key)).To(BeTrue())
+		Expect(lendFor(sceneService, 4*time.Second)).To(Succeed())
+		Expect(s.store.has(key)).To(BeFalse())
+	})
 })
--- a/internal/poolmanager/machine_controller_lend.go
+++ b/internal/poolmanager/machine_controller_lend.go
@@ -84,7 +84,8 @@
 
 // updateInTransit records which machines have arrived in their new pool. It deletes a
 // machine's offer once ControllerPause has passed since the order, as a next machine
-// controller need not know of the order then.
+// controller need not know of the order then, and no copy of the order may be carried out
+// any more: until then, the machine cannot be offered again.
 func (c *machineController) updateInTransit(ctx context.Context, machines map[string]upkeep.Machine, view reportView) error {
 	now := c.Clock.Now()
 	var txn store.Txn
@@ -98,7 +99,7 @@
 			continue
 		}
 		transit.joined = true
-		if now.Sub(transit.ordered) < c.timing.ControllerPause || len(txn.Deletes) == maxClaimsPerTxn {
+		if now.Sub(transit.ordered) < c.timing.ControllerPause || c.mayMoveLate(id) || len(txn.Deletes) == maxClaimsPerTxn {
 			continue
 		}
 		if view.revisions[id] != 0 {
--- a/internal/poolmanager/machine_controller_move.go
+++ b/internal/poolmanager/machine_controller_move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -56,6 +57,9 @@
 		return
 	}
 	c.log.Info("order to move a machine failed", append(telemetry.ProblemFields(err), zap.String("machine", m.Machine))...)
+	if store.OutcomeUnknown(err) {
+		c.unanswered[m.Machine] = c.Clock.Now()
+	}
 	if !problem.Is(err, problem.NotFound) {
 		return
 	}
@@ -66,3 +70,18 @@
 		c.log.Info("offer of a machine unknown to the platform not deleted, trying again with the next step", telemetry.ProblemFields(err)...)
 	}
 }
+
+// mayMoveLate reports whether a move of the machine that got no answer may still be carried
+// out.
+func (c *machineController) mayMoveLate(machine string) bool {
+	at, found := c.unanswered[machine]
+	if found && c.Clock.Now().Sub(at) < maxOrderDelay {
+		return true
+	}
+	delete(c.unanswered, machine)
+	return false
+}
+
+// maxOrderDelay is how long after an order without an answer the platform may still carry
+// it out: a call may be executed seconds later (the platform's protocol).
+const maxOrderDelay = 15 * time.Second
