A throttle that is not in force at the worker is ordered again

A best-effort task works at half of its speed for good, or goes on beside a serving task that is over its target (HARM).

Cause: the owner decided by the share that it had ordered last and never read the one that the worker reports. A throttle without an answer may be carried out seconds later, after a newer one, or never. At full speed, or at zero, there was no further order to correct it.

Why it works: once a poll that was sent 0.6 s or more after the order shows another share, the last order is sent again, at most each 0.6 s. Only runs that this owner has throttled are compared: an earlier owner's orders carry a lower fencing token.

--- a/internal/scheduler/pool_throttle.go
+++ b/internal/scheduler/pool_throttle.go
@@ -43,7 +43,7 @@
 	case targetShare < minTargetShare && r.orderedPercent < fullSpeedPercent:
 		want = min(fullSpeedPercent, r.orderedPercent+throttleStepPercent)
 	}
-	if want == r.orderedPercent || now.Before(r.throttledAt.Add(minThrottleInterval)) {
+	if want == r.orderedPercent && !r.throttleReplaced() || now.Before(r.throttledAt.Add(minThrottleInterval)) {
 		return
 	}
 	r.orderedPercent, r.throttledAt = want, now
@@ -53,6 +53,13 @@
 	})
 }
 
+// throttleReplaced reports whether the worker shows another share than the last one
+// ordered, which has had time to take effect: that order was lost, or an earlier one
+// without an answer was carried out after it.
+func (r *run) throttleReplaced() bool {
+	return !r.throttledAt.IsZero() && r.percent != r.orderedPercent && r.reportedAt.After(r.throttledAt.Add(minThrottleInterval))
+}
+
 const (
 	// maxTargetShare and minTargetShare bound the range in which the ratio of tail
 	// latency to target should stay: best-effort runs are slowed down above it, and sped
