The answer to a stop counts only for the incarnation that was known when it was ordered

A cancelled task runs on (UNASKED), or a task runs twice (TWICE), after a worker has started again while its owner was slow to read an answer.

Cause: the answer to a stop was applied to whatever incarnation its worker had by then. A confirmation by the former one counted as one by the present one, which then got no stop of its own and would run a copy of the start that is carried out late. The refusal of another worker at the former address gave up the present incarnation with all its runs.

Why it works: a stop names the incarnation that was known when it was ordered, and its answer is ignored once that has changed. The stop is ordered again for the present one. It is still carried out by any incarnation: that only makes a late start of the same attempt be refused there.

--- a/internal/scheduler/pool_order_results.go
+++ b/internal/scheduler/pool_order_results.go
@@ -100,12 +100,13 @@
 	}
 }
 
-// StopAnswered applies the result of a stop order.
+// StopAnswered applies the result of a stop order. One that was ordered before the worker's
+// present incarnation was known says nothing of that incarnation.
 func (p *Pool) StopAnswered(o StopOrder, result OrderResult, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w, ok := p.workers[o.Worker]
-	if !ok {
+	if !ok || o.Incarnation != w.incarnation {
 		return
 	}
 	if result == OtherIncarnation {
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -62,7 +62,9 @@
 	}
 	r.stopSentAt = now
 	p.counts.Stops++
-	plan.Stops = append(plan.Stops, StopOrder{Worker: r.worker.info.ID, Address: r.worker.info.Address, Task: r.id, Attempt: r.attempt, Token: p.token})
+	plan.Stops = append(plan.Stops, StopOrder{
+		Worker: r.worker.info.ID, Address: r.worker.info.Address, Task: r.id, Attempt: r.attempt, Token: p.token, Incarnation: r.worker.incarnation,
+	})
 }
 
 func (p *Pool) planRepeat(r *run, now time.Time, plan *Plan) {
--- a/internal/scheduler/stop_order.go
+++ b/internal/scheduler/stop_order.go
@@ -7,4 +7,7 @@
 	Task    TaskID
 	Attempt int
 	Token   int64 // fencing token
+	// Incarnation is the worker's incarnation that was known when the stop was ordered: the
+	// start of its process, Unix time in milliseconds; 0: none. Any may carry the stop out.
+	Incarnation int64
 }
