A new machine controller pauses for machines whose upkeep the last one repeated

Two controllers that are in touch order one machine in turn within the lease (ONE).

Cause: an upkeep that gets no answer is sent again in each step, but only the time of the first order is stored. A controller that took the role over more than 6.6 s after that, as at a hand-over, took the machine as left alone and ordered it at once.

Evidence: a spec, which failed before. go test ./internal/poolmanager passes.

Why it works: for the first 3.3 s, each machine whose upkeep was ordered by an earlier controller and is not stored as over counts as ordered just now. It counts as down all the while, as before.

--- a/internal/poolmanager/machine_controller_claims_test.go
+++ b/internal/poolmanager/machine_controller_claims_test.go
@@ -74,4 +74,20 @@
 		Expect(c.stepWave(ctx, wave(4), back)).NotTo(Succeed())
 		Expect(s.machines.down).To(BeEmpty())
 	})
+
+	// Two machine controllers ordered the same machine in turn (invariant ONE): the earlier
+	// one had ordered its upkeep long before, and repeated the order until it handed over.
+	It("orders no machine whose upkeep the last one may have ordered again just now", func() {
+		ctx := context.Background()
+		addRequest("m-a", s.store.put(poolstore.EmptyRequestKey("m-a"), nil, 0))
+		p, err := c.loadProgress(ctx, 3)
+		Expect(err).NotTo(HaveOccurred())
+		p.Ordered["m-a"], p.OrderedAt["m-a"] = "a2", s.clock.Now().Add(-20*time.Second)
+		up := map[string]upkeep.Machine{"m-a": {ID: "m-a", Pool: sceneService, State: upkeep.Up, Worker: "a2"}}
+		Expect(c.stepWave(ctx, wave(3), up)).To(Succeed())
+		Expect(s.machines.down).To(BeEmpty())
+		s.clock.Advance(s.manager.timing.ControllerPause)
+		Expect(c.stepWave(ctx, wave(3), up)).To(Succeed())
+		Expect(s.machines.down).To(Equal([]string{"m-a"}))
+	})
 })
--- a/internal/poolmanager/machine_controller_recent.go
+++ b/internal/poolmanager/machine_controller_recent.go
@@ -23,10 +23,11 @@
 		}
 	}
 	for _, p := range c.progress {
-		for m, at := range p.OrderedAt {
+		for m := range p.Ordered {
 			// The clock of the earlier machine controller may differ: a time in
-			// the future counts as recent.
-			if at.Before(c.since) && c.since.Sub(at) < 2*c.timing.ControllerPause || at.After(c.Clock.Now()) {
+			// the future counts as recent. It repeats an order until that is confirmed.
+			at := p.OrderedAt[m]
+			if at.Before(c.since) && (!p.Done[m] || c.since.Sub(at) < 2*c.timing.ControllerPause) || at.After(c.Clock.Now()) {
 				recent[m] = true
 			}
 		}
