Specs on upkeeps without an answer: the cap of a wave, and the request to empty the machine

Nothing was found to mend here: an upkeep counts as down, and its machine stays empty, from before its first copy is sent until the platform has confirmed one and lists the machine as back. A copy that is carried out later finds the upkeep of that wave done, which the platform answers with success.

--- a/internal/poolmanager/fake_machines_test.go
+++ b/internal/poolmanager/fake_machines_test.go
@@ -13,7 +13,7 @@
 	moved   []string
 	down    []string
 	unknown bool // moves are refused, as of machines that do not exist
-	mute    bool // moves get no response
+	mute    bool // orders get no response
 }
 
 var _ Machines = (*fakeMachines)(nil)
@@ -24,6 +24,9 @@
 // Upkeep records the machine; tests order one at a time.
 func (f *fakeMachines) Upkeep(_ context.Context, machine string, _ int64, _ MachineOrder) error {
 	f.down = append(f.down, machine)
+	if f.mute {
+		return errNoResponse(machine)
+	}
 	return nil
 }
 
@@ -34,7 +37,11 @@
 	case f.unknown:
 		return problem.New(problem.NotFound, problem.StepReboot, machine, "no such machine")
 	case f.mute:
-		return problem.New(problem.Timeout, problem.StepReboot, machine, "no response")
+		return errNoResponse(machine)
 	}
 	return nil
 }
+
+func errNoResponse(machine string) error {
+	return problem.New(problem.Timeout, problem.StepReboot, machine, "no response")
+}
