A cancelled job that is not stored is barred under every service

A caller cancels a job, is told that there is none (410), and the job runs later (UNASKED).

Cause: the cancellation is stored under the queue's present service. The write that accepts the job, which the store may carry out seconds later, is conditional on the absence of the job under the services that its entry knew: with an older configuration the present service may not be among them.

Evidence: a spec, which failed before: the write of an entry with the older configuration was accepted. go test ./internal/intake passes.

--- a/internal/intake/barred_job_test.go
+++ b/internal/intake/barred_job_test.go
@@ -48,4 +48,24 @@
 		Expect(problem.KindOf(in.Cancel(ctx, "tags", "j"))).To(Equal(problem.NotFound))
 		Expect(problem.KindOf(in.Submit(ctx, sub))).To(Equal(problem.Unavailable))
 	})
+
+	// The same failure where the queue has moved to a service that the entry with that write
+	// does not know yet: its write was conditional on the absence of the job elsewhere only.
+	It("is not stored by that write under the service that the queue has left", func() {
+		pools := func(version int64, services ...string) *poolconfig.Configuration {
+			c := &poolconfig.Configuration{Version: version}
+			for _, service := range services {
+				c.Pools = append(c.Pools, poolconfig.Pool{Service: service})
+			}
+			return c
+		}
+		older, newer := poolconfig.NewInForce(), poolconfig.NewInForce()
+		older.Put(pools(1, "tags", "other"))
+		newer.Put(pools(2, "tags", "other", "fresh"))
+		in = intake.New(s, newer, noOwners{}, clockwork.NewRealClock(), zap.NewNop())
+		Expect(problem.KindOf(in.Cancel(ctx, "fresh", "j"))).To(Equal(problem.NotFound))
+		in = intake.New(s, older, noOwners{}, clockwork.NewRealClock(), zap.NewNop())
+		Expect(problem.KindOf(in.Submit(ctx, sub))).To(Equal(problem.Unavailable))
+		Expect(s.items).NotTo(HaveKey(poolstore.JobKey("tags", "j")))
+	})
 })
--- a/internal/intake/cancel.go
+++ b/internal/intake/cancel.go
@@ -57,16 +57,28 @@
 }
 
 // bar stores that a job which is not stored was cancelled. A write that accepts the job
-// and is carried out later is conditional on the absence of this key.
+// and is carried out later is conditional on the absence of one of the keys: its entry may
+// have an older configuration, by which the queue belongs to another service.
 func (in *Intake) bar(ctx context.Context, service, id string) error {
 	state, err := poolstore.EncodeState(&poolstore.JobProgress{Progress: scheduler.Progress{State: scheduler.Cancelled}, EndedAt: in.clock.Now(), Barred: true})
 	if err != nil {
 		return err
 	}
-	key := poolstore.StateKey(service, id)
-	_, err = in.store.Commit(ctx, store.Txn{Expected: []store.Expectation{{Key: key}}, Writes: []store.Write{{Key: key, Value: state}}})
-	if err != nil {
+	var txn store.Txn
+	for _, s := range in.servicesFrom(service) {
+		if len(txn.Writes) == maxBarredServices {
+			break
+		}
+		key := poolstore.StateKey(s, id)
+		txn.Expected = append(txn.Expected, store.Expectation{Key: key})
+		txn.Writes = append(txn.Writes, store.Write{Key: key, Value: state})
+	}
+	if _, err = in.store.Commit(ctx, txn); err != nil {
 		return problem.Wrap(problem.KindOf(err), problem.StepStoreWrite, id, err)
 	}
 	return nil
 }
+
+// maxBarredServices is under how many services one transaction bars a job: each takes a
+// condition and a write.
+const maxBarredServices = store.MaxTxnEntries / 2
