--- a/internal/poolmanager/machine_controller_lend.go
+++ b/internal/poolmanager/machine_controller_lend.go
@@ -84,7 +84,8 @@
 
 // updateInTransit records which machines have arrived in their new pool. It deletes a
 // machine's offer once ControllerPause has passed since the order, as a next machine
-// controller need not know of the order then.
+// controller need not know of the order then, and no copy of the order may be carried out
+// any more: until then, the machine cannot be offered again.
 func (c *machineController) updateInTransit(ctx context.Context, machines map[string]upkeep.Machine, view reportView) error {
 	now := c.Clock.Now()
 	var txn store.Txn
@@ -98,11 +99,11 @@
 			continue
 		}
 		transit.joined = true
-		if now.Sub(transit.ordered) < c.timing.ControllerPause || txn.Entries() == store.MaxTxnEntries-1 {
+		if now.Sub(transit.ordered) < c.timing.ControllerPause || c.mayMoveLate(id) || len(txn.Deletes) == maxClaimsPerTxn {
 			continue
 		}
 		if view.revisions[id] != 0 {
-			txn.Deletes = append(txn.Deletes, poolstore.OfferKey(id))
+			view.deleteClaim(&txn, id)
 		}
 		delete(c.inTransit, id)
 	}
@@ -126,7 +127,7 @@
 				c.inTransit[id] = &inTransit{target: offer.Target, ordered: c.Clock.Now()}
 			}
 		case isStaleClaim(offer, &m):
-		case m.State == upkeep.Up && !recent[id]:
+		case m.State == upkeep.Up && !recent[id] && !c.upkeepOrdered(id):
 			moves = append(moves, lending.Move{Machine: id, Target: offer.Target})
 		}
 	}
@@ -201,6 +202,18 @@
 	return pending
 }
 
+// upkeepOrdered reports whether the machine's upkeep in a wave was ordered and is not known
+// to be over. An order without an answer may be carried out at any time until then.
+func (c *machineController) upkeepOrdered(machine string) bool {
+	for _, w := range c.waves.Get().waves {
+		p := c.progress[w.Number]
+		if _, ordered := p.Ordered[machine]; ordered && !p.Done[machine] {
+			return true
+		}
+	}
+	return false
+}
+
 // upkeepDeferrable returns the machines on standby whose upkeep can wait: the wave
 // leaves enough time to empty them again after a pool has used them.
 func (c *machineController) upkeepDeferrable(machines map[string]upkeep.Machine) map[string]bool {
