A refusal by another worker counts only for the incarnation that it was for

Cause: a start or a poll that another worker at the address refused (421) gave up the worker's present incarnation, also where the call had gone to the address or incarnation before it: its tasks started a second time elsewhere, or it was never polled again.

Change: such a refusal counts only if the call was for the worker's present address and incarnation. A spec on events polls the worker before its poll fails, as a poller does.

--- a/internal/scheduler/pool_order_results.go
+++ b/internal/scheduler/pool_order_results.go
@@ -15,6 +15,9 @@
 		p.applyClock(w, clock, &o, now)
 		w.reachable, w.silent = true, false
 	}
+	if result == OtherIncarnation && !w.isPresent(o.Address, o.Incarnation) {
+		result = Superseded // it says nothing of the present incarnation
+	}
 	r := w.runs[runKey{o.Task, o.Attempt}]
 	switch {
 	case r == nil && result == NoResponse:
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -16,7 +16,7 @@
 	if !ok || !w.needsPoll() || !w.listed && now.After(w.expiresAt) {
 		return PollRequest{}, false
 	}
-	w.polledAt = now
+	w.polledAt, w.polledAddress, w.polledIncarnation = now, w.info.Address, w.incarnation
 	req := PollRequest{Worker: id, Address: w.info.Address, Token: p.callToken(w), Incarnation: w.incarnation, Timeout: p.replyTimeout(w)}
 	if ackable := w.ackable(now); ackable > w.ackedEnds && w.mayAckEnds(now) {
 		req.AckedEnds, w.ackedIncarnation = ackable, w.incarnation
@@ -211,7 +211,7 @@
 	}
 	requestedAt := w.polledAt
 	w.pollOver()
-	if result == OtherIncarnation {
+	if result == OtherIncarnation && w.isPresent(w.polledAddress, w.polledIncarnation) {
 		p.otherAtAddress(w, now)
 		return
 	}
@@ -219,8 +219,8 @@
 		p.incarnationEnded(w)
 		return
 	}
-	if result == Superseded {
-		return // the worker answers, and the next poll has the token that it has seen
+	if result == Superseded || result == OtherIncarnation {
+		return // it says nothing of the present incarnation, or the next poll has the token that this one has seen
 	}
 	w.raiseToken()
 	w.reachable, w.silent, w.pollSentAt = false, true, time.Time{}
--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -60,7 +60,7 @@
 		p.workerRestarted(w)
 		next := newWorker(info)
 		next.emptying, next.offered, next.listedAt, next.runs, next.used, next.unknownRuns = w.emptying, w.offered, now, w.runs, w.used, w.unknownRuns
-		next.polledAt, next.pollInterrupted = w.polledAt, w.pollInterrupted
+		next.polledAt, next.pollInterrupted, next.polledAddress, next.polledIncarnation = w.polledAt, w.pollInterrupted, w.polledAddress, w.polledIncarnation
 		next.formerIncarnation = w.incarnation
 		next.tokenStep, next.openStartUntil, next.leaseSentAt = w.tokenStep, w.openStartUntil, w.leaseSentAt
 		next.expiresAt = Later(w.expiresAt, now.Add(p.timing.longest()))
--- a/internal/scheduler/run_events_test.go
+++ b/internal/scheduler/run_events_test.go
@@ -101,6 +101,8 @@
 
 	It("show a run whose incarnation is over, and the listed incarnation", func() {
 		s, o := started()
+		_, due := s.pool.NextPoll("a", s.now)
+		Expect(due).To(BeTrue())
 		s.pool.PollFailed("a", scheduler.OtherIncarnation, s.now)
 		e := only(taken(s, scheduler.RunGivenUp))
 		Expect(e).To(SatisfyAll(HaveField("Task", o.Task), HaveField("Outcome", scheduler.IncarnationOver)))
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -27,6 +27,8 @@
 	polledAt          time.Time // when the poll was requested whose outcome is not known yet; zero: there is none
 	unanswered        int       // polls that waited and got no reply, since the last quick one
 	refusals          int       // polls in a row that failed without a wait
+	polledAddress     string    // the address of that poll
+	polledIncarnation int64     // the incarnation that it was for; 0: not known
 	pollInterrupted   bool      // a plan has asked to end that poll, because the worker is lost
 	tokenStep         int64     // lowest bits of the fencing token of calls to it
 	seenToken         int64     // highest fencing token of a poll whose reply showed what its present incarnation runs
@@ -59,6 +61,12 @@
 // free returns the capacity that no run reserves.
 func (w *worker) free() Resources { return w.info.Capacity.Minus(w.used) }
 
+// isPresent reports whether a call to the given address and incarnation was for the present
+// incarnation, as far as it is known.
+func (w *worker) isPresent(address string, incarnation int64) bool {
+	return address == w.info.Address && incarnation == w.incarnation
+}
+
 // usable reports whether new tasks may start there at now.
 func (w *worker) usable(now time.Time) bool {
 	return w.listed && !w.info.Draining && !w.vacating() && !w.lost && w.fenced && w.reachable && w.rostered && w.unknownRuns == 0 &&
