The next owner waits for the longest lease on workers that do not answer it

Cause: a connection that outlives the restart of a worker, as through a relay, carries a start with a deadline on the former clock to the present incarnation, which grants its longest lease (6 s). The owner learns that from the clock in the answer, but the next one waited for the usual lease (about 4.5 s).

Change: it waits for the longest one, whatever the former owner knew.

--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -71,7 +71,7 @@
 	if !roster.Released || !roster.Quiet {
 		p.formerOrdersEndAt = now.Add(timing.FormerOwnerLease)
 	}
-	p.formerRunsEndAt = p.formerOrdersEndAt.Add(timing.granted())
+	p.formerRunsEndAt = p.formerOrdersEndAt.Add(timing.longest())
 	for i := range roster.Workers {
 		p.awaited[roster.Workers[i].ID] = newAwaitedWorker(&roster.Workers[i])
 	}
