--- a/internal/scheduler/open_start_acks_test.go
+++ b/internal/scheduler/open_start_acks_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"math/rand"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -110,6 +111,46 @@
 		s.poll("a", nil)
 		Expect(s.plan().Starts).To(BeEmpty(), "the third copy may still be carried out by the next incarnation")
 	})
+
+	// Both calls are lost as the worker is cut off and restarts. Its next incarnation carries
+	// out the start, ends the run, and then the poll, which drops that end (TWICE).
+	It("leaves no end unread that a poll drops which left beside the start and is late too", func() {
+		s := newScene(worker("a"))
+		s.add(batchJob("k", 1))
+		s.poll("a", nil, endReport(only(s.startAll()), scheduler.EndDone))
+		s.save(300)
+		s.add(batchJob("j", 1))
+		first := only(s.plan().Starts)
+		s.advance(time.Millisecond)
+		acks, due := s.pool.NextPoll("a", s.now)
+		Expect(due).To(BeTrue())
+		s.advance(timing.StartTimeout)
+		s.pool.StartAnswered(first, scheduler.NoResponse, 0, s.now)
+		s.advance(timing.OrderTimeout)
+		s.pool.PollFailed("a", scheduler.NoResponse, s.now)
+
+		noted := 0
+		restarted := newSimWorker(worker("a"), s.now, map[scheduler.TaskID]int{}, func(scheduler.EndReport) { noted++ })
+		random := rand.New(rand.NewSource(1))
+		Expect(restarted.start(first, s.now, random)).To(Equal(scheduler.Accepted))
+		r := restarted.running[first.Task]
+		r.fails = false
+		restarted.running[first.Task] = r
+		s.advance(2 * time.Second)
+		_, result := restarted.poll(acks, s.now, s.now)
+		Expect(result).To(Equal(scheduler.Accepted))
+		if noted == 0 {
+			return
+		}
+		req, due := s.pool.NextPoll("a", s.now)
+		Expect(due).To(BeTrue())
+		reply, result := restarted.poll(req, s.now, s.now.Add(time.Millisecond))
+		Expect(result).To(Equal(scheduler.Accepted))
+		Expect(reply.Ends).To(BeEmpty())
+		s.pool.ApplyPoll(reply)
+		s.advance(time.Second)
+		Expect(s.plan().Starts).To(BeEmpty(), "the task has ended as done, and that was taken note of")
+	})
 })
 
 // drained returns the entry of a worker that drains.
