Open starts are over where the worker has left its machine; what the review's end found

Cause: a task with an open start may start on one worker only.

Change: the platform's list of machines ends such open starts: of a machine that is in another pool, on the way to one, in maintenance or runs another worker. LateCalls is 12.25 s, as calls are carried out up to 12 s late. A worker on whose machine a later one has answered is replaced as well.

--- a/internal/jobentry/timing.go
+++ b/internal/jobentry/timing.go
@@ -28,7 +28,7 @@
 	ownerGap            = 1500 * time.Millisecond // from the end of a lost owner's lease to the next owner's polls
 	firstSuspension     = time.Second
 	maxSuspension       = 8 * time.Second
-	lateCalls           = 13 * time.Second // the platform's workers carry out a call without an answer up to 12 s late
+	lateCalls           = 12250 * time.Millisecond // the platform's workers carry out a call without an answer up to 12 s late
 	pauseMargin         = 300 * time.Millisecond
 )
 
--- a/internal/poolmanager/ownership_machine_workers.go
+++ b/internal/poolmanager/ownership_machine_workers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"persimmonbay/internal/telemetry"
+	"persimmonbay/internal/upkeep"
 )
 
 // machineListInterval is how often the platform's list of machines is read while some
@@ -28,10 +29,15 @@
 			continue
 		}
 		workers := make(map[string]string, len(machines))
+		reassigned := make(map[string]bool)
 		for _, m := range machines {
 			workers[m.ID] = m.Worker
+			if m.Pool != o.service || m.State == upkeep.Moving || m.State == upkeep.InUpkeep {
+				reassigned[m.ID] = true
+			}
 		}
 		o.pool.SetMachineWorkers(workers, sentAt, o.Clock.Now())
+		o.pool.SetReassignedMachines(reassigned, sentAt)
 		o.plan.send()
 	}
 }
--- a/internal/poolmanager/ownership_past_test.go
+++ b/internal/poolmanager/ownership_past_test.go
@@ -22,7 +22,7 @@
 		s.list(o, "b")
 		s.poll(o, "b")
 		Expect(o.writeRoster(ctx)).To(Succeed())
-		s.clock.Advance(sceneTiming.RunLease + 400*time.Millisecond)
+		s.clock.Advance(sceneTiming.MaxRunLease + 400*time.Millisecond)
 		s.poll(o, "b")
 		return len(o.pool.Plan(s.clock.Now(), s.clock.Now()).Starts) > 0
 	}
--- a/internal/poolmanager/ownership_scene_test.go
+++ b/internal/poolmanager/ownership_scene_test.go
@@ -16,7 +16,7 @@
 
 // sceneTiming has the values of the users' sites.
 var sceneTiming = scheduler.Timing{
-	RunLease: 4500 * time.Millisecond, StartTimeout: 150 * time.Millisecond, OrderTimeout: 700 * time.Millisecond, ClockDrift: 0.02,
+	RunLease: 4500 * time.Millisecond, MaxRunLease: 6 * time.Second, LateCalls: 13 * time.Second, StartTimeout: 150 * time.Millisecond, OrderTimeout: 700 * time.Millisecond, ClockDrift: 0.02,
 	StartEarly: 200 * time.Millisecond, FormerOwnerLease: 2 * time.Second, StopTimeout: 400 * time.Millisecond,
 	FirstSuspension: time.Second, MaxSuspension: 8 * time.Second,
 }
--- a/internal/poolmanager/poller.go
+++ b/internal/poolmanager/poller.go
@@ -121,7 +121,7 @@
 	if !p.isValid() {
 		return false
 	}
-	if req.Deadline > 0 && !p.pool.HasUnsavedEnds(p.worker) && p.pool.HasRuns(p.worker) && req.Timeout <= p.timing.OrderTimeout {
+	if req.Deadline > 0 && !req.AtOnce && !p.pool.HasUnsavedEnds(p.worker) && p.pool.HasRuns(p.worker) && req.Timeout <= p.timing.OrderTimeout {
 		req.Wait = p.timing.PollWait
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, req.Wait+req.Timeout)
--- a/internal/scheduler/open_start.go
+++ b/internal/scheduler/open_start.go
@@ -8,6 +8,8 @@
 // that have ended, and then runs the task until its lease has expired.
 type openStart struct {
 	worker     string
+	machine    string // on which that worker runs; empty: not known
+	sentAt     time.Time
 	token      int64 // fencing token that it carries
 	attempt    int   // that no incarnation is known to have run; 0: its attempt was run
 	until      time.Time
--- a/internal/scheduler/open_start_test.go
+++ b/internal/scheduler/open_start_test.go
@@ -57,6 +57,25 @@
 		Expect(s.pool.TokenRaised("a", req.Token)).To(BeFalse())
 	})
 
+	// The pause of a usual poll would come on top of the time for the start's answer.
+	It("is asked for at once, and only once", func() {
+		req, _ := s.pool.NextPoll("a", s.now)
+		Expect(req.AtOnce).To(BeTrue())
+		s.applyReply("a", nil, nil, req)
+		Expect(s.plan().Starts).To(HaveLen(1))
+		req, _ = s.pool.NextPoll("a", s.now)
+		Expect(req.AtOnce).To(BeFalse(), "its next copy is on the way")
+	})
+
+	// DRAIN: a start was sent again to a worker that had begun to drain.
+	It("is not sent again to a worker that drains", func() {
+		s.setWorkers(drained("a"), worker("b"))
+		s.poll("a", nil)
+		Expect(s.plan().Starts).To(BeEmpty())
+		s.advance(timing.OrderTimeout)
+		Expect(s.plan().Starts).To(BeEmpty())
+	})
+
 	It("lets its task start again on that worker only", func() {
 		sendAgain()
 		answerAsNext()
--- a/internal/scheduler/overlap_owner_poll_test.go
+++ b/internal/scheduler/overlap_owner_poll_test.go
@@ -82,7 +82,7 @@
 }
 
 func (o *overlapOwner) poll(p *overlapPoller, req scheduler.PollRequest) {
-	if req.Deadline > 0 && !o.pool.HasUnsavedEnds(p.worker) && o.pool.HasRuns(p.worker) && req.Timeout <= orderTimeout {
+	if req.Deadline > 0 && !req.AtOnce && !o.pool.HasUnsavedEnds(p.worker) && o.pool.HasRuns(p.worker) && req.Timeout <= orderTimeout {
 		req.Wait = pollWait
 	}
 	pollFailed := func(result scheduler.OrderResult) {
--- a/internal/scheduler/owner_test.go
+++ b/internal/scheduler/owner_test.go
@@ -25,9 +25,12 @@
 	It("counts a run that it took over as going on until the longest lease of a former owner has expired", func() {
 		s := newScene(worker("a"), worker("b"))
 		s.addSaved(batchJob("j", 1), token-1, scheduler.Progress{})
+		s.advance(5 * time.Second) // so that it isn't waited for as any former run is
+		s.poll("b", nil)
 		s.poll("a", []scheduler.RunReport{{Task: scheduler.TaskID{Job: "j"}, Attempt: 1, Percent: 100}})
 		s.silent("a")
 		s.advance(timing.MaxRunLease)
+		s.poll("b", nil)
 		Expect(s.startAll()).To(BeEmpty())
 		s.advance(time.Second)
 		Expect(s.startAll()).To(HaveLen(1))
--- a/internal/scheduler/poll_request.go
+++ b/internal/scheduler/poll_request.go
@@ -14,5 +14,6 @@
 	AckedEnds   int64 // ends up to this number are acknowledged: the worker need not report them again
 	Deadline    int64 // the new end of the leases, on the worker's clock, in milliseconds; 0: no lease is extended
 	Wait        time.Duration
+	AtOnce      bool          // no wait is wanted: the reply has to show what became of a start without an answer
 	Timeout     time.Duration // how long the reply may take, beyond Wait
 }
--- a/internal/scheduler/pool_machine_workers.go
+++ b/internal/scheduler/pool_machine_workers.go
@@ -17,7 +17,7 @@
 			return true
 		}
 	}
-	return false
+	return p.hasLostOpenStarts()
 }
 
 // SetMachineWorkers applies the platform's list of the worker that runs on each
@@ -33,6 +33,7 @@
 			delete(p.awaited, id)
 		}
 	}
+	p.closeOpenStartsOn(requestedAt, func(s *openStart) bool { return workers[s.machine] != "" && workers[s.machine] != s.worker })
 	for id, w := range p.workers {
 		if current, listed := workers[w.info.Machine]; listed && current != id && w.silent && !w.lost && w.listedAt.Before(requestedAt) && w.clock.readAt.Before(requestedAt) {
 			p.addEvent(Event{Kind: MachineReassigned, Worker: id}, now)
--- a/internal/scheduler/pool_open_starts.go
+++ b/internal/scheduler/pool_open_starts.go
@@ -13,13 +13,13 @@
 	if r.copyOpen {
 		until = Later(until, p.copyOpenUntil(r))
 	}
-	if until.IsZero() {
+	if until.IsZero() || r.worker.replaced {
 		return
 	}
 	if r.token == p.callToken(r.worker) {
 		r.worker.raiseToken()
 	}
-	s := openStart{worker: r.worker.info.ID, token: r.token, until: until}
+	s := openStart{worker: r.worker.info.ID, machine: r.worker.info.Machine, sentAt: r.sentAt(), token: r.token, until: until}
 	if r.answeredAt.IsZero() {
 		s.attempt = r.attempt
 	}
@@ -115,6 +115,39 @@
 	})
 }
 
+// hasLostOpenStarts reports whether there are open starts at workers that the pool does not
+// have or that do not answer. The platform's list of machines can show that they are over.
+func (p *Pool) hasLostOpenStarts() bool {
+	for _, list := range p.openStarts {
+		for i := range list {
+			if w := p.workers[list[i].worker]; w == nil || w.silent {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// SetReassignedMachines applies which machines run no worker of the pool any more, as the
+// platform listed them on a request at requestedAt: they are in another pool, or on the way to
+// another worker. The workers that ran there do not come back.
+func (p *Pool) SetReassignedMachines(machines map[string]bool, requestedAt time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeOpenStartsOn(requestedAt, func(s *openStart) bool { return machines[s.machine] })
+}
+
+// closeOpenStartsOn removes the open starts whose workers have left their machines for good,
+// as a list of machines shows that was requested at requestedAt.
+func (p *Pool) closeOpenStartsOn(requestedAt time.Time, left func(s *openStart) bool) {
+	p.openStarts.closeOver(func(s *openStart) bool {
+		if w := p.workers[s.worker]; w != nil && (!w.silent || !w.listedAt.Before(requestedAt) || !w.clock.readAt.Before(requestedAt)) {
+			return false
+		}
+		return s.machine != "" && s.sentAt.Before(requestedAt) && left(s)
+	})
+}
+
 // lateLeaseUntil returns until when a late poll may extend leases at the worker; nil: none
 // is known.
 func (p *Pool) lateLeaseUntil(w *worker) time.Time {
@@ -151,21 +184,21 @@
 func (p *Pool) inheritOpenStarts(starts []RosterStart, now time.Time) {
 	for _, s := range starts {
 		left := min(max(s.Left, -p.timing.longest()), p.timing.LateCalls+rosterStartStep)
-		p.openStarts.add(s.Task, openStart{worker: s.Worker, token: p.token<<TokenStepBits - 1, until: now.Add(left)})
+		p.openStarts.add(s.Task, openStart{worker: s.Worker, machine: s.Machine, sentAt: now, token: p.token<<TokenStepBits - 1, until: now.Add(left)})
 	}
 }
 
 // rosterStarts returns the open starts for the next owner, as of now.
 func (p *Pool) rosterStarts(now time.Time) []RosterStart {
 	var starts []RosterStart
-	add := func(worker string, id TaskID, until time.Time) {
+	add := func(worker, machine string, id TaskID, until time.Time) {
 		if left := until.Sub(now); left > -p.timing.longest() {
-			starts = append(starts, RosterStart{Worker: worker, Task: id, Left: left.Truncate(rosterStartStep) + rosterStartStep})
+			starts = append(starts, RosterStart{Worker: worker, Machine: machine, Task: id, Left: left.Truncate(rosterStartStep) + rosterStartStep})
 		}
 	}
 	for id, list := range p.openStarts {
 		for i := range list {
-			add(list[i].worker, id, list[i].until)
+			add(list[i].worker, list[i].machine, id, list[i].until)
 		}
 	}
 	for _, w := range p.workers {
@@ -175,7 +208,7 @@
 				until = Later(until, p.copyOpenUntil(r))
 			}
 			if now.Before(until) {
-				add(w.info.ID, r.id, until)
+				add(w.info.ID, w.info.Machine, r.id, until)
 			}
 		}
 	}
--- a/internal/scheduler/pool_order_results.go
+++ b/internal/scheduler/pool_order_results.go
@@ -21,7 +21,7 @@
 	r := w.runs[runKey{o.Task, o.Attempt}]
 	switch {
 	case r == nil && result == NoResponse:
-		p.openStarts.add(o.Task, openStart{worker: o.Worker, token: o.Token, until: now.Add(p.timing.LateCalls)})
+		p.openStarts.add(o.Task, openStart{worker: o.Worker, machine: w.info.Machine, sentAt: o.SentAt, token: o.Token, until: now.Add(p.timing.LateCalls)})
 		w.raiseToken()
 		w.openStart(now.Add(p.timing.LateCalls))
 	case r == nil || r.phase == running:
@@ -74,6 +74,7 @@
 	case Outdated:
 		// The worker has the end of this attempt, or has run a later attempt.
 		r.phase = startUnknown
+		r.copyOpen = false
 		r.stoppedAt = now
 		r.task.attempt++
 		return
--- a/internal/scheduler/pool_place.go
+++ b/internal/scheduler/pool_place.go
@@ -1,12 +1,18 @@
 package scheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // place returns the best worker to start t on, or nil if none is suitable.
 func (p *Pool) place(t *task) *worker {
 	if !p.startCandidates.mayFit(t.stage.step.reserved()) {
 		return nil
 	}
+	if open := p.openStarts[t.id]; len(open) > 0 {
+		return p.placeOpen(t, open[0].worker)
+	}
 	var best *worker
 	var bestFit fit
 	for _, w := range p.startCandidates.workers {
@@ -21,6 +27,16 @@
 	return best
 }
 
+// placeOpen returns the worker with the given ID if t, which has open starts there, may start
+// on it, or nil.
+func (p *Pool) placeOpen(t *task, id string) *worker {
+	w := p.workers[id]
+	if w == nil || !slices.Contains(p.startCandidates.workers, w) || !p.suits(t, w) || p.hold.keeps(t.stage, w) {
+		return nil
+	}
+	return w
+}
+
 // mayRun reports whether t may start on w at now.
 func (p *Pool) mayRun(t *task, w *worker, now time.Time) bool { return w.usable(now) && p.suits(t, w) }
 
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -73,6 +73,10 @@
 	if r.task == nil || !r.absent {
 		return // a poll's reply has to show first that no copy was carried out
 	}
+	if !r.mayRepeat(r.worker) {
+		p.release(r)
+		return
+	}
 	if retryAt := r.repeatAt(&p.timing); now.Before(retryAt) {
 		plan.wakeAt(retryAt)
 		return
@@ -203,6 +207,7 @@
 	w.used = w.used.Plus(r.reserved)
 	p.startCandidates.maxFreeStale = true
 	w.expiresAt = Later(w.expiresAt, now.Add(p.timing.granted()))
+	w.leaseSentAt = now
 	p.bind(r, t)
 	p.noteStart(r)
 	p.counts.Starts++
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -18,6 +18,9 @@
 	}
 	w.polledAt, w.polledAddress, w.polledIncarnation = now, w.info.Address, w.incarnation
 	req := PollRequest{Worker: id, Address: w.info.Address, Token: p.callToken(w), Incarnation: w.incarnation, Timeout: p.replyTimeout(w)}
+	for _, r := range w.runs {
+		req.AtOnce = req.AtOnce || r.phase == startUnknown && !r.absent && r.token < req.Token
+	}
 	if ackable := w.ackable(now); ackable > w.ackedEnds && w.mayAckEnds(now) {
 		req.AckedEnds, w.ackedIncarnation = ackable, w.incarnation
 	}
@@ -228,10 +231,16 @@
 	w.block(now.Add(blockAfterFailure))
 }
 
-// otherAtAddress records that a worker with another ID answers at the worker's address. It
-// refuses all calls that name the former ID, so none of its open starts is carried out.
+// otherAtAddress records that a worker with another ID answers at the worker's address.
 func (p *Pool) otherAtAddress(w *worker, now time.Time) {
 	p.addEvent(Event{Kind: OtherIncarnationAtAddress, Worker: w.info.ID}, now)
+	p.replaceWorker(w)
+}
+
+// replaceWorker records that a worker with another ID has answered in the place of w. It
+// refuses all calls that name the former ID, so none of its open starts is carried out.
+func (p *Pool) replaceWorker(w *worker) {
+	w.replaced = true
 	p.markSuperseded(w)
 	p.openStarts.closeOver(func(s *openStart) bool { return s.worker == w.info.ID })
 }
--- a/internal/scheduler/pool_runs.go
+++ b/internal/scheduler/pool_runs.go
@@ -66,9 +66,10 @@
 	}
 }
 
-// mayRepeat reports whether the start of a run that is absent may be sent again.
+// mayRepeat reports whether the start of a run that is absent may be sent again. Nothing
+// starts on a worker that drains.
 func (r *run) mayRepeat(w *worker) bool {
-	return r.task != nil && !r.refused && !r.wantStop && r.incarnation == w.incarnation
+	return r.task != nil && !r.refused && !r.wantStop && r.incarnation == w.incarnation && w.listed && !w.info.Draining
 }
 
 // hasEnded reports whether a poll reply that does not list r shows that r has ended or
--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -40,7 +40,7 @@
 	for _, w := range p.workers {
 		if last := newest[w.info.Machine]; last != nil && w.info.Incarnation != 0 && w.info.Incarnation < last.info.Incarnation && !w.lost {
 			p.addEvent(Event{Kind: MachineRestarted, Worker: w.info.ID}, now)
-			p.markSuperseded(w)
+			p.replaceWorker(w)
 		}
 	}
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -18,6 +18,7 @@
 	endsKnown         bool      // it is fenced, and its replies have listed all ends of runs that this owner did not order
 	reachable         bool      // it answered the last poll or order
 	silent            bool      // it did not answer the last poll or order; both are false before the first
+	replaced          bool      // a worker with another ID has answered in its place: it refuses all calls for this one
 	lost              bool      // its incarnation has ended: another one runs at its address or on its machine
 	incarnation       int64
 	formerIncarnation int64 // start of the preceding incarnation, Unix time in milliseconds: its poll replies are ignored; 0: none
@@ -46,7 +47,7 @@
 	endMarks          []endMark
 	unsavedEnds       []unsavedEnd // in the order of their numbers
 	expiresAt         time.Time    // by then all leases that this owner granted have expired
-	leaseSentAt       time.Time    // when a poll was last sent that extends leases
+	leaseSentAt       time.Time    // when a call was last sent that extends leases
 	extendedUntil     time.Time    // the same for leases that were extended before its runs were known; zero: none was
 	blockedUntil      time.Time    // no start before it: the worker refused a start or did not answer
 	suspendedUntil    time.Time    // no start before it: tasks of several jobs failed there
