Entries go on in an outage of the store when one of them read the records late

Callers saw: in an outage of the platform all entries but one refused every request with 503 "no live instance of the service is left to try" from the fence on, until the platform was back.

Cause: in an outage an entry goes on unless another acts on newer records. It compared revisions of the store. An entry that lists the records took over the store's revision, which other keys raise as well (registrations, the ledger, the shards of jobs). One that lists them after such a write, as each does that restarts, reported a higher revision than those that follow the same records.

Ruled out: late renewals and the roster (in each failed play the peers counted as not reaching the store, and the roster held all three entries).

Why this works: an entry reports the revision of the latest change among its records, and compares the others' with the revision up to which it has read the store. Reading the same records later changes neither.

--- a/internal/controller/sim_entry_test.go
+++ b/internal/controller/sim_entry_test.go
@@ -30,6 +30,7 @@
 	listed            bool
 	revision          uint64 // from which it watches on
 	pending           []api.Event
+	completeTo        uint64    // revision up to which all changes are applied
 	requestedAt       time.Time // when the request for the latest reply of the store was sent
 	confirmed         time.Time // all changes up to then are applied
 	storeReachable    bool
@@ -55,7 +56,7 @@
 func (e *simEntry) start() {
 	e.up, e.paused, e.cutOff, e.isolated = true, false, false, false
 	e.leaseUntil, e.lastDeparture, e.registeredEntries = time.Time{}, e.world.now(), map[string]bool{}
-	e.view, e.listed, e.revision, e.pending = maintenance.NewView(), false, 0, nil
+	e.view, e.listed, e.revision, e.completeTo, e.pending = maintenance.NewView(), false, 0, 0, nil
 	e.requestedAt, e.confirmed, e.storeReachable = time.Time{}, time.Time{}, false
 	e.reports, e.instances = map[string]simReport{}, nil
 	e.work, e.plan, e.store.writesLeft = nil, nil, -1
@@ -92,7 +93,7 @@
 	}
 	e.pending = e.pending[count:]
 	if len(e.pending) == 0 {
-		e.confirmed = e.requestedAt
+		e.confirmed, e.completeTo = e.requestedAt, e.revision
 	}
 }
 
@@ -152,7 +153,7 @@
 		report := e.reports[id]
 		peers = append(peers, maintenance.PeerReport{Entry: id, Recent: e.isRecent(report), StoreReachable: report.storeReachable, Revision: report.revision})
 	}
-	return maintenance.MayAct(e.world.now(), e.confirmed, fence, e.acknowledged(), e.id, e.view.State().Roster, peers)
+	return maintenance.MayAct(e.world.now(), e.confirmed, fence, max(e.view.State().Revision, e.completeTo), e.id, e.view.State().Roster, peers)
 }
 
 // knownPeers returns the other entries that e knows: those registered at its
--- a/internal/entry/confirming_store.go
+++ b/internal/entry/confirming_store.go
@@ -11,25 +11,25 @@
 	"persimmonbay/internal/shard"
 )
 
-// confirmingStore records the start of the latest successful read from the
-// store. Once everything that the read returned is applied, confirm publishes
-// that time: this entry's view is then no older than the confirmed time.
+// confirmingStore records the latest successful read from the store. Once
+// everything that it returned is applied, confirm publishes it: this entry's view
+// is then no older than the start of the read, and complete up to its revision.
 type confirmingStore struct {
 	platform.Store
 	clock     clockwork.Clock
-	lastRead  *shard.Cell[time.Time] // start of the latest successful read; zero: never
-	confirmed *shard.Cell[time.Time] // start of the latest read that is applied; zero: never
+	lastRead  *shard.Cell[storeRead] // the latest successful one
+	confirmed *shard.Cell[storeRead] // the latest one that is applied
 }
 
 func newConfirmingStore(store platform.Store, clock clockwork.Clock) *confirmingStore {
-	return &confirmingStore{Store: store, clock: clock, lastRead: shard.NewCell(time.Time{}), confirmed: shard.NewCell(time.Time{})}
+	return &confirmingStore{Store: store, clock: clock, lastRead: shard.NewCell(storeRead{}), confirmed: shard.NewCell(storeRead{})}
 }
 
 // List implements platform.Store.
 func (s *confirmingStore) List(ctx context.Context, prefix string) (api.Listing, error) {
 	started := s.clock.Now()
 	listing, err := s.Store.List(ctx, prefix)
-	s.recordRead(started, err)
+	s.recordRead(storeRead{startedAt: started, revision: listing.Revision}, err)
 	return listing, err
 }
 
@@ -37,13 +37,13 @@
 func (s *confirmingStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (api.Changes, error) {
 	started := s.clock.Now()
 	changes, err := s.Store.Watch(ctx, prefix, after, wait)
-	s.recordRead(started, err)
+	s.recordRead(storeRead{startedAt: started, revision: changes.Revision}, err)
 	return changes, err
 }
 
-func (s *confirmingStore) recordRead(started time.Time, err error) {
+func (s *confirmingStore) recordRead(read storeRead, err error) {
 	if err == nil {
-		s.lastRead.Update(func(time.Time) (time.Time, bool) { return started, true })
+		s.lastRead.Update(func(storeRead) (storeRead, bool) { return read, true })
 	}
 }
 
@@ -52,9 +52,9 @@
 // was no successful read in between.
 func (s *confirmingStore) confirm() time.Duration {
 	before, latest := s.confirmed.Get(), s.lastRead.Get()
-	s.confirmed.Update(func(time.Time) (time.Time, bool) { return latest, true })
-	if latest.Equal(before) {
+	s.confirmed.Update(func(storeRead) (storeRead, bool) { return latest, true })
+	if latest.startedAt.Equal(before.startedAt) {
 		return 0
 	}
-	return latest.Sub(before)
+	return latest.startedAt.Sub(before.startedAt)
 }
--- a/internal/entry/control_acknowledge.go
+++ b/internal/entry/control_acknowledge.go
@@ -28,12 +28,13 @@
 	return revision
 }
 
-// mayAct reports whether this entry may place work by the records that it knows:
-// the store confirmed them within the fence, or the store is out of service for
-// most of the entries and not for this one alone.
+// mayAct reports whether this entry may place work by the records that it knows,
+// of which revision is that of the latest change: the store confirmed them within
+// the fence, or the store is out of service for most of the entries and not for
+// this one alone.
 func (c *control) mayAct(revision uint64) bool {
 	e := c.entry
-	now := e.clock.Now()
+	now, read := e.clock.Now(), c.source.confirmed.Get()
 	var peers []maintenance.PeerReport
 	for _, m := range e.members.Members() {
 		peers = append(peers, maintenance.PeerReport{
@@ -43,5 +44,5 @@
 			Revision:       m.MaintenanceRevision,
 		})
 	}
-	return maintenance.MayAct(now, c.source.confirmed.Get(), e.settings.Maintenance.Fence, revision, e.settings.ID, c.view.State().Roster, peers)
+	return maintenance.MayAct(now, read.startedAt, e.settings.Maintenance.Fence, max(revision, read.revision), e.settings.ID, c.view.State().Roster, peers)
 }
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -78,7 +78,7 @@
 // records are all known.
 func (r *router) allKnown() bool {
 	e := r.control.entry
-	return e.inForce.Get().Configuration != nil && e.inventory.Get().Stamp.Generation > 0 && !r.control.source.confirmed.Get().IsZero()
+	return e.inForce.Get().Configuration != nil && e.inventory.Get().Stamp.Generation > 0 && !r.control.source.confirmed.Get().startedAt.IsZero()
 }
 
 // current returns which records the routing table is built from.
--- a/internal/fleetstore/apply.go
+++ b/internal/fleetstore/apply.go
@@ -22,7 +22,7 @@
 			first = err
 		}
 	}
-	view.Retain(listed, listing.Revision)
+	view.Retain(listed)
 	return first
 }
 
--- a/internal/maintenance/may_act.go
+++ b/internal/maintenance/may_act.go
@@ -9,10 +9,11 @@
 // Afterwards it may do so only in an outage of the store, which an entry alone
 // can't distinguish from its own disconnection. So it must have recent
 // heartbeats of a majority of the entries that it knows, and none of those may
-// reach the store or act on newer records. It must also have recent heartbeats
-// of a majority of the entries in the roster, itself included: the controllers
-// decide by the roster which entries are lost.
-func MayAct(now, confirmed time.Time, fence time.Duration, revision uint64, self string, roster EntryRoster, peers []PeerReport) bool {
+// reach the store or act on a change of the records after completeTo, the revision
+// of the store up to which this entry's records are complete. It must also have
+// recent heartbeats of a majority of the entries in the roster, itself included:
+// the controllers decide by the roster which entries are lost.
+func MayAct(now, confirmed time.Time, fence time.Duration, completeTo uint64, self string, roster EntryRoster, peers []PeerReport) bool {
 	if now.Sub(confirmed) <= fence {
 		return true
 	}
@@ -24,7 +25,7 @@
 		if !p.Recent {
 			continue
 		}
-		if p.StoreReachable || p.Revision > revision {
+		if p.StoreReachable || p.Revision > completeTo {
 			return false
 		}
 		recent++
--- a/internal/maintenance/peer_report.go
+++ b/internal/maintenance/peer_report.go
@@ -5,5 +5,5 @@
 	Entry          string
 	Recent         bool // a heartbeat of it was received recently
 	StoreReachable bool
-	Revision       uint64 // revision of the records on which it acts
+	Revision       uint64 // of the latest change of the records on which it acts
 }
--- a/internal/maintenance/state.go
+++ b/internal/maintenance/state.go
@@ -5,6 +5,6 @@
 	Disruptions Disruptions
 	Wave        Wave
 	Roster      EntryRoster
-	Revision    uint64 // of the store, up to which the view is complete
+	Revision    uint64 // of the latest change that the view contains; the store's may be higher by changes of other keys
 	Consistent  bool   // the view is of one revision of the store
 }
--- a/internal/maintenance/view.go
+++ b/internal/maintenance/view.go
@@ -45,15 +45,15 @@
 }
 
 // Retain removes every record that is not among the listed ones and marks the
-// view as complete up to revision.
-func (v *View) Retain(listed map[string]bool, revision uint64) {
+// view as of one revision.
+func (v *View) Retain(listed map[string]bool) {
 	v.records.Range(func(id string, _ Record) bool {
 		if !listed[id] {
 			v.records.Delete(id)
 		}
 		return true
 	})
-	v.advance(revision, func(s *State) { s.Consistent = true })
+	v.state.Update(func(s State) (State, bool) { s.Consistent = true; return s, true })
 }
 
 func (v *View) advance(revision uint64, change func(*State)) {
