A pause of an entry does not repeat its requests before it reads their answers

Callers would see: idempotent requests on silent connections end with 504, outcome unknown, with time left, because the retry budget is used up; the upstreams get all requests in progress twice.

Cause: when an entry's process is paused or delayed for longer than a service's silence limit, the timers of all its requests fire as soon as it runs again, before the answers that arrived meanwhile are read. Each request was repeated at the cost of one retry.

Why this works: a timer that fires more than 10 ms late is extended by a quarter of the limit, once for each attempt, in which answers that have arrived are read. A silent connection is noticed that much later, and only after a pause.

--- a/internal/request/attempts.go
+++ b/internal/request/attempts.go
@@ -53,9 +53,8 @@
 	defer cancel() // cancels the attempts that are still running
 	a.server.RetryBudget.Earn(a.service.Name)
 	a.start(ctx)
-	limit := max(a.service.SilenceLimit, minSilenceLimit)
-	silence := a.server.Clock.NewTimer(limit)
-	defer silence.Stop()
+	silence := newSilenceTimer(a.server.Clock, max(a.service.SilenceLimit, minSilenceLimit))
+	defer silence.timer.Stop()
 	for a.running > 0 {
 		select {
 		case r := <-a.results:
@@ -66,13 +65,16 @@
 				return Result{Outcome: fleet.Completed, Answer: r.answer}
 			}
 			if a.started > before {
-				silence.Reset(limit)
+				silence.restart()
+			}
+		case <-silence.timer.Chan():
+			if !silence.passed() {
+				continue
 			}
-		case <-silence.Chan():
 			if a.mayRepeat(ctx) && a.server.RetryBudget.Spend(a.service.Name) {
 				a.start(ctx)
 			}
-			silence.Reset(limit)
+			silence.restart()
 		}
 	}
 	if a.refusal != nil {
--- a/internal/request/attempts_test.go
+++ b/internal/request/attempts_test.go
@@ -10,7 +10,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"persimmonbay/internal/configuration"
 	"persimmonbay/internal/fleet"
 	"persimmonbay/internal/problem"
 )
@@ -36,12 +35,7 @@
 		clock = clockwork.NewFakeClockAt(time.Now())
 		dispatcher = &listedDispatcher{instances: []string{"a", "b", "c", "d"}}
 		sender = &scriptedSender{}
-		inForce := configuration.NewInForce()
-		inForce.SetIfNewer(configuration.Versioned{Version: 1, Configuration: &configuration.Configuration{
-			Teams:    []configuration.Team{{Name: "herders", TopClass: fleet.Urgent}},
-			Services: []configuration.Service{{Name: "tags", Timeout: time.Hour, SilenceLimit: silenceLimit}},
-		}})
-		server = &Server{InForce: inForce, Dispatcher: dispatcher, Sender: sender, Ledger: grantingLedger{}, RetryBudget: NewRetryBudget(RetryShare), Clock: clock}
+		server = newTestServer(clock, dispatcher, sender)
 	})
 
 	AfterEach(func() { Eventually(dispatcher.held.Load, eventuallyTimeout).Should(BeZero()) })
