Take-over simulation: pages of a load arrive at their own times

Cause: each page of 10 to 60 ms ended with the next step of 50 ms.

The simulation now steps to each page's own time, and the waits for a change of owner last as long as drawn. Bounds and checks are as before.

--- a/internal/scheduler/takeover_sim_test.go
+++ b/internal/scheduler/takeover_sim_test.go
@@ -100,11 +100,26 @@
 	return infos
 }
 
+// next returns the time of the next step, which is at most end. Pages of a load arrive at
+// times of their own: the rest takes place in steps of takeOverTick.
+func (s *takeOverSim) next(end time.Time) time.Time {
+	next := s.now.Add(takeOverTick)
+	if end.Before(next) {
+		next = end
+	}
+	for _, o := range s.owners {
+		if !o.ended && o.pool.Loading() && o.pageAt.After(s.now) && o.pageAt.Before(next) {
+			next = o.pageAt
+		}
+	}
+	return next
+}
+
 // runUntil lets time pass until done returns true, for longest at most, and reports
 // whether it did.
 func (s *takeOverSim) runUntil(longest time.Duration, done func() bool) bool {
 	for end := s.now.Add(longest); s.now.Before(end) && s.violation == ""; {
-		s.now = s.now.Add(takeOverTick)
+		s.now = s.next(end)
 		s.store.tick()
 		for _, w := range s.workers {
 			w.tick()
@@ -127,8 +142,7 @@
 	s.store.revision++
 	s.store.owner, s.lostAt = 0, s.now
 	s.accept(longRunningJob(fmt.Sprintf("L-waiting-%d", len(s.owners)), 8))
-	wait := s.now.Add(s.between(50, 1000))
-	s.runUntil(time.Second+takeOverTick, func() bool { return !s.now.Before(wait) })
+	s.runUntil(s.between(50, 1000), func() bool { return false })
 	s.owners = append(s.owners, newTakeOverOwner(s))
 }
 
@@ -142,8 +156,7 @@
 	}
 	s.changeOwner()
 	for s.random.Intn(2) == 0 && len(s.owners) < 4 {
-		wait := s.now.Add(s.between(500, 6000))
-		s.runUntil(10*time.Second, func() bool { return !s.now.Before(wait) })
+		s.runUntil(s.between(500, 6000), func() bool { return false })
 		s.changeOwner()
 	}
 	s.runUntil(timing.FormerOwnerLease+takeOverStartBound, func() bool { return !s.present().firstStartAt.IsZero() })
