A load that is refused pauses for a random time

Callers would see: after a short outage of the store, or while it refuses calls for their rate, the owners of all pools go on with their loads at the same moments, are refused again together, and double their pauses.

Cause: the pause was 50, 100, 200 and 400 ms exactly.

Now it lies between half of that and all of it (retryPause), so that calls spread and the shortest pause is 25 ms.

Still without jitter: the watchers' retries, saves and the hand-over.

--- a/internal/poolmanager/ownership_load.go
+++ b/internal/poolmanager/ownership_load.go
@@ -43,7 +43,7 @@
 		case <-ctx.Done():
 		}
 	})
-	retry := minRetryDelay
+	var pause retryPause
 	for ctx.Err() == nil {
 		before := o.loading.read()
 		err := step(ctx)
@@ -51,11 +51,10 @@
 			return true
 		}
 		if o.loading.read() > before {
-			retry = minRetryDelay // the store serves some reads
+			pause.reset() // the store serves some reads
 		}
 		o.log.Info("pool not loaded from the store, trying again", append(telemetry.ProblemFields(err), zap.Int("read", o.loading.read()))...)
-		sleep(ctx, o.Clock, retry)
-		retry = min(2*retry, maxRetryDelay)
+		sleep(ctx, o.Clock, pause.next())
 	}
 	return false
 }
