The load of a pool reads states beside jobs

Cause: all states were read after all jobs, though a state has to be read only after its own job: a state that is missing then was deleted after the job's end.

Pages have the order of the jobs' IDs in both ranges, so the state of the last job that is there limits what is kept of a page of states; beyond it, it is read again. That costs no calls in general: states are read only when they are behind by the largest page so far.

--- a/internal/poolmanager/ownership_load.go
+++ b/internal/poolmanager/ownership_load.go
@@ -68,19 +68,7 @@
 	if err := o.readOffers(ctx); err != nil {
 		return 0, nil, err
 	}
-	if p.jobs == nil {
-		p.jobs = &rangeRead{prefix: poolstore.JobsPrefix(o.service)}
-	}
-	if err := p.jobs.finish(ctx, o.Store); err != nil {
-		return 0, nil, err
-	}
-	if !o.ownsAll(p.jobs.items) {
-		return 0, nil, problem.New(problem.Conflict, problem.StepStoreRead, o.service, "the pool has a later owner")
-	}
-	if p.states == nil {
-		p.states = &rangeRead{prefix: poolstore.StatePrefix(o.service)}
-	}
-	if err := p.states.finish(ctx, o.Store); err != nil {
+	if err := o.readWork(ctx); err != nil {
 		return 0, nil, err
 	}
 	// Read last and anew with each try: a state may have been read long before its job
--- a/internal/poolmanager/pool_load.go
+++ b/internal/poolmanager/pool_load.go
@@ -7,7 +7,7 @@
 	offers        *rangeRead       // of all pools; nil: not begun
 	offered       map[string]int64 // machines that an earlier owner has offered, with the revisions of the offers; nil: not read yet
 	jobs          *rangeRead       // nil: not begun
-	states        *rangeRead       // begun once jobs is complete; nil: not begun
+	states        *rangeRead       // each after its job; nil: not begun
 }
 
 // read returns how many items have been read.
--- a/internal/poolmanager/range_read.go
+++ b/internal/poolmanager/range_read.go
@@ -17,6 +17,8 @@
 	revision int64  // of the store, current before the first page was read
 	after    string // key after which the next page begins
 	complete bool
+	last     string        // items after this key are left for later pages; empty: none are
+	largest  int           // items in the largest page so far
 	timeout  time.Duration // of the next page; 0: firstPageTimeout
 }
 
@@ -55,7 +57,23 @@
 	if r.after == "" {
 		r.revision = page.Revision
 	}
+	r.largest = max(r.largest, len(page.Items))
+	if r.last != "" {
+		r.keepUpToLast(page.Items)
+		return nil
+	}
 	r.items = append(r.items, page.Items...)
 	r.after, r.complete = page.Next, page.Next == ""
 	return nil
 }
+
+// keepUpToLast keeps the items up to the last key. Items that are written after it
+// meanwhile are still to be read, so that the read is not complete.
+func (r *rangeRead) keepUpToLast(items []store.Item) {
+	for i := range items {
+		if items[i].Key > r.last {
+			break
+		}
+		r.items, r.after = append(r.items, items[i]), max(r.after, items[i].Key)
+	}
+}
