--- a/internal/poolmanager/ownership_load.go
+++ b/internal/poolmanager/ownership_load.go
@@ -43,7 +43,7 @@
 		case <-ctx.Done():
 		}
 	})
-	retry := minRetryDelay
+	var pause retryPause
 	for ctx.Err() == nil {
 		before := o.loading.read()
 		err := step(ctx)
@@ -51,11 +51,10 @@
 			return true
 		}
 		if o.loading.read() > before {
-			retry = minRetryDelay // the store serves some reads
+			pause.reset() // the store serves some reads
 		}
 		o.log.Info("pool not loaded from the store, trying again", append(telemetry.ProblemFields(err), zap.Int("read", o.loading.read()))...)
-		sleep(ctx, o.Clock, retry)
-		retry = min(2*retry, maxRetryDelay)
+		sleep(ctx, o.Clock, pause.next())
 	}
 	return false
 }
@@ -69,19 +68,7 @@
 	if err := o.readOffers(ctx); err != nil {
 		return 0, nil, err
 	}
-	if p.jobs == nil {
-		p.jobs = &rangeRead{prefix: poolstore.JobsPrefix(o.service)}
-	}
-	if err := p.jobs.finish(ctx, o.Store); err != nil {
-		return 0, nil, err
-	}
-	if !o.ownsAll(p.jobs.items) {
-		return 0, nil, problem.New(problem.Conflict, problem.StepStoreRead, o.service, "the pool has a later owner")
-	}
-	if p.states == nil {
-		p.states = &rangeRead{prefix: poolstore.StatePrefix(o.service)}
-	}
-	if err := p.states.finish(ctx, o.Store); err != nil {
+	if err := o.readWork(ctx); err != nil {
 		return 0, nil, err
 	}
 	// Read last and anew with each try: a state may have been read long before its job
