--- /dev/null
+++ b/test/latecalls/fields_test.go
@@ -0,0 +1,4 @@
+package latecalls
+
+// fields are the named values of a body.
+type fields map[string]any
--- /dev/null
+++ b/test/latecalls/run_key_test.go
@@ -0,0 +1,7 @@
+package latecalls
+
+// runKey identifies a run on an incarnation.
+type runKey struct {
+	task    string
+	attempt int64
+}
