--- a/test/latecalls/scene_test.go
+++ b/test/latecalls/scene_test.go
@@ -14,7 +14,12 @@
 	sceneDowntime = 100 * time.Millisecond
 	longTask      = 12 * time.Second
 	shortTask     = 300 * time.Millisecond
-	sceneWait     = 15 * time.Second // longer than a next owner waits for leases
+	// beforeLapse is a little shorter than the lease that an owner asks for.
+	beforeLapse = 4200 * time.Millisecond
+	// outlastsTakeOver is a second longer than an owner waits for the runs of one that was
+	// killed, and a little shorter than beforeLapse with the longest lease.
+	outlastsTakeOver = 9800 * time.Millisecond
+	sceneWait        = 15 * time.Second // longer than a next owner waits for leases
 	// ownerSettles is longer than an earlier owner may send orders, by what a new one knows.
 	// Its successor reckons with that too if it leaves before.
 	ownerSettles = 2500 * time.Millisecond
