A late poll acknowledges an end that no owner has read

A poll that the former incarnation got without an answer acknowledges, in the present one, the end with the same number. The worker is cut off, so its owner never learns of the end and starts the task elsewhere.

--- a/test/latecalls/scene_test.go
+++ b/test/latecalls/scene_test.go
@@ -88,6 +88,14 @@
 	s.addWorker().join()
 }
 
+// awaitSecondRun waits until the task has started twice, or the longest lease that its owner
+// may reckon with has been over for long.
+func (s *scene) awaitSecondRun(task string) {
+	for end := time.Now().Add(maxRunLease + minLateness); time.Now().Before(end) && len(s.ledger.runsOf(task)) < 2; {
+		time.Sleep(sceneDowntime / 10)
+	}
+}
+
 // expectNoneTwice checks the rule.
 func (s *scene) expectNoneTwice() {
 	GinkgoHelper()
--- a/test/latecalls/scenes_test.go
+++ b/test/latecalls/scenes_test.go
@@ -56,6 +56,22 @@
 		s.expectNoneTwice()
 	})
 
+	// The ends of the present incarnation have the numbers that the former one's had.
+	It("runs once though a poll for the former incarnation acknowledges its end, which no owner has read", func() {
+		s := newScene(noLosses)
+		s.suspect.holdOne(func(c *call) bool { return c.path == pollPath && c.Observed > 0 })
+		s.submit(firstJob, 1, shortTask)
+		Eventually(s.suspect.heldCalls).WithTimeout(sceneWait).Should(Equal(1))
+		s.suspect.restart(sceneDowntime, listedAgainAfter)
+		task := s.submit(secondJob, 1, minLateness)
+		s.awaitRun(task, s.suspect, 2)
+		s.cutOff()
+		s.awaitRuns(task, func(r *taskRun) bool { return r.how == endDone })
+		s.suspect.release()
+		s.awaitSecondRun(task)
+		s.expectNoneTwice()
+	})
+
 	// Two copies of a start are sent. One runs; the other one waits.
 	It("runs once though a copy of its start is carried out after its end", func() {
 		s := newScene(noLosses)
