Take-over simulation: all calls of a load, and refusals that take time

Seen: the simulated owner read one page at a time and ended its load when it asked for the last page. It did not make the calls for the roster (read and written), the offers and the cancellations, a refusal took no time, and a new owner's first read came 50 ms late.

takeOverReads now makes the calls that poolmanager makes, in its order, and a refusal takes as long as a page. Bounds and checks are as before; the load is longer than before by what was left out.

--- a/internal/scheduler/takeover_owner_test.go
+++ b/internal/scheduler/takeover_owner_test.go
@@ -8,19 +8,19 @@
 )
 
 // takeOverOwner is an owner of the pool. It reads and saves as poolmanager's poolOwnership
-// does: pages one after the other, 8 saves of 7 jobs at once, with pauses that double.
+// does: pages of jobs and states beside each other, 8 saves of 7 jobs at once, with pauses
+// that double.
 type takeOverOwner struct {
 	s            *takeOverSim
 	pool         *scheduler.Pool
 	token        int64
 	ended        bool
 	acquiredAt   time.Time
-	activeAt     time.Time // when it last took a step
-	endsAt       time.Time // it does nothing from then on; zero: it still owns the pool
-	loadedJobs   int
-	pageAt       time.Time     // when the next page is asked for
-	pagePause    time.Duration // after the next page that fails
-	calls        int           // of the store, for jobs
+	activeAt     time.Time      // when it last took a step
+	endsAt       time.Time      // it does nothing from then on; zero: it still owns the pool
+	reads        *takeOverReads // of the load
+	pageAt       time.Time      // when the next step of the load is due
+	calls        int            // of the store, for jobs
 	savesOf      map[string]int
 	saving       int             // saves in progress or followed by a pause
 	failures     int             // saves that failed since the last one that did not
@@ -31,7 +31,6 @@
 }
 
 const (
-	takeOverPageSize  = 500
 	takeOverSaveBatch = 7
 	takeOverSaves     = 8
 	minSavePause      = 50 * time.Millisecond
@@ -45,7 +44,7 @@
 func newTakeOverOwner(s *takeOverSim) *takeOverOwner {
 	s.store.revision++
 	s.store.owner = s.store.revision
-	o := &takeOverOwner{s: s, token: s.store.owner, acquiredAt: s.now, savesOf: map[string]int{}, polledAt: map[string]time.Time{}, pageAt: s.now, pagePause: minSavePause}
+	o := &takeOverOwner{s: s, token: s.store.owner, acquiredAt: s.now, savesOf: map[string]int{}, polledAt: map[string]time.Time{}, pageAt: s.now, reads: newTakeOverReads(len(s.store.jobs))}
 	o.pool = scheduler.NewPool("tags", o.token, timing, s.store.roster, s.now)
 	o.pool.BeginLoad()
 	s.store.roster = o.pool.Roster(s.now)
@@ -88,21 +87,11 @@
 	o.save()
 }
 
-// load reads the pages of jobs, and then those of states.
+// load takes the steps of the load that are due, and applies the jobs once all have arrived.
 func (o *takeOverOwner) load() {
-	jobs := o.s.store.jobs
 	for !o.s.now.Before(o.pageAt) {
-		o.calls++
-		if o.s.random.Intn(100) < o.s.failedPages() {
-			o.pageAt = o.s.now.Add(o.pagePause)
-			o.pagePause = min(2*o.pagePause, maxSavePause)
-			return
-		}
-		o.pageAt = o.s.now.Add(o.s.between(10, 60))
-		o.pagePause = minSavePause
-		o.loadedJobs += takeOverPageSize
-		if o.loadedJobs >= 2*len(jobs) {
-			for _, j := range jobs {
+		if o.reads.complete() {
+			for _, j := range o.s.store.jobs {
 				if !j.removed {
 					o.pool.AddJob(j.sub, j.created, j.revision, j.progress, o.s.now)
 				}
@@ -110,6 +99,8 @@
 			o.pool.EndLoad()
 			return
 		}
+		wait, calls := o.reads.step(o.s)
+		o.pageAt, o.calls = o.s.now.Add(wait), o.calls+calls
 	}
 }
 
--- a/internal/scheduler/takeover_sim_test.go
+++ b/internal/scheduler/takeover_sim_test.go
@@ -144,6 +144,7 @@
 	s.accept(longRunningJob(fmt.Sprintf("L-waiting-%d", len(s.owners)), 8))
 	s.runUntil(s.between(50, 1000), func() bool { return false })
 	s.owners = append(s.owners, newTakeOverOwner(s))
+	s.present().tick()
 }
 
 func (s *takeOverSim) present() *takeOverOwner { return s.owners[len(s.owners)-1] }
