An attempt that has ended is not ordered again under its number

Callers would see: a task runs more often than its failures allow (BUDGET). Found by reading: an attempt whose start was sent twice and that ended as failed before it was listed as running counted as not run. It was ordered again under its number, and failed attempts are counted by their numbers.

Change: an attempt counts as run once an incarnation has accepted it or listed it or its end. Evidence: spec "lets its task start under the next number if its attempt has ended", which failed before.

--- a/internal/scheduler/open_start_test.go
+++ b/internal/scheduler/open_start_test.go
@@ -86,6 +86,15 @@
 		Expect(again[0].Incarnation).To(BeEquivalentTo(present))
 	})
 
+	// BUDGET: failed attempts are counted by their numbers.
+	It("lets its task start under the next number if its attempt has ended", func() {
+		again := sendAgain()
+		s.poll("a", nil, endReport(again, scheduler.EndFailed))
+		s.advance(time.Second)
+		s.poll("a", nil)
+		Expect(startTexts(s.startAll())).To(Equal([]string{"j/0@a#2"}))
+	})
+
 	It("lets its task start elsewhere once its run would have ended", func() {
 		s.silent("a")
 		s.advance(timing.LateCalls)
--- a/internal/scheduler/pool_open_starts.go
+++ b/internal/scheduler/pool_open_starts.go
@@ -20,7 +20,7 @@
 		r.worker.raiseToken()
 	}
 	s := openStart{worker: r.worker.info.ID, machine: r.worker.info.Machine, sentAt: r.sentAt(), token: r.token, until: until}
-	if r.answeredAt.IsZero() {
+	if !r.ran {
 		s.attempt = r.attempt
 	}
 	p.openStarts.add(r.id, s)
--- a/internal/scheduler/pool_order_results.go
+++ b/internal/scheduler/pool_order_results.go
@@ -55,7 +55,7 @@
 	case Accepted:
 		r.phase = running
 		r.answeredAt = now
-		r.copyOpen, r.refused = false, false
+		r.ran, r.copyOpen, r.refused = true, false, false
 		p.markActive(r.stage.job)
 		return
 	case OtherIncarnation:
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -15,6 +15,7 @@
 	answeredAt     time.Time // when the start was answered or a poll first listed the run; zero: neither
 	resentAt       time.Time // when the start was last sent again, or the last such copy timed out; zero: it was not sent again
 	token          int64     // fencing token of the last copy of its start
+	ran            bool      // an incarnation has accepted it, or listed it or its end
 	copyOpen       bool      // that copy has no answer, and no reply has shown the run
 	openUntil      time.Time // until when an earlier copy may be carried out by a later incarnation; zero: there is none
 	unansweredAt   time.Time // when the time for an answer to that copy had passed; zero: it has not
@@ -63,7 +64,7 @@
 	if r.copyOpen && incarnation != r.incarnation && !r.openUntil.IsZero() {
 		r.openUntil = Later(r.openUntil, Later(r.sentAt(), r.unansweredAt).Add(t.LateCalls))
 	}
-	r.copyOpen, r.absent, r.refused = false, false, false
+	r.ran, r.copyOpen, r.absent, r.refused = true, false, false, false
 }
 
 // sent records that a copy of the start is sent with the given fencing token.
