A task starts again only after a second run of it has ended

Cause: a run that a worker lists beside the one that the task has is stopped. When the latter failed, the task was free, and started elsewhere while that stop was on its way.

Change: a task with such a run waits until it is released, as for runs of former owners.

--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -32,6 +32,7 @@
 	emptied             map[string]bool      // machines that were reported as empty: they may be taken down at any time
 	emptyClaims         map[string]bool      // machines whose report as empty may be on its way to the store
 	publishedOffers     map[string]bool      // machines that are offered in the store: they may be taken at any time
+	unneededRuns        map[TaskID]int       // by task: runs that go on or are being stopped, beside the one that the task has
 	openStarts          openStarts           // starts without an answer that a later incarnation of their worker may carry out
 	highestTokenStep    int64                // of the workers that were removed
 	advice              adviceCalls          // to the advice service
@@ -65,6 +66,7 @@
 		awaited: make(map[string]*awaitedWorker), jobs: make(map[string]*job), workers: make(map[string]*worker),
 		durations: newDurations(), endedJobs: make(map[string]bool), unsavedJobs: make(map[*job]bool), unackedWorkers: make(map[*worker]bool), pendingCancels: make(map[string]int64), publishedOffers: make(map[string]bool), takenOffers: make(map[string]bool), emptyClaims: make(map[string]bool),
 		openStarts:    make(openStarts),
+		unneededRuns:  make(map[TaskID]int),
 		shortArrivals: arrivalRate{window: shortArrivalWindow}, longArrivals: arrivalRate{window: longArrivalWindow},
 	}
 	p.formerOrdersEndAt = now
--- a/internal/scheduler/pool_runs.go
+++ b/internal/scheduler/pool_runs.go
@@ -7,6 +7,7 @@
 func (p *Pool) addUnorderedRun(w *worker, report *RunReport, now time.Time) *run {
 	r := &run{id: report.Task, attempt: report.Attempt, worker: w, phase: running, orderedAt: now, answeredAt: now, orderedPercent: report.Percent}
 	r.requestStop()
+	p.unneededRuns[r.id]++
 	defer p.noteTakenOver(w, r, now)
 	w.runs[runKey{report.Task, report.Attempt}] = r
 	j := p.jobs[report.Task.Job]
@@ -28,6 +29,7 @@
 	if t.done || t.run != nil || j.progress.State.Final() {
 		return r
 	}
+	p.dropUnneeded(r.id)
 	p.bind(r, t)
 	r.wantStop = false
 	w.expiresAt = Later(w.expiresAt, now.Add(p.timing.longest())) // it may have begun on a start that was meant for another incarnation
@@ -35,6 +37,13 @@
 	return r
 }
 
+// dropUnneeded records that a run of the task that was not needed is over or is needed now.
+func (p *Pool) dropUnneeded(id TaskID) {
+	if p.unneededRuns[id]--; p.unneededRuns[id] <= 0 {
+		delete(p.unneededRuns, id)
+	}
+}
+
 // bind makes r the run of t.
 func (p *Pool) bind(r *run, t *task) {
 	r.task, r.stage = t, t.stage
--- a/internal/scheduler/pool_settle.go
+++ b/internal/scheduler/pool_settle.go
@@ -80,10 +80,13 @@
 }
 
 // mayRunUnderFormerOwner reports whether a run of the task that a former owner started
-// may go on unknown to this owner. Former owners start no job that was accepted after
+// may go on unknown to this owner, or one is being stopped that the task does not need. Former owners start no job that was accepted after
 // this one acquired the pool: notices name the owner that they are for, and a watch
 // shows the change of the owner first.
 func (p *Pool) mayRunUnderFormerOwner(t *task) bool {
+	if p.unneededRuns[t.id] > 0 {
+		return true
+	}
 	if p.formerRunsKnown || t.stage.job.created > p.token {
 		return false
 	}
--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -121,6 +121,7 @@
 		w.unknownRuns--
 	}
 	if r.task == nil {
+		p.dropUnneeded(r.id)
 		return
 	}
 	r.stage.job.activeRuns--
