The specs of a long load wait until the owner's goroutines pause

Cause: the specs advanced their clock in steps of 250 ms whether or not the poller had begun its pause of 1 s after a poll. It then began later in virtual time, and the lease ran down further than it does with a clock that goes on by itself.

Change: before each step two goroutines, the loader and the poller, have to pause on the clock. Bounds and checks are as before.

--- a/internal/poolmanager/ownership_loading_test.go
+++ b/internal/poolmanager/ownership_loading_test.go
@@ -17,14 +17,18 @@
 	var o *poolOwnership
 	var done chan struct{}
 
-	// pass lets virtual time pass in steps, and calls check after each.
-	pass := func(d time.Duration, check func()) {
+	// pass lets virtual time pass in steps, and calls check after each. So many of the owner's
+	// goroutines pause before each step: one that has not begun its pause yet would sleep
+	// for longer than it does with a clock that does not wait for it.
+	pass := func(d time.Duration, pausing int, check func()) {
 		const step = 250 * time.Millisecond
 		for range d / step {
+			Expect(s.clock.BlockUntilContext(o.ctx, pausing)).To(Succeed())
 			s.clock.Advance(step)
 			check()
 		}
 	}
+	const loaderAndPoller = 2
 
 	BeforeEach(func() {
 		s = newOwnershipScene()
@@ -49,7 +53,7 @@
 	// The runs of the former owner ended with their leases, and long-running tasks were
 	// not started again in time.
 	It("extends the leases of runs that the former owner started, and takes them over afterwards", func() {
-		pass(loadTime, func() {
+		pass(loadTime, loaderAndPoller, func() {
 			Eventually(w.remaining).Should(BeNumerically(">", sceneTiming.RunLease/2))
 		})
 		polls, starts, stops := w.counts()
@@ -74,7 +78,7 @@
 		w.running = nil
 		w.ends = []scheduler.EndReport{{Number: 1, Task: scheduler.TaskID{Job: "job"}, Attempt: 1, Kind: scheduler.EndDone}}
 		w.mu.Unlock()
-		pass(loadTime, func() {
+		pass(loadTime, loaderAndPoller, func() {
 			Eventually(w.remaining).Should(BeNumerically(">", sceneTiming.RunLease/2))
 		})
 		w.mu.Lock()
@@ -95,7 +99,7 @@
 		o.lose("test")
 		Eventually(done).Should(BeClosed())
 		polls, _, _ := w.counts()
-		pass(loadTime, func() {})
+		pass(loadTime, 0, func() {})
 		Expect(func() int { n, _, _ := w.counts(); return n }()).To(Equal(polls))
 	})
 })
