A start whose run has ended before its answer is missed leaves nothing open

Callers would see: ends on a worker that are noted up to 12 s late, after each short task whose answer took longer than 150 ms. Found by reading.

Cause: a start that got no answer after its run was released counted as open, also where the end of that run was listed: the one call had been used up by then.

Change: a missed answer only prolongs the open start that the release of the run has left. Evidence: spec "does not wait for a start whose run has ended before its answer is missed", which failed before; "waits for a start that is missed after its run was released" guards the other case.

--- a/internal/scheduler/open_start_acks_test.go
+++ b/internal/scheduler/open_start_acks_test.go
@@ -66,6 +66,36 @@
 		Expect(acked).To(BeNumerically(">", 0), "of 12 ends in a minute")
 	})
 
+	// A short task had ended before its start's answer was missed, and the ends on its worker
+	// waited for a copy that it had used up.
+	It("does not wait for a start whose run has ended before its answer is missed", func() {
+		s := newScene(worker("a"))
+		s.add(batchJob("j", 1))
+		o := only(s.plan().Starts)
+		s.advance(timing.StartTimeout / 2)
+		s.poll("a", nil, endReport(o, scheduler.EndDone))
+		s.save(300)
+		s.advance(timing.StartTimeout / 2)
+		s.pool.StartAnswered(o, scheduler.NoResponse, 0, s.now)
+		req, due := s.pool.NextPoll("a", s.now)
+		Expect(due).To(BeTrue())
+		Expect(req.AckedEnds).To(BeEquivalentTo(1))
+		Expect(s.pool.Roster(s.now).OpenStarts).To(BeEmpty())
+	})
+
+	// A run was released while its start was on its way, which then got no answer.
+	It("waits for a start that is missed after its run was released", func() {
+		s := newScene(worker("a"))
+		s.add(batchJob("j", 1))
+		o := only(s.plan().Starts)
+		s.silent("a")
+		s.advance(timing.MaxRunLease)
+		s.plan()
+		s.pool.StartAnswered(o, scheduler.NoResponse, 0, s.now)
+		left := only(s.pool.Roster(s.now).OpenStarts).Left
+		Expect(left).To(BeNumerically(">=", timing.LateCalls))
+	})
+
 	// The owner's process did not run for a while, or the question which incarnation answers
 	// took its time: the order left later than it was planned.
 	It("counts from when a start may have been sent last", func() {
--- a/internal/scheduler/open_starts.go
+++ b/internal/scheduler/open_starts.go
@@ -27,6 +27,18 @@
 	return slices.ContainsFunc(o[id], func(s openStart) bool { return s.attempt == attempt })
 }
 
+// extend records until when the open start with the given token may be carried out, and
+// reports whether there is one.
+func (o openStarts) extend(id TaskID, worker string, token int64, until time.Time) bool {
+	found := false
+	for i := range o[id] {
+		if s := &o[id][i]; s.worker == worker && s.token == token {
+			s.until, found = Later(s.until, until), true
+		}
+	}
+	return found
+}
+
 // workerRemoved records until when late polls may extend leases at a worker that the pool
 // knows no longer.
 func (o openStarts) workerRemoved(worker string, leaseUntil time.Time) {
--- a/internal/scheduler/pool_order_results.go
+++ b/internal/scheduler/pool_order_results.go
@@ -21,9 +21,10 @@
 	r := w.runs[runKey{o.Task, o.Attempt}]
 	switch {
 	case r == nil && result == NoResponse:
-		p.openStarts.add(o.Task, openStart{worker: o.Worker, machine: w.info.Machine, sentAt: o.SentAt, token: o.Token, until: now.Add(p.timing.LateCalls)})
 		w.raiseToken()
-		w.openStart(now.Add(p.timing.LateCalls))
+		if until := now.Add(p.timing.LateCalls); p.openStarts.extend(o.Task, o.Worker, o.Token, until) {
+			w.openStart(until)
+		} // otherwise its run was seen, which this call has started
 	case r == nil || r.phase == running:
 	case o.Token == r.token || result == Accepted || result == OtherIncarnation:
 		p.applyStartResult(w, r, result, now)
