All claims of moves that are over are deleted in one step

Cause: gave each delete of a claim a condition of its own, so that 15 in place of 31 fit into the one transaction of a step.

Change: a step deletes all claims that are over, in as many transactions as it takes.

--- a/internal/poolmanager/machine_controller_lend.go
+++ b/internal/poolmanager/machine_controller_lend.go
@@ -88,7 +88,7 @@
 // any more: until then, the machine cannot be offered again.
 func (c *machineController) updateInTransit(ctx context.Context, machines map[string]upkeep.Machine, view reportView) error {
 	now := c.Clock.Now()
-	var txn store.Txn
+	var over []string
 	for id, transit := range c.inTransit {
 		m, listed := machines[id]
 		arrived := !listed || (m.Pool == transit.target && m.State != upkeep.Moving)
@@ -99,9 +99,22 @@
 			continue
 		}
 		transit.joined = true
-		if now.Sub(transit.ordered) < c.timing.ControllerPause || c.mayMoveLate(id) || len(txn.Deletes) == maxClaimsPerTxn {
-			continue
+		if now.Sub(transit.ordered) >= c.timing.ControllerPause && !c.mayMoveLate(id) {
+			over = append(over, id)
+		}
+	}
+	for batch := range slices.Chunk(over, maxClaimsPerTxn) {
+		if err := c.deleteClaims(ctx, batch, view); err != nil {
+			return err
 		}
+	}
+	return nil
+}
+
+// deleteClaims deletes the claims of machines whose moves are over.
+func (c *machineController) deleteClaims(ctx context.Context, machines []string, view reportView) error {
+	var txn store.Txn
+	for _, id := range machines {
 		if view.revisions[id] != 0 {
 			view.deleteClaim(&txn, id)
 		}
