--- a/internal/poolconfig/configuration.go
+++ b/internal/poolconfig/configuration.go
@@ -7,6 +7,8 @@
 	Version int64
 	Queues  []Queue
 	Pools   []Pool
+	Teams   []Team // empty: callers are not told apart
+	Limits  Limits
 }
 
 // Services returns the names of all services, in the order of the configuration.
--- a/internal/poolconfig/queue.go
+++ b/internal/poolconfig/queue.go
@@ -19,4 +19,5 @@
 	Objective   time.Duration
 	Timeout     time.Duration
 	Advice      *scheduler.AdvicePolicy
+	Public      bool // callers need no team's key
 }
--- a/internal/poolstore/job_progress.go
+++ b/internal/poolstore/job_progress.go
@@ -9,6 +9,7 @@
 // JobProgress is a job's progress as read from the store.
 type JobProgress struct {
 	Queue    string
+	Team     string // empty: none is known
 	Progress scheduler.Progress
 	EndedAt  time.Time // zero: not ended
 	Barred   bool      // there is no such job: it was cancelled before it was stored, and must not be stored later
--- a/internal/poolstore/job_record.go
+++ b/internal/poolstore/job_record.go
@@ -21,13 +21,14 @@
 	Objective   int64         `cbor:"10,keyasint,omitempty"`
 	AcceptedAt  int64         `cbor:"11,keyasint,omitempty"`
 	Advice      *adviceRecord `cbor:"12,keyasint,omitempty"`
+	Team        string        `cbor:"13,keyasint,omitempty"` // records of earlier versions have none
 }
 
 func newJobRecord(s *scheduler.Submission) jobRecord {
 	r := jobRecord{
 		Queue: s.Queue, Spec: s.Spec, StartAt: unixMillis(s.StartAt), Repeat: s.Repeat, Interval: s.Interval.Milliseconds(),
 		Priority: s.Priority, MaxFailures: s.MaxFailures, Stretch: s.Stretch, Objective: s.Objective.Milliseconds(),
-		AcceptedAt: unixMillis(s.AcceptedAt), Advice: newAdviceRecord(s.Advice),
+		AcceptedAt: unixMillis(s.AcceptedAt), Advice: newAdviceRecord(s.Advice), Team: s.Team,
 	}
 	for i := range s.Steps {
 		r.Steps = append(r.Steps, newStepRecord(&s.Steps[i]))
@@ -39,7 +40,7 @@
 	s := scheduler.Submission{
 		ID: id, Service: service, Queue: r.Queue, Spec: r.Spec, StartAt: fromUnixMillis(r.StartAt), Repeat: r.Repeat,
 		Interval: millis(r.Interval), Priority: r.Priority, MaxFailures: r.MaxFailures, Stretch: r.Stretch,
-		Objective: millis(r.Objective), AcceptedAt: fromUnixMillis(r.AcceptedAt), Advice: r.Advice.policy(),
+		Objective: millis(r.Objective), AcceptedAt: fromUnixMillis(r.AcceptedAt), Advice: r.Advice.policy(), Team: r.Team,
 	}
 	for i := range r.Steps {
 		s.Steps = append(s.Steps, r.Steps[i].step())
--- a/internal/scheduler/submission.go
+++ b/internal/scheduler/submission.go
@@ -6,6 +6,7 @@
 type Submission struct {
 	ID          string
 	Queue       string
+	Team        string // that it was accepted for; empty: none is known
 	Service     string
 	Spec        string
 	Steps       []Step
--- a/internal/settings/job_entry.go
+++ b/internal/settings/job_entry.go
@@ -15,6 +15,7 @@
 	Listen           JobListen   `yaml:"listen"`
 	Platform         JobPlatform `yaml:"platform"`
 	Machine          JobMachine  `yaml:"machine"`
+	Identity         JobIdentity `yaml:"identity"`
 	Timing           JobTiming   `yaml:"timing"`
 	LogLevel         string      `yaml:"logLevel" validate:"oneof=debug info warn error"`
 }
