Callers are identified by their teams' keys

Cause: the configuration's teams were read and nothing used them: a call with an unknown or withdrawn key was served, and an entry without a way to the store went on with the keys that it knew for ever.

Change: internal/identity judges a call by the configuration in force and by how old the entry's knowledge of it is; internal/keycheck reads the configuration once more for unknown keys, counts and logs. The watch of the operators' keys confirms the configuration as of the time at which it was sent; a read of the key by itself confirms it where the watch does not. Jobs carry the team that they were accepted for, and do not exist for other teams.

--- a/internal/intake/cancel.go
+++ b/internal/intake/cancel.go
@@ -12,12 +12,12 @@
 // Cancel cancels a job and returns once that is stored. The pool's owner is
 // notified, and also reads the cancellation from the store. A job in a final
 // state is left unchanged, without an error. The error NotFound guarantees that the job
-// does not run later either.
+// does not run later either, unless it belongs to another team.
 func (in *Intake) Cancel(ctx context.Context, service, id string) error {
 	var t tries
 	for {
 		found, err := in.find(ctx, service, id)
-		if problem.Is(err, problem.NotFound) && !found.state.Barred {
+		if problem.Is(err, problem.NotFound) && !found.state.Barred && !found.hidden {
 			barred := t.do(ctx, func(ctx context.Context) error { return in.bar(ctx, service, id) })
 			if barred == nil {
 				return err
--- a/internal/intake/found_state.go
+++ b/internal/intake/found_state.go
@@ -8,4 +8,5 @@
 	service  string
 	revision int64
 	state    poolstore.JobProgress
+	hidden   bool // the job exists, but not for this caller
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"persimmonbay/internal/identity"
 	"persimmonbay/internal/poolconfig"
 	"persimmonbay/internal/poolstore"
 	"persimmonbay/internal/problem"
@@ -24,11 +25,20 @@
 	owners OwnerNotifier
 	clock  clockwork.Clock
 	log    *zap.Logger
+	caller identity.Caller
 }
 
-// New returns an intake.
+// New returns an intake for callers who may see all jobs.
 func New(s store.Store, config *poolconfig.InForce, owners OwnerNotifier, clock clockwork.Clock, log *zap.Logger) *Intake {
-	return &Intake{store: s, config: config, owners: owners, clock: clock, log: log}
+	return &Intake{store: s, config: config, owners: owners, clock: clock, log: log, caller: identity.Caller{Any: true}}
+}
+
+// For returns an intake for one caller. The jobs that it accepts belong to the caller's
+// team, and those that the caller may not see do not exist for it.
+func (in *Intake) For(caller identity.Caller) *Intake {
+	scoped := *in
+	scoped.caller = caller
+	return &scoped
 }
 
 // retryInterval is the pause between two tries of a call to the store: a few
@@ -44,6 +54,7 @@
 // runs; after one of kind Timeout the outcome is unknown. Submitting a job that
 // was accepted before succeeds and does not add a second job.
 func (in *Intake) Submit(ctx context.Context, sub scheduler.Submission) error {
+	sub.Team = in.caller.Team
 	owner := in.owners.Owner(sub.Service)
 	txn, err := in.acceptanceTxn(&sub, owner)
 	if err != nil {
@@ -109,7 +120,7 @@
 	if err != nil {
 		return store.Txn{}, err
 	}
-	state, err := poolstore.EncodeState(&poolstore.JobProgress{Queue: sub.Queue})
+	state, err := poolstore.EncodeState(&poolstore.JobProgress{Queue: sub.Queue, Team: sub.Team})
 	if err != nil {
 		return store.Txn{}, err
 	}
--- a/internal/intake/state.go
+++ b/internal/intake/state.go
@@ -21,7 +21,8 @@
 
 // find reads a job's progress under service, and then under the other services,
 // since its queue may have belonged to one of them when the job was accepted. For a job
-// that was cancelled before it was stored it returns the record of that, and NotFound.
+// that was cancelled before it was stored it returns the record of that, and NotFound; for
+// one that the caller may not see, likewise.
 func (in *Intake) find(ctx context.Context, service, id string) (foundState, error) {
 	for _, s := range in.servicesFrom(service) {
 		item, err := in.get(ctx, poolstore.StateKey(s, id))
@@ -32,10 +33,11 @@
 			return foundState{}, err
 		}
 		state, err := poolstore.DecodeState(item.Key, item.Value)
-		if err == nil && state.Barred {
+		hidden := err == nil && !state.Barred && !in.caller.MaySee(state.Team, state.Queue)
+		if err == nil && (state.Barred || hidden) {
 			err = errNoSuchJob(id)
 		}
-		return foundState{service: s, revision: item.Revision, state: state}, err
+		return foundState{service: s, revision: item.Revision, state: state, hidden: hidden}, err
 	}
 	return foundState{}, errNoSuchJob(id)
 }
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -13,7 +13,9 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"persimmonbay/internal/identity"
 	"persimmonbay/internal/intake"
+	"persimmonbay/internal/keycheck"
 	"persimmonbay/internal/poolconfig"
 	"persimmonbay/internal/poolmanager"
 	"persimmonbay/internal/problem"
@@ -54,12 +56,17 @@
 	if s.Platform.Machines != "" {
 		dependencies.Machines = platform.NewMachines(s.Platform.Machines, codec)
 	}
-	e.manager = poolmanager.New(s.ID, s.Listen.Peers, s.Machine.Cores, dependencies, timingOf(&s.Timing, s.Machine.Cores), e.config)
+	policy := identity.Policy{FailClosed: s.Identity.FailClosed, RevokeWithin: s.Identity.RevokeWithin}
+	timing := timingOf(&s.Timing, s.Machine.Cores)
+	timing.ConfirmAfter = policy.ConfirmAfter()
+	e.manager = poolmanager.New(s.ID, s.Listen.Peers, s.Machine.Cores, dependencies, timing, e.config)
+	keys := keycheck.New(policy, e.config, e.manager, sinceBoot, log)
+	dependencies.Metrics.Publish("identity", func() any { return keys.Counts() })
 	dependencies.Metrics.Publish("pools", func() any { return e.manager.Counts() })
 	// Callers' calls have connections of their own: the entry's lease and its pools must
 	// not wait for them.
 	in := intake.New(platform.NewStore(s.Platform.Store, codec), e.config, ownerNotifier{e.manager}, clock, log)
-	e.callers = &http.Server{Handler: platform.NewIngress(in, e.config, codec, clock, log).Handler(), ReadHeaderTimeout: headerTimeout}
+	e.callers = &http.Server{Handler: platform.NewIngress(in, keys, codec, clock, log).Handler(), ReadHeaderTimeout: headerTimeout}
 	e.probes = &http.Server{Handler: platform.ReadinessHandler(e.Ready, dependencies.Metrics), ReadHeaderTimeout: headerTimeout}
 	return e, nil
 }
--- a/internal/poolmanager/fake_operators_test.go
+++ b/internal/poolmanager/fake_operators_test.go
@@ -14,6 +14,8 @@
 
 func (fakeOperators) OperatorsPrefix() string { return "operators/" }
 
+func (fakeOperators) ConfigurationKey() string { return "operators/configuration" }
+
 func (fakeOperators) Configuration(store.Item) (*poolconfig.Configuration, error) { return nil, nil }
 
 func (fakeOperators) Wave(store.Item) (*upkeep.Wave, error) { return nil, nil }
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -28,6 +28,7 @@
 	changed          signal                 // the fleet, the configuration or a wave has changed
 	member           ownKeys                // revision of this entry's registration
 	invalid          *invalidItems
+	reader           *configurationReader
 
 	mu         sync.Mutex
 	ownerships map[string]*poolOwnership // by service
@@ -36,7 +37,7 @@
 // New returns a manager for the entry entryID, which other entries reach at address
 // and which can carry a load of weight cores. It does nothing before Run.
 func New(entryID, address string, weight float64, d Dependencies, timing Timing, config *poolconfig.InForce) *Manager {
-	return &Manager{
+	m := &Manager{
 		Dependencies: d, entryID: entryID, address: address, weight: weight, timing: timing, peers: shard.NewCell[Peers](nil), config: config,
 		session:          newSession(d.Store, d.Clock, d.SinceBoot, d.Log, &timing, entryID),
 		fleet:            shard.NewCell(newFleetView()),
@@ -46,6 +47,11 @@
 		invalid:          newInvalidItems(),
 		ownerships:       make(map[string]*poolOwnership),
 	}
+	m.reader = &configurationReader{
+		store: d.Store, operators: d.Operators, timeout: timing.StoreTimeout, sinceBoot: d.SinceBoot, config: config,
+		apply: m.applyConfiguration,
+	}
+	return m
 }
 
 // Run acquires and runs pools until ctx ends. It then hands them over, ends the
@@ -54,7 +60,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){m.session.run, m.watchFleet, m.watchOperators} {
+	for _, loop := range []func(context.Context){m.session.run, m.watchFleet, m.watchOperators, m.confirmConfiguration} {
 		wg.Go(func() { m.keepRunning(background, loop) })
 	}
 	m.keepRunning(ctx, m.manage)
--- a/internal/poolmanager/manager_watch.go
+++ b/internal/poolmanager/manager_watch.go
@@ -67,7 +67,9 @@
 		}
 		m.changed.send()
 	}
-	m.newWatcher(m.Operators.OperatorsPrefix(), reset, apply).run(ctx, 0)
+	w := m.newWatcher(m.Operators.OperatorsPrefix(), reset, apply)
+	w.sinceBoot, w.confirm = m.SinceBoot, m.config.Confirm
+	w.run(ctx, 0)
 }
 
 func (m *Manager) applyOperators(e store.Event) {
@@ -80,7 +82,7 @@
 		m.invalid.logOnce(m.Log, "configuration not understood, the last one stays in force", &e.Item, err)
 	}
 	if config != nil && m.config.Put(config) {
-		m.Log.Info("configuration in force", zap.Int64("version", config.Version), zap.Int("queues", len(config.Queues)))
+		m.Log.Info("configuration in force", zap.Int64("version", config.Version), zap.Int("queues", len(config.Queues)), zap.Int("teams", len(config.Teams)))
 	}
 	wave, err := m.Operators.Wave(e.Item)
 	if err != nil {
--- a/internal/poolmanager/operators.go
+++ b/internal/poolmanager/operators.go
@@ -10,6 +10,8 @@
 type Operators interface {
 	// OperatorsPrefix is the prefix of the operators' keys.
 	OperatorsPrefix() string
+	// ConfigurationKey is the key of the configuration.
+	ConfigurationKey() string
 	// Configuration decodes the item if it is the configuration, and returns nil for
 	// other items.
 	Configuration(item store.Item) (*poolconfig.Configuration, error)
--- a/internal/poolmanager/ownership_save.go
+++ b/internal/poolmanager/ownership_save.go
@@ -142,7 +142,7 @@
 	txn := o.guardedTxn()
 	for i := range items {
 		item := &items[i]
-		state := poolstore.JobProgress{Queue: item.Queue, Progress: item.Progress}
+		state := poolstore.JobProgress{Queue: item.Queue, Team: item.Team, Progress: item.Progress}
 		if item.Progress.State.Final() {
 			state.EndedAt = item.EndedAt
 		}
--- a/internal/poolmanager/timing.go
+++ b/internal/poolmanager/timing.go
@@ -22,5 +22,6 @@
 	ControllerPause     time.Duration // how long a new machine controller leaves alone the machines that an earlier one may have ordered
 	WorkerListInterval  time.Duration // between two reads of changes in the list of workers
 	MachineListInterval time.Duration // between two reads of the machines while there is a wave or a move
+	ConfirmAfter        time.Duration // age of the last confirmation of the configuration at which it is read beside the watch; 0: never
 	Scheduler           scheduler.Timing
 }
--- a/internal/poolmanager/watcher.go
+++ b/internal/poolmanager/watcher.go
@@ -27,7 +27,10 @@
 	reset      func(ctx context.Context, items []store.Item) error // replaces all that was read before; called again after an error
 	apply      func(events []store.Event)                          // the changes of one watch, in order
 	onResponse func(now time.Time)                                 // called after each response of the store; may be nil
+	sinceBoot  func() time.Duration                                // of the times for confirm; nil: without confirm
+	confirm    func(sent time.Duration)                            // called once all changes up to the time at which a call was sent are applied
 	read       *rangeRead                                          // of all keys; nil: none in progress
+	readSent   time.Duration                                       // when the first page of read was sent
 }
 
 // Bounds of the delay before a read or a watch that failed is tried again. The lower
@@ -74,6 +77,7 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, w.wait+w.timeout)
 	defer cancel()
+	sent := w.now()
 	events, revision, err := w.store.Watch(limited, w.prefix, from, w.wait)
 	if err != nil {
 		return 0, err
@@ -84,7 +88,7 @@
 	if len(events) > 0 {
 		w.apply(events)
 	}
-	w.responded()
+	w.responded(sent)
 	if len(events) > 0 && w.pause > 0 {
 		sleep(ctx, w.clock, w.pause)
 	}
@@ -94,7 +98,7 @@
 // readAll reads all keys. After an error, the next call goes on where this one ended.
 func (w *watcher) readAll(ctx context.Context) (int64, error) {
 	if w.read == nil {
-		w.read = &rangeRead{prefix: w.prefix}
+		w.read, w.readSent = &rangeRead{prefix: w.prefix}, w.now()
 	}
 	if err := w.read.finish(ctx, w.store); err != nil {
 		return 0, err
@@ -107,7 +111,7 @@
 	}
 	revision := w.read.revision
 	w.read = nil
-	w.responded()
+	w.responded(w.readSent)
 	return revision, nil
 }
 
@@ -122,10 +126,21 @@
 // readAllTimeout bounds a step of several reads and writes that are small.
 const readAllTimeout = 3 * time.Second
 
-func (w *watcher) responded() {
+// responded is called after all changes are applied that a call returned.
+func (w *watcher) responded(sent time.Duration) {
 	if w.onResponse != nil {
 		w.onResponse(w.clock.Now())
 	}
+	if w.confirm != nil {
+		w.confirm(sent)
+	}
+}
+
+func (w *watcher) now() time.Duration {
+	if w.sinceBoot == nil {
+		return 0
+	}
+	return w.sinceBoot()
 }
 
 // sleep waits for d or until ctx ends.
--- a/internal/scheduler/pool_save.go
+++ b/internal/scheduler/pool_save.go
@@ -15,7 +15,7 @@
 		j.saving = true
 		urgent = urgent || j.urgentSave
 		items = append(items, SaveItem{
-			Job: j.sub.ID, Queue: j.sub.Queue, Revision: j.revision, Progress: j.progress.clone(), AcceptedAt: j.sub.AcceptedAt, EndedAt: j.endedAt, EndSaved: j.endSaved,
+			Job: j.sub.ID, Queue: j.sub.Queue, Team: j.sub.Team, Revision: j.revision, Progress: j.progress.clone(), AcceptedAt: j.sub.AcceptedAt, EndedAt: j.endedAt, EndSaved: j.endSaved,
 			Remove: j.progress.State.Final() && j.activeRuns == 0, upTo: j.dirtyTo,
 		})
 	}
--- a/internal/scheduler/save_item.go
+++ b/internal/scheduler/save_item.go
@@ -8,6 +8,7 @@
 	Job        string
 	Revision   int64 // the store revision that the write replaces
 	Queue      string
+	Team       string // that the job was accepted for
 	Progress   Progress
 	AcceptedAt time.Time
 	EndedAt    time.Time // zero: the job has not ended
