--- a/internal/poolmanager/manager_watch.go
+++ b/internal/poolmanager/manager_watch.go
@@ -52,7 +52,9 @@
 
 // watchOperators keeps the configuration and the waves up to date with the store
 // until ctx ends.
-func (m *Manager) watchOperators(ctx context.Context) {
+func (m *Manager) watchOperators(ctx context.Context) { m.operatorsWatcher().run(ctx, 0) }
+
+func (m *Manager) operatorsWatcher() *watcher {
 	reset := func(_ context.Context, items []store.Item) error {
 		m.waves.Update(func(waveView) (waveView, bool) { return waveView{}, true })
 		for _, item := range items {
@@ -69,7 +71,7 @@
 	}
 	w := m.newWatcher(m.Operators.OperatorsPrefix(), reset, apply)
 	w.sinceBoot, w.confirm = m.SinceBoot, m.config.Confirm
-	w.run(ctx, 0)
+	return w
 }
 
 func (m *Manager) applyOperators(e store.Event) {
--- a/internal/yamlfile/validate.go
+++ b/internal/yamlfile/validate.go
@@ -49,7 +49,7 @@
 
 func expectation(fault validator.FieldError) string {
 	switch fault.Tag() {
-	case "required":
+	case "required", "required_if":
 		return "expected a value, found none"
 	case "hostname_port":
 		return "expected HOST:PORT, as in 127.0.0.1:8080"
