A key is unknown only after a read that was sent after the call

Cause: a spec under the race detector got 401 for a key 0.1 s after the store had acknowledged it: a confirmation within 0.2 s before the call passed for recent.

Change: calls with an unknown key wait for the next read of the configuration, which they share; reads stay 0.2 s apart. A call is refused with 401 only if a read that was sent after its arrival shows no such key.

--- a/internal/identity/knowledge.go
+++ b/internal/identity/knowledge.go
@@ -12,5 +12,5 @@
 	Directory     *Directory                // of the configuration's teams
 	Age           time.Duration             // since the configuration was confirmed to be the newest
 	Confirmed     bool                      // false: it never was, and Age means nothing
-	Reread        bool                      // the configuration was read again for this call
+	Waited        time.Duration             // since the call arrived
 }
--- a/internal/identity/policy.go
+++ b/internal/identity/policy.go
@@ -8,22 +8,15 @@
 	RevokeWithin time.Duration // from the withdrawal of a key until no call with it is admitted
 }
 
-const (
-	// recent is the age up to which the entry's knowledge shows that a key is unknown
-	// without reading the configuration again.
-	recent = 200 * time.Millisecond
-	// recentReread replaces recent once the configuration was read again for the call:
-	// the read may have been slow, and other calls may share it.
-	recentReread = time.Second
-	// marginShare is the share of RevokeWithin that is left for the drift between the
-	// clocks of the operators and the entry.
-	marginShare = 0.04
-)
+// marginShare is the share of RevokeWithin that is left for the drift between the clocks
+// of the operators and the entry.
+const marginShare = 0.04
 
 // Judge returns the verdict on a call. A call that was sent before Judge is called and
 // whose key was withdrawn more than RevokeWithin before it was sent is never admitted if
 // FailClosed is set. After Unconfirmed, the caller reads the configuration again and judges
-// once more.
+// once more: a key is unknown if a read that was sent after the call arrived shows no such
+// key.
 func (p Policy) Judge(call Call, k Knowledge) Verdict {
 	if k.Configuration == nil {
 		return Verdict{Outcome: NoConfiguration}
@@ -48,7 +41,7 @@
 	case outdated:
 		return Verdict{Outcome: Outdated}
 	case known:
-	case k.showsUnknownKey():
+	case k.Confirmed && k.Age <= k.Waited:
 		return Verdict{Outcome: UnknownKey}
 	default:
 		return Verdict{Outcome: Unconfirmed}
@@ -72,11 +65,3 @@
 	margin := time.Duration(marginShare * float64(p.RevokeWithin))
 	return !k.Confirmed || k.Age >= p.RevokeWithin-margin
 }
-
-func (k Knowledge) showsUnknownKey() bool {
-	bound := recent
-	if k.Reread {
-		bound = recentReread
-	}
-	return k.Confirmed && k.Age <= bound
-}
--- a/internal/identity/policy_test.go
+++ b/internal/identity/policy_test.go
@@ -23,31 +23,33 @@
 		return identity.Knowledge{Configuration: config, Directory: identity.NewDirectory(config.Teams), Age: age, Confirmed: age >= 0}
 	}
 	closed := identity.Policy{FailClosed: true, RevokeWithin: 5 * time.Second}
-	const never = -time.Second
+	const never, atOnce = -time.Second, time.Duration(0)
 
-	DescribeTable("depends on the key and on the age of the configuration", func(p identity.Policy, path, key string, age time.Duration, outcome identity.Outcome, team string) {
+	DescribeTable("depends on the key and on the age of the configuration", func(p identity.Policy, path, key string, age, waited time.Duration, outcome identity.Outcome, team string) {
 		call := identity.Call{Host: "h", Path: path}
 		if key != "" {
 			digest := poolconfig.NewKeyDigest(key)
 			call.Key = &digest
 		}
-		v := p.Judge(call, knows(age))
+		k := knows(age)
+		k.Waited = waited
+		v := p.Judge(call, k)
 		Expect(v.Outcome).To(Equal(outcome))
 		Expect(v.Caller.Team).To(Equal(team))
 	},
-		Entry("known key", closed, "/k/1", "a-2", 4*time.Second, identity.Admitted, "a"),
-		Entry("known key, too old", closed, "/k/1", "a-2", 4900*time.Millisecond, identity.Outdated, ""),
-		Entry("known key, never confirmed", closed, "/k/1", "a-2", never, identity.Outdated, ""),
-		Entry("known key, not closing", identity.Policy{}, "/k/1", "a-2", time.Hour, identity.Admitted, "a"),
-		Entry("unknown key, recent", closed, "/k/1", "b", 100*time.Millisecond, identity.UnknownKey, ""),
-		Entry("unknown key, not recent", closed, "/k/1", "b", time.Second, identity.Unconfirmed, ""),
-		Entry("unknown key, too old", closed, "/k/1", "b", 5*time.Second, identity.Outdated, ""),
-		Entry("unknown key, not closing, never confirmed", identity.Policy{}, "/k/1", "b", never, identity.Unconfirmed, ""),
-		Entry("no key, recent", closed, "/k/1", "", 100*time.Millisecond, identity.UnknownKey, ""),
-		Entry("public queue, no key", closed, "/p/1", "", time.Hour, identity.Admitted, ""),
-		Entry("public queue, known key", closed, "/p/1", "a-1", time.Second, identity.Admitted, "a"),
-		Entry("public queue, known key, too old", closed, "/p/1", "a-1", time.Hour, identity.Admitted, ""),
-		Entry("no queue", closed, "/x/1", "a-1", time.Second, identity.NoQueue, ""),
+		Entry("known key", closed, "/k/1", "a-2", 4*time.Second, atOnce, identity.Admitted, "a"),
+		Entry("known key, too old", closed, "/k/1", "a-2", 4900*time.Millisecond, atOnce, identity.Outdated, ""),
+		Entry("known key, never confirmed", closed, "/k/1", "a-2", never, atOnce, identity.Outdated, ""),
+		Entry("known key, not closing", identity.Policy{}, "/k/1", "a-2", time.Hour, atOnce, identity.Admitted, "a"),
+		Entry("unknown key, read since the call", closed, "/k/1", "b", 100*time.Millisecond, 100*time.Millisecond, identity.UnknownKey, ""),
+		Entry("unknown key, read before the call", closed, "/k/1", "b", 100*time.Millisecond, 99*time.Millisecond, identity.Unconfirmed, ""),
+		Entry("unknown key, too old", closed, "/k/1", "b", 5*time.Second, atOnce, identity.Outdated, ""),
+		Entry("unknown key, not closing, never confirmed", identity.Policy{}, "/k/1", "b", never, atOnce, identity.Unconfirmed, ""),
+		Entry("no key", closed, "/k/1", "", 100*time.Millisecond, time.Second, identity.UnknownKey, ""),
+		Entry("public queue, no key", closed, "/p/1", "", time.Hour, atOnce, identity.Admitted, ""),
+		Entry("public queue, known key", closed, "/p/1", "a-1", time.Second, atOnce, identity.Admitted, "a"),
+		Entry("public queue, known key, too old", closed, "/p/1", "a-1", time.Hour, atOnce, identity.Admitted, ""),
+		Entry("no queue", closed, "/x/1", "a-1", time.Second, atOnce, identity.NoQueue, ""),
 	)
 
 	It("tells no callers apart where the configuration has no teams", func() {
--- a/internal/keycheck/checker.go
+++ b/internal/keycheck/checker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -37,25 +38,27 @@
 // Check returns the verdict on a call, after another read of the configuration if its key
 // is not known here.
 func (c *Checker) Check(ctx context.Context, call identity.Call) identity.Verdict {
-	v := c.judge(call, false)
+	arrived := c.sinceBoot()
+	v := c.judge(call, 0)
 	if v.Outcome == identity.Unconfirmed {
 		limited, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		if err := c.reader.ReadConfiguration(limited); err != nil {
 			c.log.Debug("configuration not read for an unknown key", telemetry.ProblemFields(err)...)
 		}
-		v = c.judge(call, true)
+		v = c.judge(call, c.sinceBoot()-arrived)
 	}
 	c.record(v.Outcome)
 	return v
 }
 
 // Recheck returns the outcome of a call that Check admitted as it would be now, after all
-// of the call has arrived: its last bytes may come long after its first. A queue that was
-// removed meanwhile still takes it.
+// of the call has arrived: its last bytes may come long after its first. A key that was
+// known and is not any more was withdrawn. A queue that was removed meanwhile still takes
+// the call.
 func (c *Checker) Recheck(call identity.Call) identity.Outcome {
-	switch outcome := c.judge(call, true).Outcome; outcome {
-	case identity.UnknownKey, identity.Unconfirmed, identity.Outdated:
+	switch outcome := c.judge(call, math.MaxInt64).Outcome; outcome {
+	case identity.UnknownKey, identity.Outdated:
 		c.record(outcome)
 		return outcome
 	default:
@@ -75,12 +78,12 @@
 
 // judge reads the confirmation before the configuration: the other way around, an older
 // configuration could pass for confirmed.
-func (c *Checker) judge(call identity.Call, reread bool) identity.Verdict {
+func (c *Checker) judge(call identity.Call, waited time.Duration) identity.Verdict {
 	confirmation := c.config.Confirmed()
 	config := c.config.Get()
 	age, confirmed := confirmation.Age(c.sinceBoot())
 	return c.policy.Judge(call, identity.Knowledge{
-		Configuration: config, Directory: c.directories.Of(config), Age: age, Confirmed: confirmed, Reread: reread,
+		Configuration: config, Directory: c.directories.Of(config), Age: age, Confirmed: confirmed, Waited: waited,
 	})
 }
 
--- a/internal/poolmanager/configuration_reader.go
+++ b/internal/poolmanager/configuration_reader.go
@@ -5,65 +5,71 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/singleflight"
-
 	"persimmonbay/internal/poolconfig"
 	"persimmonbay/internal/store"
 )
 
 // configurationReader reads the operators' configuration by its key, beside the watch,
-// which a silent connection may hold up. Callers share one read. mu guards lastRead and
-// lastErr.
+// which a silent connection may hold up. Callers that wait at the same time share a read.
+// mu guards waiting; turn is held during a read and guards lastSent.
 type configurationReader struct {
 	store     store.Store
 	operators Operators
 	timeout   time.Duration        // of one read
 	sinceBoot func() time.Duration // suspensions included
+	pause     func(length time.Duration)
 	apply     func(item store.Item) (applied bool)
 	config    *poolconfig.InForce
-	flight    singleflight.Group
 
-	mu       sync.Mutex
-	lastRead time.Duration // when the last read was sent; 0: never
-	lastErr  error
+	mu      sync.Mutex
+	waiting *sharedRead // not sent yet; nil: none
+
+	turn     sync.Mutex
+	lastSent time.Duration // since boot; 0: never
 }
 
 // readInterval is the shortest time between two reads of the configuration.
 const readInterval = 200 * time.Millisecond
 
-// read puts the stored configuration into force and confirms it, or returns the error of
-// the store. Within readInterval after a read it returns the outcome of that one.
+// read puts the stored configuration into force and confirms it, by a read that is sent
+// after the call to read. It returns the error of the store or of ctx.
 func (r *configurationReader) read(ctx context.Context) error {
-	done := r.flight.DoChan("", func() (any, error) {
-		limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), r.timeout)
-		defer cancel()
-		return nil, r.readOnce(limited)
-	})
+	s := r.join()
 	select {
-	case result := <-done:
-		return result.Err
+	case <-s.done:
+		return s.err
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
 
-func (r *configurationReader) readOnce(ctx context.Context) error {
-	sent := r.sinceBoot()
-	if err, recent := r.recent(sent); recent {
-		return err
-	}
-	item, err := r.store.Get(ctx, r.operators.ConfigurationKey())
-	if err == nil && r.apply(item) {
-		r.config.Confirm(sent)
-	}
+// join returns the read that is sent next.
+func (r *configurationReader) join() *sharedRead {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lastRead, r.lastErr = sent, err
-	return err
+	if r.waiting == nil {
+		r.waiting = &sharedRead{done: make(chan struct{})}
+		go r.send(r.waiting)
+	}
+	return r.waiting
 }
 
-func (r *configurationReader) recent(now time.Duration) (err error, recent bool) {
+// send makes a read once the one before it has ended and readInterval has passed.
+func (r *configurationReader) send(s *sharedRead) {
+	r.turn.Lock()
+	defer r.turn.Unlock()
+	defer close(s.done)
+	if wait := r.lastSent + readInterval - r.sinceBoot(); r.lastSent > 0 && wait > 0 {
+		r.pause(wait)
+	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.lastErr, r.lastRead > 0 && now < r.lastRead+readInterval
+	r.waiting = nil
+	r.mu.Unlock()
+	r.lastSent = r.sinceBoot()
+	ctx, cancel := context.WithTimeout(context.Background(), r.timeout)
+	defer cancel()
+	var item store.Item
+	if item, s.err = r.store.Get(ctx, r.operators.ConfigurationKey()); s.err == nil && r.apply(item) {
+		r.config.Confirm(r.lastSent)
+	}
 }
--- a/internal/poolmanager/keys_scene_test.go
+++ b/internal/poolmanager/keys_scene_test.go
@@ -57,6 +57,7 @@
 	policy := identity.Policy{FailClosed: true, RevokeWithin: revokeWithin}
 	timing := Timing{WatchWait: time.Second, StoreTimeout: 900 * time.Millisecond, ConfirmAfter: policy.ConfirmAfter()}
 	s.manager = New("node-1", "", 1, Dependencies{Store: s, Operators: s, Clock: clockwork.NewFakeClock(), SinceBoot: boot, Log: zap.NewNop(), Metrics: telemetry.NewMetrics()}, timing, config)
+	s.manager.reader.pause = func(d time.Duration) { s.pass(d, false) }
 	s.checker = keycheck.New(policy, config, s.manager, boot, zap.NewNop())
 	s.watch, s.from = s.manager.operatorsWatcher(), 0
 }
@@ -159,6 +160,7 @@
 	key := s.calls[sent]
 	delete(s.calls, sent)
 	digest := poolconfig.NewKeyDigest(key)
+	arrived := s.now
 	outcome := s.checker.Check(context.Background(), identity.Call{Host: "h", Path: "/", Key: &digest}).Outcome
 	s.got[key] = append(s.got[key], outcome)
 	added, held := s.added[key]
@@ -168,7 +170,7 @@
 		Expect(held && (!gone || sent < removed+revokeWithin)).To(BeTrue(), what)
 	}
 	if outcome == identity.UnknownKey {
-		Expect(held && !gone && added < s.now-time.Second-keyTick).To(BeFalse(), what)
+		Expect(held && !gone && added < arrived).To(BeFalse(), what)
 	}
 }
 
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -48,7 +48,7 @@
 		ownerships:       make(map[string]*poolOwnership),
 	}
 	m.reader = &configurationReader{
-		store: d.Store, operators: d.Operators, timeout: timing.StoreTimeout, sinceBoot: d.SinceBoot, config: config,
+		pause: d.Clock.Sleep, store: d.Store, operators: d.Operators, timeout: timing.StoreTimeout, sinceBoot: d.SinceBoot, config: config,
 		apply: m.applyConfiguration,
 	}
 	return m
--- a/internal/poolmanager/manager_confirm.go
+++ b/internal/poolmanager/manager_confirm.go
@@ -10,8 +10,8 @@
 	"persimmonbay/internal/telemetry"
 )
 
-// ReadConfiguration puts the stored configuration into force and confirms it. It returns
-// the error of the store, or that of a read which failed just now.
+// ReadConfiguration puts the stored configuration into force and confirms it, by a read
+// that is sent after the call. It returns the error of the store or of ctx.
 func (m *Manager) ReadConfiguration(ctx context.Context) error { return m.reader.read(ctx) }
 
 // applyConfiguration puts a stored configuration into force, beside the watch. It reports
@@ -38,7 +38,6 @@
 			failing = err != nil
 			m.logConfirmation(err)
 		}
-		sleep(ctx, m.Clock, readInterval)
 	}
 }
 
