A team's cap holds over all pools

Change: one account a team in the store, with a grant for each pool, changed by the pools' owners under the revision that they read and under their ownership. internal/quota decides; the pool counts runs, starts that may still be carried out and what a former owner's unknown runs may use, and starts nothing beyond.

--- a/internal/poolmanager/ownership_plan.go
+++ b/internal/poolmanager/ownership_plan.go
@@ -33,6 +33,9 @@
 			plan := o.pool.Plan(now, now)
 			o.execute(&plan)
 			o.logEvents()
+			if o.pool.QuotaWaiting() {
+				o.quotaWanted.send()
+			}
 			sleep(o.ctx, o.Clock, max(planPause*o.Clock.Now().Sub(now), minPlanPause))
 			if !plan.Next.IsZero() {
 				next = min(next, max(plan.Next.Sub(now), time.Millisecond))
--- a/internal/poolmanager/ownership_pool.go
+++ b/internal/poolmanager/ownership_pool.go
@@ -20,6 +20,9 @@
 		return
 	}
 	o.loaded.Store(true)
+	quotas := newQuotaWriter(o)
+	quotas.configure()
+	o.spawn(quotas.run)
 	o.kickAll()
 	o.spawn(func() { o.watchWork(from) })
 	o.spawn(o.saveLoop)
--- a/internal/poolmanager/pool_ownership.go
+++ b/internal/poolmanager/pool_ownership.go
@@ -38,6 +38,7 @@
 	save           signal      // there is progress to save
 	rosterChanged  signal      // the roster may have changed
 	confirm        signal      // machines may have been emptied
+	quotaWanted    signal      // a team has no room left in its grant
 	goroutines     sync.WaitGroup
 	ordersInFlight inFlight        // starts and stops without a result yet
 	savesInFlight  inFlight        // batches that saveLoop has claimed, without a result yet
@@ -58,7 +59,7 @@
 	o := &poolOwnership{
 		Manager: m, service: service, token: token, lease: lease, ownedSince: m.Clock.Now(),
 		log:  m.Log.With(zap.String("service", service), zap.Int64("token", token)),
-		done: make(chan struct{}), leaving: make(chan struct{}), plan: newSignal(), save: newSignal(), confirm: newSignal(), rosterChanged: newSignal(),
+		done: make(chan struct{}), leaving: make(chan struct{}), plan: newSignal(), save: newSignal(), confirm: newSignal(), rosterChanged: newSignal(), quotaWanted: newSignal(),
 		pollers: make(map[string]*poller), requests: shard.NewCell(newRequestView()), workers: shard.NewCell(map[string]scheduler.WorkerInfo(nil)),
 	}
 	o.lines = newRunLines(o.log, m.Clock)
--- a/internal/poolstore/doc.go
+++ b/internal/poolstore/doc.go
@@ -13,6 +13,7 @@
 //	roster/SERVICE          the workers on which the owner's tasks may run
 //	work/SERVICE/job/ID     an accepted job; deleted after its last run has ended
 //	work/SERVICE/cancel/ID  the cancellation of a job
+//	quota/TEAM              what each pool may have running for a team with a cap
 //	work/SERVICE/owner      the pool's last change of owner
 //	state/SERVICE/ID        the job's progress; it stays after the job's end
 package poolstore
--- a/internal/poolstore/fuzz_test.go
+++ b/internal/poolstore/fuzz_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"persimmonbay/internal/poolstore"
+	"persimmonbay/internal/quota"
 	"persimmonbay/internal/scheduler"
 	"persimmonbay/internal/upkeep"
 )
@@ -35,6 +36,8 @@
 	add(poolstore.EncodeOwnMachines(map[string]int{"q": 3}))
 	add(poolstore.EncodeEmptyRequest(&upkeep.EmptyRequest{Pool: "tags", Worker: "w", By: now, Emptied: true}))
 	add(poolstore.EncodeKinds([]scheduler.KindNeed{{Label: "rack-1", Capacity: scheduler.Resources{MilliCPU: 1000}, Count: 2}}))
+	add(poolstore.EncodeQuota(&quota.Account{Pools: map[string]quota.Grant{"tags": {Granted: quota.Amount{MilliCPU: 4000}, Wanted: quota.Amount{MilliCPU: 8000, MemoryMB: 1}}}}))
+	seeds = append(seeds, []byte{0xa1, 0x61, 0x71, 0xa1, 0x01, 0x83, 0x20, 0x00, 0x00}) // a grant below 0
 	for _, seed := range seeds {
 		f.Add(seed)
 	}
@@ -66,6 +69,13 @@
 				}
 			}
 		}
+		if account, err := poolstore.DecodeQuota("k", data); err == nil {
+			for pool, g := range account.Pools {
+				if none := (quota.Amount{}); g.Granted.Max(none) != g.Granted || g.Wanted.Max(none) != g.Wanted || pool == "" {
+					t.Fatalf("grant %+v of pool %q", g, pool)
+				}
+			}
+		}
 		request, err := poolstore.DecodeEmptyRequest("k", data)
 		if err != nil {
 			request.By = time.Time{}
--- /dev/null
+++ b/internal/quota/decision.go
@@ -0,0 +1,31 @@
+package quota
+
+// decision is what a pool's grant for a team should be, and what the pool may have running
+// for the team until the account shows that.
+type decision struct {
+	grant   Grant
+	running Amount
+}
+
+// decide decides for all resources that the cap limits. Of the others nothing is granted.
+func decide(cap, slice, usable Amount, a Account, pool string, d Demand, peak Amount) decision {
+	others := a.Others(pool)
+	othersWanted, short := a.othersWanted(pool)
+	needed := d.needed()
+	one := func(r func(Amount) int) (granted, wanted, running int) {
+		if r(cap) <= 0 {
+			return 0, 0, 0
+		}
+		in := inputs{
+			cap: r(cap), grant: r(usable), others: r(others), othersWanted: r(othersWanted), short: short,
+			used: r(d.Used), needed: r(needed), peak: r(peak), slice: r(slice),
+		}
+		granted = in.target()
+		return granted, in.wanted(granted), in.running(min(granted, r(usable)))
+	}
+	var out decision
+	out.grant.Granted.MilliCPU, out.grant.Wanted.MilliCPU, out.running.MilliCPU = one(func(a Amount) int { return a.MilliCPU })
+	out.grant.Granted.MemoryMB, out.grant.Wanted.MemoryMB, out.running.MemoryMB = one(func(a Amount) int { return a.MemoryMB })
+	out.grant.Granted.Accelerators, out.grant.Wanted.Accelerators, out.running.Accelerators = one(func(a Amount) int { return a.Accelerators })
+	return out
+}
--- /dev/null
+++ b/internal/quota/grant.go
@@ -0,0 +1,15 @@
+package quota
+
+// Grant is one pool's part of an account.
+type Grant struct {
+	Granted Amount // that the pool may have running for the team
+	Wanted  Amount // that the pool would use in all, where that is more than it was granted; else nothing
+}
+
+// empty reports whether the grant says nothing.
+func (g Grant) empty() bool { return g == Grant{} }
+
+// short reports whether the pool wants more than it was granted of some resource.
+func (g Grant) short() bool {
+	return g.Wanted.MilliCPU > g.Granted.MilliCPU || g.Wanted.MemoryMB > g.Granted.MemoryMB || g.Wanted.Accelerators > g.Granted.Accelerators
+}
--- /dev/null
+++ b/internal/quota/team_account.go
@@ -0,0 +1,54 @@
+package quota
+
+import "time"
+
+// teamAccount is what one pool's owner knows of a team's account.
+type teamAccount struct {
+	account  Account
+	revision int64 // of account; 0: the store has none
+	known    bool  // the store was read
+	// usable is the part of the pool's grant that it may count on. It is less than the
+	// account shows after a write of a lower grant whose outcome is unknown.
+	usable  Amount
+	peak    peak
+	cap     Amount
+	slice   Amount
+	limit   Limit
+	absent  map[string]time.Time // since when pools with a grant have not been in the configuration
+	refusal bool                 // the last raise was refused in part
+	below   bool                 // all grants together exceeded the cap
+}
+
+// observe records the account at a revision, unless that or a later one is known. No earlier
+// write can be applied after that, so the whole grant can be counted on. Revision 0: the
+// account does not exist, or does not any more.
+func (t *teamAccount) observe(pool string, a Account, revision int64) {
+	if t.known && revision <= t.revision && (revision > 0 || t.revision == 0) {
+		return
+	}
+	t.account, t.revision, t.known = a, revision, true
+	t.usable = a.Pools[pool].Granted
+}
+
+// dropAbsent returns the account without the grants of pools that have not been in the
+// configuration for absentFor.
+func (t *teamAccount) dropAbsent(pools map[string]bool, now time.Time) Account {
+	a := t.account
+	for name := range t.account.Pools {
+		since, noted := t.absent[name]
+		switch {
+		case pools[name]:
+			delete(t.absent, name)
+		case !noted:
+			t.absent[name] = now
+		case now.Sub(since) >= absentFor:
+			a = a.With(name, Grant{})
+		}
+	}
+	return a
+}
+
+// absentFor is how long after a pool has left the configuration its grants are returned: by
+// then its last owner has noticed, late starts have been carried out and the leases of all
+// runs have expired.
+const absentFor = 45 * time.Second
--- a/internal/scheduler/open_start.go
+++ b/internal/scheduler/open_start.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"persimmonbay/internal/quota"
+)
 
 // openStart is a copy of a start that got no answer and was not carried out by the
 // incarnation of the worker that it was sent to. A later incarnation under the same ID may
@@ -13,5 +17,6 @@
 	token      int64 // fencing token that it carries
 	attempt    int   // that no incarnation is known to have run; 0: its attempt was run
 	until      time.Time
+	charge     quota.Charge
 	leaseUntil time.Time // until when late polls may extend the lease of its run, once the worker was removed; zero: it was not
 }
--- a/internal/scheduler/open_starts.go
+++ b/internal/scheduler/open_starts.go
@@ -75,10 +75,16 @@
 	return true
 }
 
-// closeOver removes the open starts that are over.
-func (o openStarts) closeOver(over func(s *openStart) bool) {
+// closeOver removes the open starts that are over, and calls closed for each.
+func (o openStarts) closeOver(over func(s *openStart) bool, closed func(s *openStart)) {
 	for id, list := range o {
-		list = slices.DeleteFunc(list, func(s openStart) bool { return over(&s) })
+		list = slices.DeleteFunc(list, func(s openStart) bool {
+			if !over(&s) {
+				return false
+			}
+			closed(&s)
+			return true
+		})
 		if len(list) == 0 {
 			delete(o, id)
 		} else {
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"persimmonbay/internal/quota"
+)
 
 // Pool holds the workers of one service and the jobs that run on them, as one owner
 // sees them. Its methods may be called concurrently. service, token, timing and epoch
@@ -55,6 +59,7 @@
 	endedJobs           map[string]bool  // jobs that have ended and were removed from jobs lately
 	endedOrder          []endedJob       // the same in the order of their removal
 	events              []Event          // not yet returned by TakeEvents
+	quota               *quota.Book      // what runs for each team
 }
 
 // NewPool returns the pool of service for the owner with the given fencing token.
@@ -66,6 +71,7 @@
 		awaited: make(map[string]*awaitedWorker), jobs: make(map[string]*job), workers: make(map[string]*worker),
 		durations: newDurations(), endedJobs: make(map[string]bool), unsavedJobs: make(map[*job]bool), unackedWorkers: make(map[*worker]bool), pendingCancels: make(map[string]int64), publishedOffers: make(map[string]bool), takenOffers: make(map[string]bool), emptyClaims: make(map[string]bool),
 		openStarts:    make(openStarts),
+		quota:         quota.NewBook(),
 		unneededRuns:  make(map[TaskID]int),
 		shortArrivals: arrivalRate{window: shortArrivalWindow}, longArrivals: arrivalRate{window: longArrivalWindow},
 	}
@@ -87,8 +93,8 @@
 // Service returns the service whose workers belong to the pool.
 func (p *Pool) Service() string { return p.service }
 
-// Counts returns the pool's totals so far. It is the one method that can be called on an
-// unusable pool, as totals decide nothing.
+// Counts returns the pool's totals so far. It can be called on an unusable pool, as totals
+// decide nothing.
 func (p *Pool) Counts() Counts {
 	p.mu.mu.Lock()
 	defer p.mu.mu.Unlock()
--- a/internal/scheduler/pool_loading.go
+++ b/internal/scheduler/pool_loading.go
@@ -14,6 +14,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.loading = false
+	p.chargeInherited()
 }
 
 // Loading reports whether the pool's jobs are still being read.
--- a/internal/scheduler/pool_open_starts.go
+++ b/internal/scheduler/pool_open_starts.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"persimmonbay/internal/quota"
 )
 
 // keepOpenStarts records the copies of a run's start that may still be carried out, as the
@@ -19,11 +21,12 @@
 	if r.token == p.callToken(r.worker) {
 		r.worker.raiseToken()
 	}
-	s := openStart{worker: r.worker.info.ID, machine: r.worker.info.Machine, sentAt: r.sentAt(), token: r.token, until: until}
+	s := openStart{worker: r.worker.info.ID, machine: r.worker.info.Machine, sentAt: r.sentAt(), token: r.token, until: until, charge: r.charge}
 	if !r.ran {
 		s.attempt = r.attempt
 	}
 	p.openStarts.add(r.id, s)
+	p.quota.Charge(s.charge, false)
 	r.worker.openStart(until)
 }
 
@@ -112,7 +115,7 @@
 		expired := Later(Later(s.until, s.leaseUntil), p.lateLeaseUntil(p.workers[s.worker])).Add(p.timing.longest())
 		plan.wakeAt(expired)
 		return now.After(expired)
-	})
+	}, p.releaseOpenStart)
 }
 
 // hasLostOpenStarts reports whether there are open starts at workers that the pool does not
@@ -145,7 +148,7 @@
 			return false
 		}
 		return s.machine != "" && s.sentAt.Before(requestedAt) && left(s)
-	})
+	}, p.releaseOpenStart)
 }
 
 // lateLeaseUntil returns until when a late poll may extend leases at the worker; nil: none
@@ -184,21 +187,30 @@
 func (p *Pool) inheritOpenStarts(starts []RosterStart, now time.Time) {
 	for _, s := range starts {
 		left := min(max(s.Left, -p.timing.longest()), p.timing.LateCalls+rosterStartStep)
-		p.openStarts.add(s.Task, openStart{worker: s.Worker, machine: s.Machine, sentAt: now, token: p.token<<TokenStepBits - 1, until: now.Add(left)})
+		open := openStart{worker: s.Worker, machine: s.Machine, sentAt: now, token: p.token<<TokenStepBits - 1, until: now.Add(left)}
+		if s.Charge != nil {
+			open.charge = *s.Charge
+			p.quota.Charge(open.charge, false)
+		}
+		p.openStarts.add(s.Task, open)
 	}
 }
 
 // rosterStarts returns the open starts for the next owner, as of now.
 func (p *Pool) rosterStarts(now time.Time) []RosterStart {
 	var starts []RosterStart
-	add := func(worker, machine string, id TaskID, until time.Time) {
+	add := func(worker, machine string, id TaskID, until time.Time, c quota.Charge) {
+		var charge *quota.Charge
+		if c.Team != "" {
+			charge = &c
+		}
 		if left := until.Sub(now); left > -p.timing.longest() {
-			starts = append(starts, RosterStart{Worker: worker, Machine: machine, Task: id, Left: left.Truncate(rosterStartStep) + rosterStartStep})
+			starts = append(starts, RosterStart{Worker: worker, Machine: machine, Task: id, Charge: charge, Left: left.Truncate(rosterStartStep) + rosterStartStep})
 		}
 	}
 	for id, list := range p.openStarts {
 		for i := range list {
-			add(list[i].worker, list[i].machine, id, list[i].until)
+			add(list[i].worker, list[i].machine, id, list[i].until, list[i].charge)
 		}
 	}
 	for _, w := range p.workers {
@@ -208,7 +220,7 @@
 				until = Later(until, p.copyOpenUntil(r))
 			}
 			if now.Before(until) {
-				add(w.info.ID, w.info.Machine, r.id, until)
+				add(w.info.ID, w.info.Machine, r.id, until, r.charge)
 			}
 		}
 	}
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -105,6 +105,7 @@
 // in the order of their ranks.
 func (p *Pool) planStarts(now, wall time.Time, plan *Plan) {
 	p.startCandidates.reset(p.workers, now)
+	p.beginQuotaPlan()
 	p.rankJobs(now)
 	p.advice.beginPlan()
 	p.planHeldStage(now, plan)
@@ -150,6 +151,9 @@
 		if !t.startable(now) || p.mayRunUnderFormerOwner(t) {
 			continue
 		}
+		if !p.teamHasRoom(s, 1, now) {
+			return
+		}
 		w := p.place(t)
 		if w == nil && len(p.openStarts[t.id]) > 0 {
 			continue // unlike the other tasks of its step, it may not start anywhere
@@ -183,6 +187,9 @@
 			checkpoint = t.checkpoint
 		}
 	}
+	if !p.teamHasRoom(s, len(s.tasks), now) {
+		return
+	}
 	workers := p.placeGang(s)
 	if workers == nil {
 		p.waitsForRoom(s, now)
@@ -198,7 +205,7 @@
 	r := &run{
 		id: t.id, attempt: attempt, worker: w, incarnation: w.incarnation, orderedAt: now, reserved: s.step.reserved(), checkpoint: checkpoint,
 		deadline: w.clock.leaseDeadline(now, &p.timing), orderedPercent: fullSpeedPercent,
-		ticket: s.tickets.byWorker[w.info.ID],
+		ticket: s.tickets.byWorker[w.info.ID], charge: p.chargeStart(s),
 	}
 	r.sent(p.callToken(w))
 	t.attempt = attempt
--- a/internal/scheduler/pool_replaced.go
+++ b/internal/scheduler/pool_replaced.go
@@ -13,7 +13,7 @@
 func (p *Pool) replaceWorker(w *worker) {
 	w.replaced = true
 	p.markSuperseded(w)
-	p.openStarts.closeOver(func(s *openStart) bool { return s.worker == w.info.ID })
+	p.openStarts.closeOver(func(s *openStart) bool { return s.worker == w.info.ID }, p.releaseOpenStart)
 }
 
 // markSuperseded records that the worker's incarnation has ended, because another
--- a/internal/scheduler/pool_runs.go
+++ b/internal/scheduler/pool_runs.go
@@ -17,10 +17,14 @@
 		}
 		r.unknownJob = true
 		w.unknownRuns++
+		if open := p.openStarts[report.Task]; len(open) > 0 {
+			p.chargeAdopted(r, open[0].charge)
+		}
 		return r
 	}
 	r.reserved = j.reserved(report.Task.Step)
 	w.used = w.used.Plus(r.reserved)
+	p.chargeAdopted(r, j.charge(report.Task.Step))
 	t := p.taskOf(j, report.Task)
 	if t == nil {
 		return r
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"persimmonbay/internal/quota"
+)
 
 // run is one attempt of a task on a worker. The pool's lock guards it.
 type run struct {
@@ -23,6 +27,8 @@
 	refused        bool      // the last copy was refused or not sent, and a reply has yet to show what became of the earlier ones
 	deadline       int64     // until which the worker accepts the start, on its clock, in milliseconds; 0: none
 	reserved       Resources
+	charge         quota.Charge
+	adopted        bool      // this owner did not order it
 	unknownJob     bool      // the pool does not have its job, so its resources are not known
 	percent        int       // share of its full speed that the worker reports
 	reportedAt     time.Time // when the poll was sent whose reply last listed the run; zero: none has
