Caps: open starts count beside runs by worker, and turns for what has waited long

Cause: specs in virtual time over several pools. A start that was left open is carried out only by a later incarnation of its worker, where nothing else runs, so counting it beside the runs there took room for up to 18 s that nothing could use.

--- a/internal/poolstore/quota_record.go
+++ b/internal/poolstore/quota_record.go
@@ -8,6 +8,8 @@
 type quotaRecord struct {
 	Granted []int `cbor:"1,keyasint,omitempty"` // thousandths of a core, MB, accelerators
 	Wanted  []int `cbor:"2,keyasint,omitempty"`
+	Held    []int `cbor:"3,keyasint,omitempty"`
+	Turn    int   `cbor:"4,keyasint,omitempty"`
 }
 
 const (
@@ -29,7 +31,7 @@
 func EncodeQuota(a *quota.Account) ([]byte, error) {
 	records := make(map[string]quotaRecord, len(a.Pools))
 	for pool, g := range a.Pools {
-		records[pool] = quotaRecord{Granted: amountParts(g.Granted), Wanted: amountParts(g.Wanted)}
+		records[pool] = quotaRecord{Granted: amountParts(g.Granted), Wanted: amountParts(g.Wanted), Held: amountParts(g.Held), Turn: g.Turn}
 	}
 	return encode(records)
 }
@@ -48,10 +50,11 @@
 	for pool, r := range records {
 		granted, ok1 := amountOf(r.Granted)
 		wanted, ok2 := amountOf(r.Wanted)
-		if !ok1 || !ok2 || pool == "" || len(pool) > maxServiceName {
+		held, ok3 := amountOf(r.Held)
+		if !ok1 || !ok2 || !ok3 || r.Turn < 0 || r.Turn > maxQuotaAmount || pool == "" || len(pool) > maxServiceName {
 			return quota.Account{}, invalid(key, "grant of a pool")
 		}
-		a.Pools[pool] = quota.Grant{Granted: granted, Wanted: wanted}
+		a.Pools[pool] = quota.Grant{Granted: granted, Wanted: wanted, Held: held, Turn: r.Turn}
 	}
 	return a, nil
 }
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -30,11 +30,38 @@
 	return sum
 }
 
-// othersWanted returns what all pools but the given one were granted or want, whichever is
-// more, and how many of them are short.
-func (a Account) othersWanted(pool string) (wanted Amount, short int) {
+// first returns the pool whose turn it is among those that need room for what has waited
+// long; empty: there is none.
+func (a Account) first() string {
+	first := ""
 	for name, g := range a.Pools {
-		if name == pool {
+		if !g.holds() {
+			continue
+		}
+		if f := a.Pools[first]; first == "" || g.Turn < f.Turn || g.Turn == f.Turn && name < first {
+			first = name
+		}
+	}
+	return first
+}
+
+// turn returns the turn of a pool: the one that it has, or else the last.
+func (a Account) turn(pool string) int {
+	if g := a.Pools[pool]; g.holds() {
+		return g.Turn
+	}
+	last := 0
+	for _, g := range a.Pools {
+		last = max(last, g.Turn)
+	}
+	return last + 1
+}
+
+// othersWanted returns what all pools but the given one and the one whose turn it is were
+// granted or want, whichever is more, and how many of them are short.
+func (a Account) othersWanted(pool, first string) (wanted Amount, short int) {
+	for name, g := range a.Pools {
+		if name == pool || name == first {
 			continue
 		}
 		wanted = wanted.Plus(g.Granted.Max(g.Wanted))
--- a/internal/quota/book.go
+++ b/internal/quota/book.go
@@ -3,11 +3,14 @@
 // Book counts what one pool has running for each team, and says whether a team has room
 // for more. Its owner guards it by a lock.
 type Book struct {
-	teams map[string]*teamUsage
+	teams  map[string]*teamUsage
+	places map[place]placeUsage
 }
 
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{teams: make(map[string]*teamUsage)} }
+func NewBook() *Book {
+	return &Book{teams: make(map[string]*teamUsage), places: make(map[place]placeUsage)}
+}
 
 func (b *Book) usage(team string) *teamUsage {
 	u := b.teams[team]
@@ -18,29 +21,47 @@
 	return u
 }
 
-// Charge counts a run, or a start that may still be carried out. adopted says that a former
-// owner started it.
-func (b *Book) Charge(c Charge, adopted bool) {
-	if c.Team == "" {
-		return
-	}
-	u := b.usage(c.Team)
-	u.used = u.used.Plus(c.Amount)
-	if adopted {
+// ChargeRun counts a run on a worker. adopted says that this owner did not order it.
+func (b *Book) ChargeRun(worker string, c Charge, adopted bool) {
+	b.change(worker, c, func(p *placeUsage) { p.running = p.running.Plus(c.Amount) })
+	if adopted && c.Team != "" {
+		u := b.usage(c.Team)
 		u.adopted = u.adopted.Plus(c.Amount)
 	}
 }
 
-// Release counts a charge no longer. adopted is as for its Charge.
-func (b *Book) Release(c Charge, adopted bool) {
+// ReleaseRun counts a run no longer. adopted is as for its ChargeRun.
+func (b *Book) ReleaseRun(worker string, c Charge, adopted bool) {
+	if adopted && c.Team != "" {
+		u := b.usage(c.Team)
+		u.adopted = u.adopted.Minus(c.Amount)
+	}
+	b.change(worker, c, func(p *placeUsage) { p.running = p.running.Minus(c.Amount) })
+}
+
+// ChargeOpen counts a start that a later incarnation of the worker may carry out.
+func (b *Book) ChargeOpen(worker string, c Charge) {
+	b.change(worker, c, func(p *placeUsage) { p.open = p.open.Plus(c.Amount) })
+}
+
+// ReleaseOpen counts such a start no longer.
+func (b *Book) ReleaseOpen(worker string, c Charge) {
+	b.change(worker, c, func(p *placeUsage) { p.open = p.open.Minus(c.Amount) })
+}
+
+func (b *Book) change(worker string, c Charge, apply func(p *placeUsage)) {
 	if c.Team == "" {
 		return
 	}
-	u := b.usage(c.Team)
-	u.used = u.used.Minus(c.Amount)
-	if adopted {
-		u.adopted = u.adopted.Minus(c.Amount)
+	key := place{team: c.Team, worker: worker}
+	p := b.places[key]
+	before := p.counted()
+	apply(&p)
+	if b.places[key] = p; p == (placeUsage{}) {
+		delete(b.places, key)
 	}
+	u := b.usage(c.Team)
+	u.used = u.used.Minus(before).Plus(p.counted())
 	if !u.limited && u.used == (Amount{}) {
 		delete(b.teams, c.Team)
 	}
@@ -94,7 +115,10 @@
 	if u == nil || !u.limited {
 		return true
 	}
-	return u.used.Plus(u.unknown).Plus(u.held).Plus(need).Within(u.limit.Running, u.limit.Cap)
+	if u.limit.Hold {
+		need = need.Plus(u.held)
+	}
+	return u.used.Plus(u.unknown).Plus(need).Within(u.limit.Running, u.limit.Cap)
 }
 
 // CanHold reports whether the amount is within the team's cap at all.
@@ -116,7 +140,7 @@
 	demands := make(map[string]Demand, len(b.teams))
 	for team, u := range b.teams {
 		if u.limited {
-			demands[team] = Demand{Used: u.used.Plus(u.unknown), Waiting: u.waiting}
+			demands[team] = Demand{Used: u.used.Plus(u.unknown), Waiting: u.waiting, Held: u.held}
 		}
 	}
 	return demands
--- a/internal/quota/decide.go
+++ b/internal/quota/decide.go
@@ -5,12 +5,15 @@
 	cap          int // above 0
 	grant        int // that the pool may count on
 	others       int // granted to the other pools
-	othersWanted int // granted to them or wanted by them
-	short        int // number of other pools that want more than they were granted
+	othersWanted int // granted to them or wanted by them, without the one whose turn it is
+	short        int // how many of those want more than they were granted
 	used         int
-	needed       int // used and waiting
-	peak         int // highest need of late
-	slice        int // that an idle pool keeps
+	needed       int  // used and waiting
+	peak         int  // highest need of late
+	slice        int  // that an idle pool keeps
+	held         int  // for another pool, whose turn it is
+	first        bool // it is this pool's turn
+	waited       bool // it is the turn of another pool
 }
 
 // headroomShare is the part of a cap by which a raise exceeds the need, and a grant the
@@ -22,19 +25,24 @@
 const spareShare = 4
 
 // entitled returns what the pool may hold at most: everything while no other pool is
-// short, otherwise its even part or what the others leave, whichever is more.
+// short, otherwise its even part or what the others leave, whichever is more. What has
+// waited long in the pool whose turn it is goes before that: an even part may never hold it.
 func (in *inputs) entitled() int {
-	if in.short == 0 {
+	if in.first {
 		return in.cap
 	}
-	return max(in.cap/(in.short+1), in.cap-in.othersWanted)
+	left := max(in.cap-in.held, 0)
+	if in.short == 0 {
+		return left
+	}
+	return max(left/(in.short+1), left-in.othersWanted)
 }
 
 // target returns the pool's next grant. It is raised only as far as all grants together
 // stay within the cap.
 func (in *inputs) target() int {
 	room := in.cap - in.others
-	if in.short > 0 || in.grant > room {
+	if in.short > 0 || in.waited || in.grant > room {
 		keep := max(in.used, min(in.needed, in.entitled(), room))
 		if keep <= in.grant {
 			return max(keep, 0)
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -93,7 +93,7 @@
 		d := demands[team]
 		next := t.dropAbsent(k.pools, now)
 		out := decide(t.cap, t.slice, t.usable, t.account, k.pool, d, t.peak.add(d.needed(), now))
-		t.limit = Limit{Cap: t.cap, Running: out.running, Granted: t.account.Pools[k.pool].Granted}
+		t.limit = Limit{Cap: t.cap, Running: out.running, Hold: out.hold, Granted: t.account.Pools[k.pool].Granted}
 		t.refusal = out.grant.Wanted != Amount{}
 		t.below = !t.account.Others(k.pool).Plus(t.account.Pools[k.pool].Granted).Within(t.cap, t.cap)
 		next = next.With(k.pool, out.grant)
--- a/internal/scheduler/pool_open_starts.go
+++ b/internal/scheduler/pool_open_starts.go
@@ -26,7 +26,7 @@
 		s.attempt = r.attempt
 	}
 	p.openStarts.add(r.id, s)
-	p.quota.Charge(s.charge, false)
+	p.quota.ChargeOpen(s.worker, s.charge)
 	r.worker.openStart(until)
 }
 
@@ -190,7 +190,7 @@
 		open := openStart{worker: s.Worker, machine: s.Machine, sentAt: now, token: p.token<<TokenStepBits - 1, until: now.Add(left)}
 		if s.Charge != nil {
 			open.charge = *s.Charge
-			p.quota.Charge(open.charge, false)
+			p.quota.ChargeOpen(open.worker, open.charge)
 		}
 		p.openStarts.add(s.Task, open)
 	}
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -205,7 +205,7 @@
 	r := &run{
 		id: t.id, attempt: attempt, worker: w, incarnation: w.incarnation, orderedAt: now, reserved: s.step.reserved(), checkpoint: checkpoint,
 		deadline: w.clock.leaseDeadline(now, &p.timing), orderedPercent: fullSpeedPercent,
-		ticket: s.tickets.byWorker[w.info.ID], charge: p.chargeStart(s),
+		ticket: s.tickets.byWorker[w.info.ID], charge: p.chargeStart(s, w),
 	}
 	r.sent(p.callToken(w))
 	t.attempt = attempt
--- a/internal/scheduler/pool_quota.go
+++ b/internal/scheduler/pool_quota.go
@@ -72,7 +72,7 @@
 		return false
 	}
 	var hold quota.Amount
-	if now.Sub(s.noTeamRoomSince) >= teamPatience {
+	if waited := now.Sub(s.noTeamRoomSince) % teamHoldPeriod; waited >= teamPatience && waited < teamHoldUntil {
 		hold = each.Times(n)
 	}
 	p.quota.Wait(team, each.Times(max(n, s.waitingTasks(now))), hold)
@@ -84,10 +84,17 @@
 // grants take to move between pools.
 const teamPatience = time.Second
 
-// chargeStart charges a task of s that is ordered to start.
-func (p *Pool) chargeStart(s *stage) quota.Charge {
+// Room is left for a stage up to teamHoldUntil of each teamHoldPeriod: what runs for good may
+// take the room that it needs, and the team's other jobs must not wait for it without end.
+const (
+	teamHoldUntil  = 3 * time.Second
+	teamHoldPeriod = 10 * time.Second
+)
+
+// chargeStart charges a task of s that is ordered to start on w.
+func (p *Pool) chargeStart(s *stage, w *worker) quota.Charge {
 	c := s.job.charge(s.index)
-	p.quota.Charge(c, false)
+	p.quota.ChargeRun(w.info.ID, c, false)
 	return c
 }
 
@@ -144,7 +151,7 @@
 		for i := range list {
 			if s := &list[i]; s.charge.Team == "" && j != nil {
 				s.charge = j.charge(id.Step)
-				p.quota.Charge(s.charge, false)
+				p.quota.ChargeOpen(s.worker, s.charge)
 			}
 		}
 	}
@@ -153,8 +160,8 @@
 // chargeAdopted charges a run that this owner did not order.
 func (p *Pool) chargeAdopted(r *run, c quota.Charge) {
 	r.charge, r.adopted = c, true
-	p.quota.Charge(c, true)
+	p.quota.ChargeRun(r.worker.info.ID, c, true)
 }
 
 // releaseOpenStart counts an open start no longer.
-func (p *Pool) releaseOpenStart(s *openStart) { p.quota.Release(s.charge, false) }
+func (p *Pool) releaseOpenStart(s *openStart) { p.quota.ReleaseOpen(s.worker, s.charge) }
--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -117,7 +117,7 @@
 	p.keepOpenStarts(r)
 	delete(w.runs, runKey{r.id, r.attempt})
 	w.used = w.used.Minus(r.reserved)
-	p.quota.Release(r.charge, r.adopted)
+	p.quota.ReleaseRun(w.info.ID, r.charge, r.adopted)
 	if r.unknownJob {
 		w.unknownRuns--
 	}
