--- a/internal/poolmanager/quota_writer.go
+++ b/internal/poolmanager/quota_writer.go
@@ -26,7 +26,7 @@
 }
 
 func newQuotaWriter(o *poolOwnership) *quotaWriter {
-	return &quotaWriter{poolOwnership: o, keeper: quota.NewKeeper(o.service), inherited: make(map[string]bool), reported: newQuotaLines(o.log, o.Clock)}
+	return &quotaWriter{poolOwnership: o, keeper: quota.NewKeeper(o.service, o.token), inherited: make(map[string]bool), reported: newQuotaLines(o.log, o.Clock)}
 }
 
 const (
--- a/internal/poolstore/quota_record.go
+++ b/internal/poolstore/quota_record.go
@@ -10,6 +10,7 @@
 	Wanted  []int `cbor:"2,keyasint,omitempty"`
 	Held    []int `cbor:"3,keyasint,omitempty"`
 	Turn    int   `cbor:"4,keyasint,omitempty"`
+	Owner   int64 `cbor:"5,keyasint,omitempty"`
 }
 
 const (
@@ -31,7 +32,7 @@
 func EncodeQuota(a *quota.Account) ([]byte, error) {
 	records := make(map[string]quotaRecord, len(a.Pools))
 	for pool, g := range a.Pools {
-		records[pool] = quotaRecord{Granted: amountParts(g.Granted), Wanted: amountParts(g.Wanted), Held: amountParts(g.Held), Turn: g.Turn}
+		records[pool] = quotaRecord{Granted: amountParts(g.Granted), Wanted: amountParts(g.Wanted), Held: amountParts(g.Held), Turn: g.Turn, Owner: g.Owner}
 	}
 	return encode(records)
 }
@@ -51,10 +52,10 @@
 		granted, ok1 := amountOf(r.Granted)
 		wanted, ok2 := amountOf(r.Wanted)
 		held, ok3 := amountOf(r.Held)
-		if !ok1 || !ok2 || !ok3 || r.Turn < 0 || r.Turn > maxQuotaAmount || pool == "" || len(pool) > maxServiceName {
+		if !ok1 || !ok2 || !ok3 || r.Turn < 0 || r.Turn > maxQuotaAmount || r.Owner < 0 || pool == "" || len(pool) > maxServiceName {
 			return quota.Account{}, invalid(key, "grant of a pool")
 		}
-		a.Pools[pool] = quota.Grant{Granted: granted, Wanted: wanted, Held: held, Turn: r.Turn}
+		a.Pools[pool] = quota.Grant{Granted: granted, Wanted: wanted, Held: held, Turn: r.Turn, Owner: r.Owner}
 	}
 	return a, nil
 }
--- a/internal/quota/grant.go
+++ b/internal/quota/grant.go
@@ -6,13 +6,14 @@
 	Wanted  Amount // that the pool would use in all, where that is more than it was granted; else nothing
 	Held    Amount // that it needs in all for what has waited long, a wide step for example; nothing: there is none
 	Turn    int    // the lowest among the pools with Held goes first; above 0 only with Held
+	Owner   int64  // fencing token of the owner that changed it last
 }
 
 // holds reports whether the pool has something that has waited long.
 func (g Grant) holds() bool { return g.Held != Amount{} }
 
 // empty reports whether the grant says nothing.
-func (g Grant) empty() bool { return g == Grant{} }
+func (g Grant) empty() bool { return g == Grant{Owner: g.Owner} }
 
 // short reports whether the pool wants more than it was granted of some resource.
 func (g Grant) short() bool {
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -10,13 +10,15 @@
 // use.
 type Keeper struct {
 	pool  string
+	owner int64           // fencing token
 	pools map[string]bool // of the configuration
 	teams map[string]*teamAccount
 }
 
-// NewKeeper returns the keeper of a pool that knows no account yet.
-func NewKeeper(pool string) *Keeper {
-	return &Keeper{pool: pool, pools: map[string]bool{pool: true}, teams: make(map[string]*teamAccount)}
+// NewKeeper returns the keeper of a pool for the owner with the given fencing token. It knows
+// no account yet.
+func NewKeeper(pool string, owner int64) *Keeper {
+	return &Keeper{pool: pool, owner: owner, pools: map[string]bool{pool: true}, teams: make(map[string]*teamAccount)}
 }
 
 // maxPoolsWithSlices bounds the pools among which caps are split in advance. With more of
@@ -67,7 +69,7 @@
 // Observe records the account of a team at a revision of the store; 0: it has none.
 func (k *Keeper) Observe(team string, a Account, revision int64) {
 	if t := k.teams[team]; t != nil {
-		t.observe(k.pool, a, revision)
+		t.observe(k.pool, k.owner, a, revision)
 	}
 }
 
@@ -96,6 +98,10 @@
 		t.limit = Limit{Cap: t.cap, Running: out.running, Hold: out.hold, Granted: t.account.Pools[k.pool].Granted}
 		t.refusal = out.grant.Wanted != Amount{}
 		t.below = !t.account.Others(k.pool).Plus(t.account.Pools[k.pool].Granted).Within(t.cap, t.cap)
+		was := t.account.Pools[k.pool]
+		if out.grant.Owner = was.Owner; out.grant != was || out.grant.Granted != t.usable {
+			out.grant.Owner = k.owner
+		}
 		next = next.With(k.pool, out.grant)
 		if out.grant.Granted != t.usable || !maps.Equal(next.Pools, t.account.Pools) {
 			proposals = append(proposals, Proposal{Team: team, Account: next, Revision: t.revision})
--- a/internal/quota/team_account.go
+++ b/internal/quota/team_account.go
@@ -21,13 +21,19 @@
 
 // observe records the account at a revision, unless that or a later one is known. No earlier
 // write can be applied after that, so the whole grant can be counted on. Revision 0: the
-// account does not exist, or does not any more.
-func (t *teamAccount) observe(pool string, a Account, revision int64) {
+// account does not exist, or does not any more. What a later owner of the pool has raised is
+// for that owner alone: the former one may act on for a while.
+func (t *teamAccount) observe(pool string, owner int64, a Account, revision int64) {
 	if t.known && revision <= t.revision && (revision > 0 || t.revision == 0) {
 		return
 	}
 	t.account, t.revision, t.known = a, revision, true
-	t.usable = a.Pools[pool].Granted
+	g := a.Pools[pool]
+	if g.Owner > owner {
+		t.usable = t.usable.Min(g.Granted)
+	} else {
+		t.usable = g.Granted
+	}
 }
 
 // dropAbsent returns the account without the grants of pools that have not been in the
