A full pool serves its teams by their shares

Cause: a pool ordered its jobs by class and least remaining work alone, so a team at several times its usual load pushed all others back.

Change: package teams counts, for one pool, the jobs of each team against its weight over a sliding window of 5 s, and compares what each team was given with its weighted max-min share while work waits for room. What is beyond the weight goes after all that is within; in a class, teams above their share go after the others; in a team the order stays by remaining work. Pool.SetTeams passes the shares; without any, ranks are as before. Totals by team are published as "teams".

The scene of ownership tests has a configuration now, as an owner reads it.

--- a/internal/poolmanager/ownership_load.go
+++ b/internal/poolmanager/ownership_load.go
@@ -99,6 +99,7 @@
 		// says nothing of that incarnation.
 		roster.Released = roster.Released || o.previousToken != 0 && roster.Token == o.previousToken
 		o.pool = scheduler.NewPool(o.service, o.token, o.timing.Scheduler, roster, o.Clock.Now())
+		o.pool.SetTeams(teamShares(o.config.Get()))
 		o.pool.BeginLoad()
 	}
 	if o.loading.rosterWritten {
--- a/internal/poolmanager/ownership_pool.go
+++ b/internal/poolmanager/ownership_pool.go
@@ -22,6 +22,7 @@
 	o.loaded.Store(true)
 	o.kickAll()
 	o.spawn(func() { o.watchWork(from) })
+	o.spawn(o.followTeams)
 	o.spawn(o.saveLoop)
 	o.spawn(o.planLoop)
 	o.spawn(o.confirmLoop)
--- a/internal/poolmanager/ownership_scene_test.go
+++ b/internal/poolmanager/ownership_scene_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
 
+	"persimmonbay/internal/poolconfig"
 	"persimmonbay/internal/poolstore"
 	"persimmonbay/internal/scheduler"
 	"persimmonbay/internal/store"
@@ -40,7 +41,7 @@
 	s := &ownershipScene{store: newFakeStore(), clock: clockwork.NewFakeClock(), millis: 1000}
 	d := Dependencies{Store: s.store, Clock: s.clock, SinceBoot: func() time.Duration { return time.Minute }, Log: zap.NewNop(), Metrics: telemetry.NewMetrics()}
 	timing := Timing{StoreTimeout: time.Second, OrderTimeout: time.Second, SaveInterval: time.Millisecond, LazySaveDelay: time.Millisecond, Retention: time.Minute, Scheduler: sceneTiming}
-	s.manager = New(sceneEntry, "127.0.0.1:1", 1, d, timing, nil)
+	s.manager = New(sceneEntry, "127.0.0.1:1", 1, d, timing, poolconfig.NewInForce())
 	s.manager.session.id, s.manager.session.endsAt = sceneLease, time.Hour
 	return s
 }
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -22,6 +22,7 @@
 	removeWhenIdle    bool          // its end is saved; its submission is to be removed once it has no runs
 	endSaved          bool          // its end is saved
 	endedAt           time.Time
+	beyond            bool // its team had sent more than its weight when it was accepted
 	rank              rank
 	estimatedAt       time.Time     // when the next three were computed; zero: they are outdated by progress
 	remainingChain    time.Duration // duration of the longest chain of incomplete steps
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"persimmonbay/internal/teams"
+)
 
 // Pool holds the workers of one service and the jobs that run on them, as one owner
 // sees them. Its methods may be called concurrently. service, token, timing and epoch
@@ -55,6 +59,8 @@
 	endedJobs           map[string]bool  // jobs that have ended and were removed from jobs lately
 	endedOrder          []endedJob       // the same in the order of their removal
 	events              []Event          // not yet returned by TakeEvents
+	teams               *teams.Order     // of those that share the pool
+	oldest              *job             // the one that goes first as it has waited for too long; nil: none
 }
 
 // NewPool returns the pool of service for the owner with the given fencing token.
@@ -66,6 +72,7 @@
 		awaited: make(map[string]*awaitedWorker), jobs: make(map[string]*job), workers: make(map[string]*worker),
 		durations: newDurations(), endedJobs: make(map[string]bool), unsavedJobs: make(map[*job]bool), unackedWorkers: make(map[*worker]bool), pendingCancels: make(map[string]int64), publishedOffers: make(map[string]bool), takenOffers: make(map[string]bool), emptyClaims: make(map[string]bool),
 		openStarts:    make(openStarts),
+		teams:         teams.NewOrder(),
 		unneededRuns:  make(map[TaskID]int),
 		shortArrivals: arrivalRate{window: shortArrivalWindow}, longArrivals: arrivalRate{window: longArrivalWindow},
 	}
--- a/internal/scheduler/pool_jobs.go
+++ b/internal/scheduler/pool_jobs.go
@@ -18,6 +18,7 @@
 	if created <= p.token {
 		j.firstAttempt = (p.epoch - 1) * attemptsPerEpoch
 	}
+	j.beyond = !p.teams.Accept(sub.Team, p.jobWork(j), sub.AcceptedAt) && !sub.LongRunning()
 	p.jobs[sub.ID] = j
 	p.jobOrder = append(p.jobOrder, j)
 	if progress.State.Final() {
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -127,11 +127,13 @@
 
 // rankJobs sorts the jobs that have not ended by rank.
 func (p *Pool) rankJobs(now time.Time) {
+	p.updateTeams(now)
 	p.rankedJobs = p.rankedJobs[:0]
 	for _, j := range p.jobOrder {
 		if !j.progress.State.Final() {
 			p.rankedJobs = append(p.rankedJobs, j)
 			j.rank = p.rank(j, now)
+			p.rankTeam(j, &j.rank)
 		}
 	}
 	slices.SortStableFunc(p.rankedJobs, func(a, b *job) int { return a.rank.compare(&b.rank) })
@@ -210,6 +212,7 @@
 	w.leaseSentAt = now
 	p.bind(r, t)
 	p.noteStart(r)
+	p.giveWork(s.job, s.step, p.durations.expectedTask(s.job.sub.Queue, s.step.Estimate), now)
 	p.counts.Starts++
 	return r
 }
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -164,6 +164,7 @@
 	}
 	if r != nil && !r.answeredAt.IsZero() {
 		took := now.Sub(r.orderedAt)
+		p.giveWork(s.job, s.step, took-p.durations.expectedTask(s.job.sub.Queue, s.step.Estimate), now)
 		p.durations.addTask(s.job.sub.Queue, took)
 		s.longestTask = max(s.longestTask, took)
 	}
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -7,13 +7,23 @@
 
 // rank is the position of a job in the order of starts: the lowest goes first.
 type rank struct {
+	beyond        bool    // what a team sends beyond its weight goes after all else
 	class         int     // long-running jobs first, then by priority; those that miss their objective last
+	excess        int     // by how much the team is above its share
 	remainingWork float64 // in core-seconds
+	teamPriority  int
 	accepted      time.Time
 }
 
 func (r *rank) compare(o *rank) int {
-	return cmp.Or(cmp.Compare(r.class, o.class), cmp.Compare(r.remainingWork, o.remainingWork), r.accepted.Compare(o.accepted))
+	if r.beyond != o.beyond {
+		if o.beyond {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(r.class, o.class), cmp.Compare(r.excess, o.excess), cmp.Compare(r.remainingWork, o.remainingWork),
+		cmp.Compare(r.teamPriority, o.teamPriority), r.accepted.Compare(o.accepted))
 }
 
 const (
--- /dev/null
+++ b/internal/teams/meter.go
@@ -0,0 +1,46 @@
+package teams
+
+import (
+	"slices"
+	"time"
+)
+
+// Window is the span over which the jobs of a team are counted against its weight, and
+// the time constant with which the work that it was given is forgotten. It spans the
+// alternation of load between pools, so that a team whose callers take turns keeps to its
+// weight on average.
+const Window = 5 * time.Second
+
+// meter counts the jobs of one team that were accepted within its weight.
+type meter struct {
+	times []time.Time // of acceptance, ascending; none older than twice the window before the latest
+}
+
+// accept counts a job that was accepted at the given time, and reports whether it is within
+// the weight, in jobs a second. Jobs may be reported out of order, as after a take-over;
+// one that is older than what the meter remembers is within.
+func (m *meter) accept(at time.Time, weight float64) bool {
+	end, _ := slices.BinarySearchFunc(m.times, at, func(t, at time.Time) int {
+		if t.After(at) {
+			return 1
+		}
+		return -1
+	})
+	begin, _ := slices.BinarySearchFunc(m.times, at.Add(-Window), func(t, from time.Time) int {
+		if t.After(from) {
+			return 1
+		}
+		return -1
+	})
+	if float64(end-begin+1) > max(weight*Window.Seconds(), 1) {
+		return false
+	}
+	m.times = slices.Insert(m.times, end, at)
+	oldest := m.times[len(m.times)-1].Add(-2 * Window)
+	expired := 0
+	for m.times[expired].Before(oldest) {
+		expired++
+	}
+	m.times = slices.Delete(m.times, 0, expired)
+	return true
+}
--- /dev/null
+++ b/internal/teams/order.go
@@ -0,0 +1,154 @@
+package teams
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Order decides the order of teams in one pool. Teams without a share, and work without a
+// team, are neither counted nor put after others.
+type Order struct {
+	accounts map[string]*account // by team
+}
+
+// NewOrder returns an Order without shares.
+func NewOrder() *Order { return &Order{accounts: make(map[string]*account)} }
+
+// SetShares replaces the shares, by team. A team that keeps a share keeps what was counted.
+// A share without a positive weight is ignored.
+func (o *Order) SetShares(shares map[string]Share) {
+	maps.DeleteFunc(o.accounts, func(team string, _ *account) bool { return shares[team].Weight <= 0 })
+	for team, s := range shares {
+		if s.Weight <= 0 {
+			continue
+		}
+		if a, ok := o.accounts[team]; ok {
+			a.share = s
+		} else {
+			o.accounts[team] = &account{share: s}
+		}
+	}
+}
+
+// HasShares reports whether any team has a share.
+func (o *Order) HasShares() bool { return len(o.accounts) > 0 }
+
+// Accept counts a job of the team that was accepted at the given time, and reports whether
+// the team's weight allows it.
+func (o *Order) Accept(team string, work float64, at time.Time) (within bool) {
+	a, ok := o.accounts[team]
+	if !ok {
+		return true
+	}
+	a.largest = max(a.largest, work)
+	if within = a.meter.accept(at, a.share.Weight); within {
+		a.counts.Within++
+	} else {
+		a.counts.Beyond++
+	}
+	return within
+}
+
+// Give records that work of the team is started, in machine-seconds. A negative amount
+// corrects an earlier one.
+func (o *Order) Give(team string, work float64, now time.Time) {
+	if a, ok := o.accounts[team]; ok {
+		a.given.add(work, now)
+		a.counts.Given += work
+	}
+}
+
+// Wait records that work of the team waits for room, in machine-seconds above 0. The next
+// Update takes it into account.
+func (o *Order) Wait(team string, work float64) {
+	if a, ok := o.accounts[team]; ok {
+		a.waiting += work
+	}
+}
+
+// Update compares what each team was given with its share, if any work has waited for room
+// since the last Update; else no team has an excess. Teams that ask for less than their
+// shares leave the rest to the others, in proportion to the weights.
+func (o *Order) Update(machines float64, now time.Time) {
+	var active []*account
+	full := false
+	for _, a := range o.accounts {
+		a.excess, a.counts.Excess, a.counts.Waiting = 0, a.excess, a.waiting
+		full = full || a.waiting > 0
+		if given := a.given.decay(now); given+a.waiting > 0 {
+			active = append(active, a)
+		}
+	}
+	if full {
+		fair := fairLevel(active, usableShare*machines*Memory.Seconds())
+		for _, a := range active {
+			a.setExcess(fair)
+			a.waiting = 0
+		}
+	}
+}
+
+// fairLevel returns how much work for each unit of weight the teams would have been given
+// at most, if all that was given had been divided fairly by what each has asked for.
+func fairLevel(active []*account, least float64) float64 {
+	slices.SortFunc(active, func(a, b *account) int { return cmp.Compare(a.askedPerWeight(), b.askedPerWeight()) })
+	work, weight := 0.0, 0.0
+	for _, a := range active {
+		work += a.given.value
+		weight += a.share.Weight
+	}
+	work = max(work, least)
+	for _, a := range active {
+		if a.askedPerWeight()*weight >= work {
+			return work / weight
+		}
+		work -= a.given.value + a.waiting
+		weight -= a.share.Weight
+	}
+	return math.Inf(1)
+}
+
+// usableShare is the part of a full pool's capacity that is in use at least.
+const usableShare = 0.8
+
+// Excess returns by how much the team was above its share at the last Update: 0 if it was
+// not, else 1 and one more for each doubling. The lowest goes first.
+func (o *Order) Excess(team string) int {
+	if a, ok := o.accounts[team]; ok {
+		return a.excess
+	}
+	return 0
+}
+
+// Priority returns the priority of the team, 0 if it has no share.
+func (o *Order) Priority(team string) int {
+	if a, ok := o.accounts[team]; ok {
+		return a.share.Priority
+	}
+	return 0
+}
+
+// Counts returns the totals by team: those of the teams that were given most, up to
+// maxCounted, and the sum of the others under Others.
+func (o *Order) Counts() map[string]Counts {
+	names := slices.SortedFunc(maps.Keys(o.accounts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(o.accounts[b].counts.Given, o.accounts[a].counts.Given), cmp.Compare(a, b))
+	})
+	counts := make(map[string]Counts, min(len(names), maxCounted+1))
+	for i, name := range names {
+		if i >= maxCounted {
+			name = Others
+		}
+		counts[name] = counts[name].plus(o.accounts[names[i]].counts)
+	}
+	return counts
+}
+
+// Others is the name under which Counts sums teams.
+const Others = "(others)"
+
+// maxCounted bounds the teams that Counts names.
+const maxCounted = 32
--- /dev/null
+++ b/internal/teams/order_test.go
@@ -0,0 +1,85 @@
+package teams_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"persimmonbay/internal/teams"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+var _ = Describe("the order of teams", func() {
+	var o *teams.Order
+	BeforeEach(func() {
+		o = teams.NewOrder()
+		o.SetShares(map[string]teams.Share{"huts": {Weight: 2}, "agencies": {Weight: 1, Priority: 3}, "none": {}})
+	})
+
+	// Load: a team at four times its weight for twenty seconds.
+	It("lets no more jobs be within a team's weight in any window than the weight allows", func() {
+		var within []time.Time
+		for i := range 160 {
+			at := now.Add(time.Duration(i) * 125 * time.Millisecond)
+			if o.Accept("huts", 1, at) {
+				within = append(within, at)
+			}
+		}
+		Expect(within).To(HaveLen(40))
+		for i := 10; i < len(within); i++ {
+			Expect(within[i].Sub(within[i-10])).To(BeNumerically(">=", teams.Window))
+		}
+	})
+
+	It("recomputes the places after a take-over, in whatever order the jobs are read", func() {
+		for i := range 10 {
+			Expect(o.Accept("huts", 1, now.Add(time.Duration(9-i)*time.Second/10))).To(BeTrue())
+		}
+		Expect(o.Accept("huts", 1, now.Add(time.Second))).To(BeFalse())
+	})
+
+	It("puts nothing beyond that has no team, or whose team has no weight", func() {
+		for range 100 {
+			Expect(o.Accept("", 1, now)).To(BeTrue())
+			Expect(o.Accept("none", 1, now)).To(BeTrue())
+		}
+		Expect(o.Counts()).To(HaveLen(2))
+	})
+
+	It("puts a team that was given more than its share after others only while work waits", func() {
+		o.Give("huts", 2, now)
+		o.Give("agencies", 8, now)
+		o.Update(5, now)
+		Expect(o.Excess("agencies")).To(BeZero())
+		o.Wait("huts", 10)
+		o.Wait("agencies", 10)
+		o.Update(5, now)
+		Expect(o.Excess("agencies")).To(Equal(2), "between two and four times a third of the work")
+		Expect(o.Excess("huts")).To(BeZero())
+		o.Update(5, now)
+		Expect(o.Excess("agencies")).To(BeZero())
+	})
+
+	It("lets a team have what the others do not ask for", func() {
+		o.Give("huts", 1, now)
+		o.Give("agencies", 9, now)
+		o.Wait("agencies", 10)
+		o.Update(5, now)
+		Expect(o.Excess("agencies")).To(BeZero())
+	})
+
+	It("counts a bounded number of teams", func() {
+		shares := map[string]teams.Share{}
+		for i := range 1000 {
+			shares[fmt.Sprint(i)] = teams.Share{Weight: 1}
+		}
+		o.SetShares(shares)
+		o.Accept("7", 1, now)
+		o.Give("7", 3, now)
+		Expect(len(o.Counts())).To(BeNumerically("<=", 33))
+		Expect(o.Counts()["7"]).To(Equal(teams.Counts{Within: 1, Given: 3}))
+	})
+})
