--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -64,6 +64,7 @@
 	dependencies.Metrics.Publish("identity", func() any { return keys.Counts() })
 	dependencies.Metrics.Publish("pools", func() any { return e.manager.Counts() })
 	dependencies.Metrics.Publish("quota", func() any { return e.manager.Quotas() })
+	dependencies.Metrics.Publish("teams", func() any { return e.manager.TeamCounts() })
 	// Callers' calls have connections of their own: the entry's lease and its pools must
 	// not wait for them.
 	in := intake.New(platform.NewStore(s.Platform.Store, codec), e.config, ownerNotifier{e.manager}, clock, log)
--- a/internal/poolmanager/ownership_pool.go
+++ b/internal/poolmanager/ownership_pool.go
@@ -25,6 +25,7 @@
 	o.spawn(quotas.run)
 	o.kickAll()
 	o.spawn(func() { o.watchWork(from) })
+	o.spawn(o.followTeams)
 	o.spawn(o.saveLoop)
 	o.spawn(o.planLoop)
 	o.spawn(o.confirmLoop)
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"persimmonbay/internal/quota"
+	"persimmonbay/internal/teams"
 )
 
 // Pool holds the workers of one service and the jobs that run on them, as one owner
@@ -60,6 +61,8 @@
 	endedOrder          []endedJob       // the same in the order of their removal
 	events              []Event          // not yet returned by TakeEvents
 	quota               *quota.Book      // what runs for each team
+	teams               *teams.Order     // of those that share the pool
+	oldest              *job             // the one that goes first as it has waited for too long; nil: none
 }
 
 // NewPool returns the pool of service for the owner with the given fencing token.
@@ -72,6 +75,7 @@
 		durations: newDurations(), endedJobs: make(map[string]bool), unsavedJobs: make(map[*job]bool), unackedWorkers: make(map[*worker]bool), pendingCancels: make(map[string]int64), publishedOffers: make(map[string]bool), takenOffers: make(map[string]bool), emptyClaims: make(map[string]bool),
 		openStarts:    make(openStarts),
 		quota:         quota.NewBook(),
+		teams:         teams.NewOrder(),
 		unneededRuns:  make(map[TaskID]int),
 		shortArrivals: arrivalRate{window: shortArrivalWindow}, longArrivals: arrivalRate{window: longArrivalWindow},
 	}
