--- a/internal/poolmanager/quota_writer.go
+++ b/internal/poolmanager/quota_writer.go
@@ -33,8 +33,8 @@
 	// quotaPause is the shortest time between two rounds of writes: a few answer times of
 	// the store, so that what many tasks wait for is asked for at once.
 	quotaPause = 20 * time.Millisecond
-	// quotaBusyInterval is the time between two rounds while a team is short of room, or
-	// grants exceed a cap: what ends is returned by then.
+	// quotaBusyInterval is the time between two rounds while a pool is short of room for a
+	// team, or grants exceed a cap: what ends is returned by then.
 	quotaBusyInterval = 100 * time.Millisecond
 	// quotaIdleInterval is the same otherwise, and the age of the accounts at which they
 	// are read again: other pools write there that they are short.
@@ -123,7 +123,7 @@
 	}
 	q.failed = false
 	q.pause.reset()
-	if len(q.keeper.Short()) > 0 || len(q.keeper.Exceeded()) > 0 {
+	if q.keeper.Busy() {
 		return quotaBusyInterval
 	}
 	return quotaIdleInterval
--- a/internal/quota/decision.go
+++ b/internal/quota/decision.go
@@ -6,6 +6,7 @@
 	grant   Grant
 	running Amount
 	hold    bool // it is the pool's turn
+	asked   bool // another pool is short
 }
 
 // decide decides for all resources that the cap limits. Of the others nothing is granted.
@@ -29,7 +30,7 @@
 		granted = in.target()
 		return granted, in.wanted(granted), in.running(min(granted, r(usable)))
 	}
-	out := decision{hold: first == pool}
+	out := decision{hold: first == pool, asked: short > 0 || first != "" && first != pool}
 	out.grant.Granted.MilliCPU, out.grant.Wanted.MilliCPU, out.running.MilliCPU = one(func(a Amount) int { return a.MilliCPU })
 	out.grant.Granted.MemoryMB, out.grant.Wanted.MemoryMB, out.running.MemoryMB = one(func(a Amount) int { return a.MemoryMB })
 	out.grant.Granted.Accelerators, out.grant.Wanted.Accelerators, out.running.Accelerators = one(func(a Amount) int { return a.Accelerators })
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -96,6 +96,7 @@
 		next := t.dropAbsent(k.pools, now)
 		out := decide(t.cap, t.slice, t.usable, t.account, k.pool, d, t.peak.add(d.needed(), now))
 		t.limit = Limit{Cap: t.cap, Running: out.running, Hold: out.hold, Granted: t.account.Pools[k.pool].Granted}
+		t.asked = out.asked && t.limit.Granted != Amount{}
 		t.refusal = out.grant.Wanted != Amount{}
 		t.below = !t.account.Others(k.pool).Plus(t.account.Pools[k.pool].Granted).Within(t.cap, t.cap)
 		was := t.account.Pools[k.pool]
@@ -131,6 +132,17 @@
 // Exceeded returns the teams whose grants in all pools exceed their cap, sorted.
 func (k *Keeper) Exceeded() []string { return k.having(func(t *teamAccount) bool { return t.below }) }
 
+// Busy reports whether grants should be decided on often: the pool is short, others are while
+// it has a grant, or grants exceed a cap.
+func (k *Keeper) Busy() bool {
+	for _, t := range k.teams {
+		if t.refusal || t.below || t.asked {
+			return true
+		}
+	}
+	return false
+}
+
 func (k *Keeper) having(cond func(t *teamAccount) bool) []string {
 	var teams []string
 	for _, team := range k.Teams() {
--- a/internal/quota/sim_owner_test.go
+++ b/internal/quota/sim_owner_test.go
@@ -148,12 +148,15 @@
 // round reads and writes the account as the owner of a pool does.
 func (o *simOwner) round(now time.Time) {
 	s := o.pool.sim
-	busy := len(o.keeper.Short()) > 0 || len(o.keeper.Exceeded()) > 0
-	if pause := 400 * time.Millisecond; now.Sub(o.roundAt) < 40*time.Millisecond || !busy && !o.book.Waiting() && now.Sub(o.roundAt) < pause {
+	pause := 400 * time.Millisecond
+	if o.keeper.Busy() {
+		pause = 100 * time.Millisecond
+	}
+	if now.Sub(o.roundAt) < 40*time.Millisecond || !o.book.Waiting() && now.Sub(o.roundAt) < pause {
 		return
 	}
 	o.roundAt = now
-	if !now.Before(s.store.awayTo) && (!o.keeper.Known() || now.Sub(o.readAt) >= 200*time.Millisecond) {
+	if !now.Before(s.store.awayTo) && (!o.keeper.Known() || now.Sub(o.readAt) >= o.readAge()) {
 		o.keeper.Observe(simTeam, s.store.account, s.store.revision)
 		o.readAt = now
 		if !o.inherited {
@@ -175,6 +178,13 @@
 	o.decide(now)
 }
 
+func (o *simOwner) readAge() time.Duration {
+	if len(o.keeper.Short()) > 0 {
+		return 200 * time.Millisecond
+	}
+	return 400 * time.Millisecond
+}
+
 func (o *simOwner) decide(now time.Time) []quota.Proposal {
 	proposals := o.keeper.Propose(o.book.Demands(), now)
 	o.book.SetLimits(o.keeper.Limits())
--- a/internal/quota/team_account.go
+++ b/internal/quota/team_account.go
@@ -17,6 +17,7 @@
 	absent  map[string]time.Time // since when pools with a grant have not been in the configuration
 	refusal bool                 // the last raise was refused in part
 	below   bool                 // all grants together exceeded the cap
+	asked   bool                 // another pool is short, and this one has a grant
 }
 
 // observe records the account at a revision, unless that or a later one is known. No earlier
