--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -19,17 +19,6 @@
 	return Account{Pools: next}
 }
 
-// Others returns what all pools but the given one were granted.
-func (a Account) Others(pool string) Amount {
-	var sum Amount
-	for name, g := range a.Pools {
-		if name != pool {
-			sum = sum.Plus(g.Granted)
-		}
-	}
-	return sum
-}
-
 // first returns the pool whose turn it is among those that need room for what has waited
 // long; empty: there is none.
 func (a Account) first() string {
@@ -56,18 +45,3 @@
 	}
 	return last + 1
 }
-
-// othersWanted returns what all pools but the given one and the one whose turn it is were
-// granted or want, whichever is more, and how many of them are short.
-func (a Account) othersWanted(pool, first string) (wanted Amount, short int) {
-	for name, g := range a.Pools {
-		if name == pool || name == first {
-			continue
-		}
-		wanted = wanted.Plus(g.Granted.Max(g.Wanted))
-		if g.short() {
-			short++
-		}
-	}
-	return wanted, short
-}
--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -93,19 +93,16 @@
 			continue
 		}
 		d := demands[team]
-		next := t.dropAbsent(k.pools, now)
-		out := decide(t.cap, t.slice, t.usable, t.account, k.pool, d, t.peak.add(d.needed(), now))
-		t.limit = Limit{Cap: t.cap, Running: out.running, Hold: out.hold, Granted: t.account.Pools[k.pool].Granted}
-		t.asked = out.asked && t.limit.Granted != Amount{}
-		t.refusal = out.grant.Wanted != Amount{}
-		t.below = !t.account.Others(k.pool).Plus(t.account.Pools[k.pool].Granted).Within(t.cap, t.cap)
 		was := t.account.Pools[k.pool]
-		if out.grant.Owner = was.Owner; out.grant != was || out.grant.Granted != t.usable {
+		out := decide(t.cap, t.slice, t.usable, t.others, k.pool, t.turn, d, t.peak.add(d.needed(), now))
+		t.limit = Limit{Cap: t.cap, Running: out.running, Hold: out.hold, Granted: was.Granted}
+		t.asked = out.asked && was.Granted != Amount{}
+		t.refusal = out.grant.Wanted != Amount{}
+		t.below = !t.others.granted.Plus(was.Granted).Within(t.cap, t.cap)
+		next, dropped := t.dropAbsent(k.pools, now)
+		if out.grant.Owner = was.Owner; out.grant != was || out.grant.Granted != t.usable || dropped {
 			out.grant.Owner = k.owner
-		}
-		next = next.With(k.pool, out.grant)
-		if out.grant.Granted != t.usable || !maps.Equal(next.Pools, t.account.Pools) {
-			proposals = append(proposals, Proposal{Team: team, Account: next, Revision: t.revision})
+			proposals = append(proposals, Proposal{Team: team, Account: next.With(k.pool, out.grant), Revision: t.revision})
 		}
 		t.usable = t.usable.Min(out.grant.Granted)
 	}
--- a/internal/quota/team_account.go
+++ b/internal/quota/team_account.go
@@ -5,19 +5,22 @@
 // teamAccount is what one pool's owner knows of a team's account.
 type teamAccount struct {
 	account  Account
-	revision int64 // of account; 0: the store has none
-	known    bool  // the store was read
+	revision int64  // of account; 0: the store has none
+	others   others // by account
+	turn     int    // that the pool has in account, or would get
+	known    bool   // the store was read
 	// usable is the part of the pool's grant that it may count on. It is less than the
 	// account shows after a write of a lower grant whose outcome is unknown.
-	usable  Amount
-	peak    peak
-	cap     Amount
-	slice   Amount
-	limit   Limit
-	absent  map[string]time.Time // since when pools with a grant have not been in the configuration
-	refusal bool                 // the last raise was refused in part
-	below   bool                 // all grants together exceeded the cap
-	asked   bool                 // another pool is short, and this one has a grant
+	usable          Amount
+	peak            peak
+	cap             Amount
+	slice           Amount
+	limit           Limit
+	absent          map[string]time.Time // since when pools with a grant have not been in the configuration
+	absentCheckedAt time.Time
+	refusal         bool // the last raise was refused in part
+	below           bool // all grants together exceeded the cap
+	asked           bool // another pool is short, and this one has a grant
 }
 
 // observe records the account at a revision, unless that or a later one is known. No earlier
@@ -29,6 +32,7 @@
 		return
 	}
 	t.account, t.revision, t.known = a, revision, true
+	t.others, t.turn = a.othersOf(pool), a.turn(pool)
 	g := a.Pools[pool]
 	if g.Owner > owner {
 		t.usable = t.usable.Min(g.Granted)
@@ -38,9 +42,13 @@
 }
 
 // dropAbsent returns the account without the grants of pools that have not been in the
-// configuration for absentFor.
-func (t *teamAccount) dropAbsent(pools map[string]bool, now time.Time) Account {
-	a := t.account
+// configuration for absentFor, and whether there are any.
+func (t *teamAccount) dropAbsent(pools map[string]bool, now time.Time) (a Account, dropped bool) {
+	a = t.account
+	if now.Sub(t.absentCheckedAt) < absentCheckInterval {
+		return a, false
+	}
+	t.absentCheckedAt = now
 	for name := range t.account.Pools {
 		since, noted := t.absent[name]
 		switch {
@@ -49,12 +57,15 @@
 		case !noted:
 			t.absent[name] = now
 		case now.Sub(since) >= absentFor:
-			a = a.With(name, Grant{})
+			a, dropped = a.With(name, Grant{}), true
 		}
 	}
-	return a
+	return a, dropped
 }
 
+// absentCheckInterval spares a look at all pools with each decision.
+const absentCheckInterval = time.Second
+
 // absentFor is how long after a pool has left the configuration its grants are returned: by
 // then its last owner has noticed, late starts have been carried out and the leases of all
 // runs have expired.
--- a/internal/scheduler/pool_quota.go
+++ b/internal/scheduler/pool_quota.go
@@ -53,7 +53,8 @@
 
 // teamHasRoom reports whether n tasks of s may start as far as their team's room goes. If
 // not, it records what waits, and leaves room for the stage before what is planned after it
-// once it has waited for teamPatience: smaller tasks would take each part of it.
+// once it has waited for teamPatience, or at once for long-running tasks: smaller tasks would
+// take each part of it.
 func (p *Pool) teamHasRoom(s *stage, n int, now time.Time) bool {
 	team := s.job.sub.Team
 	if team == "" {
@@ -71,11 +72,18 @@
 	if !p.quota.CanHold(team, each.Times(n)) || !p.startCandidates.mayFit(s.step.reserved()) {
 		return false
 	}
-	var hold quota.Amount
-	if waited := now.Sub(s.noTeamRoomSince) % teamHoldPeriod; waited >= teamPatience && waited < teamHoldUntil {
-		hold = each.Times(n)
+	waiting := each.Times(max(n, s.waitingTasks(now)))
+	hold, patience := each.Times(n), teamPatience
+	if s.step.LongRunning { // its tasks must not be away for long
+		patience = 0
+		if p.quota.CanHold(team, waiting) {
+			hold = waiting
+		}
+	}
+	if waited := now.Sub(s.noTeamRoomSince) % teamHoldPeriod; waited < patience || waited >= teamHoldUntil {
+		hold = quota.Amount{}
 	}
-	p.quota.Wait(team, each.Times(max(n, s.waitingTasks(now))), hold)
+	p.quota.Wait(team, waiting, hold)
 	return false
 }
 
