--- a/test/shape/shape_test.go
+++ b/test/shape/shape_test.go
@@ -23,7 +23,7 @@
 // decisionPackages are the packages below internal that make decisions. They
 // import no encoding and no transport, so that another front end can use them.
 var decisionPackages = []string{
-	"admission", "configuration", "dispatch", "fleet", "inventory", "ledger", "maintenance", "membership",
+	"admission", "answertime", "configuration", "dispatch", "fleet", "inventory", "ledger", "maintenance", "membership",
 	"lending", "ownership", "placement", "problem", "request", "routing", "shard", "slots", "upkeep", "scheduler", "poolconfig",
 }
 
