--- a/internal/keycheck/checker.go
+++ b/internal/keycheck/checker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -39,14 +38,14 @@
 // is not known here.
 func (c *Checker) Check(ctx context.Context, call identity.Call) identity.Verdict {
 	arrived := c.sinceBoot()
-	v := c.judge(call, 0)
+	v := c.judge(call, arrived)
 	if v.Outcome == identity.Unconfirmed {
 		limited, cancel := context.WithTimeout(ctx, readTimeout)
 		defer cancel()
 		if err := c.reader.ReadConfiguration(limited); err != nil {
 			c.log.Debug("configuration not read for an unknown key", telemetry.ProblemFields(err)...)
 		}
-		v = c.judge(call, c.sinceBoot()-arrived)
+		v = c.judge(call, arrived)
 	}
 	c.record(v.Outcome)
 	return v
@@ -54,10 +53,10 @@
 
 // Recheck returns the outcome of a call that Check admitted as it would be now, after all
 // of the call has arrived: its last bytes may come long after its first. A key that was
-// known and is not any more was withdrawn. A queue that was removed meanwhile still takes
-// the call.
+// known and is not any more was withdrawn, and needs no other read. A queue that was removed
+// meanwhile still takes the call.
 func (c *Checker) Recheck(call identity.Call) identity.Outcome {
-	switch outcome := c.judge(call, math.MaxInt64).Outcome; outcome {
+	switch outcome := c.judge(call, 0).Outcome; outcome {
 	case identity.UnknownKey, identity.Outdated:
 		c.record(outcome)
 		return outcome
@@ -76,26 +75,27 @@
 // Counts returns the number of calls by outcome.
 func (c *Checker) Counts() map[string]int64 { return c.counters.byName() }
 
-// judge reads the confirmation before the configuration: the other way around, an older
-// configuration could pass for confirmed.
-func (c *Checker) judge(call identity.Call, waited time.Duration) identity.Verdict {
+// judge judges a call that arrived at a time since boot. It reads the confirmation before
+// the configuration: the other way around, an older configuration could pass for confirmed.
+func (c *Checker) judge(call identity.Call, arrived time.Duration) identity.Verdict {
 	confirmation := c.config.Confirmed()
 	config := c.config.Get()
-	age, confirmed := confirmation.Age(c.sinceBoot())
+	now := c.sinceBoot()
+	age, confirmed := confirmation.Age(now)
 	return c.policy.Judge(call, identity.Knowledge{
-		Configuration: config, Directory: c.directories.Of(config), Age: age, Confirmed: confirmed, Waited: waited,
+		Configuration: config, Directory: c.directories.Of(config), Age: age, Confirmed: confirmed, Waited: now - arrived,
 	})
 }
 
 func (c *Checker) logRefusal(outcome identity.Outcome) {
 	now := c.sinceBoot()
-	left, ok := c.lines.allow(outcome, now)
+	unlogged, ok := c.lines.allow(outcome, now)
 	if !ok {
 		return
 	}
 	age, confirmed := c.config.Confirmed().Age(now)
 	c.log.Info("call not admitted", zap.Stringer("outcome", outcome), zap.Bool("confirmed", confirmed),
-		zap.Duration("age", age), zap.Int64("version", c.version()), zap.Int64("unlogged", left))
+		zap.Duration("age", age), zap.Int64("version", c.version()), zap.Int64("unlogged", unlogged))
 }
 
 func (c *Checker) version() int64 {
