--- a/internal/quota/decide.go
+++ b/internal/quota/decide.go
@@ -28,14 +28,17 @@
 // short, otherwise its even part or what the others leave, whichever is more. What has
 // waited long in the pool whose turn it is goes before that: an even part may never hold it.
 func (in *inputs) entitled() int {
-	if in.first {
-		return in.cap
+	left := in.cap
+	if !in.first {
+		left = max(in.cap-in.held, 0)
+	}
+	if in.short > 0 {
+		left = max(left/(in.short+1), left-in.othersWanted)
 	}
-	left := max(in.cap-in.held, 0)
-	if in.short == 0 {
-		return left
+	if in.first {
+		left = max(left, min(in.held, in.cap))
 	}
-	return max(left/(in.short+1), left-in.othersWanted)
+	return left
 }
 
 // target returns the pool's next grant. It is raised only as far as all grants together
--- a/internal/quota/others.go
+++ b/internal/quota/others.go
@@ -6,15 +6,13 @@
 	wanted  Amount // granted or wanted, whichever is more, without the pool whose turn it is
 	short   int    // pools that want more than they were granted, without that one
 	first   string // the pool whose turn it is; empty: there is none
-	held    Amount // for it, if it is another pool
+	held    Amount // for it
 }
 
 // othersOf returns what the account says of the pools beside the given one.
 func (a Account) othersOf(pool string) others {
 	o := others{first: a.first()}
-	if o.first != pool {
-		o.held = a.Pools[o.first].Held
-	}
+	o.held = a.Pools[o.first].Held
 	for name, g := range a.Pools {
 		if name == pool {
 			continue
