--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"persimmonbay/internal/door"
 	"persimmonbay/internal/teams"
 )
 
@@ -60,6 +61,8 @@
 	endedOrder          []endedJob       // the same in the order of their removal
 	events              []Event          // not yet returned by TakeEvents
 	teams               *teams.Order     // of those that share the pool
+	doorReport          door.Report      // the last one
+	machinesAsked       int              // by the last capacity report
 	oldest              *job             // the one that goes first as it has waited for too long; nil: none
 }
 
--- a/internal/scheduler/pool_capacity.go
+++ b/internal/scheduler/pool_capacity.go
@@ -25,6 +25,7 @@
 		report.TakeBack = p.holdMachines(needs.held)
 		p.chooseOffers(&l, needs.held, now)
 	}
+	p.machinesAsked = report.Need
 	for _, w := range p.workers {
 		if w.offered && w.listed && w.idle() {
 			report.Offers = append(report.Offers, w.info.Machine)
--- a/internal/scheduler/submission.go
+++ b/internal/scheduler/submission.go
@@ -50,3 +50,18 @@
 	}
 	return false
 }
+
+// Depth returns the number of steps in the longest chain of steps.
+func (s *Submission) Depth() int {
+	depths, longest := make([]int, len(s.Steps)), 0
+	for i := range s.Steps {
+		for _, before := range s.Steps[i].After {
+			if before >= 0 && before < i {
+				depths[i] = max(depths[i], depths[before])
+			}
+		}
+		depths[i]++
+		longest = max(longest, depths[i])
+	}
+	return longest
+}
--- a/internal/teams/meter.go
+++ b/internal/teams/meter.go
@@ -16,6 +16,19 @@
 	times []time.Time // of acceptance, ascending; none older than twice the window before the latest
 }
 
+// limit returns how many jobs the weight allows in a window.
+func limit(weight float64) int { return max(int(weight*Window.Seconds()), 1) }
+
+// spentFor returns for how long from now on the weight allows no further job; 0 or less: it
+// allows one.
+func (m *meter) spentFor(weight float64, now time.Time) time.Duration {
+	n := limit(weight)
+	if len(m.times) < n {
+		return 0
+	}
+	return m.times[len(m.times)-n].Add(Window).Sub(now)
+}
+
 // accept counts a job that was accepted at the given time, and reports whether it is within
 // the weight, in jobs a second. Jobs may be reported out of order, as after a take-over;
 // one that is older than what the meter remembers is within.
@@ -32,7 +45,7 @@
 		}
 		return -1
 	})
-	if float64(end-begin+1) > max(weight*Window.Seconds(), 1) {
+	if end-begin >= limit(weight) {
 		return false
 	}
 	m.times = slices.Insert(m.times, end, at)
--- a/internal/teams/order.go
+++ b/internal/teams/order.go
@@ -52,6 +52,24 @@
 	return within
 }
 
+// Spent returns the teams whose weights allow no further job at now, and for how long. It
+// returns at most maxCounted, those with the longest time.
+func (o *Order) Spent(now time.Time) map[string]time.Duration {
+	spent := make(map[string]time.Duration)
+	for team, a := range o.accounts {
+		if d := a.meter.spentFor(a.share.Weight, now); d > 0 {
+			spent[team] = d
+		}
+	}
+	if len(spent) > maxCounted {
+		names := slices.SortedFunc(maps.Keys(spent), func(a, b string) int { return cmp.Compare(spent[b], spent[a]) })
+		for _, team := range names[maxCounted:] {
+			delete(spent, team)
+		}
+	}
+	return spent
+}
+
 // Give records that work of the team is started, in machine-seconds. A negative amount
 // corrects an earlier one.
 func (o *Order) Give(team string, work float64, now time.Time) {
--- a/internal/teams/order_test.go
+++ b/internal/teams/order_test.go
@@ -39,6 +39,8 @@
 			Expect(o.Accept("huts", 1, now.Add(time.Duration(9-i)*time.Second/10))).To(BeTrue())
 		}
 		Expect(o.Accept("huts", 1, now.Add(time.Second))).To(BeFalse())
+		Expect(o.Spent(now.Add(time.Second))).To(Equal(map[string]time.Duration{"huts": teams.Window - time.Second}))
+		Expect(o.Spent(now.Add(teams.Window))).To(BeEmpty())
 	})
 
 	It("puts nothing beyond that has no team, or whose team has no weight", func() {
