What a team sends beyond its weight is refused while it can't be served in time

Cause: nothing decided at the door; such jobs were accepted and ended too late.

Change: the answer to the notice of a job carries the owner's report; Submit asks the door before the write, where teams are configured. A refusal is first stored under the job's state keys, so that the late write of an earlier copy of the call fails; a later copy is accepted on condition that the record is unchanged. The 429 has the time after which room is expected, spread by the job's ID. One log line a refusal with its inputs, totals as "door".

Specs: late write of an earlier copy after the refusal; repeats; a job that was accepted before; a record that could not be stored; a cancellation after the refusal. The store of the tests now numbers its revisions and checks conditions on keys that are gone.

--- a/internal/intake/cancel.go
+++ b/internal/intake/cancel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"persimmonbay/internal/poolstore"
 	"persimmonbay/internal/problem"
@@ -18,7 +19,7 @@
 	for {
 		found, err := in.find(ctx, service, id)
 		if problem.Is(err, problem.NotFound) && !found.state.Barred {
-			barred := t.do(ctx, func(ctx context.Context) error { return in.bar(ctx, service, id) })
+			barred := t.do(ctx, func(ctx context.Context) error { return in.bar(ctx, service, id, false) })
 			if barred == nil {
 				return err
 			}
@@ -56,11 +57,13 @@
 	return nil
 }
 
-// bar stores that a job which is not stored was cancelled. A write that accepts the job
-// and is carried out later is conditional on the absence of one of the keys: its entry may
-// have an older configuration, by which the queue belongs to another service.
-func (in *Intake) bar(ctx context.Context, service, id string) error {
-	state, err := poolstore.EncodeState(&poolstore.JobProgress{Progress: scheduler.Progress{State: scheduler.Cancelled}, EndedAt: in.clock.Now(), Barred: true})
+// bar stores that a job which is not stored was cancelled or, if refused is true, refused.
+// A write that accepts the job and is carried out later is conditional on the absence of one
+// of the keys: its entry may have an older configuration, by which the queue belongs to
+// another service. An error with a store.ConflictError means that the job is stored, or was
+// cancelled.
+func (in *Intake) bar(ctx context.Context, service, id string, refused bool) error {
+	state, err := poolstore.EncodeState(&poolstore.JobProgress{Progress: scheduler.Progress{State: scheduler.Cancelled}, EndedAt: in.clock.Now(), Barred: true, Refused: refused})
 	if err != nil {
 		return err
 	}
@@ -73,10 +76,19 @@
 		txn.Expected = append(txn.Expected, store.Expectation{Key: key})
 		txn.Writes = append(txn.Writes, store.Write{Key: key, Value: state})
 	}
-	if _, err = in.store.Commit(ctx, txn); err != nil {
+	for {
+		_, err = in.store.Commit(ctx, txn)
+		if err == nil {
+			return nil
+		}
+		var conflict *store.ConflictError
+		if errors.As(err, &conflict) && ctx.Err() == nil {
+			if _, stored := storedState(conflict, txn.Expected); !stored && expectRefused(conflict, txn.Expected) {
+				continue // earlier refusals
+			}
+		}
 		return problem.Wrap(problem.KindOf(err), problem.StepStoreWrite, id, err)
 	}
-	return nil
 }
 
 // maxBarredServices is under how many services one transaction bars a job: each takes a
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"persimmonbay/internal/door"
 	"persimmonbay/internal/poolconfig"
 	"persimmonbay/internal/poolstore"
 	"persimmonbay/internal/problem"
@@ -24,11 +25,12 @@
 	owners OwnerNotifier
 	clock  clockwork.Clock
 	log    *zap.Logger
+	tally  *door.Tally
 }
 
 // New returns an intake.
 func New(s store.Store, config *poolconfig.InForce, owners OwnerNotifier, clock clockwork.Clock, log *zap.Logger) *Intake {
-	return &Intake{store: s, config: config, owners: owners, clock: clock, log: log}
+	return &Intake{store: s, config: config, owners: owners, clock: clock, log: log, tally: door.NewTally()}
 }
 
 // retryInterval is the pause between two tries of a call to the store: a few
@@ -44,6 +46,11 @@
 // runs; after one of kind Timeout the outcome is unknown. Submitting a job that
 // was accepted before succeeds and does not add a second job.
 func (in *Intake) Submit(ctx context.Context, sub scheduler.Submission) error {
+	if v := in.verdict(&sub); v.Refused() {
+		if err, decided := in.refuse(ctx, &sub, &v); decided {
+			return err
+		}
+	}
 	owner := in.owners.Owner(sub.Service)
 	txn, err := in.acceptanceTxn(&sub, owner)
 	if err != nil {
@@ -63,15 +70,16 @@
 		}
 		var conflict *store.ConflictError
 		if errors.As(err, &conflict) {
-			if state, stored := in.storedState(conflict, &txn); stored && state.Barred {
-				return problem.New(problem.Unavailable, problem.StepClaim, sub.ID, "the job was cancelled before it was stored")
+			if state, stored := storedState(conflict, txn.Expected[1:]); stored && state.Barred {
+				return errCancelledBefore(sub.ID)
 			} else if stored {
 				return nil
 			}
+			refused := expectRefused(conflict, txn.Expected[1:])
 			previous := owner
 			owner = ownerOf(conflict.Find(poolstore.OwnerKey(sub.Service)))
 			txn.Expected[0].Revision = owner.Token
-			if owner != previous && ctx.Err() == nil {
+			if (refused || owner != previous) && ctx.Err() == nil {
 				continue
 			}
 		}
@@ -82,23 +90,6 @@
 	}
 }
 
-// storedState returns the state that the conflict shows to be stored for the job, under
-// any service, and false if there is none. The first expectation of txn is the pool's
-// owner; the others are the absence of the job under each service. A state that cannot be
-// decoded is one of a job that was accepted.
-func (in *Intake) storedState(conflict *store.ConflictError, txn *store.Txn) (poolstore.JobProgress, bool) {
-	for _, e := range txn.Expected[1:] {
-		if item, stored := conflict.Find(e.Key); stored {
-			state, err := poolstore.DecodeState(item.Key, item.Value)
-			if err != nil {
-				state = poolstore.JobProgress{}
-			}
-			return state, true
-		}
-	}
-	return poolstore.JobProgress{}, false
-}
-
 // acceptanceTxn returns the transaction that accepts a job. It requires that
 // the job is stored under none of the services, as its queue may move to
 // another service between two copies of a call. It also requires that owner
--- a/internal/intake/no_owners_test.go
+++ b/internal/intake/no_owners_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"persimmonbay/internal/door"
 	"persimmonbay/internal/intake"
 )
 
@@ -15,3 +16,4 @@
 func (noOwners) Accepted(intake.Owner, string, string, []byte, int64) {}
 func (noOwners) Cancelled(string, string, int64)                      {}
 func (noOwners) Pending(context.Context, string, string) (int, bool)  { return 0, false }
+func (noOwners) Report(string) *door.Report                           { return nil }
--- a/internal/intake/owner_notifier.go
+++ b/internal/intake/owner_notifier.go
@@ -1,6 +1,10 @@
 package intake
 
-import "context"
+import (
+	"context"
+
+	"persimmonbay/internal/door"
+)
 
 // OwnerNotifier returns the owners of pools, and notifies them of committed changes
 // without waiting for them.
@@ -15,4 +19,7 @@
 	// Pending asks the pool's owner how many jobs of a queue have not begun; known is
 	// false if it does not answer.
 	Pending(ctx context.Context, service, queue string) (jobs int, known bool)
+	// Report returns the last report of the pool's owner on the work ahead, nil if there is
+	// none.
+	Report(service string) *door.Report
 }
--- /dev/null
+++ b/internal/intake/refuse_test.go
@@ -0,0 +1,106 @@
+package intake_test
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"persimmonbay/internal/door"
+	"persimmonbay/internal/intake"
+	"persimmonbay/internal/poolconfig"
+	"persimmonbay/internal/poolstore"
+	"persimmonbay/internal/problem"
+	"persimmonbay/internal/scheduler"
+	"persimmonbay/internal/store"
+)
+
+var _ = Describe("a job beyond its team's weight while its pool is far behind", func() {
+	var in *intake.Intake
+	var s *lateWrites
+	var owner *busyOwner
+	var ctx context.Context
+	sub := scheduler.Submission{ID: "j", Team: "huts", Queue: "holds", Service: "tags", Stretch: 1.5, Objective: 600 * time.Millisecond, Steps: []scheduler.Step{{Count: 1}}}
+	submit := func() problem.Kind {
+		if err := in.Submit(ctx, sub); err != nil {
+			return problem.KindOf(err)
+		}
+		return ""
+	}
+
+	BeforeEach(func() {
+		s = &lateWrites{muteStore: &muteStore{items: map[string]store.Item{}}}
+		config := poolconfig.NewInForce()
+		config.Put(&poolconfig.Configuration{Version: 1, Teams: []poolconfig.Team{{Name: "huts", Weight: 1}}, Pools: []poolconfig.Pool{{Service: "tags"}, {Service: "other"}}})
+		owner = &busyOwner{report: &door.Report{
+			At: time.Now().Add(time.Minute), Cores: 1, Within: 1000,
+			Spent: []door.Spent{{Team: "huts", For: time.Second}}, Paces: []door.Pace{{Queue: "holds", Step: time.Second}},
+		}}
+		in = intake.New(s, config, owner, clockwork.NewRealClock(), zap.NewNop())
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.Background(), 2*time.Second)
+		DeferCleanup(cancel)
+	})
+
+	It("is refused with the time after which there is room, and is not stored", func() {
+		err := in.Submit(ctx, sub)
+		Expect(problem.KindOf(err)).To(Equal(problem.Overloaded))
+		Expect(problem.DelayOf(err)).To(BeNumerically(">", 900*time.Second))
+		Expect(s.items).NotTo(HaveKey(poolstore.JobKey("tags", "j")))
+		_, err = in.State(ctx, "tags", "j")
+		Expect(problem.KindOf(err)).To(Equal(problem.NotFound))
+		Expect(in.DoorCounts().Refused).To(BeEquivalentTo(1))
+	})
+
+	It("is accepted when it comes again and there is room, once", func() {
+		Expect(submit()).To(Equal(problem.Overloaded))
+		Expect(submit()).To(Equal(problem.Overloaded))
+		owner.report = nil
+		Expect(submit()).To(BeEmpty())
+		Expect(s.items).To(HaveKey(poolstore.JobKey("tags", "j")))
+		state, err := in.State(ctx, "tags", "j")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(state).To(Equal(scheduler.Queued))
+		written := s.revision
+		Expect(submit()).To(BeEmpty())
+		Expect(s.revision).To(Equal(written))
+	})
+
+	// Guards against a job that runs after its caller was told that it never does: the first
+	// copy of the call got no answer, and its write is carried out after the refusal.
+	It("is not stored by the late write of an earlier copy", func() {
+		report := owner.report
+		owner.report, s.keep = nil, true
+		short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
+		defer cancel()
+		Expect(problem.KindOf(in.Submit(short, sub))).To(Equal(problem.Timeout))
+		owner.report = report
+		Expect(submit()).To(Equal(problem.Overloaded))
+		_, err := s.muteStore.Commit(ctx, s.kept[0])
+		Expect(problem.KindOf(err)).To(Equal(problem.Conflict))
+		Expect(s.items).NotTo(HaveKey(poolstore.JobKey("tags", "j")))
+	})
+
+	It("is not refused if it was accepted before", func() {
+		report := owner.report
+		owner.report = nil
+		Expect(submit()).To(BeEmpty())
+		owner.report = report
+		Expect(submit()).To(BeEmpty())
+	})
+
+	It("is accepted if the refusal can't be stored", func() {
+		s.keep = true
+		Expect(submit()).To(BeEmpty())
+		Expect(s.items).To(HaveKey(poolstore.JobKey("tags", "j")))
+	})
+
+	It("is not stored after its cancellation", func() {
+		Expect(submit()).To(Equal(problem.Overloaded))
+		Expect(problem.KindOf(in.Cancel(ctx, "tags", "j"))).To(Equal(problem.NotFound))
+		Expect(submit()).To(Equal(problem.Unavailable))
+	})
+})
--- a/internal/intake/state.go
+++ b/internal/intake/state.go
@@ -32,6 +32,9 @@
 			return foundState{}, err
 		}
 		state, err := poolstore.DecodeState(item.Key, item.Value)
+		if err == nil && state.Refused {
+			continue // an accepted copy of the call may be stored under another service
+		}
 		if err == nil && state.Barred {
 			err = errNoSuchJob(id)
 		}
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -60,6 +60,7 @@
 	// Callers' calls have connections of their own: the entry's lease and its pools must
 	// not wait for them.
 	in := intake.New(platform.NewStore(s.Platform.Store, codec), e.config, ownerNotifier{e.manager}, clock, log)
+	dependencies.Metrics.Publish("door", func() any { return in.DoorCounts() })
 	e.callers = &http.Server{Handler: platform.NewIngress(in, e.config, codec, clock, log).Handler(), ReadHeaderTimeout: headerTimeout}
 	e.probes = &http.Server{Handler: platform.ReadinessHandler(e.Ready, dependencies.Metrics), ReadHeaderTimeout: headerTimeout}
 	return e, nil
--- a/internal/jobentry/owner_notifier.go
+++ b/internal/jobentry/owner_notifier.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"persimmonbay/internal/door"
 	"persimmonbay/internal/intake"
 	"persimmonbay/internal/poolmanager"
 )
@@ -36,3 +37,6 @@
 func (n ownerNotifier) Pending(ctx context.Context, service, queue string) (jobs int, known bool) {
 	return n.manager.Pending(ctx, service, queue)
 }
+
+// Report returns the last report of the pool's owner on the work ahead.
+func (n ownerNotifier) Report(service string) *door.Report { return n.manager.Report(service) }
--- a/internal/peernotice/client.go
+++ b/internal/peernotice/client.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"persimmonbay/internal/door"
 	"persimmonbay/internal/peer"
 	"persimmonbay/internal/peer/wire"
 	"persimmonbay/internal/poolmanager"
@@ -19,12 +21,16 @@
 func NewClient(peers *peer.Client) *Client { return &Client{peers: peers} }
 
 // Notify sends a notice to the entry at address and waits for its response. It
-// returns an error if the notice may not have been received.
-func (c *Client) Notify(ctx context.Context, address string, n poolmanager.Notice) error {
-	_, err := c.peers.Call(ctx, address, &wire.Request{Body: &wire.Request_Work{Work: &wire.WorkNotice{
+// returns the owner's report, nil if it sent none, and an error if the notice may not have
+// been received.
+func (c *Client) Notify(ctx context.Context, address string, n poolmanager.Notice, now time.Time) (*door.Report, error) {
+	response, err := c.peers.Call(ctx, address, &wire.Request{Body: &wire.Request_Work{Work: &wire.WorkNotice{
 		Service: n.Service, Job: n.Job, Value: n.Value, Revision: n.Revision, Cancelled: n.Cancelled, Owner: n.OwnerToken,
 	}}})
-	return err
+	if err != nil {
+		return nil, err
+	}
+	return wire.ToPoolReport(response.GetWork().GetReport(), now), nil
 }
 
 // Pending asks the entry at address how many jobs of a queue have not begun; known is
--- a/internal/peernotice/handler.go
+++ b/internal/peernotice/handler.go
@@ -33,5 +33,9 @@
 	h.manager.ReceiveNotice(poolmanager.Notice{
 		Service: n.GetService(), Job: n.GetJob(), Value: n.GetValue(), Revision: n.GetRevision(), Cancelled: n.GetCancelled(), OwnerToken: n.GetOwner(),
 	})
-	return &wire.Response{Body: &wire.Response_Work{Work: &wire.WorkNoted{}}}, nil
+	noted := &wire.WorkNoted{}
+	if report, now, ok := h.manager.OwnReport(n.GetService()); ok {
+		noted.Report = wire.FromPoolReport(&report, now)
+	}
+	return &wire.Response{Body: &wire.Response_Work{Work: noted}}, nil
 }
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"persimmonbay/internal/door"
 	"persimmonbay/internal/poolconfig"
 	"persimmonbay/internal/scheduler"
 	"persimmonbay/internal/shard"
@@ -28,6 +29,7 @@
 	changed          signal                 // the fleet, the configuration or a wave has changed
 	member           ownKeys                // revision of this entry's registration
 	invalid          *invalidItems
+	reports          *shard.Map[string, *door.Report] // of the owners of pools, by service, as last received
 
 	mu         sync.Mutex
 	ownerships map[string]*poolOwnership // by service
@@ -44,6 +46,7 @@
 		storeRespondedAt: shard.NewCell(time.Time{}),
 		changed:          newSignal(),
 		invalid:          newInvalidItems(),
+		reports:          shard.NewMap[string, *door.Report](),
 		ownerships:       make(map[string]*poolOwnership),
 	}
 }
--- a/internal/poolmanager/manager_notices.go
+++ b/internal/poolmanager/manager_notices.go
@@ -38,9 +38,13 @@
 	go m.runContained(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
 		defer cancel()
-		if err := peers.Notify(ctx, address, n); err != nil {
+		report, err := peers.Notify(ctx, address, n, m.Clock.Now())
+		if err != nil {
 			m.Log.Debug("notice of a job not delivered to the pool's owner", append(telemetry.ProblemFields(err), zap.String("job", n.Job))...)
 		}
+		if report != nil {
+			m.reports.Set(n.Service, report)
+		}
 	})
 }
 
--- a/internal/poolstore/codec.go
+++ b/internal/poolstore/codec.go
@@ -26,7 +26,7 @@
 
 // EncodeState returns the value of the key with a job's progress.
 func EncodeState(s *JobProgress) ([]byte, error) {
-	return encode(stateRecord{State: s.Progress.State, Queue: s.Queue, Done: s.Progress.Done, Failures: s.Progress.Failures, EndedAt: unixMillis(s.EndedAt), Barred: s.Barred, Team: s.Team})
+	return encode(stateRecord{State: s.Progress.State, Queue: s.Queue, Done: s.Progress.Done, Failures: s.Progress.Failures, EndedAt: unixMillis(s.EndedAt), Barred: s.Barred, Refused: s.Refused, Team: s.Team})
 }
 
 // DecodeState decodes the value of a key with a job's progress. It returns Internal
@@ -44,6 +44,7 @@
 		Progress: scheduler.Progress{State: r.State, Done: r.Done, Failures: r.Failures},
 		EndedAt:  fromUnixMillis(r.EndedAt),
 		Barred:   r.Barred,
+		Refused:  r.Refused,
 		Team:     r.Team,
 	}, nil
 }
--- a/internal/poolstore/state_record.go
+++ b/internal/poolstore/state_record.go
@@ -10,5 +10,6 @@
 	Failures map[int][]int      `cbor:"4,keyasint,omitempty"`
 	EndedAt  int64              `cbor:"5,keyasint,omitempty"` // Unix time in milliseconds; 0: not ended
 	Barred   bool               `cbor:"6,keyasint,omitempty"`
+	Refused  bool               `cbor:"8,keyasint,omitempty"`
 	Team     string             `cbor:"7,keyasint,omitempty"` // records of earlier versions have none
 }
--- a/internal/problem/error.go
+++ b/internal/problem/error.go
@@ -3,15 +3,17 @@
 import (
 	"errors"
 	"strings"
+	"time"
 )
 
 // Error is an error of one operation of the program.
 type Error struct {
 	Kind   Kind
 	Step   Step
-	Peer   string // name or address of the other side; empty: none
-	Detail string // what happened and, for an operator, what to do next
-	Err    error  // the cause; may be nil
+	Peer   string        // name or address of the other side; empty: none
+	Detail string        // what happened and, for an operator, what to do next
+	Err    error         // the cause; may be nil
+	Delay  time.Duration // after which a repeat may succeed; 0: not known
 }
 
 // New returns an Error without a cause.
@@ -67,3 +69,12 @@
 	var e *Error
 	return errors.As(err, &e) && e.Kind == kind
 }
+
+// DelayOf returns the delay of the first Error in err's chain, or 0 when there is none.
+func DelayOf(err error) time.Duration {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Delay
+	}
+	return 0
+}
