--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"persimmonbay/internal/answertime"
+	"persimmonbay/internal/door"
 	"persimmonbay/internal/poolconfig"
 	"persimmonbay/internal/scheduler"
 	"persimmonbay/internal/shard"
@@ -30,6 +31,7 @@
 	member           ownKeys                // revision of this entry's registration
 	invalid          *invalidItems
 	reader           *configurationReader
+	reports          *shard.Map[string, *door.Report] // of the owners of pools, by service, as last received
 
 	mu         sync.Mutex
 	ownerships map[string]*poolOwnership // by service
@@ -46,6 +48,7 @@
 		storeRespondedAt: shard.NewCell(time.Time{}),
 		changed:          newSignal(),
 		invalid:          newInvalidItems(),
+		reports:          shard.NewMap[string, *door.Report](),
 		ownerships:       make(map[string]*poolOwnership),
 	}
 	m.reader = &configurationReader{
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"persimmonbay/internal/answertime"
+	"persimmonbay/internal/door"
 	"persimmonbay/internal/quota"
 	"persimmonbay/internal/teams"
 )
@@ -65,6 +66,8 @@
 	events              []Event          // not yet returned by TakeEvents
 	quota               *quota.Book      // what runs for each team
 	teams               *teams.Order     // of those that share the pool
+	doorReport          door.Report      // the last one
+	machinesAsked       int              // by the last capacity report
 	oldest              *job             // the one that goes first as it has waited for too long; nil: none
 }
 
