The specs of the door submit for a team's caller

Cause: at the merge, a job's team comes from the caller that was identified, not from the submission: four specs of the door submitted without one. Change: they submit for a caller of the team; what they check is as it was. Measured: go test ./internal/intake passes.

--- a/internal/intake/refuse_test.go
+++ b/internal/intake/refuse_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"persimmonbay/internal/door"
+	"persimmonbay/internal/identity"
 	"persimmonbay/internal/intake"
 	"persimmonbay/internal/poolconfig"
 	"persimmonbay/internal/poolstore"
@@ -39,7 +40,7 @@
 			At: time.Now().Add(time.Minute), Cores: 1, Within: 1000,
 			Spent: []door.Spent{{Team: "huts", For: time.Second}}, Paces: []door.Pace{{Queue: "holds", Step: time.Second}},
 		}}
-		in = intake.New(s, config, owner, clockwork.NewRealClock(), zap.NewNop())
+		in = intake.New(s, config, owner, clockwork.NewRealClock(), zap.NewNop()).For(identity.Caller{Team: "huts"})
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(context.Background(), 2*time.Second)
 		DeferCleanup(cancel)
