--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -36,6 +36,7 @@
 	Platform         Platform    `yaml:"platform"`
 	Membership       Membership  `yaml:"membership"`
 	Limits           Limits      `yaml:"limits"`
+	Machine          Machine     `yaml:"machine"`
 	Maintenance      Maintenance `yaml:"maintenance"`
 	Secrets          Secrets     `yaml:"secrets"`
 	LogLevel         string      `yaml:"logLevel" validate:"oneof=debug info warn error"`
--- a/internal/settings/job_entry.go
+++ b/internal/settings/job_entry.go
@@ -14,7 +14,7 @@
 	AvailabilityZone string      `yaml:"availabilityZone" validate:"required"`
 	Listen           JobListen   `yaml:"listen"`
 	Platform         JobPlatform `yaml:"platform"`
-	Machine          JobMachine  `yaml:"machine"`
+	Machine          Machine     `yaml:"machine"`
 	Identity         JobIdentity `yaml:"identity"`
 	Timing           JobTiming   `yaml:"timing"`
 	LogLevel         string      `yaml:"logLevel" validate:"oneof=debug info warn error"`
--- /dev/null
+++ b/test/hostile/machine_test.go
@@ -0,0 +1,12 @@
+package hostile
+
+// machine is what the settings of a process say of its machine. Both are the bounds of the
+// tests.
+type machine struct {
+	megabytes   int
+	descriptors int
+}
+
+// small is the machine of all specs: it has a third of the memory of the smallest machine in
+// use, and fewer descriptors than the crowd has connections.
+var small = machine{megabytes: 64, descriptors: 256}
