Clients without control are kept within the machine

Cause: a body was read whole for each connection with no bound on all of them, the jobs' listener had net/http's 1 MB for a head, no times for body and idling and no bound on connections; a job's steps were decoded before they were counted, at some 70 times their bytes. Change: internal/readbudget decides (plain values, time passed in): one budget of bytes for all listeners, places for each listener, times and sizes from the configuration's limits; who holds most for longest goes first, never a request that is whole. internal/guard wraps listeners and servers and replaces the operators' bounded listener. A body over its limit gets 413 before it is read if its length is declared (was 400, or nothing), a head 431. Large jobs are decoded one at a time, and no more steps than a job may have. entry sets the runtime's memory limit as job-entry does, if its settings name a machine. Peers count as waiting until they have proved that they have the key. Design: docs/design/request-limits.md; counters `clients` at /debug/vars, one log line a cause in 10 s. The spec of the operators' listener (closes connections above its limit) went with the listener; those of internal/guard replace it: a connection above the places is not served while all others are, and is when one is done; one that waits is closed for a new one.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,11 +12,13 @@
 	"persimmonbay/internal/configstore"
 	"persimmonbay/internal/configuration"
 	"persimmonbay/internal/front"
+	"persimmonbay/internal/guard"
 	"persimmonbay/internal/inventory"
 	"persimmonbay/internal/ledger"
 	"persimmonbay/internal/membership"
 	"persimmonbay/internal/peer"
 	"persimmonbay/internal/platform"
+	"persimmonbay/internal/readbudget"
 	"persimmonbay/internal/request"
 	"persimmonbay/internal/routing"
 	"persimmonbay/internal/settings"
@@ -39,6 +41,8 @@
 	log       *zap.Logger
 	clock     clockwork.Clock
 	listeners listeners
+	machine   readbudget.Machine
+	guard     *guard.Guard
 
 	platform  *platform.Client
 	configs   *configstore.Store
@@ -95,6 +99,10 @@
 	e.control = newControl(e)
 	e.jobs = newJobPlacer(e)
 	e.slots = newSlotManager(e)
+	e.machine = readbudget.Machine{MemoryBytes: int64(s.Machine.MemoryMB) << 20, Descriptors: s.Machine.Descriptors}
+	limits := readbudget.Limits{HeadBytes: maxHeaderBytes, BodyBytes: s.Limits.MaxBodyBytes, HeadTime: headerTimeout}
+	e.guard = guard.New(max(e.machine.Bytes(), 2*s.Limits.MaxBodyBytes), func() readbudget.Limits { return limits }, clock, log)
+	e.metrics.Publish("clients", func() any { return e.guard.Counts() })
 	e.metrics.Publish("platformCalls", func() any { return client.Counts().Snapshot() })
 	e.metrics.Publish("configurationVersion", func() any { return e.inForce.Get().Version })
 	e.ledger = e.newLedger()
@@ -109,19 +117,20 @@
 // requests in flight end, the lease is revoked and connections are closed last.
 // It returns the first error of a server, or that of the shutdown.
 func (e *Entry) Run(ctx context.Context) error {
+	e.settings.Machine.LimitMemory()
 	loopsCtx, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopLoops()
 	var loops sync.WaitGroup
 	for _, loop := range e.loops() {
 		loops.Go(func() { loop(loopsCtx) })
 	}
-	callers := &http.Server{Handler: e.closeConnectionsWhenLeaving(e.callersHandler()), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	callers := e.guard.Protect(&http.Server{Handler: e.closeConnectionsWhenLeaving(e.callersHandler())})
 	operators := e.operatorServer()
 	failed := make(chan error, 3)
-	go func() { failed <- callers.Serve(e.listeners.callers) }()
-	go func() { failed <- operators.Serve(e.operatorListener()) }()
+	go func() { failed <- callers.Serve(e.guard.Listener(e.listeners.callers, e.machine.Callers())) }()
+	go func() { failed <- operators.Serve(e.guard.Listener(e.listeners.operators, e.machine.Side())) }()
 	loops.Go(func() {
-		if err := peer.NewServer(e, []byte(e.settings.Secrets.PeerKey), e.log).Serve(loopsCtx, e.listeners.peers); err != nil {
+		if err := peer.NewServer(e, []byte(e.settings.Secrets.PeerKey), e.log).Serve(loopsCtx, e.guard.Listener(e.listeners.peers, e.machine.Peers())); err != nil {
 			failed <- err
 		}
 	})
--- a/internal/entry/operator_listener.go
+++ b/internal/entry/operator_listener.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"net"
 	"net/http"
 	"time"
 
@@ -17,17 +16,9 @@
 
 // operatorServer returns the server of the operators' address.
 func (e *Entry) operatorServer() *http.Server {
-	return &http.Server{
-		Handler:           operator.NewServer(e, e.metrics, e.settings.Secrets.OperatorToken, e.log).Handler(),
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       operatorReadTimeout,
-		IdleTimeout:       operatorIdleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-}
-
-// operatorListener returns the operators' listener, limited to
-// operator.MaxConnections.
-func (e *Entry) operatorListener() net.Listener {
-	return operator.LimitListener(e.listeners.operators, operator.MaxConnections, e.log)
+	return e.guard.Protect(&http.Server{
+		Handler:     operator.NewServer(e, e.metrics, e.settings.Secrets.OperatorToken, e.log).Handler(),
+		ReadTimeout: operatorReadTimeout,
+		IdleTimeout: operatorIdleTimeout,
+	})
 }
--- a/internal/front/parse.go
+++ b/internal/front/parse.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"persimmonbay/internal/fleet"
+	"persimmonbay/internal/guard"
 	"persimmonbay/internal/problem"
 	"persimmonbay/internal/request"
 )
@@ -29,12 +30,15 @@
 	if err := parseEntryHeaders(r, in, now); err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, bodyBytes+1))
+	if r.ContentLength > bodyBytes {
+		return nil, tooLarge(bodyBytes)
+	}
+	body, err := guard.ReadAll(io.LimitReader(r.Body, bodyBytes+1))
 	if err != nil {
 		return nil, problem.Wrap(problem.Interrupted, problem.StepParse, r.RemoteAddr, err)
 	}
 	if int64(len(body)) > bodyBytes {
-		return nil, problem.New(problem.TooLarge, problem.StepParse, "", "the request body is larger than "+strconv.FormatInt(bodyBytes, 10)+" bytes")
+		return nil, tooLarge(bodyBytes)
 	}
 	in.Body = body
 	return in, nil
@@ -61,6 +65,10 @@
 	return nil
 }
 
+func tooLarge(bodyBytes int64) error {
+	return problem.New(problem.TooLarge, problem.StepParse, "", "the request body is larger than "+strconv.FormatInt(bodyBytes, 10)+" bytes")
+}
+
 func parseTimeout(text string) (time.Duration, error) {
 	millis, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || millis <= 0 || millis > maxTimeout.Milliseconds() {
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -13,10 +12,12 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"persimmonbay/internal/guard"
 	"persimmonbay/internal/intake"
 	"persimmonbay/internal/poolconfig"
 	"persimmonbay/internal/poolmanager"
 	"persimmonbay/internal/problem"
+	"persimmonbay/internal/readbudget"
 	"persimmonbay/internal/settings"
 	"persimmonbay/internal/telemetry"
 	"persimmonbay/platform"
@@ -30,6 +31,8 @@
 	log      *zap.Logger
 	config   *poolconfig.InForce
 	manager  *poolmanager.Manager
+	machine  readbudget.Machine
+	guard    *guard.Guard
 	callers  *http.Server
 	probes   *http.Server
 	draining atomic.Bool
@@ -55,18 +58,19 @@
 		dependencies.Machines = platform.NewMachines(s.Platform.Machines, codec)
 	}
 	e.manager = poolmanager.New(s.ID, s.Listen.Peers, s.Machine.Cores, dependencies, timingOf(&s.Timing, s.Machine.Cores), e.config)
+	e.machine = readbudget.Machine{MemoryBytes: int64(s.Machine.MemoryMB) << 20, Descriptors: s.Machine.Descriptors}
+	e.guard = guard.New(e.machine.Bytes(), e.requestLimits, clock, log)
+	dependencies.Metrics.Publish("clients", func() any { return e.guard.Counts() })
 	dependencies.Metrics.Publish("pools", func() any { return e.manager.Counts() })
 	// Callers' calls have connections of their own: the entry's lease and its pools must
 	// not wait for them.
 	in := intake.New(platform.NewStore(s.Platform.Store, codec), e.config, ownerNotifier{e.manager}, clock, log)
-	e.callers = &http.Server{Handler: platform.NewIngress(in, e.config, codec, clock, log).Handler(), ReadHeaderTimeout: headerTimeout}
-	e.probes = &http.Server{Handler: platform.ReadinessHandler(e.Ready, dependencies.Metrics), ReadHeaderTimeout: headerTimeout}
+	e.callers = e.guard.Protect(&http.Server{Handler: platform.NewIngress(in, e.config, codec, clock, log).Handler()})
+	e.probes = e.guard.Protect(&http.Server{Handler: platform.ReadinessHandler(e.Ready, dependencies.Metrics)})
 	return e, nil
 }
 
 const (
-	// headerTimeout bounds the reading of a request's header.
-	headerTimeout = 5 * time.Second
 	// storeResponseWithin is the age up to which the store's last answer makes this
 	// entry ready: two waits of a watch, and the time of an answer.
 	storeResponseWithin = 2500 * time.Millisecond
@@ -86,7 +90,7 @@
 // Run serves until ctx ends, then drains. It returns the first error of a listener
 // or server.
 func (e *Entry) Run(ctx context.Context) error {
-	e.limitMemory()
+	e.settings.Machine.LimitMemory()
 	callers, err := listen(e.settings.Listen.Callers)
 	if err != nil {
 		return err
@@ -97,8 +101,8 @@
 	}
 	e.log.Info("started", zap.String("entry", e.settings.ID), zap.String("callers", e.settings.Listen.Callers))
 	var group errgroup.Group
-	group.Go(func() error { return serve(e.callers, callers) })
-	group.Go(func() error { return serve(e.probes, probes) })
+	group.Go(func() error { return serve(e.callers, e.guard.Listener(callers, e.machine.Callers())) })
+	group.Go(func() error { return serve(e.probes, e.guard.Listener(probes, e.machine.Side())) })
 	group.Go(func() error { e.manager.Run(ctx); return nil })
 	group.Go(func() error { return e.servePeers(ctx) })
 	group.Go(func() error { return e.drain(ctx) })
@@ -123,12 +127,14 @@
 	return errors.Join(e.callers.Shutdown(final), e.probes.Shutdown(final))
 }
 
-// limitMemory sets the runtime's memory limit to 70 percent of the machine's
-// memory. The rest is for memory that the runtime does not count.
-func (e *Entry) limitMemory() {
-	if mb := e.settings.Machine.MemoryMB; mb > 0 {
-		debug.SetMemoryLimit(int64(mb) << 20 * 7 / 10)
+// requestLimits returns the limits of callers' requests in the configuration in force.
+func (e *Entry) requestLimits() readbudget.Limits {
+	config := e.config.Get()
+	if config == nil {
+		return readbudget.Limits{}
 	}
+	l := config.Limits
+	return readbudget.Limits{HeadBytes: l.MaxHeaderBytes, BodyBytes: int64(l.MaxBodyBytes), HeadTime: l.HeaderTimeout, IdleTime: l.IdleTimeout}
 }
 
 func listen(address string) (net.Listener, error) {
--- a/internal/jobentry/peers.go
+++ b/internal/jobentry/peers.go
@@ -30,5 +30,5 @@
 	defer client.Close()
 	e.manager.SetPeers(peernotice.NewClient(client))
 	e.log.Info("listening for notices of peers", zap.String("peers", e.settings.Listen.Peers))
-	return peer.NewServer(peernotice.NewHandler(e.manager), secret, e.log).Serve(ctx, listener)
+	return peer.NewServer(peernotice.NewHandler(e.manager), secret, e.log).Serve(ctx, e.guard.Listener(listener, e.machine.Peers()))
 }
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -1,12 +1,9 @@
 package operator_test
 
 import (
-	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -82,48 +79,3 @@
 		Entry("unknown", problem.Interrupted, http.StatusGatewayTimeout),
 	)
 })
-
-var _ = Describe("the operators' listener", func() {
-	It("closes connections above its limit and accepts new ones when others are closed", func() {
-		inner, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		listener := operator.LimitListener(inner, 2, zap.NewNop())
-		server := &http.Server{Handler: http.NotFoundHandler()}
-		done := make(chan struct{})
-		go func() { defer close(done); _ = server.Serve(listener) }()
-		defer func() { _ = server.Close(); <-done }()
-
-		first, second, third := dial(inner), dial(inner), dial(inner)
-		defer second.Close()
-		defer third.Close()
-		Expect(third.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
-		_, err = third.Read(make([]byte, 1))
-		Expect(err).NotTo(MatchError(os.ErrDeadlineExceeded))
-		Expect(err).To(HaveOccurred())
-		_ = first.Close()
-		Eventually(func() string { return statusLine(inner) }).Should(HavePrefix("HTTP/1.0 404"))
-	})
-})
-
-func dial(listener net.Listener) net.Conn {
-	GinkgoHelper()
-	c, err := net.Dial("tcp", listener.Addr().String())
-	Expect(err).NotTo(HaveOccurred())
-	return c
-}
-
-// statusLine sends one request on a new connection and returns the first 12
-// bytes of the response, or less when the connection fails.
-func statusLine(listener net.Listener) string {
-	c, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		return ""
-	}
-	defer c.Close()
-	if _, err := c.Write([]byte("GET / HTTP/1.0\r\n\r\n")); err != nil {
-		return ""
-	}
-	beginning := make([]byte, 12)
-	n, _ := c.Read(beginning)
-	return string(beginning[:n])
-}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -77,6 +77,9 @@
 		s.log.Warn("peer connection refused: the handshake failed", zap.String("step", string(problem.StepAuthorize)), zap.String("peer", c.RemoteAddr().String()), zap.Error(err))
 		return
 	}
+	if guarded, ok := c.(admitter); ok && !guarded.Admit() {
+		return
+	}
 	session, err := yamux.Server(c, sessionConfig())
 	if err != nil {
 		s.log.Error("opening the session of a peer failed", zap.String("step", string(problem.StepPeerCall)), zap.Error(err))
--- a/test/shape/shape_test.go
+++ b/test/shape/shape_test.go
@@ -24,7 +24,7 @@
 // import no encoding and no transport, so that another front end can use them.
 var decisionPackages = []string{
 	"admission", "configuration", "dispatch", "fleet", "inventory", "ledger", "maintenance", "membership",
-	"lending", "ownership", "placement", "problem", "request", "routing", "shard", "slots", "upkeep", "scheduler", "poolconfig",
+	"lending", "ownership", "placement", "problem", "request", "routing", "shard", "slots", "upkeep", "scheduler", "poolconfig", "readbudget",
 }
 
 // platformNames are paths, headers, fields and keys of the users' platform.
@@ -37,7 +37,7 @@
 // platformMayImport are the internal packages that the adapter in platform may
 // import.
 var platformMayImport = []string{
-	"intake", "poolmanager", "problem", "shard", "store", "telemetry", "upkeep", "scheduler", "poolconfig",
+	"intake", "poolmanager", "problem", "shard", "store", "telemetry", "upkeep", "scheduler", "poolconfig", "guard",
 }
 
 // forbiddenImports are the encodings and transports, as prefixes of import paths.
