--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -13,12 +12,14 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"persimmonbay/internal/guard"
 	"persimmonbay/internal/identity"
 	"persimmonbay/internal/intake"
 	"persimmonbay/internal/keycheck"
 	"persimmonbay/internal/poolconfig"
 	"persimmonbay/internal/poolmanager"
 	"persimmonbay/internal/problem"
+	"persimmonbay/internal/readbudget"
 	"persimmonbay/internal/settings"
 	"persimmonbay/internal/telemetry"
 	"persimmonbay/platform"
@@ -32,6 +33,8 @@
 	log      *zap.Logger
 	config   *poolconfig.InForce
 	manager  *poolmanager.Manager
+	machine  readbudget.Machine
+	guard    *guard.Guard
 	callers  *http.Server
 	probes   *http.Server
 	draining atomic.Bool
@@ -62,6 +65,9 @@
 	e.manager = poolmanager.New(s.ID, s.Listen.Peers, s.Machine.Cores, dependencies, timing, e.config)
 	keys := keycheck.New(policy, e.config, e.manager, sinceBoot, log)
 	dependencies.Metrics.Publish("identity", func() any { return keys.Counts() })
+	e.machine = readbudget.Machine{MemoryBytes: int64(s.Machine.MemoryMB) << 20, Descriptors: s.Machine.Descriptors}
+	e.guard = guard.New(e.machine.Bytes(), e.requestLimits, clock, log)
+	dependencies.Metrics.Publish("clients", func() any { return e.guard.Counts() })
 	dependencies.Metrics.Publish("pools", func() any { return e.manager.Counts() })
 	dependencies.Metrics.Publish("quota", func() any { return e.manager.Quotas() })
 	dependencies.Metrics.Publish("teams", func() any { return e.manager.TeamCounts() })
@@ -70,14 +76,12 @@
 	// not wait for them.
 	in := intake.New(platform.NewStore(s.Platform.Store, codec), e.config, ownerNotifier{e.manager}, clock, log)
 	dependencies.Metrics.Publish("door", func() any { return in.DoorCounts() })
-	e.callers = &http.Server{Handler: platform.NewIngress(in, keys, codec, clock, log).Handler(), ReadHeaderTimeout: headerTimeout}
-	e.probes = &http.Server{Handler: platform.ReadinessHandler(e.Ready, dependencies.Metrics), ReadHeaderTimeout: headerTimeout}
+	e.callers = e.guard.Protect(&http.Server{Handler: platform.NewIngress(in, keys, e.config, codec, clock, log).Handler()})
+	e.probes = e.guard.Protect(&http.Server{Handler: platform.ReadinessHandler(e.Ready, dependencies.Metrics)})
 	return e, nil
 }
 
 const (
-	// headerTimeout bounds the reading of a request's header.
-	headerTimeout = 5 * time.Second
 	// storeResponseWithin is the age up to which the store's last answer makes this
 	// entry ready: two waits of a watch, and the time of an answer.
 	storeResponseWithin = 2500 * time.Millisecond
@@ -97,7 +101,7 @@
 // Run serves until ctx ends, then drains. It returns the first error of a listener
 // or server.
 func (e *Entry) Run(ctx context.Context) error {
-	e.limitMemory()
+	e.settings.Machine.LimitMemory()
 	callers, err := listen(e.settings.Listen.Callers)
 	if err != nil {
 		return err
@@ -108,8 +112,8 @@
 	}
 	e.log.Info("started", zap.String("entry", e.settings.ID), zap.String("callers", e.settings.Listen.Callers))
 	var group errgroup.Group
-	group.Go(func() error { return serve(e.callers, callers) })
-	group.Go(func() error { return serve(e.probes, probes) })
+	group.Go(func() error { return serve(e.callers, e.guard.Listener(callers, e.machine.Callers())) })
+	group.Go(func() error { return serve(e.probes, e.guard.Listener(probes, e.machine.Side())) })
 	group.Go(func() error { e.manager.Run(ctx); return nil })
 	group.Go(func() error { return e.servePeers(ctx) })
 	group.Go(func() error { return e.drain(ctx) })
@@ -134,12 +138,14 @@
 	return errors.Join(e.callers.Shutdown(final), e.probes.Shutdown(final))
 }
 
-// limitMemory sets the runtime's memory limit to 70 percent of the machine's
-// memory. The rest is for memory that the runtime does not count.
-func (e *Entry) limitMemory() {
-	if mb := e.settings.Machine.MemoryMB; mb > 0 {
-		debug.SetMemoryLimit(int64(mb) << 20 * 7 / 10)
+// requestLimits returns the limits of callers' requests in the configuration in force.
+func (e *Entry) requestLimits() readbudget.Limits {
+	config := e.config.Get()
+	if config == nil {
+		return readbudget.Limits{}
 	}
+	l := config.Limits
+	return readbudget.Limits{HeadBytes: l.MaxHeaderBytes, BodyBytes: int64(l.MaxBodyBytes), HeadTime: l.HeaderTimeout, IdleTime: l.IdleTimeout}
 }
 
 func listen(address string) (net.Listener, error) {
