--- a/internal/poolmanager/quota_writer.go
+++ b/internal/poolmanager/quota_writer.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"persimmonbay/internal/poolconfig"
 	"persimmonbay/internal/problem"
 	"persimmonbay/internal/quota"
@@ -18,6 +16,7 @@
 	*poolOwnership
 	keeper     *quota.Keeper
 	configured *poolconfig.Configuration // that the keeper knows; nil: none
+	limits     map[string]quota.Limit    // in force
 	readAt     time.Time                 // when all accounts were read; zero: never
 	failed     bool                      // the last read or write failed
 	inherited  map[string]bool           // teams whose grant the pool was told of
@@ -166,12 +165,21 @@
 	var proposals []quota.Proposal
 	for range 2 {
 		proposals = q.keeper.Propose(demands, now)
-		demands = q.pool.SetQuotaLimits(q.keeper.Limits())
-	}
-	if q.pool.QuotaWaiting() {
-		q.plan.send()
+		limits := q.keeper.Limits()
+		demands = q.pool.SetQuotaLimits(limits)
+		q.planIfChanged(limits, demands)
 	}
 	q.reported.log(q.keeper, demands)
-	q.log.Debug("grants decided", zap.Int("changes", len(proposals)))
 	return proposals
 }
+
+// planIfChanged causes a plan if a team that waits has another limit than before.
+func (q *quotaWriter) planIfChanged(limits map[string]quota.Limit, demands map[string]quota.Demand) {
+	for team, limit := range limits {
+		if limit != q.limits[team] && demands[team].Waiting != (quota.Amount{}) {
+			q.plan.send()
+			break
+		}
+	}
+	q.limits = limits
+}
