Caps: the grants of pools that left are dropped also when an owner decides twice

Cause: by reading; the look for such pools, once a second, was part of the first of an owner's two decisions, and only the second is written.

--- a/internal/quota/keeper.go
+++ b/internal/quota/keeper.go
@@ -40,7 +40,7 @@
 	for team, limit := range caps {
 		t := k.teams[team]
 		if t == nil {
-			t = &teamAccount{absent: make(map[string]time.Time)}
+			t = &teamAccount{}
 			k.teams[team] = t
 		}
 		t.cap, t.slice = limit, Amount{}
--- a/internal/quota/sim_moves_test.go
+++ b/internal/quota/sim_moves_test.go
@@ -84,7 +84,8 @@
 		k.Observe(simTeam, quota.Account{Pools: map[string]quota.Grant{"gone": {Granted: amount(900)}}}, 5)
 		demands := map[string]quota.Demand{simTeam: {Waiting: amount(500)}}
 		Expect(k.Propose(demands, now)[0].Account.Pools["a"].Granted).To(Equal(amount(100)))
-		later := k.Propose(demands, now.Add(46*time.Second))
+		k.Propose(demands, now.Add(46*time.Second))
+		later := k.Propose(demands, now.Add(46*time.Second)) // an owner decides twice
 		Expect(later[0].Account.Pools).NotTo(HaveKey("gone"))
 		Expect(later[0].Revision).To(BeEquivalentTo(5))
 	})
--- a/internal/quota/team_account.go
+++ b/internal/quota/team_account.go
@@ -44,23 +44,33 @@
 // dropAbsent returns the account without the grants of pools that have not been in the
 // configuration for absentFor, and whether there are any.
 func (t *teamAccount) dropAbsent(pools map[string]bool, now time.Time) (a Account, dropped bool) {
+	if now.Sub(t.absentCheckedAt) >= absentCheckInterval {
+		t.absentCheckedAt = now
+		t.noteAbsent(pools, now)
+	}
 	a = t.account
-	if now.Sub(t.absentCheckedAt) < absentCheckInterval {
-		return a, false
+	for name, since := range t.absent {
+		if now.Sub(since) >= absentFor {
+			a, dropped = a.With(name, Grant{}), true
+		}
 	}
-	t.absentCheckedAt = now
+	return a, dropped
+}
+
+// noteAbsent notes since when pools with a grant have not been in the configuration.
+func (t *teamAccount) noteAbsent(pools map[string]bool, now time.Time) {
+	absent := make(map[string]time.Time)
 	for name := range t.account.Pools {
+		if pools[name] {
+			continue
+		}
 		since, noted := t.absent[name]
-		switch {
-		case pools[name]:
-			delete(t.absent, name)
-		case !noted:
-			t.absent[name] = now
-		case now.Sub(since) >= absentFor:
-			a, dropped = a.With(name, Grant{}), true
+		if !noted {
+			since = now
 		}
+		absent[name] = since
 	}
-	return a, dropped
+	t.absent = absent
 }
 
 // absentCheckInterval spares a look at all pools with each decision.
