Tasks wait for a place near their data where that ends their job sooner

Cause: a task started on the best worker that was free, although it takes spreadFactor times as long away from its data or its step's rack and a place there might be free in a moment.

internal/places decides from learned run times, the expected ends of the runs in the rack, who waits already and how many tasks find the rack full lately; the whole wait is at most what the place gains, and 2 s. Tasks that last and jobs near their objective don't wait. Only with placement.spreadFactor in the settings.

--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -54,8 +54,9 @@
 	if s.Platform.Machines != "" {
 		dependencies.Machines = platform.NewMachines(s.Platform.Machines, codec)
 	}
-	e.manager = poolmanager.New(s.ID, s.Listen.Peers, s.Machine.Cores, dependencies, timingOf(&s.Timing, s.Machine.Cores), e.config)
+	e.manager = poolmanager.New(s.ID, s.Listen.Peers, s.Machine.Cores, dependencies, timingOf(&s.Timing, s.Machine.Cores, s.Placement.SpreadFactor), e.config)
 	dependencies.Metrics.Publish("pools", func() any { return e.manager.Counts() })
+	dependencies.Metrics.Publish("places", func() any { return e.manager.PlaceWaits() })
 	dependencies.Metrics.Publish("workers", func() any { return e.manager.AnswerTimes() })
 	// Callers' calls have connections of their own: the entry's lease and its pools must
 	// not wait for them.
--- a/internal/jobentry/timing.go
+++ b/internal/jobentry/timing.go
@@ -49,8 +49,8 @@
 }
 
 // timingOf returns the pool manager's timing for the given settings, on an entry with the
-// given cores.
-func timingOf(t *settings.JobTiming, cores float64) poolmanager.Timing {
+// given cores. spreadFactor is as in settings.JobPlacement.
+func timingOf(t *settings.JobTiming, cores, spreadFactor float64) poolmanager.Timing {
 	lease := max(t.Lease, t.MinLease)
 	return poolmanager.Timing{
 		LeaseTTL: lease, LeaseMargin: leaseMargin, StartupDelay: startupDelay, TakeOverAfter: takeOverAfter, WatchWait: watchWait, StoreTimeout: storeTimeout,
@@ -58,7 +58,7 @@
 		Retention: retentionFactor * t.Retention, ControllerPause: t.ControllerPause + pauseMargin, MachineListInterval: machineListInterval, WorkerListInterval: workerListInterval,
 		Scheduler: scheduler.Timing{
 			RunLease: min(t.MaxRunLease, lease+pollWait+orderTimeout+ownerGap), MaxRunLease: t.MaxRunLease, StartTimeout: startTimeoutOf(cores), OrderTimeout: orderTimeout, LeastTimeout: answertime.FloorOf(leastTimeout, orderTimeout, cores, strongCores), ClockDrift: clockDrift,
-			StartEarly: t.StartEarly, FormerOwnerLease: lease, StopTimeout: t.MaxStopTime, LateCalls: lateCalls, FirstSuspension: firstSuspension, MaxSuspension: maxSuspension,
+			StartEarly: t.StartEarly, FormerOwnerLease: lease, StopTimeout: t.MaxStopTime, LateCalls: lateCalls, FirstSuspension: firstSuspension, MaxSuspension: maxSuspension, SpreadFactor: spreadFactor,
 		},
 	}
 }
--- /dev/null
+++ b/internal/places/decision.go
@@ -0,0 +1,7 @@
+package places
+
+// Decision is an answer with its inputs, for the logs.
+type Decision struct {
+	Question
+	Answer
+}
--- a/internal/poolmanager/manager.go
+++ b/internal/poolmanager/manager.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"persimmonbay/internal/answertime"
+	"persimmonbay/internal/places"
 	"persimmonbay/internal/poolconfig"
 	"persimmonbay/internal/scheduler"
 	"persimmonbay/internal/shard"
@@ -95,6 +96,20 @@
 	return all
 }
 
+// PlaceWaits returns how tasks of the pools that this entry owns have waited for places near
+// their data, by service. Pools that are still being loaded are left out.
+func (m *Manager) PlaceWaits() map[string]places.Summary {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	all := make(map[string]places.Summary, len(m.ownerships))
+	for service, o := range m.ownerships {
+		if service != machineControllerRole && o.loaded.Load() {
+			all[service] = o.pool.PlaceWaits()
+		}
+	}
+	return all
+}
+
 // Counts returns the counters of the pools that this entry owns, by service. Pools
 // that are still being loaded are left out.
 func (m *Manager) Counts() map[string]scheduler.Counts {
--- a/internal/poolmanager/run_lines.go
+++ b/internal/poolmanager/run_lines.go
@@ -81,6 +81,10 @@
 		}
 		fields = append(fields, since("report_age", e.ReportedAt, now), zap.Duration("start_unanswered_for", answeredAt.Sub(e.OrderedAt)), zap.Bool("start_answered", !e.AnsweredAt.IsZero()))
 	}
+	if d := e.Place; d != nil {
+		fields = append(fields, zap.Duration("near", d.Near), zap.Duration("far", d.Far), zap.Bool("learned", d.Learned), zap.Duration("expected_wait", d.For), zap.Int("ahead", d.Ahead),
+			zap.Duration("waited", d.Waited), zap.Duration("left", d.Left), zap.Stringer("reason", d.Reason))
+	}
 	if e.Kind == scheduler.StartedElsewhere {
 		fields = append(fields, zap.String("former_worker", e.Former.Worker), zap.Int64("former_incarnation", e.Former.Incarnation),
 			zap.Int("former_attempt", e.Former.Attempt), outcome("former_outcome", e.Former.Outcome))
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"persimmonbay/internal/places"
+)
 
 // Event describes a rare change that is logged, so that the logs show which
 // incarnations of workers and which owners of a pool were involved. Fields that the
@@ -20,5 +24,6 @@
 	OrderedAt         time.Time     // when the start was ordered, or the run was first listed
 	AnsweredAt        time.Time     // when the start was answered or the run was first listed; zero: neither, or forgotten as the worker restarted while a copy of the start could arrive
 	ReportedAt        time.Time     // when the poll was sent whose reply last listed the run; zero: none has
-	Former            FormerRun     // the task's run before
+	Place             *places.Decision
+	Former            FormerRun // the task's run before
 }
--- a/internal/scheduler/event_kind.go
+++ b/internal/scheduler/event_kind.go
@@ -18,6 +18,9 @@
 	RunNotNeeded                               // a listed run that this owner did not order is not needed: as RunTakenOver
 	RunGivenUp                                 // a run is released without a reported end: as RunTakenOver, Outcome, OrderedAt, AnsweredAt, ReportedAt
 	FormerRunsGivenUp                          // a worker that may run tasks of a former owner has not listed them all, and their leases are over: Worker, Outcome, LeaseEndsAt
+	PlaceAwaited                               // a task that has room on Worker waits for a place in its rack: Worker, Task, Place
+	PlaceWon                                   // it got one: Worker, Task
+	PlaceGivenUp                               // it starts on Worker instead, away from its rack: Worker, Task, Place
 	StartedElsewhere                           // a task is ordered to start after a run on another worker or incarnation: Worker, Incarnation, Task, Attempt, Former
 )
 
@@ -25,7 +28,8 @@
 	"worker fenced", "another life answered", "later life listed", "another life at the address", "machine taken", "machine restarted",
 	"clock of a later life", "end of an unknown job", "run of an unknown job",
 	"run of a former owner taken over", "run not ordered by this owner is to be stopped", "run given up without its end",
-	"worker that may run tasks of a former owner given up", "task starts again after a run elsewhere",
+	"worker that may run tasks of a former owner given up", "task waits for a place in its rack", "task got a place in its rack",
+	"task starts away from its rack after a wait", "task starts again after a run elsewhere",
 }
 
 // AboutRun reports whether such events are about runs. Their number grows with load.
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -40,6 +40,7 @@
 	openStarts          openStarts           // starts without an answer that a later incarnation of their worker may carry out
 	ownAnswers          answertime.Estimate  // answer times of all workers
 	answerStatistics    *answertime.Statistics
+	placeWaits          *placeWaits
 	highestTokenStep    int64           // of the workers that were removed
 	advice              adviceCalls     // to the advice service
 	hold                roomHold        // workers that are kept free for a stage
@@ -71,7 +72,7 @@
 		service: service, token: token, timing: timing, epoch: roster.Tenure + 1, takenAt: now,
 		awaited: make(map[string]*awaitedWorker), jobs: make(map[string]*job), workers: make(map[string]*worker),
 		durations: newDurations(), endedJobs: make(map[string]bool), unsavedJobs: make(map[*job]bool), unackedWorkers: make(map[*worker]bool), pendingCancels: make(map[string]int64), publishedOffers: make(map[string]bool), takenOffers: make(map[string]bool), emptyClaims: make(map[string]bool),
-		openStarts: make(openStarts), answerStatistics: answertime.NewStatistics(),
+		openStarts: make(openStarts), answerStatistics: answertime.NewStatistics(), placeWaits: newPlaceWaits(),
 		unneededRuns:  make(map[TaskID]int),
 		shortArrivals: arrivalRate{window: shortArrivalWindow}, longArrivals: arrivalRate{window: longArrivalWindow},
 	}
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -105,6 +105,7 @@
 	p.startCandidates.reset(p.workers, now)
 	p.rankJobs(now)
 	p.advice.beginPlan()
+	p.placeWaits.beginPlan()
 	p.planHeldStage(now, plan)
 	p.waitingStages = p.waitingStages[:0]
 	for _, j := range p.rankedJobs {
@@ -156,6 +157,9 @@
 			p.waitsForRoom(s, now)
 			return // the tasks of a step are alike: the others would not fit either
 		}
+		if p.awaitsPlace(s, []*task{t}, []*worker{w}, now, plan) {
+			continue
+		}
 		plan.Starts = append(plan.Starts, p.startOrder(p.start(t, w, p.nextAttempt(t), t.checkpoint, now)))
 	}
 }
@@ -184,6 +188,10 @@
 	workers := p.placeGang(s)
 	if workers == nil {
 		p.waitsForRoom(s, now)
+		return
+	}
+	if p.awaitsPlace(s, s.tasks, workers, now, plan) {
+		return
 	}
 	for i, w := range workers {
 		plan.Starts = append(plan.Starts, p.startOrder(p.start(s.tasks[i], w, attempt+1, checkpoint, now)))
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -167,6 +167,7 @@
 	if r != nil && !r.answeredAt.IsZero() {
 		took := now.Sub(r.orderedAt)
 		p.durations.addTask(s.job.sub.Queue, took)
+		p.learnRunTime(r, took)
 		s.longestTask = max(s.longestTask, took)
 	}
 	if !s.step.Gang {
@@ -243,7 +244,3 @@
 	w.block(now.Add(blockAfterFailure))
 	return false
 }
-
-// blockAfterFailure is how long no task starts on a worker that did not answer or is
-// unhealthy: about the time of a retry on a new connection.
-const blockAfterFailure = 300 * time.Millisecond
--- a/internal/scheduler/reply_timeout.go
+++ b/internal/scheduler/reply_timeout.go
@@ -70,3 +70,7 @@
 // refusalsWhenGone is the number of polls in a row that fail at once when no process
 // accepts connections at the worker's address. So many fail within a lease.
 const refusalsWhenGone = 6
+
+// blockAfterFailure is how long no task starts on a worker that did not answer or is
+// unhealthy: about the time of a retry on a new connection.
+const blockAfterFailure = 300 * time.Millisecond
--- a/internal/scheduler/timing.go
+++ b/internal/scheduler/timing.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// Timing holds the time limits of a pool. All come from the settings.
+// Timing holds the time limits of a pool, and how racks change run times. All come from the
+// settings.
 type Timing struct {
 	RunLease         time.Duration // lease that a poll or an order grants to runs
 	MaxRunLease      time.Duration // the longest lease that a worker accepts, by its own clock
@@ -16,6 +17,7 @@
 	FormerOwnerLease time.Duration // how long a former owner may send orders after it lost the pool
 	FirstSuspension  time.Duration // first suspension of a worker on which tasks of several jobs failed
 	MaxSuspension    time.Duration // longest suspension of a worker
+	SpreadFactor     float64       // how many times as long a task takes away from its data or its step's rack; up to 1: no task waits for a place
 }
 
 // granted returns the longest time for which a lease that an order or a poll granted
--- a/internal/settings/job_entry.go
+++ b/internal/settings/job_entry.go
@@ -10,14 +10,15 @@
 // JobEntry holds the settings of an entry that runs jobs on the users'
 // platform.
 type JobEntry struct {
-	ID               string      `yaml:"id" validate:"required"`
-	AvailabilityZone string      `yaml:"availabilityZone" validate:"required"`
-	Listen           JobListen   `yaml:"listen"`
-	Platform         JobPlatform `yaml:"platform"`
-	Machine          JobMachine  `yaml:"machine"`
-	Identity         JobIdentity `yaml:"identity"`
-	Timing           JobTiming   `yaml:"timing"`
-	LogLevel         string      `yaml:"logLevel" validate:"oneof=debug info warn error"`
+	ID               string       `yaml:"id" validate:"required"`
+	AvailabilityZone string       `yaml:"availabilityZone" validate:"required"`
+	Listen           JobListen    `yaml:"listen"`
+	Platform         JobPlatform  `yaml:"platform"`
+	Machine          JobMachine   `yaml:"machine"`
+	Identity         JobIdentity  `yaml:"identity"`
+	Placement        JobPlacement `yaml:"placement"`
+	Timing           JobTiming    `yaml:"timing"`
+	LogLevel         string       `yaml:"logLevel" validate:"oneof=debug info warn error"`
 }
 
 // LoadJobEntry reads and parses file. The error is a problem.NotFound when the
--- a/test/shape/shape_test.go
+++ b/test/shape/shape_test.go
@@ -24,7 +24,7 @@
 // import no encoding and no transport, so that another front end can use them.
 var decisionPackages = []string{
 	"admission", "answertime", "configuration", "dispatch", "fleet", "inventory", "ledger", "maintenance", "membership",
-	"lending", "ownership", "placement", "problem", "request", "routing", "shard", "slots", "upkeep", "scheduler", "poolconfig",
+	"lending", "ownership", "placement", "places", "problem", "request", "routing", "shard", "slots", "upkeep", "scheduler", "poolconfig",
 }
 
 // platformNames are paths, headers, fields and keys of the users' platform.
