--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -60,7 +60,7 @@
 		dependencies.Machines = platform.NewMachines(s.Platform.Machines, codec)
 	}
 	policy := identity.Policy{FailClosed: s.Identity.FailClosed, RevokeWithin: s.Identity.RevokeWithin}
-	timing := timingOf(&s.Timing, s.Machine.Cores)
+	timing := timingOf(&s.Timing, s.Machine.Cores, s.Placement.SpreadFactor)
 	timing.ConfirmAfter = policy.ConfirmAfter()
 	e.manager = poolmanager.New(s.ID, s.Listen.Peers, s.Machine.Cores, dependencies, timing, e.config)
 	keys := keycheck.New(policy, e.config, e.manager, sinceBoot, log)
@@ -71,6 +71,7 @@
 	dependencies.Metrics.Publish("pools", func() any { return e.manager.Counts() })
 	dependencies.Metrics.Publish("quota", func() any { return e.manager.Quotas() })
 	dependencies.Metrics.Publish("teams", func() any { return e.manager.TeamCounts() })
+	dependencies.Metrics.Publish("places", func() any { return e.manager.PlaceWaits() })
 	dependencies.Metrics.Publish("workers", func() any { return e.manager.AnswerTimes() })
 	// Callers' calls have connections of their own: the entry's lease and its pools must
 	// not wait for them.
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -168,6 +168,7 @@
 		took := now.Sub(r.orderedAt)
 		p.giveWork(s.job, s.step, took-p.durations.expectedTask(s.job.sub.Queue, s.step.Estimate), now)
 		p.durations.addTask(s.job.sub.Queue, took)
+		p.learnRunTime(r, took)
 		s.longestTask = max(s.longestTask, took)
 	}
 	if !s.step.Gang {
@@ -244,7 +245,3 @@
 	w.block(now.Add(blockAfterFailure))
 	return false
 }
-
-// blockAfterFailure is how long no task starts on a worker that did not answer or is
-// unhealthy: about the time of a retry on a new connection.
-const blockAfterFailure = 300 * time.Millisecond
