--- a/internal/scheduler/pool_load.go
+++ b/internal/scheduler/pool_load.go
@@ -105,7 +105,7 @@
 			} else {
 				l.Backlog += float64(s.incomplete) * perTask * p.durations.expectedTask(j.sub.Queue, s.step.Estimate).Seconds()
 			}
-			if !o.stageReady(s) || !s.noTeamRoomSince.IsZero() {
+			if !o.stageReady(s) || !s.atCapSince.IsZero() {
 				continue
 			}
 			for _, t := range s.tasks {
--- a/internal/scheduler/pool_quota.go
+++ b/internal/scheduler/pool_quota.go
@@ -62,12 +62,12 @@
 	}
 	each := quota.Amount(s.step.reserved())
 	if p.quota.HasRoom(team, each.Times(n)) {
-		s.noTeamRoomSince = time.Time{}
+		s.atCapSince = time.Time{}
 		return true
 	}
 	s.noRoomSince = time.Time{} // no machine would help
-	if s.noTeamRoomSince.IsZero() {
-		s.noTeamRoomSince = now
+	if s.atCapSince.IsZero() {
+		s.atCapSince = now
 	}
 	if !p.quota.CanHold(team, each.Times(n)) || !p.startCandidates.mayFit(s.step.reserved()) {
 		return false
@@ -80,7 +80,7 @@
 			hold = waiting
 		}
 	}
-	if waited := now.Sub(s.noTeamRoomSince) % teamHoldPeriod; waited < patience || waited >= teamHoldUntil {
+	if waited := now.Sub(s.atCapSince) % teamHoldPeriod; waited < patience || waited >= teamHoldUntil {
 		hold = quota.Amount{}
 	}
 	p.quota.Wait(team, waiting, hold)
--- a/internal/scheduler/stage.go
+++ b/internal/scheduler/stage.go
@@ -4,16 +4,16 @@
 
 // stage is one step within one occurrence of a job. The pool's lock guards it.
 type stage struct {
-	job             *job
-	step            *Step
-	index           int
-	occurrence      int
-	tasks           []*task
-	incomplete      int           // tasks that are not done
-	longestTask     time.Duration // the longest time that one of its tasks took
-	tickets         tickets
-	noRoomSince     time.Time // since when one of its tasks has had no room and none has started; zero: all had room
-	noTeamRoomSince time.Time // since when its tasks have waited for room of their team; zero: they do not
+	job         *job
+	step        *Step
+	index       int
+	occurrence  int
+	tasks       []*task
+	incomplete  int           // tasks that are not done
+	longestTask time.Duration // the longest time that one of its tasks took
+	tickets     tickets
+	noRoomSince time.Time // since when one of its tasks has had no room and none has started; zero: all had room
+	atCapSince  time.Time // since when its tasks have waited for room of their team; zero: they do not
 }
 
 // tasksOwedRoom returns for how many of the waiting tasks the pool changes what it offers
