--- a/internal/poolmanager/quota_lines.go
+++ b/internal/poolmanager/quota_lines.go
@@ -53,10 +53,3 @@
 		}
 	}
 }
-
-// inherited writes that the pool goes on with the grant of an earlier owner.
-func (l *quotaLines) inherited(team string, granted quota.Amount) {
-	if l.due("inherited", team) {
-		l.logger.Info("grant inherited from an earlier owner of the pool", zap.String("team", team), zap.Any("granted", granted))
-	}
-}
--- a/internal/poolmanager/quota_writer_store.go
+++ b/internal/poolmanager/quota_writer_store.go
@@ -22,31 +22,39 @@
 	for _, item := range read.items {
 		items[item.Key] = item
 	}
+	inherited, teams := quota.Amount{}, 0
 	for _, team := range q.keeper.Teams() {
-		q.observe(team, items[poolstore.QuotaKey(team)])
+		if granted := q.observe(team, items[poolstore.QuotaKey(team)]); granted != (quota.Amount{}) {
+			inherited, teams = inherited.Plus(granted), teams+1
+		}
+	}
+	if teams > 0 {
+		q.log.Info("grants inherited from an earlier owner of the pool", zap.Int("teams", teams), zap.Any("granted", inherited))
 	}
 	return nil
 }
 
-// observe applies a team's account as stored; an item without a revision: there is none.
-func (q *quotaWriter) observe(team string, item store.Item) {
+// observe applies a team's account as stored; an item without a revision: there is none. It
+// returns the grant that the pool inherits for the team, if this is the first reading.
+func (q *quotaWriter) observe(team string, item store.Item) (inherited quota.Amount) {
 	var account quota.Account
 	if item.Revision > 0 {
 		var err error
 		if account, err = poolstore.DecodeQuota(item.Key, item.Value); err != nil || item.Unreadable {
 			q.invalid.logOnce(q.log, "account of a team not understood, the pool's grant for it is not changed", &item, err)
-			return
+			return quota.Amount{}
 		}
 	}
 	q.keeper.Observe(team, account, item.Revision)
 	if q.inherited[team] {
-		return
+		return quota.Amount{}
 	}
 	q.inherited[team] = true
-	if granted := q.keeper.Granted(team); granted != (quota.Amount{}) {
-		q.pool.SetInheritedGrant(team, granted)
-		q.reported.inherited(team, granted)
+	inherited = q.keeper.Granted(team)
+	if inherited != (quota.Amount{}) {
+		q.pool.SetInheritedGrant(team, inherited)
 	}
+	return inherited
 }
 
 // maxAccountsPerTxn is how many accounts one transaction changes: each takes a condition
