--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"persimmonbay/internal/teams"
+)
 
 // job is a job that the pool has not removed yet: it has not ended, its end is not
 // saved, or some of its runs may go on. The pool's lock guards it.
@@ -22,7 +26,8 @@
 	removeWhenIdle    bool          // its end is saved; its submission is to be removed once it has no runs
 	endSaved          bool          // its end is saved
 	endedAt           time.Time
-	beyond            bool // its team had sent more than its weight when it was accepted
+	account           *teams.Account // of its team; nil: it has no share
+	beyond            bool           // its team had sent more than its weight when it was accepted
 	rank              rank
 	estimatedAt       time.Time     // when the next three were computed; zero: they are outdated by progress
 	remainingChain    time.Duration // duration of the longest chain of incomplete steps
--- a/internal/scheduler/pool_jobs.go
+++ b/internal/scheduler/pool_jobs.go
@@ -18,7 +18,8 @@
 	if created <= p.token {
 		j.firstAttempt = (p.epoch - 1) * attemptsPerEpoch
 	}
-	j.beyond = !p.teams.Accept(sub.Team, p.jobWork(j), sub.AcceptedAt) && !sub.LongRunning()
+	j.account = p.teams.Account(sub.Team)
+	j.beyond = !j.account.Accept(p.jobWork(j), sub.AcceptedAt) && !sub.LongRunning()
 	p.jobs[sub.ID] = j
 	p.jobOrder = append(p.jobOrder, j)
 	if progress.State.Final() {
--- a/internal/scheduler/pool_teams.go
+++ b/internal/scheduler/pool_teams.go
@@ -22,18 +22,28 @@
 }
 
 // updateTeams compares what the teams were given, by the stages that had no room in the
-// last plan.
+// last plan, and chooses the job that goes before all others because it has waited for
+// longer than waitBound: the one accepted first of those within their teams' weights.
 func (p *Pool) updateTeams(now time.Time) {
+	p.oldest = nil
 	if !p.teams.HasShares() {
 		return
 	}
+	since := now.Add(-waitBound)
 	for _, s := range p.waitingStages {
-		if !s.job.progress.State.Final() {
-			p.teams.Wait(s.job.sub.Team, float64(max(s.incomplete-s.job.activeRuns, 1))*p.taskWork(s.job, s.step))
+		j := s.job
+		if j.progress.State.Final() || s.step.LongRunning {
+			continue
+		}
+		if s.taskWork == 0 {
+			s.taskWork = p.taskWork(j, s.step)
+		}
+		j.account.Wait(float64(max(s.incomplete-j.activeRuns, 1)) * s.taskWork)
+		if from := Later(j.sub.AcceptedAt, j.sub.DueAt(s.occurrence)); !j.beyond && !from.After(since) {
+			p.oldest, since = j, from.Add(-1)
 		}
 	}
 	p.teams.Update(p.machinesInService(), now)
-	p.chooseOldest(now)
 }
 
 // machinesInService returns the number of workers on which tasks may start.
@@ -56,24 +66,7 @@
 		r.class = -1
 		return
 	}
-	r.beyond, r.excess, r.teamPriority = j.beyond, p.teams.Excess(j.sub.Team), p.teams.Priority(j.sub.Team)
-}
-
-// chooseOldest chooses the job that goes before all others because it has waited for
-// longer than waitBound: the one accepted first of those within their teams' weights. It
-// goes first until it has ended or nothing of it waits.
-func (p *Pool) chooseOldest(now time.Time) {
-	p.oldest = nil
-	for _, s := range p.waitingStages {
-		j := s.job
-		from := Later(j.sub.AcceptedAt, j.sub.DueAt(s.occurrence))
-		if j.beyond || j.progress.State.Final() || j.sub.LongRunning() || now.Sub(from) < waitBound {
-			continue
-		}
-		if p.oldest == nil || from.Before(Later(p.oldest.sub.AcceptedAt, p.oldest.sub.DueAt(max(len(p.oldest.occurrences)-1, 0)))) {
-			p.oldest = j
-		}
-	}
+	r.beyond, r.excess, r.teamPriority = j.beyond, j.account.Excess(), j.account.Priority()
 }
 
 // waitBound is the wait after which a job goes first, one at a time: in a full pool the
@@ -83,8 +76,8 @@
 
 // giveWork records for the job's team that a task of the step runs for the given time.
 func (p *Pool) giveWork(j *job, step *Step, took time.Duration, now time.Time) {
-	if !step.LongRunning && p.teams.HasShares() {
-		p.teams.Give(j.sub.Team, p.shareOfMachine(step)*took.Seconds(), now)
+	if !step.LongRunning && j.account != nil {
+		j.account.Give(p.shareOfMachine(step)*took.Seconds(), now)
 	}
 }
 
@@ -99,7 +92,7 @@
 // jobWork returns the expected work of one occurrence of the job, in machine-seconds.
 func (p *Pool) jobWork(j *job) float64 {
 	work := 0.0
-	if p.teams.HasShares() {
+	if j.account != nil {
 		for i := range j.sub.Steps {
 			work += float64(j.sub.Steps[i].Count) * p.taskWork(j, &j.sub.Steps[i])
 		}
--- a/internal/scheduler/stage.go
+++ b/internal/scheduler/stage.go
@@ -12,6 +12,7 @@
 	incomplete  int           // tasks that are not done
 	longestTask time.Duration // the longest time that one of its tasks took
 	tickets     tickets
+	taskWork    float64   // expected work of a task when it first waited, in machine-seconds; 0: it has not waited
 	noRoomSince time.Time // since when one of its tasks has had no room and none has started; zero: all had room
 }
 
--- a/internal/teams/account.go
+++ b/internal/teams/account.go
@@ -1,9 +1,13 @@
 package teams
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
-// account is what the pool knows about one team.
-type account struct {
+// Account is what a pool knows about one team with a share. The methods of a nil Account
+// are those of a team without one. Once its team loses its share, an Account changes nothing.
+type Account struct {
 	share   Share
 	meter   meter
 	given   decayingSum // work that was started for the team, in machine-seconds
@@ -15,14 +19,14 @@
 
 // setExcess sets by how much the team is above its share, given the fair amount of work for
 // each unit of weight. Few jobs, however large, put no team above its share.
-func (a *account) setExcess(fair float64) {
+func (a *Account) setExcess(fair float64) {
 	if over := a.given.value / max(fair*a.share.Weight, excusedJobs*a.largest); over > 1 {
 		a.excess = min(1+int(math.Log2(min(over, 1<<maxExcess))), maxExcess)
 	}
 }
 
 // askedPerWeight returns the work that was given and that waits, for each unit of weight.
-func (a *account) askedPerWeight() float64 { return (a.given.value + a.waiting) / a.share.Weight }
+func (a *Account) askedPerWeight() float64 { return (a.given.value + a.waiting) / a.share.Weight }
 
 const (
 	// excusedJobs is how many of its largest jobs a team may be given at a time whatever its
@@ -31,3 +35,55 @@
 	// maxExcess bounds the steps of the order, each twice as far above the share.
 	maxExcess = 8
 )
+
+// Excess returns by how much the team was above its share at the last Update of the Order: 0
+// if it was not, else 1 and one more for each doubling. The lowest goes first.
+func (a *Account) Excess() int {
+	if a == nil {
+		return 0
+	}
+	return a.excess
+}
+
+// Priority returns the priority of the team.
+func (a *Account) Priority() int {
+	if a == nil {
+		return 0
+	}
+	return a.share.Priority
+}
+
+// Wait records that work of the team waits for room, in machine-seconds above 0. The next
+// Update takes it into account.
+func (a *Account) Wait(work float64) {
+	if a != nil {
+		a.waiting += work
+	}
+}
+
+// Give records that work of the team is started, in machine-seconds. A negative amount
+// corrects an earlier one.
+func (a *Account) Give(work float64, now time.Time) {
+	if a != nil {
+		a.given.add(work, now)
+		a.counts.Given += work
+	}
+}
+
+// Accept counts a job of the team that was accepted at the given time, with its work in
+// machine-seconds, and reports whether the team's weight allows it.
+func (a *Account) Accept(work float64, at time.Time) (within bool) {
+	if a == nil {
+		return true
+	}
+	a.largest = max(a.largest, work)
+	if a.share.Weight <= 0 {
+		return true
+	}
+	if within = a.meter.accept(at, a.share.Weight); within {
+		a.counts.Within++
+	} else {
+		a.counts.Beyond++
+	}
+	return within
+}
--- a/internal/teams/order.go
+++ b/internal/teams/order.go
@@ -11,16 +11,22 @@
 // Order decides the order of teams in one pool. Teams without a share, and work without a
 // team, are neither counted nor put after others.
 type Order struct {
-	accounts map[string]*account // by team
+	accounts map[string]*Account // by team
 }
 
 // NewOrder returns an Order without shares.
-func NewOrder() *Order { return &Order{accounts: make(map[string]*account)} }
+func NewOrder() *Order { return &Order{accounts: make(map[string]*Account)} }
 
 // SetShares replaces the shares, by team. A team that keeps a share keeps what was counted.
 // A share without a positive weight is ignored.
 func (o *Order) SetShares(shares map[string]Share) {
-	maps.DeleteFunc(o.accounts, func(team string, _ *account) bool { return shares[team].Weight <= 0 })
+	maps.DeleteFunc(o.accounts, func(team string, a *Account) bool {
+		if shares[team].Weight > 0 {
+			return false
+		}
+		a.excess, a.share = 0, Share{}
+		return true
+	})
 	for team, s := range shares {
 		if s.Weight <= 0 {
 			continue
@@ -28,30 +34,17 @@
 		if a, ok := o.accounts[team]; ok {
 			a.share = s
 		} else {
-			o.accounts[team] = &account{share: s}
+			o.accounts[team] = &Account{share: s}
 		}
 	}
 }
 
+// Account returns the account of the team, nil if it has no share.
+func (o *Order) Account(team string) *Account { return o.accounts[team] }
+
 // HasShares reports whether any team has a share.
 func (o *Order) HasShares() bool { return len(o.accounts) > 0 }
 
-// Accept counts a job of the team that was accepted at the given time, and reports whether
-// the team's weight allows it.
-func (o *Order) Accept(team string, work float64, at time.Time) (within bool) {
-	a, ok := o.accounts[team]
-	if !ok {
-		return true
-	}
-	a.largest = max(a.largest, work)
-	if within = a.meter.accept(at, a.share.Weight); within {
-		a.counts.Within++
-	} else {
-		a.counts.Beyond++
-	}
-	return within
-}
-
 // Spent returns the teams whose weights allow no further job at now, and for how long. It
 // returns at most maxCounted, those with the longest time.
 func (o *Order) Spent(now time.Time) map[string]time.Duration {
@@ -70,28 +63,11 @@
 	return spent
 }
 
-// Give records that work of the team is started, in machine-seconds. A negative amount
-// corrects an earlier one.
-func (o *Order) Give(team string, work float64, now time.Time) {
-	if a, ok := o.accounts[team]; ok {
-		a.given.add(work, now)
-		a.counts.Given += work
-	}
-}
-
-// Wait records that work of the team waits for room, in machine-seconds above 0. The next
-// Update takes it into account.
-func (o *Order) Wait(team string, work float64) {
-	if a, ok := o.accounts[team]; ok {
-		a.waiting += work
-	}
-}
-
 // Update compares what each team was given with its share, if any work has waited for room
 // since the last Update; else no team has an excess. Teams that ask for less than their
 // shares leave the rest to the others, in proportion to the weights.
 func (o *Order) Update(machines float64, now time.Time) {
-	var active []*account
+	var active []*Account
 	full := false
 	for _, a := range o.accounts {
 		a.excess, a.counts.Excess, a.counts.Waiting = 0, a.excess, a.waiting
@@ -111,8 +87,8 @@
 
 // fairLevel returns how much work for each unit of weight the teams would have been given
 // at most, if all that was given had been divided fairly by what each has asked for.
-func fairLevel(active []*account, least float64) float64 {
-	slices.SortFunc(active, func(a, b *account) int { return cmp.Compare(a.askedPerWeight(), b.askedPerWeight()) })
+func fairLevel(active []*Account, least float64) float64 {
+	slices.SortFunc(active, func(a, b *Account) int { return cmp.Compare(a.askedPerWeight(), b.askedPerWeight()) })
 	work, weight := 0.0, 0.0
 	for _, a := range active {
 		work += a.given.value
@@ -132,23 +108,6 @@
 // usableShare is the part of a full pool's capacity that is in use at least.
 const usableShare = 0.8
 
-// Excess returns by how much the team was above its share at the last Update: 0 if it was
-// not, else 1 and one more for each doubling. The lowest goes first.
-func (o *Order) Excess(team string) int {
-	if a, ok := o.accounts[team]; ok {
-		return a.excess
-	}
-	return 0
-}
-
-// Priority returns the priority of the team, 0 if it has no share.
-func (o *Order) Priority(team string) int {
-	if a, ok := o.accounts[team]; ok {
-		return a.share.Priority
-	}
-	return 0
-}
-
 // Counts returns the totals by team: those of the teams that were given most, up to
 // maxCounted, and the sum of the others under Others.
 func (o *Order) Counts() map[string]Counts {
--- a/internal/teams/order_test.go
+++ b/internal/teams/order_test.go
@@ -24,7 +24,7 @@
 		var within []time.Time
 		for i := range 160 {
 			at := now.Add(time.Duration(i) * 125 * time.Millisecond)
-			if o.Accept("huts", 1, at) {
+			if o.Account("huts").Accept(1, at) {
 				within = append(within, at)
 			}
 		}
@@ -36,41 +36,41 @@
 
 	It("recomputes the places after a take-over, in whatever order the jobs are read", func() {
 		for i := range 10 {
-			Expect(o.Accept("huts", 1, now.Add(time.Duration(9-i)*time.Second/10))).To(BeTrue())
+			Expect(o.Account("huts").Accept(1, now.Add(time.Duration(9-i)*time.Second/10))).To(BeTrue())
 		}
-		Expect(o.Accept("huts", 1, now.Add(time.Second))).To(BeFalse())
+		Expect(o.Account("huts").Accept(1, now.Add(time.Second))).To(BeFalse())
 		Expect(o.Spent(now.Add(time.Second))).To(Equal(map[string]time.Duration{"huts": teams.Window - time.Second}))
 		Expect(o.Spent(now.Add(teams.Window))).To(BeEmpty())
 	})
 
 	It("puts nothing beyond that has no team, or whose team has no weight", func() {
 		for range 100 {
-			Expect(o.Accept("", 1, now)).To(BeTrue())
-			Expect(o.Accept("none", 1, now)).To(BeTrue())
+			Expect(o.Account("").Accept(1, now)).To(BeTrue())
+			Expect(o.Account("none").Accept(1, now)).To(BeTrue())
 		}
 		Expect(o.Counts()).To(HaveLen(2))
 	})
 
 	It("puts a team that was given more than its share after others only while work waits", func() {
-		o.Give("huts", 2, now)
-		o.Give("agencies", 8, now)
+		o.Account("huts").Give(2, now)
+		o.Account("agencies").Give(8, now)
 		o.Update(5, now)
-		Expect(o.Excess("agencies")).To(BeZero())
-		o.Wait("huts", 10)
-		o.Wait("agencies", 10)
+		Expect(o.Account("agencies").Excess()).To(BeZero())
+		o.Account("huts").Wait(10)
+		o.Account("agencies").Wait(10)
 		o.Update(5, now)
-		Expect(o.Excess("agencies")).To(Equal(2), "between two and four times a third of the work")
-		Expect(o.Excess("huts")).To(BeZero())
+		Expect(o.Account("agencies").Excess()).To(Equal(2), "between two and four times a third of the work")
+		Expect(o.Account("huts").Excess()).To(BeZero())
 		o.Update(5, now)
-		Expect(o.Excess("agencies")).To(BeZero())
+		Expect(o.Account("agencies").Excess()).To(BeZero())
 	})
 
 	It("lets a team have what the others do not ask for", func() {
-		o.Give("huts", 1, now)
-		o.Give("agencies", 9, now)
-		o.Wait("agencies", 10)
+		o.Account("huts").Give(1, now)
+		o.Account("agencies").Give(9, now)
+		o.Account("agencies").Wait(10)
 		o.Update(5, now)
-		Expect(o.Excess("agencies")).To(BeZero())
+		Expect(o.Account("agencies").Excess()).To(BeZero())
 	})
 
 	It("counts a bounded number of teams", func() {
@@ -79,8 +79,8 @@
 			shares[fmt.Sprint(i)] = teams.Share{Weight: 1}
 		}
 		o.SetShares(shares)
-		o.Accept("7", 1, now)
-		o.Give("7", 3, now)
+		o.Account("7").Accept(1, now)
+		o.Account("7").Give(3, now)
 		Expect(len(o.Counts())).To(BeNumerically("<=", 33))
 		Expect(o.Counts()["7"]).To(Equal(teams.Counts{Within: 1, Given: 3}))
 	})
