test/latecalls renders the sections of the settings template

Cause: since the template has sections and limits.max_fds, all specs of test/latecalls failed as their settings were written ("the template has the placeholder {{limits.max_fds}}"). The entries' files now have a section only where its value is given, as the platform renders it, and the values that the template asks for.

--- a/test/latecalls/entry_test.go
+++ b/test/latecalls/entry_test.go
@@ -33,6 +33,9 @@
 	exited chan struct{}
 }
 
+// section is a part of the template that is rendered only if its value is present.
+var section = regexp.MustCompile(`(?s)\{\{#([a-z0-9_.]+)\}\}\n(.*?)\{\{/[a-z0-9_.]+\}\}\n`)
+
 var placeholder = regexp.MustCompile(`\{\{([a-z0-9_.]+)\}\}`)
 
 // newEntry writes the settings of an entry to dir, from the template of the deploy file.
@@ -42,11 +45,18 @@
 	}
 	values := map[string]string{
 		"node": name, "zone": "zone-1", "ip": host, "port_range.0": strconv.Itoa(freePort()), "listen_addrs.ingress": e.callers, "listen_addrs.readiness": e.readiness,
-		"platform.address": store, "cloud.address": "", "advice": "", "limits.cpu_share": "0.4", "limits.memory_mb": "284", "bounds.max_hold_ms": strconv.FormatInt(maxRunLease.Milliseconds(), 10),
-		"bounds.stop_ms": strconv.FormatInt(maxStopTime.Milliseconds(), 10), "bounds.lease_ms": "3000", "bounds.grace_s": "6", "bounds.status_s": "120", "platform.min_ttl_ms": "1000",
+		"platform.address": store, "cloud.address": "", "advice": "", "limits.cpu_share": "0.4", "limits.memory_mb": "284", "limits.max_fds": "4096", "bounds.max_hold_ms": strconv.FormatInt(maxRunLease.Milliseconds(), 10),
+		"bounds.stop_ms": strconv.FormatInt(maxStopTime.Milliseconds(), 10), "bounds.lease_ms": "3000", "bounds.grace_s": "6", "bounds.status_s": "120", "platform.min_ttl_ms": "1000", "bounds.spread_factor": "1.5",
 	}
 	template, err := os.ReadFile(filepath.Join(repository, "deploy", "settings.yaml.tmpl"))
 	Expect(err).NotTo(HaveOccurred())
+	template = section.ReplaceAllFunc(template, func(p []byte) []byte {
+		part := section.FindSubmatch(p)
+		if _, present := values[string(part[1])]; present {
+			return part[2]
+		}
+		return nil
+	})
 	settings := placeholder.ReplaceAllFunc(template, func(p []byte) []byte {
 		value, known := values[string(p[2:len(p)-2])]
 		Expect(known).To(BeTrue(), "the template has the placeholder %s", p)
