--- a/test/hostile/ask_test.go
+++ b/test/hostile/ask_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -38,8 +39,15 @@
 	return response.StatusCode
 }
 
-// statusOn reads a response from conn and returns its status, 0 without one.
-func statusOn(conn net.Conn) int {
+// declare sends the head of a request with a body of so many bytes, and none of these. It returns
+// the status of the response, 0 without one.
+func declare(address, path, host string, bytes int) int {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = conn.Close() }()
+	fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", path, host, teamField, team, bytes)
 	_ = conn.SetReadDeadline(time.Now().Add(patience)) // fails only on a closed connection
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
--- a/test/hostile/entry_test.go
+++ b/test/hostile/entry_test.go
@@ -28,6 +28,11 @@
 		})
 	}
 
+	It("refuses a body over the limit before it has come", func() {
+		e := startEntry(small)
+		Expect(declare(e.callers, "/tags/2", "tags.example", legalBody+1)).To(Equal(http.StatusRequestEntityTooLarge))
+	})
+
 	It("outlives strangers at the peers' address", func() {
 		e := startEntry(small)
 		for _, a := range attacks(http.MethodPost, "/", "peers.example") {
--- a/test/hostile/jobentry_test.go
+++ b/test/hostile/jobentry_test.go
@@ -1,8 +1,6 @@
 package hostile
 
 import (
-	"fmt"
-	"net"
 	"net/http"
 	"strings"
 
@@ -37,11 +35,7 @@
 
 	It("refuses a body over the limit as not run before it has come", func() {
 		e := startJobEntry(small)
-		conn, err := net.Dial("tcp", e.callers)
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(conn.Close)
-		fmt.Fprintf(conn, "POST /checks/00000000000000b2 HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n", queueHost, legalBody+1)
-		Expect(statusOn(conn)).To(Equal(http.StatusRequestEntityTooLarge))
+		Expect(declare(e.callers, "/checks/00000000000000b2", queueHost, legalBody+1)).To(Equal(http.StatusRequestEntityTooLarge))
 	})
 
 	It("outlives strangers at the peers' address", func() {
