--- a/internal/poolmanager/poller_test.go
+++ b/internal/poolmanager/poller_test.go
@@ -74,3 +74,31 @@
 		Eventually(done, 10*time.Second).Should(BeClosed())
 	})
 })
+
+var _ = Describe("a poller whose worker holds a reply back while a start has no answer", func() {
+	// A lost start waited for the rest of the poll in progress before it was sent again.
+	It("ends that poll, and polls again at once without a wait", func() {
+		s := newOwnershipScene()
+		s.manager.timing.PollWait = time.Second
+		s.manager.timing.OrderTimeout = sceneTiming.OrderTimeout
+		workers := &fakeSilentWorkers{clock: s.clock, requests: make(chan scheduler.PollRequest), deadlines: make(chan time.Time, 1)}
+		s.manager.Workers = workers
+		o := s.load()
+		s.list(o, "a")
+		s.poll(o, "a", scheduler.RunReport{Task: scheduler.TaskID{Job: "j"}, Attempt: 1, Percent: 100})
+		p := &poller{poolOwnership: o, worker: "a", kick: newSignal()}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			p.run()
+		}()
+		Eventually(p.pending.Load, 10*time.Second).ShouldNot(BeNil())
+		Expect(p.pending.Load().held).To(BeTrue())
+		p.endWait()
+		var r scheduler.PollRequest
+		Eventually(workers.requests, 10*time.Second).Should(Receive(&r))
+		Expect(r.Wait).To(BeZero())
+		o.cancel()
+		Eventually(done, 10*time.Second).Should(BeClosed())
+	})
+})
