A check of a job configuration before it is sent: persimmonbay job-config check

Operators had no way to find a queue that nothing reaches, a service that is not configured or a cap in the wrong unit before the entries had the configuration. Change: internal/configreview decides, over poolconfig values alone: findings with severity and place, whether a version supersedes the one in force, and the differences (of keys only counts). platform.DecodeConfiguration decodes a file by the code of the entries, so that it refuses what they refuse. The command prints both as a table or JSON: 0 no error, 1 errors or unreadable, 2 wrong arguments.

--- a/cmd/persimmonbay/main.go
+++ b/cmd/persimmonbay/main.go
@@ -26,6 +26,7 @@
 		poolCommand(),
 		instanceCommand(),
 		jobCommand(),
+		jobConfigCommand(),
 		replayCommand(),
 		requestCommand(),
 		serviceCommand(),
--- a/test/shape/shape_test.go
+++ b/test/shape/shape_test.go
@@ -24,7 +24,7 @@
 // import no encoding and no transport, so that another front end can use them.
 var decisionPackages = []string{
 	"admission", "configuration", "dispatch", "fleet", "inventory", "ledger", "maintenance", "membership",
-	"lending", "ownership", "placement", "problem", "request", "routing", "shard", "slots", "upkeep", "scheduler", "poolconfig", "identity", "quota", "teams", "answertime", "door", "readbudget", "places",
+	"lending", "ownership", "placement", "problem", "request", "routing", "shard", "slots", "upkeep", "scheduler", "poolconfig", "identity", "quota", "teams", "answertime", "door", "readbudget", "places", "configreview",
 }
 
 // platformNames are paths, headers, fields and keys of the users' platform.
