job-config check says what a weight of 0 and a team without keys do

Cause: the first text said that a team of weight 0 has no share of full pools. teams.Order ignores such a share: the team's jobs never count as beyond their rate, and its priority counts as 0, the highest. Callers without a known key still reach public queues.

--- a/internal/configreview/review_teams.go
+++ b/internal/configreview/review_teams.go
@@ -10,18 +10,18 @@
 // wholeCore is one core, in thousandths.
 const wholeCore = 1000
 
-// reviewTeams reports teams that cannot call, have no share of full pools, or have a cap
-// that is seldom meant. Names and keys that teams share are refused at decoding.
+// reviewTeams reports teams that have no callers, no limit of their rate, or a cap that is
+// seldom meant. Names and keys that teams share are refused at decoding.
 func reviewTeams(c *poolconfig.Configuration) []Finding {
 	var found []Finding
 	for i := range c.Teams {
 		t := &c.Teams[i]
 		report := finder(&found, fmt.Sprintf("teams[%d]", i))
 		if len(t.Keys) == 0 {
-			report(Warning, "team %s has no keys: none of its callers is admitted", quoted(t.Name))
+			report(Warning, "team %s has no keys: no caller is recognised as the team's", quoted(t.Name))
 		}
 		if t.Weight == 0 {
-			report(Warning, "team %s has weight 0: no share while the pools are full", quoted(t.Name))
+			report(Warning, "team %s has weight 0: its rate has no limit, and its priority counts as 0, the highest", quoted(t.Name))
 		}
 		reviewCap(t.Cap, report)
 	}
