--- a/internal/answertime/peer.go
+++ b/internal/answertime/peer.go
@@ -51,7 +51,8 @@
 }
 
 // Timeout returns how long to wait for an answer, when so many copies of the call got
-// none. The first ones make it longer only as far as nothing else was answered since. own holds the answer times of all peers of this process, and so its own delay.
+// none. The first ones make it longer only as far as nothing else was answered since. own
+// holds the answer times of all peers of this process, and so its own delay.
 func (p *Peer) Timeout(l Limits, own *Estimate, copies int) time.Duration {
 	if !l.Follow() || !p.answers.Known() {
 		return l.Ceiling
--- a/internal/quota/book.go
+++ b/internal/quota/book.go
@@ -96,9 +96,9 @@
 // SetUnknown records what runs of a former owner that are not known may use at most: of any
 // team together, and of single teams in addition. The former owner stayed within the
 // inherited grant.
-func (b *Book) SetUnknown(any Amount, ofTeam map[string]Amount) {
+func (b *Book) SetUnknown(anyTeam Amount, ofTeam map[string]Amount) {
 	for team, u := range b.teams {
-		u.unknown = u.inherited.Minus(u.adopted).Min(any.Plus(ofTeam[team])).Max(Amount{})
+		u.unknown = u.inherited.Minus(u.adopted).Min(anyTeam.Plus(ofTeam[team])).Max(Amount{})
 	}
 }
 
--- a/internal/scheduler/pool_quota.go
+++ b/internal/scheduler/pool_quota.go
@@ -106,19 +106,20 @@
 	return c
 }
 
-// beginQuotaPlan forgets what waited in the last plan, and sets what runs of a former owner that are not known may use: on awaited
-// workers anything that has room there, or the tasks that the roster names.
+// beginQuotaPlan forgets what waited in the last plan, and sets what runs of a former owner
+// that are not known may use: on awaited workers anything that has room there, or the tasks
+// that the roster names.
 func (p *Pool) beginQuotaPlan() {
 	p.quota.BeginPlan()
 	if !p.quota.Limited() {
 		return
 	}
-	var any quota.Amount
+	var anyTeam quota.Amount
 	ofTeam := make(map[string]quota.Amount)
 	if !p.formerRunsKnown {
 		for id, a := range p.awaited {
 			if !a.tasksKnown {
-				any = any.Plus(quota.Amount(p.mostUnknownOn(id)))
+				anyTeam = anyTeam.Plus(quota.Amount(p.mostUnknownOn(id)))
 				continue
 			}
 			for task := range a.tasks {
@@ -129,7 +130,7 @@
 			}
 		}
 	}
-	p.quota.SetUnknown(any, ofTeam)
+	p.quota.SetUnknown(anyTeam, ofTeam)
 }
 
 // mostUnknownOn returns what runs that are not known may use on a worker: what is free
