Stops that get no answer are repeated as the worker's answer times say

Change: StopOrder carries the time that its answer is waited for; one without an answer is due again then, twice as late for each lost copy in a row, 0.7 s at most. A stop that was refused or whose connection broke waits as before, and nothing changes where timeouts do not follow.

--- a/internal/scheduler/overlap_owner_plan_test.go
+++ b/internal/scheduler/overlap_owner_plan_test.go
@@ -112,7 +112,7 @@
 		o.pool.StopAnswered(order, result, o.s.now)
 		o.kick(order.Worker)
 	}
-	o.s.call(order.Address, orderTimeout, func(_, inc *overlapIncarnation, send func(func())) {
+	o.s.call(order.Address, order.Timeout, func(_, inc *overlapIncarnation, send func(func())) {
 		result := o.s.stopAt(inc, order)
 		send(func() { answered(result) })
 	}, answered)
--- a/internal/scheduler/pool_answers.go
+++ b/internal/scheduler/pool_answers.go
@@ -86,6 +86,15 @@
 	}
 }
 
+// noteStopAnswer records the answer to a stop.
+func (p *Pool) noteStopAnswer(w *worker, o *StopOrder, now time.Time) {
+	if o.Copies == 0 {
+		p.noteAnswer(w, now.Sub(o.SentAt))
+		return
+	}
+	w.answers.AnsweredAgain()
+}
+
 // noteCarriedOut records that a reply shows a run whose start seemed lost.
 func (p *Pool) noteCarriedOut(r *run) {
 	if r.phase == startUnknown && !r.absent {
--- a/internal/scheduler/pool_order_results.go
+++ b/internal/scheduler/pool_order_results.go
@@ -130,12 +130,21 @@
 		p.otherAtAddress(w, now)
 		return
 	}
-	if result == NoResponse {
-		w.raiseToken()
-	}
 	r := w.runs[runKey{o.Task, o.Attempt}]
-	if r != nil && (result == Accepted || result == Outdated) {
-		r.stoppedAt = now
+	switch result {
+	case NoResponse:
+		p.noteLost(w)
+		w.raiseToken()
+		if r != nil && r.stopSentAt.Equal(o.SentAt) {
+			r.stopsLost++
+			r.stopRetryAt = Later(now, o.SentAt.Add(o.Timeout))
+		}
+	case Accepted, Outdated:
+		p.noteStopAnswer(w, &o, now)
+		if r != nil {
+			r.stoppedAt = now
+		}
+	default:
 	}
 }
 
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -55,18 +55,25 @@
 	if r.phase == starting {
 		return
 	}
-	if retryAt := r.stopSentAt.Add(p.timing.OrderTimeout); !r.stopSentAt.IsZero() && now.Before(retryAt) {
-		plan.wakeAt(retryAt)
+	if !r.stopSentAt.IsZero() && now.Before(r.stopRetryAt) {
+		plan.wakeAt(r.stopRetryAt)
 		return
 	}
 	if r.movesOff && r.stage.step.LongRunning && !p.mayMove(r, now) {
 		return // other tasks of the step have become unavailable since an earlier copy was sent
 	}
-	r.stopSentAt = now
 	p.counts.Stops++
-	plan.Stops = append(plan.Stops, StopOrder{
+	plan.Stops = append(plan.Stops, p.stopOrder(r, now))
+}
+
+// stopOrder returns the next stop of a run. The run's next one is due once this one's answer
+// could have come, or a later one if an answer shows that it can't be carried out yet.
+func (p *Pool) stopOrder(r *run, now time.Time) StopOrder {
+	r.stopSentAt, r.stopRetryAt = now, now.Add(p.timing.OrderTimeout)
+	return StopOrder{
 		Worker: r.worker.info.ID, Address: r.worker.info.Address, Task: r.id, Attempt: r.attempt, Token: p.callToken(r.worker), Incarnation: r.worker.incarnation,
-	})
+		SentAt: now, Timeout: p.callTimeout(r.worker, p.timing.OrderTimeout, r.stopsLost), Copies: r.stopsLost,
+	}
 }
 
 func (p *Pool) planRepeat(r *run, now time.Time, plan *Plan) {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -38,6 +38,8 @@
 	wantStop       bool      // a stop has to be ordered
 	movesOff       bool      // wantStop is set only because its task is to start on another worker
 	stopSentAt     time.Time // when the last stop was sent; zero: never
+	stopRetryAt    time.Time // when a stop without a good answer is sent again
+	stopsLost      int       // stops in a row that got no answer
 	stoppedAt      time.Time // from then on nothing starts it: its stop was answered, or its start was refused as late or outdated; zero: not yet
 	orderedPercent int       // share of its full speed that was last ordered
 	throttledAt    time.Time
--- a/internal/scheduler/stop_order.go
+++ b/internal/scheduler/stop_order.go
@@ -1,5 +1,7 @@
 package scheduler
 
+import "time"
+
 // StopOrder orders a worker to stop a run.
 type StopOrder struct {
 	Worker  string
@@ -10,4 +12,7 @@
 	// Incarnation is the worker's incarnation that was known when the stop was ordered: the
 	// start of its process, Unix time in milliseconds; 0: none. Any may carry the stop out.
 	Incarnation int64
+	SentAt      time.Time
+	Timeout     time.Duration // how long its answer is waited for
+	Copies      int           // copies before this one that got no answer
 }
