Stand-in upstream: a reboot ends when its time is over, not when a timer fires

In plays of "reboots each instance once while callers' requests run" beside other work, requests got 502 unknown "interrupted: EOF" 1.4 s after the reboot of the instance was accepted, although a reboot takes 1 s there and the platform listed the instance as live again. The stand-in lifted its reboot by a timer, which a busy machine fires late, and aborted requests until then; the entries had sent them rightly, and their retry budget was used up (the stand-ins take 0.8 s in that spec and the silence limit is 0.5 s).

Now the clock decides whether a request meets the reboot. The platform's time begins after the order was answered, so an instance that it lists as live has always passed its own end. The time for which requests are aborted is as ordered, as before; the check of the wave spec that no request met a reboot stays as it is.

--- a/internal/standin/upstream/reboot.go
+++ b/internal/standin/upstream/reboot.go
@@ -14,17 +14,15 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	s.setDown(true)
-	s.clock.AfterFunc(time.Duration(order.DownMillis)*time.Millisecond, func() { s.setDown(false) })
+	until := s.clock.Now().Add(time.Duration(order.DownMillis) * time.Millisecond)
+	s.downUntil.Update(func(time.Time) (time.Time, bool) { return until, true })
 }
 
-func (s *Server) setDown(down bool) {
-	s.down.Update(func(bool) (bool, bool) { return down, true })
-}
-
-// abortWhenDown counts and aborts a request that runs into a reboot.
+// abortWhenDown counts and aborts a request that runs into a reboot. The clock decides,
+// not a timer: on a busy machine one may fire after the platform lists the instance as
+// live again, and requests that are sent then would be aborted.
 func (s *Server) abortWhenDown() {
-	if s.down.Get() {
+	if s.clock.Now().Before(s.downUntil.Get()) {
 		s.load.Update(func(l Load) (Load, bool) { l.Aborted++; return l, true })
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/standin/upstream/server.go
+++ b/internal/standin/upstream/server.go
@@ -37,7 +37,7 @@
 	load       *shard.Cell[Load]
 	executions *shard.Map[string, int]
 	silencer   *silencer
-	down       *shard.Cell[bool] // rebooting: all requests are aborted
+	downUntil  *shard.Cell[time.Time] // rebooting until then: all requests are aborted
 }
 
 // NewServer returns a stand-in without faults. With the fault RefuseOverCap it
@@ -51,7 +51,7 @@
 		load:       shard.NewCell(Load{}),
 		executions: shard.NewMap[string, int](),
 		silencer:   newSilencer(),
-		down:       shard.NewCell(false),
+		downUntil:  shard.NewCell(time.Time{}),
 	}
 }
 
