A deadline that passes in a pause of the entry leaves time to read the answers

When an entry's process is paused or delayed past the deadline of requests, their timers fire as soon as it runs again, before the answers that have arrived are read. Such requests ended with 504, outcome unknown, although the upstream had completed them in time.

The context of a request is cancelled with the cause context.DeadlineExceeded, and what asked for the context's error to tell a deadline from a caller that left asks for its cause. A caller whose deadline has passed in a pause gets 504 later by that time, or its answer.

--- a/internal/ledger/forwarding.go
+++ b/internal/ledger/forwarding.go
@@ -22,7 +22,7 @@
 		return verdict, nil
 	}
 	if ctx.Err() != nil {
-		return Verdict{}, problem.Wrap(problem.Timeout, problem.StepClaim, owner, ctx.Err())
+		return Verdict{}, problem.Wrap(problem.Timeout, problem.StepClaim, owner, context.Cause(ctx))
 	}
 	l.counters.add(countPassedOver)
 	if !problem.Is(err, problem.Conflict) {
--- a/internal/ledger/pending.go
+++ b/internal/ledger/pending.go
@@ -31,6 +31,6 @@
 	case r := <-p.done:
 		return r.Verdict, r.Err
 	case <-p.ctx.Done():
-		return Verdict{}, problem.Wrap(problem.Timeout, problem.StepClaim, "", p.ctx.Err())
+		return Verdict{}, problem.Wrap(problem.Timeout, problem.StepClaim, "", context.Cause(p.ctx))
 	}
 }
--- a/internal/ledger/segment_writer.go
+++ b/internal/ledger/segment_writer.go
@@ -61,7 +61,7 @@
 		select {
 		case result = <-w.done:
 		case <-ctx.Done():
-			return problem.Wrap(problem.Timeout, problem.StepStoreWrite, "", ctx.Err())
+			return problem.Wrap(problem.Timeout, problem.StepStoreWrite, "", context.Cause(ctx))
 		}
 	} else {
 		select {
@@ -93,6 +93,6 @@
 		w.running = false
 		return nil
 	case <-ctx.Done():
-		return problem.Wrap(problem.Timeout, problem.StepStoreWrite, "", ctx.Err())
+		return problem.Wrap(problem.Timeout, problem.StepStoreWrite, "", context.Cause(ctx))
 	}
 }
--- a/internal/request/server.go
+++ b/internal/request/server.go
@@ -36,7 +36,7 @@
 	if r.Key != "" {
 		ctx = context.WithoutCancel(ctx) // a claimed request runs until it has an outcome, even when its caller has gone
 	}
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	ctx, cancel := withDeadline(ctx, clockwork.NewRealClock(), r.Deadline)
 	defer cancel()
 	if r.Key != "" {
 		return s.serveKeyed(ctx, r, service)
@@ -118,7 +118,7 @@
 	answer, err := s.Sender.Send(ctx, p.Instance, service, r)
 	feedback := Feedback{
 		Sent:     !problem.Is(err, problem.Unavailable),
-		Failed:   err != nil && !errors.Is(ctx.Err(), context.Canceled) || answer.Status >= serverErrorStatus,
+		Failed:   err != nil && !errors.Is(context.Cause(ctx), context.Canceled) || answer.Status >= serverErrorStatus,
 		Answered: err == nil,
 		Canceled: ctx.Err() != nil,
 		Took:     max(s.Clock.Now().Sub(start), time.Nanosecond),
--- a/internal/upstream/sender.go
+++ b/internal/upstream/sender.go
@@ -141,7 +141,7 @@
 	if !trace.anySent() {
 		return problem.Wrap(problem.Unavailable, problem.StepConnect, peer, err)
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return problem.Wrap(problem.Timeout, problem.StepReceive, peer, context.DeadlineExceeded)
 	}
 	return problem.Wrap(problem.Interrupted, problem.StepReceive, peer, err)
