Reads of the records leave half of the fence for delays

An entry whose records the store has not confirmed for the fence places nothing, and its callers get 503 "no live instance of the service is left to try". A read counts as of its start and is confirmed at its end: with watch calls of a third of the fence and batching of up to a sixth, a confirmation is up to 0.83 of the fence old in regular operation. With the fence of 3 s of the process tests, delays of half a second in two calls were enough.

A watch call now takes at most a sixth of the fence, so that a confirmation is at most half of it old and the other half is left for delays. With the default fence of 30 s nothing changes, since a watch waits for 5 s by default anyway; with shorter fences there are more calls. What the fence protects is as before.

--- a/internal/entry/control_run.go
+++ b/internal/entry/control_run.go
@@ -20,8 +20,15 @@
 const (
 	registrationPollInterval = 100 * time.Millisecond // between two reads of this entry's own registration
 	routeRefreshInterval     = time.Second            // between two checks of the fence
-	batchingFenceDivisor     = 6                      // batching of changes takes at most this part of the fence
-	maxRecordsWait           = 10 * time.Second       // of one watch call, so that the view is confirmed well within the fence
+	maxRecordsWait           = 10 * time.Second       // of one watch call
+)
+
+// The batching of changes, and one watch call, take at most the fence divided by these. A read
+// counts as of its start and is confirmed by its end, so that a confirmation is at most two
+// calls and the batching between them old: half of the fence. The other half is for delays.
+const (
+	batchingFenceDivisor = 6
+	watchFenceDivisor    = 6
 )
 
 // run watches the records, updates the routes by them and carries out plans
@@ -58,7 +65,7 @@
 	return &platform.Watcher{
 		Store:      c.source,
 		Prefix:     fleetstore.Prefix,
-		Wait:       min(c.entry.settings.Platform.WatchWait, maxRecordsWait, c.entry.settings.Maintenance.Fence/3),
+		Wait:       min(c.entry.settings.Platform.WatchWait, maxRecordsWait, c.entry.settings.Maintenance.Fence/watchFenceDivisor),
 		Clock:      c.entry.clock,
 		Log:        c.entry.log,
 		OnListing:  func(l api.Listing) { c.recordsApplied(fleetstore.ApplyListing(c.view, l)) },
