A heartbeat that is read late is as old as it was sent

A heartbeat that lay in a buffer while its receiver was paused counted as just sent: its sender as alive now, and as confirmed by the store later than it was, by the length of the pause.

Heartbeats now carry the time since their sender's process started, on its steady clock. The receiver keeps for each incarnation the earliest start that the messages of the last one to two minutes showed; what a message exceeds it by is its delay and comes off all times that it sets. A heartbeat that was sent before the latest one changes nothing. No wall clocks are compared; a heartbeat without the new field counts as just sent, as before. heartbeats_test.go lists the two new fields as ages, which the digest of a state leaves out. The first message of an incarnation has no known delay, and after a pause of more than 3 s peers count as silent until their next heartbeats, as before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,7 +55,8 @@
 	health    *shard.Cell[health]
 	newest    *shard.Cell[peerVersion] // the newest version that a peer has reported
 
-	incarnation uint64 // grows with every start of this entry
+	incarnation uint64    // grows with every start of this entry
+	startedAt   time.Time // with the reading of the steady clock
 
 	peers   *peer.Client
 	sender  *upstream.Sender
@@ -73,6 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
+	startedAt := clock.Now()
 	client := platform.NewClient(s.Platform.Address, s.Platform.Timeout)
 	e := &Entry{
 		settings:  s,
@@ -90,7 +92,8 @@
 		health:    shard.NewCell(health{}),
 		newest:    shard.NewCell(peerVersion{}),
 
-		incarnation: uint64(clock.Now().UnixNano()),
+		incarnation: uint64(startedAt.UnixNano()),
+		startedAt:   startedAt,
 
 		peers:   peer.NewClient(s.ID, []byte(s.Secrets.PeerKey), peerTimeout),
 		metrics: telemetry.NewMetrics(),
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -120,6 +120,7 @@
 		Confirmed:            e.slots.registration.Get().confirmed,
 		MaintenanceRevision:  e.control.acknowledged(),
 		Incarnation:          e.incarnation,
+		StartedAt:            e.startedAt,
 		LeavingUpstreams:     e.routes.LeavingMarks(e.clock.Now()),
 		Instances:            e.inventory.Get().Stamp,
 	}
--- a/internal/entry/heartbeat_exchange.go
+++ b/internal/entry/heartbeat_exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"persimmonbay/internal/membership"
 	"persimmonbay/internal/peer/wire"
@@ -56,15 +57,28 @@
 // toHeartbeat converts a message of the entry with ID from. It reports false when
 // the message only refers to a state that this entry does not have.
 func (e *Entry) toHeartbeat(from membership.EntryID, message *wire.Heartbeat) (membership.Heartbeat, bool) {
-	h := wire.ToHeartbeat(message, e.clock.Now())
+	h := wire.ToHeartbeat(message, e.heartbeatSentAt(from, message))
 	if message.IsComplete() {
 		return h, true
 	}
 	known, ok := e.beats.Find(from, message.GetState(), h.Confirmed, h.Instances.ReadAt)
-	known.UnknownSender = h.UnknownSender
+	known.UnknownSender, known.SentAt = h.UnknownSender, h.SentAt
 	return known, ok
 }
 
+// heartbeatSentAt returns when a message of the entry with ID from was sent, by this
+// entry's clock. It may have lain in a buffer while this process was paused.
+func (e *Entry) heartbeatSentAt(from membership.EntryID, message *wire.Heartbeat) time.Time {
+	now, incarnation := e.clock.Now(), e.beats.KnownIncarnation(from)
+	if message.GetEntry() != "" {
+		from, incarnation = membership.EntryID(message.GetEntry()), message.GetIncarnation()
+	}
+	if message == nil || message.UptimeMillis == nil || incarnation == 0 {
+		return now
+	}
+	return e.beats.SentAt(from, incarnation, time.Duration(message.GetUptimeMillis())*time.Millisecond, now)
+}
+
 // storeHeartbeat stores a member's heartbeat if the message holds all of it, so
 // that later messages can refer to its state.
 func (e *Entry) storeHeartbeat(from membership.EntryID, message *wire.Heartbeat, h membership.Heartbeat) {
--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -18,7 +18,7 @@
 // applyHeartbeat applies a received heartbeat and reports whether its sender is a
 // known member.
 func (e *Entry) applyHeartbeat(h membership.Heartbeat) (known bool) {
-	known = e.members.RecordHeartbeat(h, e.clock.Now())
+	known = e.members.RecordHeartbeat(h, h.SentAt)
 	for _, m := range h.LeavingUpstreams {
 		e.markLeaving(m, string(h.Entry))
 	}
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -19,6 +19,8 @@
 	Registration         *Registration         // of the sender; nil when the receiver knows it
 	UnknownSender        bool                  // in a reply: the replying entry does not know the entry to which it replies
 	Incarnation          uint64                // increases with every start of the sender
+	StartedAt            time.Time             // of this entry's own: when its process started; zero: not known
+	SentAt               time.Time             // of a received one: when it was sent, by the receiver's clock
 	Instances            inventory.Stamp       // of the list of instances in use
 	LeavingUpstreams     []routing.LeavingMark // instances that reported that they are leaving
 	MaintenanceRevision  uint64                // of the pool records in use
--- a/internal/membership/heartbeats.go
+++ b/internal/membership/heartbeats.go
@@ -8,17 +8,19 @@
 
 // Heartbeats holds the latest full heartbeat of each entry, and which state of this
 // entry each other entry has acknowledged, so that regular heartbeats need only
-// contain their state (a digest, see Heartbeat.State) and ages. It is split into
-// shards by entry. A heartbeat and its state are stored under one lock, so they
+// contain their state (a digest, see Heartbeat.State) and ages, and the clock of each
+// entry, by which the delay of its heartbeats is known. It is split into shards by entry. A heartbeat and its state are stored under one lock, so they
 // always match.
 type Heartbeats struct {
 	known        *shard.Map[EntryID, knownHeartbeat]
 	acknowledged *shard.Map[EntryID, uint64]
+	clocks       *shard.Map[EntryID, senderClock]
 }
 
 // NewHeartbeats returns an empty set of heartbeats.
 func NewHeartbeats() *Heartbeats {
-	return &Heartbeats{known: shard.NewMapOf[EntryID, knownHeartbeat](8), acknowledged: shard.NewMapOf[EntryID, uint64](8)}
+	return &Heartbeats{known: shard.NewMapOf[EntryID, knownHeartbeat](8), acknowledged: shard.NewMapOf[EntryID, uint64](8),
+		clocks: shard.NewMapOf[EntryID, senderClock](8)}
 }
 
 // Put stores a full heartbeat with its state.
@@ -43,6 +45,25 @@
 	return k.state
 }
 
+// KnownIncarnation returns the incarnation of the heartbeat stored for an entry, or 0
+// for none.
+func (h *Heartbeats) KnownIncarnation(id EntryID) uint64 {
+	k, _ := h.known.Get(id)
+	return k.heartbeat.Incarnation
+}
+
+// SentAt returns when an entry sent a message that is read at now, by this entry's
+// clock. uptime is the time since the start of the sending incarnation when the message
+// was sent. Of a message that is the first of its incarnation, the delay is not known.
+func (h *Heartbeats) SentAt(id EntryID, incarnation uint64, uptime time.Duration, now time.Time) time.Time {
+	sentAt := now
+	h.clocks.Update(id, func(c senderClock, _ bool) (senderClock, bool) {
+		c, sentAt = c.observe(incarnation, uptime, now)
+		return c, true
+	})
+	return sentAt
+}
+
 // Acknowledge records that the entry by knows the given state of this entry.
 func (h *Heartbeats) Acknowledge(by EntryID, state uint64) { h.acknowledged.Set(by, state) }
 
@@ -67,4 +88,10 @@
 		}
 		return true
 	})
+	h.clocks.Range(func(id EntryID, _ senderClock) bool {
+		if !member(id) {
+			h.clocks.Delete(id)
+		}
+		return true
+	})
 }
--- a/internal/membership/heartbeats_test.go
+++ b/internal/membership/heartbeats_test.go
@@ -52,6 +52,8 @@
 			"Confirmed":            func(h *membership.Heartbeat) { h.Confirmed = time.Time{} },
 			"Registration":         func(h *membership.Heartbeat) { h.Registration = &membership.Registration{} },
 			"UnknownSender":        nil,
+			"StartedAt":            nil,
+			"SentAt":               nil,
 			"Incarnation":          func(h *membership.Heartbeat) { h.Incarnation++ },
 			"Instances":            func(h *membership.Heartbeat) { h.Instances.Generation++ },
 			"LeavingUpstreams":     func(h *membership.Heartbeat) { h.LeavingUpstreams = h.LeavingUpstreams[:1] },
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -17,13 +17,13 @@
 	StoreReachable       bool                  `json:"storeReachable"`
 	Confirmed            time.Time             `json:"confirmed"`           // when the store last confirmed its registration; zero: never
 	Registered           bool                  `json:"registered"`          // its registration stands in the store, as last observed
-	LastHeartbeat        time.Time             `json:"lastHeard"`           // when its last heartbeat was received; zero: never
+	LastHeartbeat        time.Time             `json:"lastHeard"`           // when its last heartbeat was sent, by the clock of this entry; zero: never
 	Incarnation          uint64                `json:"incarnation"`         // of its latest process that sent a heartbeat
 	ReportedAt           time.Time             `json:"introduced"`          // when a peer reported it; zero: never
 	MaintenanceRevision  uint64                `json:"maintenanceRevision"` // of the pool records in use
 }
 
-// Alive reports whether a heartbeat of the member was received within suspectAfter
+// Alive reports whether a heartbeat was received that the member sent within suspectAfter
 // before now.
 func (m Member) Alive(now time.Time, suspectAfter time.Duration) bool {
 	return !m.LastHeartbeat.IsZero() && now.Sub(m.LastHeartbeat) <= suspectAfter
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -93,23 +93,27 @@
 	return m
 }
 
-// RecordHeartbeat records a heartbeat received at now and reports whether its
-// sender is known. Within one incarnation the configuration version never
+// RecordHeartbeat records a heartbeat sent at sentAt and reports whether its
+// sender is known. Within one incarnation a heartbeat that was sent before the latest
+// one changes nothing: after a pause of this process several are read at once. Within one incarnation the configuration version never
 // decreases, since heartbeats may arrive out of order. After a restart, the version
 // in the heartbeat applies.
-func (t *Table) RecordHeartbeat(h Heartbeat, now time.Time) bool {
+func (t *Table) RecordHeartbeat(h Heartbeat, sentAt time.Time) bool {
 	known := false
 	t.members.Update(h.Entry, func(m Member, ok bool) (Member, bool) {
 		known = ok
 		if !ok || h.Incarnation < m.Incarnation {
 			return m, ok
 		}
+		if h.Incarnation == m.Incarnation && sentAt.Before(m.LastHeartbeat) {
+			return m, true
+		}
 		if h.Incarnation == m.Incarnation {
 			h.ConfigurationVersion = max(h.ConfigurationVersion, m.ConfigurationVersion)
 		}
 		m.Incarnation, m.ConfigurationVersion = h.Incarnation, h.ConfigurationVersion
 		m.MaintenanceRevision = h.MaintenanceRevision
-		m.Leaving, m.StoreReachable, m.Confirmed, m.LastHeartbeat = h.Leaving, h.StoreReachable, h.Confirmed, now
+		m.Leaving, m.StoreReachable, m.Confirmed, m.LastHeartbeat = h.Leaving, h.StoreReachable, h.Confirmed, sentAt
 		return m, true
 	})
 	return known
--- a/internal/peer/wire/convert.go
+++ b/internal/peer/wire/convert.go
@@ -19,6 +19,7 @@
 		ConfirmedAgeMillis:   fromOptionalTime(h.Confirmed, now),
 		Registration:         fromOptionalRegistration(h.Registration),
 		Stranger:             h.UnknownSender,
+		UptimeMillis:         fromOptionalTime(h.StartedAt, now),
 		Incarnation:          h.Incarnation,
 		Instances:            FromStamp(h.Instances, now),
 		LeavingUpstreams:     fromLeavingMarks(h.LeavingUpstreams),
@@ -27,13 +28,14 @@
 }
 
 // FromKnownHeartbeat returns the short message of a heartbeat whose receiver has
-// already received all fields that its state covers: the state, the ages and
+// already received all fields that its state covers: the state, the ages, the uptime and
 // whether the sender of the request is unknown.
 func FromKnownHeartbeat(h membership.Heartbeat, now time.Time) *Heartbeat {
 	return &Heartbeat{
 		State:              h.State(),
 		Stranger:           h.UnknownSender,
 		ConfirmedAgeMillis: fromOptionalTime(h.Confirmed, now),
+		UptimeMillis:       fromOptionalTime(h.StartedAt, now),
 		Instances:          &InstancesStamp{AgeMillis: FromStamp(h.Instances, now).GetAgeMillis()},
 	}
 }
@@ -42,9 +44,9 @@
 // FromHeartbeat sets them, not only those that FromKnownHeartbeat sets.
 func (x *Heartbeat) IsComplete() bool { return x.GetEntry() != "" || x.GetState() == 0 }
 
-// ToHeartbeat converts a message that was received at now to a heartbeat. A nil
-// message gives an empty heartbeat.
-func ToHeartbeat(m *Heartbeat, now time.Time) membership.Heartbeat {
+// ToHeartbeat converts a message that was sent at sentAt, by the receiver's clock, to a
+// heartbeat. A nil message gives an empty heartbeat.
+func ToHeartbeat(m *Heartbeat, sentAt time.Time) membership.Heartbeat {
 	if m == nil {
 		m = &Heartbeat{}
 	}
@@ -53,11 +55,12 @@
 		ConfigurationVersion: configuration.Version(m.GetConfigurationVersion()),
 		Leaving:              m.GetLeaving(),
 		StoreReachable:       m.GetStoreReachable(),
-		Confirmed:            toOptionalTime(m.ConfirmedAgeMillis, now),
+		Confirmed:            toOptionalTime(m.ConfirmedAgeMillis, sentAt),
 		Registration:         toOptionalRegistration(m.GetRegistration()),
 		UnknownSender:        m.GetStranger(),
 		Incarnation:          m.GetIncarnation(),
-		Instances:            ToStamp(m.GetInstances(), now),
+		SentAt:               sentAt,
+		Instances:            ToStamp(m.GetInstances(), sentAt),
 		LeavingUpstreams:     toLeavingMarks(m.GetLeavingUpstreams()),
 		MaintenanceRevision:  m.GetMaintenanceRevision(),
 	}
