The order of jobs stays from plan to plan, and only what moved is sorted

The ranking is kept now: ranks are worked out as before, jobs that are out of order are taken out, sorted and merged again.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -28,6 +28,7 @@
 	endedAt           time.Time
 	account           *teams.Account // of its team; nil: it has no share
 	beyond            bool           // its team had sent more than its weight when it was accepted
+	number            int64          // in the order in which the pool's jobs were added
 	rank              rank
 	estimatedAt       time.Time     // when the next three were computed; zero: they are outdated by progress
 	remainingChain    time.Duration // duration of the longest chain of incomplete steps
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -54,11 +54,11 @@
 	ownMachines         int             // number of machines that belong to the pool; 0: not known
 	toGiveUp            int             // number of machines that the pool has to give up
 	loadPeakAt          time.Time
-	shortSince          time.Time        // since when more work arrives than the pool can serve; zero: less arrives
-	throttlesPlannedAt  time.Time        // when throttles were last planned
-	startCandidates     startCandidates  // of the plan that is being made
-	waitingStages       []*stage         // those that had no room in the last plan, in the order of their ranks
-	rankedJobs          []*job           // in the order of the last plan
+	shortSince          time.Time       // since when more work arrives than the pool can serve; zero: less arrives
+	throttlesPlannedAt  time.Time       // when throttles were last planned
+	startCandidates     startCandidates // of the plan that is being made
+	waitingStages       []*stage        // those that had no room in the last plan, in the order of their ranks
+	ranking             jobRanking
 	shortArrivals       arrivalRate      // over shortArrivalWindow
 	longArrivals        arrivalRate      // over longArrivalWindow
 	pendingCancels      map[string]int64 // by job ID: revisions of cancellations that were received before their jobs
--- a/internal/scheduler/pool_jobs.go
+++ b/internal/scheduler/pool_jobs.go
@@ -22,6 +22,7 @@
 	j.beyond = !j.account.Accept(p.jobWork(j), sub.AcceptedAt) && !sub.LongRunning()
 	p.jobs[sub.ID] = j
 	p.jobOrder = append(p.jobOrder, j)
+	p.ranking.add(j)
 	if progress.State.Final() {
 		j.endSaved, j.removeWhenIdle, j.endedAt = true, true, now
 		return
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -1,9 +1,6 @@
 package scheduler
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Plan decides which orders are to be sent at now, and records them as sent. wall is
 // the time of day, by which occurrences become due.
@@ -109,7 +106,7 @@
 	p.placeWaits.beginPlan()
 	p.planHeldStage(now, plan)
 	p.waitingStages = p.waitingStages[:0]
-	for _, j := range p.rankedJobs {
+	for _, j := range p.ranking.jobs {
 		p.openDue(j, wall.Add(p.timing.StartEarly))
 		for _, o := range j.occurrences {
 			if o.due.After(wall.Add(p.timing.StartEarly)) {
@@ -128,15 +125,11 @@
 // rankJobs sorts the jobs that have not ended by rank.
 func (p *Pool) rankJobs(now time.Time) {
 	p.updateTeams(now)
-	p.rankedJobs = p.rankedJobs[:0]
-	for _, j := range p.jobOrder {
-		if !j.progress.State.Final() {
-			p.rankedJobs = append(p.rankedJobs, j)
-			j.rank = p.rank(j, now)
-			p.rankTeam(j, &j.rank)
-		}
-	}
-	slices.SortStableFunc(p.rankedJobs, func(a, b *job) int { return a.rank.compare(&b.rank) })
+	p.ranking.rank(func(j *job) rank {
+		r := p.rank(j, now)
+		p.rankTeam(j, &r)
+		return r
+	})
 }
 
 func (p *Pool) planStage(s *stage, now time.Time, plan *Plan) {
