A job keeps what each plan reads of its submission

Each plan asked the submission of each waiting job whether a step is long-running, how often it repeats, when it was accepted and what its priority is: one more part of memory a job, 16% of a plan at 5,000 waiting jobs (a profile of BenchmarkTurn: LongRunning 10%, Occurrences 6%). A submission never changes, so the job holds these figures; from when its objective counts is set as an occurrence opens, the only time at which it changes. Each estimate of a job looked up its queue's durations for each step and made two slices; it looks them up once now and keeps one slice for all jobs.

--- a/internal/scheduler/durations.go
+++ b/internal/scheduler/durations.go
@@ -29,39 +29,29 @@
 	m.add(took)
 }
 
+// of returns the mean durations of a queue. They are not kept: later ones may be added.
+func (d *durations) of(queue string) queueDurations {
+	return queueDurations{task: d.tasks[queue], step: d.steps[queue]}
+}
+
 // expectedTask returns how long a task of the queue takes: the mean, or estimate while
 // the queue has fewer than minSamples.
 func (d *durations) expectedTask(queue string, estimate time.Duration) time.Duration {
-	if m, ok := d.tasks[queue]; ok && m.count >= minSamples {
-		return m.mean
-	}
-	return estimate
+	return expected(d.tasks[queue], estimate)
 }
 
 // expectedStep returns how long a step of the queue takes. Its tasks run in parallel,
 // so it takes as long as the longest of them.
 func (d *durations) expectedStep(queue string, estimate time.Duration) time.Duration {
-	if m, ok := d.steps[queue]; ok && m.count >= minSamples {
-		return m.mean
-	}
-	return d.expectedTask(queue, estimate)
+	q := d.of(queue)
+	return q.expectedStep(estimate)
 }
 
-// longestChain returns the expected duration of the longest chain of a job's steps.
-func (d *durations) longestChain(sub *Submission) time.Duration {
-	ends := make([]time.Duration, len(sub.Steps))
-	var whole time.Duration
-	for i := range sub.Steps {
-		var begin time.Duration
-		for _, before := range sub.Steps[i].After {
-			if before >= 0 && before < i {
-				begin = max(begin, ends[before])
-			}
-		}
-		ends[i] = begin + d.expectedStep(sub.Queue, sub.Steps[i].Estimate)
-		whole = max(whole, ends[i])
+func expected(m *durationMean, estimate time.Duration) time.Duration {
+	if m != nil && m.count >= minSamples {
+		return m.mean
 	}
-	return whole
+	return estimate
 }
 
 // minSamples is the number of tasks or steps of a queue from which on their mean is
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -10,8 +10,12 @@
 // saved, or some of its runs may go on. The pool's lock guards it.
 type job struct {
 	sub               *Submission
-	created           int64 // store revision at which it was accepted
-	revision          int64 // store revision at which its progress was last saved
+	lasting           bool // some step runs until the job is cancelled
+	due               int  // number of occurrences in all
+	priority          int
+	countsFrom        time.Time // its acceptance, or when its last open occurrence became due: its objective counts from then
+	created           int64     // store revision at which it was accepted
+	revision          int64     // store revision at which its progress was last saved
 	progress          Progress
 	occurrences       []*occurrence // those that have become due
 	ended             int           // number of occurrences that are complete
@@ -37,7 +41,8 @@
 }
 
 func newJob(sub *Submission, created, revision int64, progress Progress) *job {
-	j := &job{sub: sub, created: created, revision: revision, progress: progress}
+	j := &job{sub: sub, lasting: sub.LongRunning(), due: sub.Occurrences(), priority: sub.Priority, countsFrom: Later(sub.AcceptedAt, sub.DueAt(0)), created: created, revision: revision, progress: progress}
+	j.rank.accepted = sub.AcceptedAt
 	offset := 0
 	for i := range sub.Steps {
 		j.offsets = append(j.offsets, offset)
@@ -66,6 +71,7 @@
 		j.ended++
 	}
 	j.occurrences = append(j.occurrences, o)
+	j.countsFrom = Later(j.sub.AcceptedAt, o.due)
 	return o
 }
 
@@ -106,4 +112,4 @@
 }
 
 // complete reports whether every occurrence is complete.
-func (j *job) complete() bool { return j.ended >= j.sub.Occurrences() }
+func (j *job) complete() bool { return j.ended >= j.due }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -34,6 +34,7 @@
 	unsavedJobs         map[*job]bool    // those with changes that have to be saved
 	unackedWorkers      map[*worker]bool // those with ends that may not be acknowledged yet
 	durations           *durations
+	chainEnds           []time.Duration // kept for its room: the end of each step of a job, from now
 	counts              Counts
 	toEmpty             map[string]time.Time // machines to be emptied, and the time of day by which their maintenance should be over
 	emptied             map[string]bool      // machines that were reported as empty: they may be taken down at any time
--- a/internal/scheduler/pool_jobs.go
+++ b/internal/scheduler/pool_jobs.go
@@ -19,7 +19,7 @@
 		j.firstAttempt = (p.epoch - 1) * attemptsPerEpoch
 	}
 	j.account = p.teams.Account(sub.Team)
-	j.beyond = !j.account.Accept(p.jobWork(j), sub.AcceptedAt) && !sub.LongRunning()
+	j.beyond = !j.account.Accept(p.jobWork(j), sub.AcceptedAt) && !j.lasting
 	p.jobs[sub.ID] = j
 	p.jobOrder = append(p.jobOrder, j)
 	p.ranking.add(j)
@@ -48,7 +48,7 @@
 
 // openDue opens the occurrences that are due at now.
 func (p *Pool) openDue(j *job, now time.Time) {
-	for len(j.occurrences) < j.sub.Occurrences() {
+	for len(j.occurrences) < j.due {
 		due := j.sub.DueAt(len(j.occurrences))
 		if due.After(now) {
 			return
@@ -61,7 +61,7 @@
 // needed: a former owner, whose time of day may be ahead, can have started the task
 // before it is due here.
 func (p *Pool) taskOf(j *job, id TaskID) *task {
-	if !j.progress.State.Final() && id.Occurrence < min(j.sub.Occurrences(), len(j.occurrences)+maxOccurrencesAhead) {
+	if !j.progress.State.Final() && id.Occurrence < min(j.due, len(j.occurrences)+maxOccurrencesAhead) {
 		for len(j.occurrences) <= id.Occurrence {
 			j.openOccurrence()
 		}
--- a/internal/scheduler/pool_place_wait.go
+++ b/internal/scheduler/pool_place_wait.go
@@ -68,8 +68,7 @@
 		Near: near, Far: time.Duration(p.timing.SpreadFactor * float64(near)), Learned: learned, Places: len(tasks),
 		Lasting: s.step.LongRunning, Hopeless: j.rank.class >= lateClass,
 	}
-	from := Later(j.sub.AcceptedAt, j.sub.DueAt(max(len(j.occurrences)-1, 0)))
-	q.Left = from.Add(j.objectiveTime).Sub(now) - max(j.remainingChain-p.durations.expectedStep(queue, s.step.Estimate), 0)
+	q.Left = j.countsFrom.Add(j.objectiveTime).Sub(now) - max(j.remainingChain-p.durations.expectedStep(queue, s.step.Estimate), 0)
 	if since := p.placeWaits.since[tasks[0].id]; !since.IsZero() {
 		q.Waited = now.Sub(since)
 	}
--- a/internal/scheduler/pool_plan_timers.go
+++ b/internal/scheduler/pool_plan_timers.go
@@ -18,7 +18,7 @@
 		}
 	}
 	for _, j := range p.jobOrder {
-		if len(j.occurrences) < j.sub.Occurrences() && !j.progress.State.Final() {
+		if len(j.occurrences) < j.due && !j.progress.State.Final() {
 			plan.wakeAt(now.Add(dueCheckInterval))
 		}
 	}
--- a/internal/scheduler/rank.go
+++ b/internal/scheduler/rank.go
@@ -41,18 +41,17 @@
 // rank returns the position of a job. Of the jobs that can still meet their objective,
 // the one with the least remaining work goes first, so that as many as possible meet it.
 func (p *Pool) rank(j *job, now time.Time) rank {
-	if j.sub.LongRunning() {
-		return rank{class: -1, accepted: j.sub.AcceptedAt}
+	if j.lasting {
+		return rank{class: -1, accepted: j.rank.accepted}
 	}
-	from := Later(j.sub.AcceptedAt, j.sub.DueAt(max(len(j.occurrences)-1, 0)))
 	if j.estimatedAt.IsZero() || now.Sub(j.estimatedAt) > estimateMaxAge {
 		p.estimateRemaining(j, now)
 	}
-	r := rank{class: j.sub.Priority, remainingWork: j.remainingWork, accepted: j.sub.AcceptedAt}
+	r := rank{class: j.priority, remainingWork: j.remainingWork, accepted: j.rank.accepted}
 	switch end := now.Add(j.remainingChain); {
-	case end.After(from.Add(lateFactor * j.objectiveTime)):
+	case end.After(j.countsFrom.Add(lateFactor * j.objectiveTime)):
 		r.class, r.remainingWork = veryLateClass, 0 // in the order of their acceptance, so that none starves
-	case end.After(from.Add(j.objectiveTime)):
+	case end.After(j.countsFrom.Add(j.objectiveTime)):
 		r.class += lateClass
 	}
 	return r
@@ -68,22 +67,24 @@
 // allows.
 func (p *Pool) estimateRemaining(j *job, now time.Time) {
 	j.remainingChain, j.remainingWork, j.estimatedAt = 0, 0, now
-	j.objectiveTime = time.Duration(j.sub.Stretch*float64(p.durations.longestChain(j.sub))) + j.sub.Objective
-	expectedStep, expectedTask := p.durations.expectedStep, p.durations.expectedTask
+	d := p.durations.of(j.sub.Queue)
+	j.objectiveTime = time.Duration(j.sub.Stretch*float64(d.longestChain(j.sub, &p.chainEnds))) + j.sub.Objective
 	for _, o := range j.occurrences {
-		ends := make([]time.Duration, len(o.stages))
-		for i, s := range o.stages {
-			var begin time.Duration
+		ends := p.chainEnds[:0]
+		for _, s := range o.stages {
+			var end time.Duration
 			for _, before := range s.step.After {
-				begin = max(begin, ends[before])
+				if before < len(ends) {
+					end = max(end, ends[before])
+				}
 			}
-			ends[i] = begin
-			if s.incomplete == 0 {
-				continue
+			if s.incomplete > 0 {
+				end += d.expectedStep(s.step.Estimate)
+				j.remainingChain = max(j.remainingChain, end)
+				j.remainingWork += float64(s.incomplete) * d.expectedTask(s.step.Estimate).Seconds() * float64(s.step.Need.MilliCPU) / 1000
 			}
-			ends[i] += expectedStep(j.sub.Queue, s.step.Estimate)
-			j.remainingChain = max(j.remainingChain, ends[i])
-			j.remainingWork += float64(s.incomplete) * expectedTask(j.sub.Queue, s.step.Estimate).Seconds() * float64(s.step.Need.MilliCPU) / 1000
+			ends = append(ends, end)
 		}
+		p.chainEnds = ends
 	}
 }
