The tasks of a stage lie beside each other

Each task of a job was allocated by itself, so that a pool of 5,000 waiting jobs of 16 tasks holds 80,000 small objects, and each plan reads the first task of each waiting stage from elsewhere. They are allocated as one slice for a stage, and the list of them at its full length at once.

BenchmarkTurn adds one job of two stages in two turns: 306 to 296 allocations an op with teams, 273 to 263 without, the same bytes. The time did not change beyond what the runs differ by (least of 8: 529 to 510, 643 to 726 us at 1,000 waiting; 2.03 to 2.09, 3.91 to 3.45 ms at 5,000, beside much other work).

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -77,15 +77,17 @@
 
 func (j *job) newStage(k, s int) *stage {
 	step := &j.sub.Steps[s]
-	st := &stage{job: j, step: step, index: s, occurrence: k}
-	for i := range step.Count {
-		t := &task{id: TaskID{j.sub.ID, k, s, i}, flat: j.flat(k, s, i), stage: st}
+	st := &stage{job: j, step: step, index: s, occurrence: k, tasks: make([]*task, step.Count)}
+	tasks := make([]task, step.Count) // beside each other, as each plan looks at them
+	for i := range tasks {
+		t := &tasks[i]
+		*t = task{id: TaskID{j.sub.ID, k, s, i}, flat: j.flat(k, s, i), stage: st}
 		t.done = j.progress.isDone(t.flat)
 		t.attempt = j.firstAttempt
 		if !t.done {
 			st.incomplete++
 		}
-		st.tasks = append(st.tasks, t)
+		st.tasks[i] = t
 	}
 	return st
 }
