--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -10,8 +10,12 @@
 // saved, or some of its runs may go on. The pool's lock guards it.
 type job struct {
 	sub               *Submission
-	created           int64 // store revision at which it was accepted
-	revision          int64 // store revision at which its progress was last saved
+	lasting           bool // some step runs until the job is cancelled
+	due               int  // number of occurrences in all
+	priority          int
+	countsFrom        time.Time // its acceptance, or when its last open occurrence became due: its objective counts from then
+	created           int64     // store revision at which it was accepted
+	revision          int64     // store revision at which its progress was last saved
 	progress          Progress
 	occurrences       []*occurrence // those that have become due
 	ended             int           // number of occurrences that are complete
@@ -28,6 +32,7 @@
 	endedAt           time.Time
 	account           *teams.Account // of its team; nil: it has no share
 	beyond            bool           // its team had sent more than its weight when it was accepted
+	number            int64          // in the order in which the pool's jobs were added
 	rank              rank
 	estimatedAt       time.Time     // when the next three were computed; zero: they are outdated by progress
 	remainingChain    time.Duration // duration of the longest chain of incomplete steps
@@ -36,7 +41,8 @@
 }
 
 func newJob(sub *Submission, created, revision int64, progress Progress) *job {
-	j := &job{sub: sub, created: created, revision: revision, progress: progress}
+	j := &job{sub: sub, lasting: sub.LongRunning(), due: sub.Occurrences(), priority: sub.Priority, countsFrom: Later(sub.AcceptedAt, sub.DueAt(0)), created: created, revision: revision, progress: progress}
+	j.rank.accepted = sub.AcceptedAt
 	offset := 0
 	for i := range sub.Steps {
 		j.offsets = append(j.offsets, offset)
@@ -65,20 +71,23 @@
 		j.ended++
 	}
 	j.occurrences = append(j.occurrences, o)
+	j.countsFrom = Later(j.sub.AcceptedAt, o.due)
 	return o
 }
 
 func (j *job) newStage(k, s int) *stage {
 	step := &j.sub.Steps[s]
-	st := &stage{job: j, step: step, index: s, occurrence: k}
-	for i := range step.Count {
-		t := &task{id: TaskID{j.sub.ID, k, s, i}, flat: j.flat(k, s, i), stage: st}
+	st := &stage{job: j, step: step, index: s, occurrence: k, tasks: make([]*task, step.Count)}
+	tasks := make([]task, step.Count) // beside each other, as each plan looks at them
+	for i := range tasks {
+		t := &tasks[i]
+		*t = task{id: TaskID{j.sub.ID, k, s, i}, flat: j.flat(k, s, i), stage: st}
 		t.done = j.progress.isDone(t.flat)
 		t.attempt = j.firstAttempt
 		if !t.done {
 			st.incomplete++
 		}
-		st.tasks = append(st.tasks, t)
+		st.tasks[i] = t
 	}
 	return st
 }
@@ -105,4 +114,4 @@
 }
 
 // complete reports whether every occurrence is complete.
-func (j *job) complete() bool { return j.ended >= j.sub.Occurrences() }
+func (j *job) complete() bool { return j.ended >= j.due }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -34,6 +34,7 @@
 	unsavedJobs         map[*job]bool    // those with changes that have to be saved
 	unackedWorkers      map[*worker]bool // those with ends that may not be acknowledged yet
 	durations           *durations
+	chainEnds           []time.Duration // kept for its room: the end of each step of a job, from now
 	counts              Counts
 	toEmpty             map[string]time.Time // machines to be emptied, and the time of day by which their maintenance should be over
 	emptied             map[string]bool      // machines that were reported as empty: they may be taken down at any time
@@ -54,11 +55,11 @@
 	ownMachines         int             // number of machines that belong to the pool; 0: not known
 	toGiveUp            int             // number of machines that the pool has to give up
 	loadPeakAt          time.Time
-	shortSince          time.Time        // since when more work arrives than the pool can serve; zero: less arrives
-	throttlesPlannedAt  time.Time        // when throttles were last planned
-	startCandidates     startCandidates  // of the plan that is being made
-	waitingStages       []*stage         // those that had no room in the last plan, in the order of their ranks
-	rankedJobs          []*job           // in the order of the last plan
+	shortSince          time.Time       // since when more work arrives than the pool can serve; zero: less arrives
+	throttlesPlannedAt  time.Time       // when throttles were last planned
+	startCandidates     startCandidates // of the plan that is being made
+	waitingStages       []*stage        // those that had no room in the last plan, in the order of their ranks
+	ranking             jobRanking
 	shortArrivals       arrivalRate      // over shortArrivalWindow
 	longArrivals        arrivalRate      // over longArrivalWindow
 	pendingCancels      map[string]int64 // by job ID: revisions of cancellations that were received before their jobs
