A weight of 0 is a share of nothing, not of everything

Cause: a team of weight 0 was neither beyond its weight nor above its share, so it went before all others and the door never refused it. The users' page says that a weight is a tenant's share when all is full, and says of caps only that 0 means no limit.

Change: all jobs of such a team are beyond its weight, it is above its share whenever work waits, and it may be refused first; its priority holds.

--- a/internal/configreview/review_teams.go
+++ b/internal/configreview/review_teams.go
@@ -10,7 +10,7 @@
 // wholeCore is one core, in thousandths.
 const wholeCore = 1000
 
-// reviewTeams reports teams that have no callers, no limit of their rate, or a cap that is
+// reviewTeams reports teams that have no callers, no share of a full pool, or a cap that is
 // seldom meant. Names and keys that teams share are refused at decoding.
 func reviewTeams(c *poolconfig.Configuration) []Finding {
 	var found []Finding
@@ -21,7 +21,7 @@
 			report(Warning, "team %s has no keys: no caller is recognised as the team's", quoted(t.Name))
 		}
 		if t.Weight == 0 {
-			report(Warning, "team %s has weight 0: its rate has no limit, and its priority counts as 0, the highest", quoted(t.Name))
+			report(Warning, "team %s has weight 0: while a pool is full its jobs go after those of all teams within their weights, and may be refused", quoted(t.Name))
 		}
 		reviewCap(t.Cap, report)
 	}
--- a/internal/scheduler/teams_load_test.go
+++ b/internal/scheduler/teams_load_test.go
@@ -17,12 +17,13 @@
 // each start at once, and each task takes as long as its step's estimate.
 type teamsLoad struct {
 	*scene
-	workers []string
-	running map[string]map[scheduler.TaskID]scheduler.StartOrder
-	endsAt  map[scheduler.TaskID]time.Time
-	jobs    map[string]scheduler.Submission
-	doneAt  map[string]time.Time
-	random  map[string]*rand.Rand // by team, so that what one sends does not change the others
+	workers  []string
+	running  map[string]map[scheduler.TaskID]scheduler.StartOrder
+	endsAt   map[scheduler.TaskID]time.Time
+	jobs     map[string]scheduler.Submission
+	doneAt   map[string]time.Time
+	random   map[string]*rand.Rand // by team, so that what one sends does not change the others
+	nameless bool                  // jobs are accepted without their teams
 }
 
 func newTeamsLoad(workers int, shares map[string]teams.Share, seed int64) *teamsLoad {
@@ -50,6 +51,9 @@
 func (l *teamsLoad) submit(team string, n int, took time.Duration) string {
 	sub := batchJob(fmt.Sprintf("j%05d", len(l.jobs)), n)
 	sub.Team, sub.Queue, sub.Steps[0].Estimate, sub.AcceptedAt = team, fmt.Sprint("q", n), took, l.now
+	if l.nameless {
+		sub.Team = ""
+	}
 	l.jobs[sub.ID] = sub
 	l.add(sub)
 	return sub.ID
--- a/internal/scheduler/teams_order_test.go
+++ b/internal/scheduler/teams_order_test.go
@@ -73,6 +73,42 @@
 		}
 	}
 
+	// Load: a team without weight that alone would fill the pool three times.
+	It("costs the other teams less than a twentieth while a team of weight 0 sends without end, which has what they leave", func() {
+		rates, shares := twentyTeams(3.8)
+		shares["none"] = teams.Share{}
+		play := func(rate float64) map[string]float64 {
+			earned := map[string]float64{}
+			rates["none"] = rate
+			for seed := range teamSeeds {
+				l := newTeamsLoad(teamWorkers, shares, int64(seed))
+				l.play(15*time.Second, rates)
+				l.play(5*time.Second, map[string]float64{})
+				l.earned(time.Time{}, earned)
+			}
+			return earned
+		}
+		without, with := play(0), play(50)
+		for name := range without {
+			Expect(with[name]).To(BeNumerically(">=", 0.95*without[name]), name)
+		}
+		Expect(with["none"]).To(BeNumerically(">", 0))
+	})
+
+	It("serves jobs without teams in the configuration as if they had none", func() {
+		rates, shares := twentyTeams(1.9)
+		rates["team00"] *= 6
+		play := func(nameless bool) map[string]time.Time {
+			l := newTeamsLoad(teamWorkers, shares, 1)
+			l.pool.SetTeams(nil)
+			l.nameless = nameless
+			l.play(10*time.Second, rates)
+			Expect(l.pool.TeamCounts()).To(BeEmpty())
+			return l.doneAt
+		}
+		Expect(play(false)).To(Equal(play(true)))
+	})
+
 	// Load: all teams at twice their usual rates for ten seconds.
 	It("keeps the gain of the order by remaining work when all teams send too much", func() {
 		factor := map[string]float64{}
--- a/internal/teams/account.go
+++ b/internal/teams/account.go
@@ -25,6 +25,23 @@
 	}
 }
 
+// spentFor returns for how long from now on the weight allows no further job; 0 or less: it
+// allows one, or the team has no weight and sends nothing.
+func (a *Account) spentFor(now time.Time) time.Duration {
+	if a.share.Weight > 0 {
+		return a.meter.spentFor(a.share.Weight, now)
+	}
+	if a.counts.Beyond == 0 {
+		return 0
+	}
+	return noWeightFor
+}
+
+// noWeightFor is how long a team without weight is said to have spent it: longer than any
+// report of that is used, and not so long that it, rather than room, sets the time after
+// which callers come again.
+const noWeightFor = 2 * time.Second
+
 // askedPerWeight returns the work that was given and that waits, for each unit of weight.
 func (a *Account) askedPerWeight() float64 { return (a.given.value + a.waiting) / a.share.Weight }
 
@@ -71,15 +88,12 @@
 }
 
 // Accept counts a job of the team that was accepted at the given time, with its work in
-// machine-seconds, and reports whether the team's weight allows it.
+// machine-seconds, and reports whether the team's weight allows it. A weight of 0 allows none.
 func (a *Account) Accept(work float64, at time.Time) (within bool) {
 	if a == nil {
 		return true
 	}
 	a.largest = max(a.largest, work)
-	if a.share.Weight <= 0 {
-		return true
-	}
 	if within = a.meter.accept(at, a.share.Weight); within {
 		a.counts.Within++
 	} else {
--- a/internal/teams/meter.go
+++ b/internal/teams/meter.go
@@ -16,11 +16,16 @@
 	times []time.Time // of acceptance, ascending; none older than twice the window before the latest
 }
 
-// limit returns how many jobs the weight allows in a window.
-func limit(weight float64) int { return max(int(weight*Window.Seconds()), 1) }
+// limit returns how many jobs the weight allows in a window: at least one, unless it is 0.
+func limit(weight float64) int {
+	if weight <= 0 {
+		return 0
+	}
+	return max(int(weight*Window.Seconds()), 1)
+}
 
-// spentFor returns for how long from now on the weight allows no further job; 0 or less: it
-// allows one.
+// spentFor returns for how long from now on a weight above 0 allows no further job; 0 or less:
+// it allows one.
 func (m *meter) spentFor(weight float64, now time.Time) time.Duration {
 	n := limit(weight)
 	if len(m.times) < n {
--- a/internal/teams/order.go
+++ b/internal/teams/order.go
@@ -9,7 +9,7 @@
 )
 
 // Order decides the order of teams in one pool. Teams without a share, and work without a
-// team, are neither counted nor put after others.
+// team, are neither counted nor put after others. A share of weight 0 is a share of nothing.
 type Order struct {
 	accounts map[string]*Account // by team
 }
@@ -18,19 +18,15 @@
 func NewOrder() *Order { return &Order{accounts: make(map[string]*Account)} }
 
 // SetShares replaces the shares, by team. A team that keeps a share keeps what was counted.
-// A share without a positive weight is ignored.
 func (o *Order) SetShares(shares map[string]Share) {
 	maps.DeleteFunc(o.accounts, func(team string, a *Account) bool {
-		if shares[team].Weight > 0 {
+		if _, ok := shares[team]; ok {
 			return false
 		}
 		a.excess, a.share = 0, Share{}
 		return true
 	})
 	for team, s := range shares {
-		if s.Weight <= 0 {
-			continue
-		}
 		if a, ok := o.accounts[team]; ok {
 			a.share = s
 		} else {
@@ -50,7 +46,7 @@
 func (o *Order) Spent(now time.Time) map[string]time.Duration {
 	spent := make(map[string]time.Duration)
 	for team, a := range o.accounts {
-		if d := a.meter.spentFor(a.share.Weight, now); d > 0 {
+		if d := a.spentFor(now); d > 0 {
 			spent[team] = d
 		}
 	}
@@ -65,22 +61,28 @@
 
 // Update compares what each team was given with its share, if any work has waited for room
 // since the last Update; else no team has an excess. Teams that ask for less than their
-// shares leave the rest to the others, in proportion to the weights.
+// shares leave the rest to the others, in proportion to the weights. A team without weight is
+// above its share whatever it was given.
 func (o *Order) Update(machines float64, now time.Time) {
 	var active []*Account
 	full := false
 	for _, a := range o.accounts {
 		a.excess, a.counts.Excess, a.counts.Waiting = 0, a.excess, a.waiting
 		full = full || a.waiting > 0
-		if given := a.given.decay(now); given+a.waiting > 0 {
+		if given := a.given.decay(now); given+a.waiting > 0 && a.share.Weight > 0 {
 			active = append(active, a)
 		}
 	}
-	if full {
-		fair := fairLevel(active, usableShare*machines*Memory.Seconds())
-		for _, a := range active {
+	if !full {
+		return
+	}
+	fair := fairLevel(active, usableShare*machines*Memory.Seconds())
+	for _, a := range o.accounts {
+		a.waiting = 0
+		if a.share.Weight > 0 {
 			a.setExcess(fair)
-			a.waiting = 0
+		} else {
+			a.excess = maxExcess
 		}
 	}
 }
