--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -28,11 +28,12 @@
 	log    *zap.Logger
 	caller identity.Caller
 	tally  *door.Tally
+	lines  *refusalLines
 }
 
 // New returns an intake for callers who may see all jobs.
 func New(s store.Store, config *poolconfig.InForce, owners OwnerNotifier, clock clockwork.Clock, log *zap.Logger) *Intake {
-	return &Intake{store: s, config: config, owners: owners, clock: clock, log: log, tally: door.NewTally(), caller: identity.Caller{Any: true}}
+	return &Intake{store: s, config: config, owners: owners, clock: clock, log: log, tally: door.NewTally(), lines: &refusalLines{}, caller: identity.Caller{Any: true}}
 }
 
 // For returns an intake for one caller. The jobs that it accepts belong to the caller's
--- a/internal/intake/refuse.go
+++ b/internal/intake/refuse.go
@@ -42,12 +42,17 @@
 	case errors.As(err, &conflict):
 		return nil, false // it was accepted or cancelled before: the call is handled like any other
 	case err != nil:
-		in.log.Info("refusal of a job not stored, job not refused", append(telemetry.ProblemFields(err), zap.String("job", sub.ID))...)
+		if unlogged, ok := in.lines.notStored.allow(in.clock.Now()); ok {
+			in.log.Info("refusal of a job not stored, job not refused", append(telemetry.ProblemFields(err), zap.String("job", sub.ID), zap.Int("unlogged", unlogged))...)
+		}
 		return nil, false
 	}
-	in.log.Info("job refused, as it would end too late to be of use",
-		zap.String("job", sub.ID), zap.String("team", sub.Team), zap.String("queue", sub.Queue), zap.String("service", sub.Service),
-		zap.Duration("report_age", v.Age), zap.Duration("expected_wait", v.Wait), zap.Duration("of_use_for", v.Useful), zap.Duration("retry_after", v.RetryAfter))
+	if unlogged, ok := in.lines.refused.allow(in.clock.Now()); ok {
+		in.log.Info("job refused, as it would end too late to be of use",
+			zap.String("job", sub.ID), zap.String("team", sub.Team), zap.String("queue", sub.Queue), zap.String("service", sub.Service),
+			zap.Duration("report_age", v.Age), zap.Duration("expected_wait", v.Wait), zap.Duration("of_use_for", v.Useful),
+			zap.Duration("retry_after", v.RetryAfter), zap.Int("unlogged", unlogged))
+	}
 	return &problem.Error{Kind: problem.Overloaded, Step: problem.StepAdmit, Peer: sub.ID, Detail: "the team has sent more than its weight, and the pool is full for longer than the job is of use", Delay: v.RetryAfter}, true
 }
 
--- a/internal/intake/refuse_test.go
+++ b/internal/intake/refuse_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"persimmonbay/internal/door"
 	"persimmonbay/internal/identity"
@@ -24,6 +25,7 @@
 	var s *lateWrites
 	var owner *busyOwner
 	var ctx context.Context
+	var config *poolconfig.InForce
 	sub := scheduler.Submission{ID: "j", Team: "huts", Queue: "holds", Service: "tags", Stretch: 1.5, Objective: 600 * time.Millisecond, Steps: []scheduler.Step{{Count: 1}}}
 	submit := func() problem.Kind {
 		if err := in.Submit(ctx, sub); err != nil {
@@ -34,7 +36,7 @@
 
 	BeforeEach(func() {
 		s = &lateWrites{muteStore: &muteStore{items: map[string]store.Item{}}}
-		config := poolconfig.NewInForce()
+		config = poolconfig.NewInForce()
 		config.Put(&poolconfig.Configuration{Version: 1, Teams: []poolconfig.Team{{Name: "huts", Weight: 1}}, Pools: []poolconfig.Pool{{Service: "tags"}, {Service: "other"}}})
 		owner = &busyOwner{report: &door.Report{
 			At: time.Now().Add(time.Minute), Cores: 1, Within: 1000,
@@ -99,6 +101,30 @@
 		Expect(s.items).To(HaveKey(poolstore.JobKey("tags", "j")))
 	})
 
+	It("is accepted without teams in the configuration, with the store's calls of a deployment that has none", func() {
+		none := poolconfig.NewInForce()
+		none.Put(&poolconfig.Configuration{Version: 1, Pools: []poolconfig.Pool{{Service: "tags"}, {Service: "other"}}})
+		in = intake.New(s, none, owner, clockwork.NewRealClock(), zap.NewNop())
+		Expect(submit()).To(BeEmpty())
+		Expect(s.items).To(HaveLen(2), "the job and its state")
+		Expect(s.revision).To(BeEquivalentTo(1))
+		Expect(in.DoorCounts().Accepted).To(BeZero())
+	})
+
+	It("is logged once a second, however many are refused", func() {
+		core, lines := observer.New(zap.InfoLevel)
+		clock := clockwork.NewFakeClockAt(time.Now())
+		in = intake.New(s, config, owner, clock, zap.New(core)).For(identity.Caller{Team: "huts"})
+		for range 50 {
+			Expect(submit()).To(Equal(problem.Overloaded))
+		}
+		Expect(lines.Len()).To(Equal(1))
+		clock.Advance(time.Second)
+		Expect(submit()).To(Equal(problem.Overloaded))
+		Expect(lines.Len()).To(Equal(2))
+		Expect(lines.All()[1].ContextMap()).To(HaveKeyWithValue("unlogged", BeEquivalentTo(49)))
+	})
+
 	It("is not stored after its cancellation", func() {
 		Expect(submit()).To(Equal(problem.Overloaded))
 		Expect(problem.KindOf(in.Cancel(ctx, "tags", "j"))).To(Equal(problem.NotFound))
