Waiting tasks go elsewhere when a worker refuses all starts as unhealthy

Cause: such a worker was blocked for 0.3 s after each refusal and counted as one that stays, so that waiting tasks were tried on it for ever. Change: startRefusals counts refusals in a row; starts that were sent before the pause do not count. The pause grows from 0.3 s to 1 s, and after two refusals findRoomNeeds looks for room elsewhere; offered machines that refused starts come last. A start that was carried out and a new incarnation set the count to zero. Measured: scheduler specs pass with and without -race.

--- a/internal/scheduler/pool_order_results.go
+++ b/internal/scheduler/pool_order_results.go
@@ -58,6 +58,7 @@
 		r.phase = running
 		r.answeredAt = now
 		r.ran, r.copyOpen, r.refused = true, false, false
+		w.startsRefused = 0
 		p.markActive(r.stage.job)
 		return
 	case OtherIncarnation:
@@ -104,7 +105,7 @@
 	case Restarted:
 		w.reachable, w.pollSentAt = false, time.Time{} // a poll shows the new incarnation
 	case Unhealthy:
-		w.block(now.Add(blockAfterFailure))
+		w.noteUnhealthy(now)
 	case NoTicket:
 		if r.stage != nil {
 			r.stage.tickets.validUntil = now
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -85,7 +85,7 @@
 		p.addEvent(Event{Kind: NewIncarnationAnswered, Worker: reply.Worker, Number: w.ackableEnds, Incarnation: reply.Incarnation, FormerIncarnation: w.incarnation}, reply.ReceivedAt)
 		p.workerRestarted(w)
 		w.appliedEnds, w.ackableEnds, w.ackedEnds, w.endMarks, w.heldUpTo, w.unsavedEnds, w.heldEnds = 0, 0, 0, nil, 0, nil, nil
-		w.endsKnown, w.seenToken = false, 0
+		w.endsKnown, w.seenToken, w.startsRefused = false, 0, 0
 		// A relay may keep a connection open over the restart. An order that was sent
 		// on it carries a deadline on the clock of the former incarnation.
 		w.expiresAt = Later(w.expiresAt, reply.ReceivedAt.Add(p.timing.longest()))
@@ -111,6 +111,9 @@
 		if r := w.runs[runKey{e.Task, e.Attempt}]; r != nil {
 			p.noteCarriedOut(r)
 			r.seen(reply.Incarnation, &p.timing)
+			if r.phase != running {
+				w.startsRefused = 0
+			}
 		}
 		p.applyEnd(w, e, reply.ReceivedAt)
 		p.holdEnd(w, e, reply.ReceivedAt)
@@ -195,6 +198,7 @@
 		if r.phase == starting || r.phase == startUnknown {
 			r.phase = running
 			r.answeredAt = reply.ReceivedAt
+			w.startsRefused = 0
 		}
 		r.seen(reply.Incarnation, &p.timing)
 		r.trace.listedBy = reply.Incarnation
--- a/internal/scheduler/pool_room.go
+++ b/internal/scheduler/pool_room.go
@@ -58,20 +58,26 @@
 
 // stayingAndOffered returns the workers on which tasks may start, and those whose offers
 // can be withdrawn so that tasks may start there, both in a fixed order. Those whose
-// offers are not published come first.
+// offers are not published come first, and those last that refused starts when they were
+// tried.
 func (p *Pool) stayingAndOffered(now time.Time) (staying, offered []*worker) {
 	for _, w := range slices.SortedFunc(maps.Values(p.workers), compareIDs) {
 		switch {
 		case w.unknownRuns > 0 || now.Before(w.suspendedUntil):
 		case w.inService():
-			staying = append(staying, w)
+			if !w.startsRefused.persist() {
+				staying = append(staying, w)
+			}
 		case p.canTakeBack(w):
 			offered = append(offered, w)
 		}
 	}
 	slices.SortStableFunc(offered, func(a, b *worker) int {
 		rank := func(w *worker) int {
-			if p.publishedOffers[w.info.Machine] {
+			switch {
+			case w.startsRefused.persist():
+				return 2
+			case p.publishedOffers[w.info.Machine]:
 				return 1
 			}
 			return 0
--- a/internal/scheduler/reply_timeout.go
+++ b/internal/scheduler/reply_timeout.go
@@ -71,6 +71,6 @@
 // accepts connections at the worker's address. So many fail within a lease.
 const refusalsWhenGone = 6
 
-// blockAfterFailure is how long no task starts on a worker that did not answer or is
-// unhealthy: about the time of a retry on a new connection.
+// blockAfterFailure is how long no task starts on a worker that did not answer or, at first,
+// is unhealthy: about the time of a retry on a new connection.
 const blockAfterFailure = 300 * time.Millisecond
--- a/internal/scheduler/unhealthy_worker_test.go
+++ b/internal/scheduler/unhealthy_worker_test.go
@@ -91,6 +91,33 @@
 		Expect(starts["w1"]).To(Equal(2), "a pause of 0.3 s after the first")
 	})
 
+	// The answer to the accepted start was lost.
+	It("counts no refusals from before a run that a poll lists", func() {
+		s.pool.OfferTaken("m-w2")
+		s.add(batchJob("j", 1))
+		refuse := func(string) scheduler.OrderResult { return scheduler.Unhealthy }
+		starts, _ := play(500*time.Millisecond, refuse)
+		Expect(starts["w1"]).To(Equal(2))
+		s.advance(time.Second)
+		o := only(s.plan().Starts)
+		s.pool.StartAnswered(o, scheduler.NoResponse, 0, s.now)
+		s.poll("w1", []scheduler.RunReport{runReport(o)})
+		s.add(batchJob("k", 1))
+		starts, _ = play(500*time.Millisecond, refuse)
+		Expect(starts["w1"]).To(Equal(2), "a pause of 0.3 s after the first")
+	})
+
+	// Nothing starts on an offered machine, so that nothing would show that it is well again.
+	It("takes the machine back later that refused starts before it was offered", func() {
+		s.pool.OfferTaken("m-w2")
+		s.add(batchJob("j", 1))
+		play(500*time.Millisecond, func(string) scheduler.OrderResult { return scheduler.Unhealthy })
+		s.pool.SetOffered([]string{"m-w1"})
+		offered = "w1"
+		_, took := play(3*time.Second, func(string) scheduler.OrderResult { return scheduler.Accepted })
+		Expect(took).To(And(BeNumerically(">", 0), BeNumerically("<=", time.Second)))
+	})
+
 	// One answer of a worker that has run into a short fault moves no machine.
 	It("takes no machine back for many starts that are refused at one time", func() {
 		s.add(batchJob("j", 8))
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -52,12 +52,13 @@
 	ackedEnds         int64 // ends up to this number are acknowledged
 	ackedIncarnation  int64 // the one whose ends the last poll acknowledged that did so
 	endMarks          []endMark
-	unsavedEnds       []unsavedEnd // in the order of their numbers
-	expiresAt         time.Time    // by then all leases that this owner granted have expired
-	leaseSentAt       time.Time    // when a call was last sent that extends leases
-	extendedUntil     time.Time    // the same for leases that were extended before its runs were known; zero: none was
-	blockedUntil      time.Time    // no start before it: the worker refused a start or did not answer
-	suspendedUntil    time.Time    // no start before it: tasks of several jobs failed there
+	unsavedEnds       []unsavedEnd  // in the order of their numbers
+	expiresAt         time.Time     // by then all leases that this owner granted have expired
+	leaseSentAt       time.Time     // when a call was last sent that extends leases
+	extendedUntil     time.Time     // the same for leases that were extended before its runs were known; zero: none was
+	blockedUntil      time.Time     // no start before it: the worker refused a start or did not answer
+	startsRefused     startRefusals // as unhealthy, since it last carried one out
+	suspendedUntil    time.Time     // no start before it: tasks of several jobs failed there
 	suspension        time.Duration
 	failedJobs        map[string]bool // jobs of which a task failed there since the last success
 }
@@ -69,6 +70,16 @@
 // free returns the capacity that no run reserves.
 func (w *worker) free() Resources { return w.info.Capacity.Minus(w.used) }
 
+// noteUnhealthy records that the worker refused a start as unhealthy. Starts that were sent
+// before it was blocked do not count.
+func (w *worker) noteUnhealthy(now time.Time) {
+	pause := blockAfterFailure
+	if !now.Before(w.blockedUntil) {
+		pause = w.startsRefused.add()
+	}
+	w.block(now.Add(pause))
+}
+
 // isPresent reports whether a call to the given address and incarnation was for the present
 // incarnation, as far as it is known.
 func (w *worker) isPresent(address string, incarnation int64) bool {
