The roster names a worker that drains as one that is down

The roster that its owner had stored named it as one on which any task may run, so the next owner held back every older task for 12.45 s (2 s of the former owner's orders and the longest lease), and long-running ones whose leases had ended elsewhere were LOST. Change: the roster names a worker that drains, if the owner knows what runs there, with the tasks of its runs and of ends that are not saved; if it drains no more, nothing starts there before a roster is saved that says so. A class of the overlap simulation has workers that drain and leave.

--- a/internal/scheduler/overlap_faults_test.go
+++ b/internal/scheduler/overlap_faults_test.go
@@ -13,6 +13,7 @@
 	SlowLoad          bool // an owner needs up to maxSlowLoad until it has the jobs
 	StaleMachineList  bool // the list of machines is old when it arrives
 	Recuts            bool // workers restart under their own ID, with clocks of all kinds, and are cut off soon after, while long tasks run
+	Drains            bool // workers drain and leave
 	EndsPerReply      int  // the most ends that a reply lists; 0: all
 
 	// ReadDelay is the longest time for which the owner leaves an answer unread that has
--- a/internal/scheduler/overlap_test.go
+++ b/internal/scheduler/overlap_test.go
@@ -62,6 +62,9 @@
 		// Workers that restarted took deadlines on their former clocks as far in the future:
 		// they ran on for longer than their owner expected.
 		Entry("workers restart unnoticed and are cut off soon after", int64(980_000), overlapFaults{Recuts: true}),
+		// An owner's roster names the tasks on a worker that drains, and no others.
+		Entry("workers drain and leave", int64(990_000), overlapFaults{Drains: true, OverlappingOwners: true, LateWrites: true}),
+		Entry("workers drain and leave, and three owners within one lease", int64(995_000), overlapFaults{Drains: true, ThreeOwners: true}),
 		// Review case 6: an owner took a reply with the first ends for all of them.
 		Entry("a reply lists one end", int64(960_000), overlapFaults{EndsPerReply: 1}),
 		Entry("a reply lists two ends, and three owners work within one lease", int64(970_000), overlapFaults{EndsPerReply: 2, ThreeOwners: true}),
--- a/internal/scheduler/overlap_workers_test.go
+++ b/internal/scheduler/overlap_workers_test.go
@@ -82,6 +82,8 @@
 	inc := m.incarnation
 	switch {
 	case inc == nil:
+	case s.faults.Drains && s.chance(60):
+		s.drainWorker(m)
 	case s.chance(30):
 		d := s.between(50, 9000)
 		if s.chance(50) {
--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -165,9 +165,10 @@
 
 // rosterEntry returns the worker's entry in the roster. a is not nil if the worker may
 // run tasks of a former owner. If the entry names the worker as down, no task may start
-// there until a later roster is saved.
+// there until a later roster is saved. One that drains is named so too: it may leave while
+// the store is out of reach, and the next owner would wait for whatever might run there.
 func (w *worker) rosterEntry(a *awaitedWorker) RosterWorker {
-	r := RosterWorker{ID: w.info.ID, Machine: w.info.Machine, Down: w.fenced && w.isDown()}
+	r := RosterWorker{ID: w.info.ID, Machine: w.info.Machine, Down: w.fenced && (w.isDown() || w.endsKnown && w.info.Draining)}
 	if a != nil || !r.Down {
 		r.Down = false
 		return r
--- a/internal/scheduler/roster_worker.go
+++ b/internal/scheduler/roster_worker.go
@@ -5,6 +5,6 @@
 type RosterWorker struct {
 	ID      string
 	Machine string   // the machine that it runs on; empty: not known
-	Down    bool     // it does not answer, and no task was started there since
+	Down    bool     // it does not answer or drains, and no task was started there since
 	Tasks   []TaskID // set only if Down: tasks that may run there or whose ends are not saved
 }
