Only workers with a run to throttle are measured for it

The share is measured at the first best-effort run of a worker now; what is throttled is the same, as a throttle changes no reported latency.

The specs of throttling pass.

--- a/internal/scheduler/pool_throttle.go
+++ b/internal/scheduler/pool_throttle.go
@@ -11,11 +11,14 @@
 	}
 	p.throttlesPlannedAt = now
 	for _, w := range p.workers {
-		targetShare := w.targetShare()
+		targetShare, measured := 0.0, false // most workers have no run to throttle
 		for _, r := range w.runs {
 			if r.stage == nil || !r.stage.step.BestEffort || r.phase != running || r.wantStop {
 				continue
 			}
+			if !measured {
+				targetShare, measured = w.targetShare(), true
+			}
 			p.throttle(r, targetShare, now, plan)
 		}
 	}
