Virtual time of the keys' scene has one thread, however busy the machine is

Cause: the race detector reported the scene of keys when its machine was busy: a call waits for a read of the configuration for one second of the machine's clock, and when that had passed, the read's thread and the scene's let time pass beside each other. The product has no part in it: a call that gives up waiting shares nothing with the read. Change: the scene's reader is not cut off by the machine's clock, since the scene's time is virtual; its checks and times are as before.

--- a/internal/poolmanager/keys_scene_test.go
+++ b/internal/poolmanager/keys_scene_test.go
@@ -58,7 +58,7 @@
 	timing := Timing{WatchWait: time.Second, StoreTimeout: 900 * time.Millisecond, ConfirmAfter: policy.ConfirmAfter()}
 	s.manager = New("node-1", "", 1, Dependencies{Store: s, Operators: s, Clock: clockwork.NewFakeClock(), SinceBoot: boot, Log: zap.NewNop(), Metrics: telemetry.NewMetrics()}, timing, config)
 	s.manager.reader.pause = func(d time.Duration) { s.pass(d, false) }
-	s.checker = keycheck.New(policy, config, s.manager, boot, zap.NewNop())
+	s.checker = keycheck.New(policy, config, uncutReader{s.manager}, boot, zap.NewNop())
 	s.watch, s.from = s.manager.operatorsWatcher(), 0
 }
 
