An idle worker that left the list leaves the roster

Cause: an idle worker is not polled, so one that left the platform's list while idle never counted as silent. Change: once no former owner can order anything and the leases there have ended, such a worker is removed from the pool, and so from the roster.

--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -195,9 +195,10 @@
 }
 
 // sweepWorkers releases the runs on unreachable workers whose leases have expired, and
-// removes unlisted workers that are over. A worker is judged by all that it answered:
-// while a reply may wait to be applied, or may have come after its poll's timeout, its
-// runs stay.
+// removes unlisted workers that are over or idle: an idle one is not polled, so it does not
+// count as silent, and the next owner would wait for it. A worker is judged by all that it
+// answered: while a reply may wait to be applied, or may have come after its poll's timeout,
+// its runs stay.
 func (p *Pool) sweepWorkers(now time.Time, plan *Plan) {
 	for id, w := range p.workers {
 		if w.lost && !w.polledAt.IsZero() {
@@ -216,7 +217,7 @@
 		if len(w.runs) > 0 && !w.reachable && now.After(w.expiresAt) && (!w.listed || !p.mayHaveRepliedLate(w)) {
 			p.expire(w)
 		}
-		if !w.listed && now.After(w.expiresAt) && w.isOver() {
+		if !w.listed && now.After(w.expiresAt) && (w.isOver() || p.formerRunsKnown && w.idle()) {
 			p.highestTokenStep = max(p.highestTokenStep, w.tokenStep)
 			p.openStarts.workerRemoved(id, p.lateLeaseUntil(w))
 			delete(p.workers, id)
