Ends are not acknowledged while a start on their worker has no answer

Cause: a start and an acknowledgement that leave together may both be late. Change: mayAckEnds waits for the answers of starts on that worker only, which mostly come within milliseconds; the next poll waits for them too, so that no poll is spent meanwhile. Measured: scheduler specs pass; with -race those but the overlap and take-over simulations.

--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -66,6 +66,7 @@
 	}
 	p.applyEnds(w, &reply)
 	listed := p.applyRunning(w, &reply)
+	w.listsMore = reply.Partial
 	if !reply.Partial {
 		p.releaseEnded(w, &reply, listed)
 		w.endsKnown = true
--- a/internal/scheduler/pool_worker_queries.go
+++ b/internal/scheduler/pool_worker_queries.go
@@ -3,12 +3,17 @@
 import "time"
 
 // HasUnsavedEnds reports whether ends that the worker reported may not be acknowledged yet:
-// they are not saved, or their tasks may start once more.
+// they are not saved, their tasks may start once more, or a start has no answer yet.
 func (p *Pool) HasUnsavedEnds(id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w, ok := p.workers[id]
-	return ok && (w.appliedEnds > w.ackableEnds || len(w.heldEnds) > 0)
+	return ok && w.acksWait()
+}
+
+// acksWait reports whether ends that the worker lists may not be acknowledged yet.
+func (w *worker) acksWait() bool {
+	return w.appliedEnds > w.ackableEnds || len(w.heldEnds) > 0 || w.appliedEnds > w.ackedEnds && w.hasOpenCopy()
 }
 
 // PollPause returns how long the next poll of the worker waits, from the last one on, as the
@@ -20,7 +25,7 @@
 	w, ok := p.workers[id]
 	follow := p.answerLimits(0).Follow()
 	switch {
-	case !ok || w.appliedEnds <= w.ackableEnds && len(w.heldEnds) == 0:
+	case !ok || !w.acksWait():
 		return 0
 	case follow && (!w.reachable || w.startInDoubt()):
 		return 0
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -48,6 +48,7 @@
 	used              Resources
 	unknownRuns       int   // runs whose jobs the pool does not have
 	appliedEnds       int64 // ends up to this number are applied
+	listsMore         bool  // it had more ends than its last reply listed
 	ackableEnds       int64 // ends up to this number are saved and may be acknowledged
 	ackedEnds         int64 // ends up to this number are acknowledged
 	ackedIncarnation  int64 // the one whose ends the last poll acknowledged that did so
@@ -151,14 +152,31 @@
 	return !w.polledAt.IsZero() && w.polledAt.Before(w.expiresAt)
 }
 
+// hasOpenCopy reports whether the last copy of a start has no answer, and no reply has shown
+// its run. One that only a list of all ends can settle does not count while the ends that are
+// listed leave no room for others: that would never end.
+func (w *worker) hasOpenCopy() bool {
+	for _, r := range w.runs {
+		if r.copyOpen && (r.phase == starting || !w.listsMore) {
+			return true
+		}
+	}
+	return false
+}
+
 // mayAckEnds reports whether a poll sent at now is sure to reach the incarnation that
 // reported the applied ends: it answered recently, and no order since then has been
 // unanswered for longer than maxOrderTransit. Another incarnation numbers its ends
-// anew, so the acknowledgement would drop ends that were never applied.
+// anew, so the acknowledgement would drop ends that were never applied. Nor may it leave
+// while a copy of a start is open: if both are late, another incarnation may end that run
+// before it carries out the poll.
 func (w *worker) mayAckEnds(now time.Time) bool {
 	if w.pollSentAt.IsZero() || now.Sub(w.pollAnsweredAt) > incarnationFreshFor {
 		return false
 	}
+	if w.hasOpenCopy() {
+		return false
+	}
 	for _, r := range w.runs {
 		if sent := r.sentAt(); r.phase != running && sent.After(w.pollSentAt) && now.Sub(sent) > maxOrderTransit {
 			return false
