A job that waits to be stored is not tried again when its wait ended late

Before it waits, the intake looks whether there is time for another try; a timer that fires late used that time up, and the deadline interrupted the try, so that the caller got an unknown outcome for a job that was surely not stored. Change: the time that is left is looked at again after the wait.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -158,16 +158,19 @@
 // waitForRetry waits before the next try. It returns false when ctx has ended,
 // or too little time is left before its deadline for another call.
 func (in *Intake) waitForRetry(ctx context.Context) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < retryInterval+minCallTime {
+	if ctx.Err() != nil || !isLeft(ctx, retryInterval+minCallTime) {
 		return false
 	}
 	select {
 	case <-ctx.Done():
 		return false
 	case <-in.clock.After(retryInterval):
-		return true
+		return isLeft(ctx, minCallTime) // the timer of a busy machine may fire late
 	}
 }
+
+// isLeft reports whether so much time is left before the deadline of ctx.
+func isLeft(ctx context.Context, d time.Duration) bool {
+	deadline, ok := ctx.Deadline()
+	return !ok || time.Until(deadline) >= d
+}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -27,4 +27,15 @@
 			Expect(problem.KindOf(err)).To(Equal(problem.Unavailable), "after %d tries: %v", n, err)
 		}
 	})
+
+	// Seen beside other load: the wait before a try ended so late that the caller's deadline
+	// interrupted that try.
+	It("is reported so too when the timer of the last wait fires late", func() {
+		late := lateClock{clockwork.NewRealClock(), 540 * time.Millisecond}
+		in := intake.New(&slowStore{responseTime: 80 * time.Millisecond}, poolconfig.NewInForce(), noOwners{}, late, zap.NewNop())
+		ctx, cancel := context.WithTimeout(context.Background(), 700*time.Millisecond)
+		defer cancel()
+		err := in.Submit(ctx, scheduler.Submission{ID: "j", Service: "tags", Steps: []scheduler.Step{{Count: 1}}})
+		Expect(problem.KindOf(err)).To(Equal(problem.Unavailable), "%v", err)
+	})
 })
