--- /dev/null
+++ b/review/standins-3/wire.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Bodies on the wire are CBOR, as deploy/wire.toml has it. Field names are those of the pages.
+
+type itemBody struct {
+	Key      string `json:"key"`
+	Value    string `json:"value"`
+	Revision int64  `json:"revision"`
+	Created  int64  `json:"created"`
+	Lease    int64  `json:"lease"`
+}
+
+type txnBody struct {
+	Expected []struct {
+		Key      string `json:"key"`
+		Revision int64  `json:"revision"`
+	} `json:"expected"`
+	Writes []struct {
+		Key   string `json:"key"`
+		Value string `json:"value"`
+		Lease int64  `json:"lease"`
+	} `json:"writes"`
+	Remove []string `json:"remove"`
+}
+
+type orderBody struct {
+	Task       string `json:"task"`
+	Attempt    int    `json:"attempt"`
+	Spec       string `json:"spec"`
+	Deadline   int64  `json:"deadline_ms"`
+	Token      int64  `json:"fencing_token"`
+	Checkpoint string `json:"checkpoint"`
+	Ticket     string `json:"ticket"`
+	Percent    int    `json:"percent"`
+	Observed   int64  `json:"observed"`
+	Wait       int64  `json:"wait_ms"`
+}
+
+type phase struct {
+	Count        int    `json:"count"`
+	CPU          int    `json:"cpu,omitempty"`
+	MemoryMB     int    `json:"mem_mb,omitempty"`
+	Estimate     int64  `json:"estimate_ms,omitempty"`
+	After        []int  `json:"after,omitempty"`
+	Gang         bool   `json:"gang,omitempty"`
+	Requirements string `json:"requirements,omitempty"`
+	LongRunning  bool   `json:"long_running,omitempty"`
+	AntiAffinity int    `json:"anti_affinity,omitempty"`
+}
+
+type jobBody struct {
+	Spec   string  `json:"spec"`
+	Phases []phase `json:"phases"`
+}
+
+func encode(v any) []byte {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		panic(err) // the bodies are of fixed types
+	}
+	return data
+}
+
+// readBody decodes the body of a request into v; on failure it answers 400.
+func readBody(w http.ResponseWriter, r *http.Request, v any) bool {
+	data, err := io.ReadAll(r.Body)
+	if err == nil && len(data) > 0 {
+		err = cbor.Unmarshal(data, v)
+	}
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func reply(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/cbor")
+	w.WriteHeader(status)
+	_, _ = w.Write(encode(body)) // after an error the caller sees a broken connection
+}
+
+// Ports are taken from below the range from which the system takes those of outgoing
+// connections, so that a runner that starts again finds its port free.
+const (
+	firstPort = 21000
+	lastPort  = 31999
+)
+
+// listen opens a free port on a loopback address.
+func listen() net.Listener {
+	for {
+		port := firstPort + rand.IntN(lastPort-firstPort+1)
+		if !taken(port) {
+			continue
+		}
+		if l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port)); err == nil {
+			return l
+		}
+	}
+}
+
+// taken reserves a port for this process, and reports false if it was reserved before.
+func taken(port int) bool {
+	reserved.Lock()
+	defer reserved.Unlock()
+	if reserved.ports[port] {
+		return false
+	}
+	reserved.ports[port] = true
+	return true
+}
+
+var reserved = struct {
+	sync.Mutex
+	ports map[int]bool
+}{ports: map[int]bool{}}
+
+// freeAddress returns a loopback address with a port that was free just now.
+func freeAddress() string {
+	l := listen()
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
