--- a/review/standins-3/cases.go
+++ b/review/standins-3/cases.go
@@ -307,3 +307,54 @@
 	w.checkUnfinished(ids)
 	return nil
 }
+
+// Case restart: the runners of a rack are down for a second.
+
+func prepareRestart(w *world) {
+	addRunners(w, service, 4, true, func(int) kind { return unit })
+	for _, n := range w.runners {
+		n.rack = "r1-1"
+	}
+	w.configure(service, map[string]any{"prefix": kindsPrefix, "priority": 0})
+}
+
+func runRestart(w *world, trouble bool) error {
+	const tasks = 4 // one on each runner
+	id := newID()
+	if !w.submit(id, kindsPrefix, jobBody{Spec: "lasts", Phases: []phase{{Count: tasks, CPU: 2700, MemoryMB: 17000, Estimate: 900, LongRunning: true, AntiAffinity: 1}}}) {
+		return errors.New("a job was not accepted")
+	}
+	time.Sleep(5 * time.Second)
+	if trouble {
+		for _, n := range w.runners {
+			n.crash()
+		}
+		time.Sleep(time.Second)
+		for _, n := range w.runners {
+			if err := n.start(n.kind); err != nil {
+				return err
+			}
+		}
+	}
+	back := time.Now()
+	time.Sleep(4 * time.Second) // calm, and more than 6 s after the last run with the next 3 s
+	away := map[string]bool{}
+	for i := range tasks {
+		away[fmt.Sprintf("%s.0.0.%d", id, i)] = true
+	}
+	for range 30 {
+		time.Sleep(100 * time.Millisecond)
+		for _, n := range w.runners {
+			n.mu.Lock()
+			for task := range n.runs {
+				delete(away, task)
+			}
+			n.mu.Unlock()
+		}
+	}
+	for task := range away {
+		w.broke("LOST: lasting task %s doesn't run for 3 s, and %.1f s after all runners are back; nothing else wants their room", task, time.Since(back).Seconds())
+	}
+	time.Sleep(7 * time.Second) // the record shows when the tasks start again
+	return nil
+}
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -23,10 +23,11 @@
 }
 
 var plays = map[string]play{
-	"kinds":  {entries: 3, prepare: prepareKinds, run: runKinds},
-	"hold":   {entries: 3, prepare: prepareHold, run: runHold},
-	"gone":   {entries: 3, prepare: prepareGone, run: runGone},
-	"advice": {entries: 3, prepare: prepareAdvice, run: runAdvice},
+	"kinds":   {entries: 3, prepare: prepareKinds, run: runKinds},
+	"hold":    {entries: 3, prepare: prepareHold, run: runHold},
+	"gone":    {entries: 3, prepare: prepareGone, run: runGone},
+	"restart": {entries: 3, prepare: prepareRestart, run: runRestart},
+	"advice":  {entries: 3, prepare: prepareAdvice, run: runAdvice},
 }
 
 func main() {
