Stand-ins of a review: a loopback address for each play

Cause: of twelve plays beside each other one could not run, as two had picked one port. Change: each play listens on a loopback address of its own.

--- a/review/standins-3/wire.go
+++ b/review/standins-3/wire.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -47,6 +48,10 @@
 	lastPort  = 31999
 )
 
+// home is the loopback address of this play, so that plays beside each other don't take each
+// other's ports.
+var home = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
+
 // listen opens a free port on a loopback address.
 func listen() net.Listener {
 	for {
@@ -54,7 +59,7 @@
 		if !taken(port) {
 			continue
 		}
-		if l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port)); err == nil {
+		if l, err := net.Listen("tcp", home+":"+strconv.Itoa(port)); err == nil {
 			return l
 		}
 	}
