Logs: what a poll without an answer acknowledges, and ends that are not listed

The line about a poll without an answer names the ends that it acknowledges and its fencing token, those about starts name theirs. A run that is given up after its start was refused as outdated, with no end listed, has a reason of its own.

--- a/internal/poolmanager/poller.go
+++ b/internal/poolmanager/poller.go
@@ -172,7 +172,8 @@
 	again = p.pool.PollFailed(p.worker, answer, p.Clock.Now())
 	if !again && p.logged != answer { // not with every poll
 		p.logged = answer
-		p.log.Info("worker does not answer a lease poll", zap.String("worker", p.worker), zap.Stringer("answer", answer), zap.Duration("waited", req.Wait+req.Timeout))
+		p.log.Info("worker does not answer a lease poll", zap.String("worker", p.worker), zap.Stringer("answer", answer), zap.Duration("waited", req.Wait+req.Timeout),
+			zap.Int64("acknowledges", req.AckedEnds), zap.Int64("call_token", req.Token))
 	}
 	p.plan.send()
 	return false, again
--- a/internal/poolmanager/run_lines.go
+++ b/internal/poolmanager/run_lines.go
@@ -65,7 +65,7 @@
 		message = "task started"
 	}
 	l.log.Info(message, append(runFields(o.Worker, o.Incarnation, o.Task, o.Attempt), zap.Stringer("answer", answer), zap.Duration("took", took),
-		until("lease_ends_in", o.LeaseEndsAt, now), since("clock_age", o.ClockReadAt, now))...)
+		zap.Int64("call_token", o.Token), until("lease_ends_in", o.LeaseEndsAt, now), since("clock_age", o.ClockReadAt, now))...)
 }
 
 // logEvent logs an event about a run at now.
--- a/internal/scheduler/pool_order_results.go
+++ b/internal/scheduler/pool_order_results.go
@@ -77,7 +77,7 @@
 	case Outdated:
 		// The worker has the end of this attempt, or has run a later attempt.
 		r.phase = startUnknown
-		r.copyOpen = false
+		r.copyOpen, r.outdated = false, true
 		r.stoppedAt = now
 		r.task.attempt++
 		return
--- a/internal/scheduler/pool_runs.go
+++ b/internal/scheduler/pool_runs.go
@@ -72,13 +72,21 @@
 		}
 		r.absent = r.phase == startUnknown && reply.Token > r.token
 		if hasEnded(r, reply) || r.absent && !r.mayRepeat(w) {
-			p.noteGivenUp(r, NotListed)
+			p.noteGivenUp(r, r.absence())
 			p.release(r)
 			p.counts.Lost++
 		}
 	}
 }
 
+// absence returns why a run is given up that a reply lists neither as running nor as ended.
+func (r *run) absence() RunOutcome {
+	if r.outdated {
+		return EndNotListed
+	}
+	return NotListed
+}
+
 // mayRepeat reports whether the start of a run that is absent may be sent again. Nothing
 // starts on a worker that drains.
 func (r *run) mayRepeat(w *worker) bool {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -26,6 +26,7 @@
 	openUntil      time.Time     // until when an earlier copy may be carried out by a later incarnation; zero: there is none
 	unansweredAt   time.Time     // when the time for an answer to that copy had passed; zero: it has not
 	absent         bool          // a reply has shown that no copy sent so far is or will be carried out by its incarnation
+	outdated       bool          // the worker refused its start, as the same or a later attempt has ended there
 	refused        bool          // the last copy was refused or not sent, and a reply has yet to show what became of the earlier ones
 	deadline       int64         // until which the worker accepts the start, on its clock, in milliseconds; 0: none
 	reserved       Resources
--- a/internal/scheduler/run_events_test.go
+++ b/internal/scheduler/run_events_test.go
@@ -85,6 +85,15 @@
 		Expect(e.OrderedAt).To(Equal(o.SentAt))
 	})
 
+	It("show a run whose start was refused for an end that the worker does not list", func() {
+		s := newScene(worker("a"))
+		s.add(batchJob("j", 1))
+		s.pool.StartAnswered(only(s.plan().Starts), scheduler.Outdated, s.clock, s.now)
+		s.advance(time.Millisecond)
+		s.poll("a", nil)
+		Expect(only(taken(s, scheduler.RunGivenUp)).Outcome).To(Equal(scheduler.EndNotListed))
+	})
+
 	It("show a run that a later incarnation does not list, and a start on that incarnation", func() {
 		s, o := started()
 		s.poll("a", []scheduler.RunReport{runReport(o)})
--- a/internal/scheduler/run_outcome.go
+++ b/internal/scheduler/run_outcome.go
@@ -9,4 +9,5 @@
 	LeaseOver       RunOutcome = "worker is silent and the lease is over"
 	IncarnationOver RunOutcome = "incarnation of the worker is over"
 	NotListed       RunOutcome = "worker does not list the run"
+	EndNotListed    RunOutcome = "worker has an end of this or a later attempt that it does not list"
 )
