A start has a higher token than an acknowledgement without a reply

Cause: a poll that acknowledged up to end 1 got no answer, nor did a start that was sent 5 to 9 ms after it. Both had the same fencing token, as a token rises only once a call is known to have no answer. The worker's next incarnation, which no poll had reached, carried out the start, ended the run as its end 1, and then the poll, which made it forget that end. Nobody had read it, so the task was started again.

Evidence: the lines of both calls show equal tokens; both starts of the task are of one owner. That the worker's poller slept for 8.3 s before the first poll of the new incarnation only widens the window: with the worker cut off meanwhile the fault needs no sleeping poller (test/latecalls).

Why this works: a worker does nothing for a token below the highest that it has seen. A start takes a token above that of an acknowledgement that has no reply yet. Where it is carried out first, the acknowledgement is refused; where it comes second, there is no end yet to be forgotten. Stops and throttles of the same plan take that token too, and a poll or stop that a start overtakes is sent again at once.

--- a/internal/poolmanager/ownership_plan.go
+++ b/internal/poolmanager/ownership_plan.go
@@ -149,7 +149,7 @@
 	answer = o.checkFenced(order.Worker, order.Token, answer)
 	o.pool.StopAnswered(order, answer, o.Clock.Now())
 	o.kick(order.Worker)
-	if answer == scheduler.NoResponse {
+	if answer == scheduler.NoResponse || answer == scheduler.Superseded {
 		o.plan.send() // it may be due again before the time that the last plan gave
 	}
 }
--- a/internal/scheduler/call_token.go
+++ b/internal/scheduler/call_token.go
@@ -16,6 +16,34 @@
 // raiseToken raises the token of further calls to the worker.
 func (w *worker) raiseToken() { w.tokenStep = min(w.tokenStep+1, maxTokenStep) }
 
+// startToken returns the fencing token of a start at w that is sent now. It is above that of
+// an acknowledgement without a reply: whichever incarnation carries out the start refuses
+// the acknowledgement from then on, which would drop the end of that run before any owner has
+// read it. An acknowledgement after a start waits for the start's answer instead.
+func (p *Pool) startToken(w *worker) int64 {
+	p.raiseAboveAck(w)
+	return p.callToken(w)
+}
+
+// raiseAboveAck raises the token of further calls to the worker if an acknowledgement without
+// a reply has the present one.
+func (p *Pool) raiseAboveAck(w *worker) {
+	if w.ackToken == p.callToken(w) {
+		w.raiseToken()
+	}
+}
+
+// raiseTokensOfPlan gives the stops and throttles of a plan tokens that are not below those of
+// its starts: the worker may receive them in any order.
+func (p *Pool) raiseTokensOfPlan(plan *Plan) {
+	for i := range plan.Stops {
+		plan.Stops[i].Token = p.callToken(p.workers[plan.Stops[i].Worker])
+	}
+	for i := range plan.Throttles {
+		plan.Throttles[i].Token = p.callToken(p.workers[plan.Throttles[i].Worker])
+	}
+}
+
 // TokenRaised reports whether this owner has raised the fencing token of its calls to the
 // worker above the given one. A refusal of a call with that token as fenced shows no later
 // owner then.
--- a/internal/scheduler/pool_order_results.go
+++ b/internal/scheduler/pool_order_results.go
@@ -140,6 +140,10 @@
 			r.stopsLost++
 			r.stopRetryAt = Later(now, o.SentAt.Add(o.Timeout))
 		}
+	case Superseded: // a start has overtaken it
+		if r != nil && r.stopSentAt.Equal(o.SentAt) {
+			r.stopRetryAt = now
+		}
 	case Accepted, Outdated:
 		p.noteStopAnswer(w, &o, now)
 		if r != nil {
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -22,6 +22,7 @@
 	p.planStopsAndRepeats(now, &plan)
 	p.planThrottles(now, &plan)
 	p.planStarts(now, wall, &plan)
+	p.raiseTokensOfPlan(&plan)
 	p.planTimers(now, &plan)
 	return plan
 }
@@ -89,7 +90,7 @@
 	r.worker.openStart(r.openUntil)
 	r.resentAt = now
 	r.copies++
-	r.sent(p.callToken(r.worker))
+	r.sent(p.startToken(r.worker))
 	p.counts.Repeats++
 	plan.Starts = append(plan.Starts, p.startOrder(r))
 }
@@ -215,7 +216,7 @@
 		deadline: w.clock.leaseDeadline(now, &p.timing), orderedPercent: fullSpeedPercent,
 		ticket: s.tickets.byWorker[w.info.ID], charge: p.chargeStart(s, w),
 	}
-	r.sent(p.callToken(w))
+	r.sent(p.startToken(w))
 	t.attempt = attempt
 	s.noRoomSince = time.Time{}
 	w.runs[runKey{t.id, attempt}] = r
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -22,7 +22,7 @@
 		req.AtOnce = req.AtOnce || r.phase == startUnknown && !r.absent && r.token < req.Token
 	}
 	if ackable := w.ackable(now); ackable > w.ackedEnds && w.mayAckEnds(now) {
-		req.AckedEnds, w.ackedIncarnation = ackable, w.incarnation
+		req.AckedEnds, w.ackedIncarnation, w.ackToken = ackable, w.incarnation, req.Token
 	}
 	if !w.pollSentAt.IsZero() && w.clock.known() {
 		req.Deadline = w.clock.leaseDeadline(now, &p.timing)
@@ -46,6 +46,9 @@
 		return false
 	}
 	w.pollOver()
+	if reply.Token >= w.ackToken {
+		w.ackToken = 0
+	}
 	if w.lost || reply.Incarnation < w.incarnation || w.formerIncarnation != 0 && reply.Incarnation == w.formerIncarnation {
 		if !p.loading {
 			p.applyFormerEnds(w, &reply)
@@ -216,7 +219,7 @@
 
 // PollFailed records that a poll of the worker had the given result instead of a reply. It
 // reports whether the next poll is due at once: the worker answers others, and this one
-// waited for a short time only, maxHasty times in a row at most, or it was withdrawn.
+// waited for a short time only, maxHasty times in a row at most, or it was withdrawn or superseded.
 func (p *Pool) PollFailed(id string, result OrderResult, now time.Time) (again bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -234,8 +237,12 @@
 		p.incarnationEnded(w)
 		return false
 	}
-	if result == Superseded || result == OtherIncarnation {
-		return false // it says nothing of the present incarnation, or the next poll has the token that this one has seen
+	switch result {
+	case Superseded:
+		return true // a start has overtaken it: the next one has the token that the worker has seen
+	case OtherIncarnation:
+		return false // it says nothing of the present incarnation
+	default:
 	}
 	w.raiseToken()
 	if result == Withdrawn {
--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -218,6 +218,7 @@
 			p.expire(w)
 		}
 		if !w.listed && now.After(w.expiresAt) && (w.isOver() || p.formerRunsKnown && w.idle()) {
+			p.raiseAboveAck(w)
 			p.highestTokenStep = max(p.highestTokenStep, w.tokenStep)
 			p.openStarts.workerRemoved(id, p.lateLeaseUntil(w))
 			delete(p.workers, id)
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -52,6 +52,7 @@
 	ackableEnds       int64 // ends up to this number are saved and may be acknowledged
 	ackedEnds         int64 // ends up to this number are acknowledged
 	ackedIncarnation  int64 // the one whose ends the last poll acknowledged that did so
+	ackToken          int64 // fencing token of the last poll that acknowledged ends, while it has no reply; 0: none is open
 	endMarks          []endMark
 	unsavedEnds       []unsavedEnd  // in the order of their numbers
 	expiresAt         time.Time     // by then all leases that this owner granted have expired
--- a/test/latecalls/scenes_test.go
+++ b/test/latecalls/scenes_test.go
@@ -75,6 +75,37 @@
 		s.expectNoneTwice()
 	})
 
+	// Review/11: the start leaves after the acknowledgement and is carried out before it. No poll
+	// reaches the incarnation until then.
+	It("runs once though an acknowledgement that was sent before its start is carried out after its end", func() {
+		s := newScene(noLosses)
+		acks, starts := 0, 0
+		s.suspect.hold(func(c *call) bool {
+			switch {
+			case acks == 0 && c.path == pollPath && c.Observed > 0:
+				acks++
+				return true
+			case acks > 0 && starts == 0 && isStart(c):
+				starts++
+				return true
+			}
+			return false
+		})
+		s.submit(firstJob, 1, shortTask)
+		Eventually(s.suspect.heldCalls).WithTimeout(sceneWait).Should(Equal(1))
+		task := s.submit(secondJob, 1, shortTask)
+		Eventually(s.suspect.heldCalls).WithTimeout(sceneWait).Should(Equal(2))
+		s.suspect.setCut(true)
+		s.suspect.restart(sceneDowntime, listedAgainAfter)
+		time.Sleep(minLateness)
+		s.suspect.releaseLast()
+		s.awaitRuns(task, func(r *taskRun) bool { return r.how == endDone })
+		s.suspect.release()
+		s.suspect.setCut(false)
+		s.awaitSecondRun(task)
+		s.expectNoneTwice()
+	})
+
 	// Two copies of a start are sent. One runs; the other one waits.
 	It("runs once though a copy of its start is carried out after its end", func() {
 		s := newScene(noLosses)
--- a/test/latecalls/worker_scene_test.go
+++ b/test/latecalls/worker_scene_test.go
@@ -37,6 +37,15 @@
 	return len(w.held)
 }
 
+// releaseLast hands the last call that got no answer to the incarnation that has the address now.
+func (w *worker) releaseLast() {
+	w.mu.Lock()
+	last := w.held[len(w.held)-1]
+	w.held = w.held[:len(w.held)-1]
+	w.mu.Unlock()
+	w.carryOut(last)
+}
+
 // release hands all calls that got no answer to the incarnation that has the address now.
 func (w *worker) release() {
 	w.mu.Lock()
