The poller of a worker that is listed again is woken

Cause: a poller is idle while its worker needs no poll, and looks every ten seconds whether the pool still has it. The list of workers started pollers where there were none; one of a former incarnation slept on, so that the new one was neither fenced nor used. That holds for any idle worker that restarts, for one that was lost, for one listed again after it fell silent, and for one that the pool had removed.

Why this works: SetWorkers returns the workers that it lists anew, and the pollers of these are started or woken. Nothing else is polled more often.

The simulation of owners that overlap wakes pollers likewise.

--- a/internal/poolmanager/ownership_pool.go
+++ b/internal/poolmanager/ownership_pool.go
@@ -154,23 +154,26 @@
 		}
 	}
 	o.pool.SetMachinesToEmpty(requests.machines(o.service), requests.emptied())
-	o.pool.SetWorkers(own, o.Clock.Now())
+	listed := o.pool.SetWorkers(own, o.Clock.Now())
 	o.pool.SetShare(fleet.ownMachines[o.service], requests.recalls[o.service])
 	o.rosterChanged.send()
-	o.startPollers(own)
+	o.startPollers(listed)
 	o.plan.send()
 }
 
-func (o *poolOwnership) startPollers(workers []scheduler.WorkerInfo) {
+// startPollers starts the pollers of workers that are newly listed. One of a former incarnation
+// may be idle: it is woken.
+func (o *poolOwnership) startPollers(workers []string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for i := range workers {
-		id := workers[i].ID
-		if o.pollers[id] == nil {
-			p := &poller{poolOwnership: o, worker: id, kick: newSignal()}
-			o.pollers[id] = p
-			o.spawn(p.run)
+	for _, id := range workers {
+		if p := o.pollers[id]; p != nil {
+			p.kick.send()
+			continue
 		}
+		p := &poller{poolOwnership: o, worker: id, kick: newSignal()}
+		o.pollers[id] = p
+		o.spawn(p.run)
 	}
 }
 
--- a/internal/scheduler/overlap_owner_list_test.go
+++ b/internal/scheduler/overlap_owner_list_test.go
@@ -40,15 +40,17 @@
 		infos = append(infos, info)
 	}
 	sort.Slice(infos, func(a, b int) bool { return infos[a].ID < infos[b].ID })
-	o.pool.SetWorkers(infos, o.s.now)
+	listed := o.pool.SetWorkers(infos, o.s.now)
 	if !o.pool.Loading() {
 		o.saveRoster()
 	}
-	for i := range infos {
-		if id := infos[i].ID; o.pollers[id] == nil {
-			o.pollers[id] = &overlapPoller{worker: id, retry: pollRetry}
-			o.continuePolling(o.pollers[id])
+	for _, id := range listed {
+		if o.pollers[id] != nil {
+			o.kick(id)
+			continue
 		}
+		o.pollers[id] = &overlapPoller{worker: id, retry: pollRetry}
+		o.continuePolling(o.pollers[id])
 	}
 	o.kickPlan()
 }
--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -6,14 +6,17 @@
 	"time"
 )
 
-// SetWorkers applies the platform's list of the service's workers.
-func (p *Pool) SetWorkers(infos []WorkerInfo, now time.Time) {
+// SetWorkers applies the platform's list of the service's workers. It returns the IDs of those
+// that were not listed before, or not as this incarnation: their polls may be due from now on.
+func (p *Pool) SetWorkers(infos []WorkerInfo, now time.Time) (listed []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	seen := make(map[string]bool, len(infos))
 	for i := range infos {
 		seen[infos[i].ID] = true
-		p.setWorker(infos[i], now)
+		if p.setWorker(infos[i], now) {
+			listed = append(listed, infos[i].ID)
+		}
 	}
 	for id, w := range p.workers {
 		if !seen[id] && w.listed {
@@ -21,6 +24,7 @@
 		}
 	}
 	p.endFormerIncarnations(now)
+	return listed
 }
 
 // endFormerIncarnations marks workers as lost whose machine runs a worker that started
@@ -45,7 +49,9 @@
 	}
 }
 
-func (p *Pool) setWorker(info WorkerInfo, now time.Time) {
+// setWorker applies the entry of one worker. It reports whether the worker was not listed
+// before, or not as this incarnation.
+func (p *Pool) setWorker(info WorkerInfo, now time.Time) (isNew bool) {
 	w, ok := p.workers[info.ID]
 	if !ok {
 		w = newWorker(info)
@@ -53,7 +59,7 @@
 		w.listedAt = now
 		w.offered, w.emptying = p.publishedOffers[info.Machine], p.emptied[info.Machine] || p.emptyClaims[info.Machine]
 		p.workers[info.ID] = w
-		return
+		return true
 	}
 	if w.lost && (info.Incarnation == 0 || info.Incarnation > w.info.Incarnation) || w.isOtherIncarnation(&info) {
 		p.addEvent(Event{Kind: NewIncarnationListed, Worker: info.ID, Number: w.ackableEnds, Incarnation: info.Incarnation, FormerIncarnation: w.lastIncarnation()}, now)
@@ -68,13 +74,15 @@
 			next.extendedUntil = next.expiresAt // the poll may reach the new incarnation
 		}
 		*w = *next
-		return
+		return true
 	}
 	if info.Incarnation == w.formerIncarnation {
 		w.formerIncarnation = 0 // it is listed again: the entry that was listed meanwhile was wrong
 	}
 	w.info = info
+	isNew = !w.listed
 	w.listed = true
+	return isNew
 }
 
 // isOtherIncarnation reports whether info describes another incarnation than the one
