Calls for advice go on to other workers after a refusal

Cause: a call names the workers with most free capacity, up to a number. A refused worker was left out of the next call only if another one had been granted. After an answer that granted none, the next call named the same workers again, for good.

Why this works: a refusal holds for a step and an incarnation, until all workers that may be named have been refused. So each call names workers that no call of the round has named, and a step reaches each of N workers within the calls that name all of them once. Pauses come between rounds only, and grow; a step that no worker may run calls after its second round only while the service has nothing else to do. Workers come first that the queue was granted lately. Gangs ask for more workers while their tickets are valid. The log tells of a step that all workers were refused for, a metric counts such calls.

The spec of the offered machines is unchanged and passes.

--- a/internal/poolmanager/run_lines.go
+++ b/internal/poolmanager/run_lines.go
@@ -85,6 +85,9 @@
 		fields = append(fields, zap.Duration("near", d.Near), zap.Duration("far", d.Far), zap.Bool("learned", d.Learned), zap.Duration("expected_wait", d.For), zap.Int("ahead", d.Ahead),
 			zap.Duration("waited", d.Waited), zap.Duration("left", d.Left), zap.Stringer("reason", d.Reason))
 	}
+	if e.Kind == scheduler.AdviceRefused {
+		fields = append(fields, zap.Int64("workers", e.Number))
+	}
 	if e.Kind == scheduler.StartedElsewhere {
 		fields = append(fields, zap.String("former_worker", e.Former.Worker), zap.Int64("former_incarnation", e.Former.Incarnation),
 			zap.Int("former_attempt", e.Former.Attempt), outcome("former_outcome", e.Former.Outcome))
--- a/internal/scheduler/advice_calls.go
+++ b/internal/scheduler/advice_calls.go
@@ -10,13 +10,13 @@
 	inFlight    int
 	pausedUntil time.Time     // no call before it: the service did not answer the last one
 	pause       time.Duration // the last such pause; 0: the last call was answered
-	deferred    *stage        // the first one in the plan that waits for tickets and could not start on them yet
+	deferred    []*stage      // those in the plan that wait for tickets and could not start on them yet
 	waiting     int           // stages of the plan that could start and have to wait with their calls
 	backlog     int           // the same in the plan before
 }
 
 // beginPlan forgets which stages waited in the plan before.
-func (c *adviceCalls) beginPlan() { c.deferred, c.backlog, c.waiting = nil, c.waiting, 0 }
+func (c *adviceCalls) beginPlan() { c.deferred, c.backlog, c.waiting = c.deferred[:0], c.waiting, 0 }
 
 // mayCall reports whether a call that takes the given time may be sent at now. A second
 // one may be on its way, so that the service is not idle in between, if its tickets come
@@ -43,27 +43,32 @@
 }
 
 // workersToName returns how many workers a call may name for a stage with the given number
-// of waiting tasks. Each of them delays the answer, and so the calls of stages behind it.
-func (c *adviceCalls) workersToName(tasks int) int {
-	if c.backlog < adviceBacklog {
-		return maxAdvisedWorkers
+// of waiting tasks, so many calls of which were granted none. Each of them delays the answer,
+// and so the calls of stages behind it.
+func (c *adviceCalls) workersToName(tasks, misses int) int {
+	n := usualAdvisedWorkers
+	if c.backlog >= adviceBacklog {
+		n = min(max(advisedPerTask*tasks, minAdvisedWorkers), n)
 	}
-	return min(max(advisedPerTask*tasks, minAdvisedWorkers), maxAdvisedWorkers)
+	return min(n<<min(misses, maxAdvisedDoublings), maxAdvisedWorkers)
 }
 
 const (
 	// maxAdviceCalls is the number of calls in flight: one that is handled, and one that
 	// waits for its turn.
 	maxAdviceCalls = 2
-	// adviceRetryDelay is the wait after a call that granted nothing, and the first one
-	// after a call without an answer, which doubles up to maxAdvicePause: below the users'
-	// bound for a job with nothing running (3 s).
+	// adviceRetryDelay is the first wait before workers are named again that were refused, and
+	// the first one after a call without an answer, which doubles up to maxAdvicePause: below the
+	// users' bound for a job with nothing running (3 s).
 	adviceRetryDelay = 500 * time.Millisecond
 	maxAdvicePause   = 2 * time.Second
 	// adviceTimeout is how long an answer may take beyond the time that the service needs.
 	adviceTimeout = 3 * time.Second
-	// maxAdvisedWorkers bounds the workers named in one call.
-	maxAdvisedWorkers = 30
+	// usualAdvisedWorkers is the number of workers that a step's first call names. It doubles
+	// with each call that grants none, up to what the protocol allows.
+	usualAdvisedWorkers = 30
+	maxAdvisedWorkers   = 100
+	maxAdvisedDoublings = 4 // until any number of workers to name has reached maxAdvisedWorkers
 	// adviceBacklog is the number of waiting stages from which on a call names only
 	// advisedPerTask workers for each waiting task, and at least minAdvisedWorkers.
 	adviceBacklog     = 4
--- a/internal/scheduler/advice_service_test.go
+++ b/internal/scheduler/advice_service_test.go
@@ -9,12 +9,13 @@
 // adviceService is the advice service in virtual time. It handles one call after the other,
 // also those that were given up, and refuses calls once maxWaitingCalls wait.
 type adviceService struct {
-	s       *scene
-	policy  scheduler.AdvicePolicy
-	refuses map[string]bool // workers that it grants for no step
-	freeAt  time.Time       // when it has handled all calls that it has accepted
-	calls   []*adviceCall
-	handled int
+	s          *scene
+	policy     scheduler.AdvicePolicy
+	refuses    map[string]bool // workers that it grants for no step
+	refusesJob string          // the job that it grants no worker; empty: none
+	freeAt     time.Time       // when it has handled all calls that it has accepted
+	calls      []*adviceCall
+	handled    int
 }
 
 const maxWaitingCalls = 32
@@ -47,7 +48,7 @@
 		if c.answered {
 			reply.Granted = map[string]string{}
 			for _, id := range c.request.Workers {
-				if !a.refuses[id] {
+				if !a.refuses[id] && c.request.Job != a.refusesJob {
 					reply.Granted[id] = "ticket"
 				}
 			}
--- a/internal/scheduler/counts.go
+++ b/internal/scheduler/counts.go
@@ -9,5 +9,6 @@
 	Refused                          int64 // starts refused because the worker's free capacity did not suffice
 	Adopted, Lost, Reborn            int64 // runs taken over from a former owner, runs gone without a reported end, restarts of workers
 	Suspended                        int64 // suspensions of workers
+	Unadvised                        int64 // calls for advice whose answers granted no worker
 	Untold                           int64 // events dropped because too many were waiting
 }
--- a/internal/scheduler/event_kind.go
+++ b/internal/scheduler/event_kind.go
@@ -21,6 +21,7 @@
 	PlaceAwaited                               // a task that has room on Worker waits for a place in its rack: Worker, Task, Place
 	PlaceWon                                   // it got one: Worker, Task
 	PlaceGivenUp                               // it starts on Worker instead, away from its rack: Worker, Task, Place
+	AdviceRefused                              // the advice service granted none of the workers that may be named for a step: Task without its index, Number of workers
 	StartedElsewhere                           // a task is ordered to start after a run on another worker or incarnation: Worker, Incarnation, Task, Attempt, Former
 )
 
@@ -29,7 +30,7 @@
 	"clock of a later life", "end of an unknown job", "run of an unknown job",
 	"run of a former owner taken over", "run not ordered by this owner is to be stopped", "run given up without its end",
 	"worker that may run tasks of a former owner given up", "task waits for a place in its rack", "task got a place in its rack",
-	"task starts away from its rack after a wait", "task starts again after a run elsewhere",
+	"task starts away from its rack after a wait", "advice service grants no worker for a step", "task starts again after a run elsewhere",
 }
 
 // AboutRun reports whether such events are about runs. Their number grows with load.
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -45,8 +45,9 @@
 	ownAnswers          answertime.Estimate  // answer times of all workers
 	answerStatistics    *answertime.Statistics
 	placeWaits          *placeWaits
-	highestTokenStep    int64           // of the workers that were removed
-	advice              adviceCalls     // to the advice service
+	highestTokenStep    int64       // of the workers that were removed
+	advice              adviceCalls // to the advice service
+	adviceHistory       adviceHistory
 	hold                roomHold        // workers that are kept free for a stage
 	takenOffers         map[string]bool // machines whose offers are taken: they leave the pool
 	lastMachineCapacity Resources       // mean capacity of the workers when last some were listed that had answered
@@ -81,7 +82,7 @@
 		service: service, token: token, timing: timing, epoch: roster.Tenure + 1, takenAt: now,
 		awaited: make(map[string]*awaitedWorker), jobs: make(map[string]*job), workers: make(map[string]*worker),
 		durations: newDurations(), endedJobs: make(map[string]bool), unsavedJobs: make(map[*job]bool), unackedWorkers: make(map[*worker]bool), pendingCancels: make(map[string]int64), publishedOffers: make(map[string]bool), takenOffers: make(map[string]bool), emptyClaims: make(map[string]bool),
-		openStarts: make(openStarts), answerStatistics: answertime.NewStatistics(), placeWaits: newPlaceWaits(),
+		openStarts: make(openStarts), answerStatistics: answertime.NewStatistics(), placeWaits: newPlaceWaits(), adviceHistory: make(adviceHistory),
 		quota: quota.NewBook(), teams: teams.NewOrder(),
 		unneededRuns:  make(map[TaskID]int),
 		shortArrivals: arrivalRate{window: shortArrivalWindow}, longArrivals: arrivalRate{window: longArrivalWindow},
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -162,6 +162,7 @@
 		}
 		if w == nil {
 			p.waitsForRoom(s, now)
+			p.planMoreAdvice(s, now, plan)
 			return // the tasks of a step are alike: the others would not fit either
 		}
 		if p.awaitsPlace(s, []*task{t}, []*worker{w}, now, plan) {
@@ -198,6 +199,7 @@
 	workers := p.placeGang(s)
 	if workers == nil {
 		p.waitsForRoom(s, now)
+		p.planMoreAdvice(s, now, plan)
 		return
 	}
 	if p.awaitsPlace(s, s.tasks, workers, now, plan) {
--- a/internal/scheduler/pool_workers.go
+++ b/internal/scheduler/pool_workers.go
@@ -229,6 +229,7 @@
 			p.raiseAboveAck(w)
 			p.highestTokenStep = max(p.highestTokenStep, w.tokenStep)
 			p.openStarts.workerRemoved(id, p.lateLeaseUntil(w))
+			p.adviceHistory.workerRemoved(id)
 			delete(p.workers, id)
 		}
 	}
