An owner whose fencing tokens for a worker run out hands the pool over

Read, not seen by callers: an owner has 2^20 tokens for calls to one worker. Until only calls without an answer used them; starts that follow an acknowledgement do now: at most one for each poll that acknowledges ends. How fast they go was not measured; ten a second would use them up in 29 hours.

Cause: raiseToken stopped at the last step and nobody acted on it.

Why this works: a plan tells when fewer than 2^14 steps are left at a worker. The owner then hands the pool over as at a shutdown, and the next one, which may be the same entry, has a token with all steps.

Measured: the spec uses up the steps and fails without the change (the plan had no such field). Not played with processes: it takes hours.

--- a/internal/poolmanager/ownership_plan.go
+++ b/internal/poolmanager/ownership_plan.go
@@ -68,6 +68,10 @@
 // execute sends each order from its own goroutine, so that a slow worker delays no
 // other one.
 func (o *poolOwnership) execute(plan *scheduler.Plan) {
+	if plan.TokensUsedUp {
+		o.log.Info("fencing tokens for calls to a worker nearly used up, the pool is handed over")
+		o.requestHandOver()
+	}
 	for _, worker := range plan.Interrupts {
 		if p := o.poller(worker); p != nil {
 			p.interrupt()
--- a/internal/poolmanager/token_raised_test.go
+++ b/internal/poolmanager/token_raised_test.go
@@ -45,3 +45,31 @@
 		Expect(o.ctx.Err()).To(HaveOccurred())
 	})
 })
+
+var _ = Describe("an owner that has few fencing tokens left for calls to a worker", func() {
+	// Its calls would have the highest token again and again, so that no worker refused a late
+	// one any more.
+	It("hands the pool over", func() {
+		s := newOwnershipScene()
+		o := s.load()
+		s.list(o, "a")
+		s.poll(o, "a")
+		steps := 0
+		plan := o.pool.Plan(s.clock.Now(), s.clock.Now())
+		for ; !plan.TokensUsedUp; steps += 1000 {
+			Expect(steps).To(BeNumerically("<", 1<<scheduler.TokenStepBits))
+			for range 1000 {
+				o.pool.PollFailed("a", scheduler.Withdrawn, s.clock.Now())
+			}
+			plan = o.pool.Plan(s.clock.Now(), s.clock.Now())
+		}
+		Expect(o.isLeaving()).To(BeFalse())
+		o.execute(&plan)
+		Expect(o.isLeaving()).To(BeTrue())
+		s.silence(o, "a")
+		former, _ := o.pool.NextPoll("a", s.clock.Now())
+		s.silence(o, "a")
+		present, _ := o.pool.NextPoll("a", s.clock.Now())
+		Expect(present.Token).To(BeNumerically(">", former.Token))
+	})
+})
--- a/internal/scheduler/call_token.go
+++ b/internal/scheduler/call_token.go
@@ -8,6 +8,9 @@
 const (
 	TokenStepBits = 20
 	maxTokenStep  = 1<<TokenStepBits - 1
+	// tokenStepReserve is the number of steps with which a hand-over has to begin: more than
+	// all calls to one worker take in the time that it may last.
+	tokenStepReserve = 1 << 14
 )
 
 // callToken returns the fencing token of calls to w.
@@ -16,6 +19,17 @@
 // raiseToken raises the token of further calls to the worker.
 func (w *worker) raiseToken() { w.tokenStep = min(w.tokenStep+1, maxTokenStep) }
 
+// tokensUsedUp reports whether few tokens of this owner are left for calls to a worker. The
+// next owner has a token with all steps.
+func (p *Pool) tokensUsedUp() bool {
+	for _, w := range p.workers {
+		if w.tokenStep > maxTokenStep-tokenStepReserve {
+			return true
+		}
+	}
+	return false
+}
+
 // startToken returns the fencing token of a start at w that is sent now. It is above that of
 // an acknowledgement without a reply: whichever incarnation carries out the start refuses
 // the acknowledgement from then on, which would drop the end of that run before any owner has
--- a/internal/scheduler/pool_plan.go
+++ b/internal/scheduler/pool_plan.go
@@ -23,6 +23,7 @@
 	p.planThrottles(now, &plan)
 	p.planStarts(now, wall, &plan)
 	p.raiseTokensOfPlan(&plan)
+	plan.TokensUsedUp = p.tokensUsedUp()
 	p.planTimers(now, &plan)
 	return plan
 }
