A run that is not needed ends as done without ending the ownership

Cause: a run that this owner neither ordered nor needs has no stage. When it ended as done, applyDone took it for a measured one, and learnRunTime read its stage. That happens where two workers list one task after a take-over, or a job is cancelled around it.

Why this works: only a run that the task itself has is measured, and learnRunTime is given the task's stage, which can't be nil.

--- a/internal/scheduler/pool_place_wait.go
+++ b/internal/scheduler/pool_place_wait.go
@@ -136,17 +136,16 @@
 
 const overdueShare = 4
 
-// learnRunTime records how long a task took that belongs near its data.
-func (p *Pool) learnRunTime(r *run, took time.Duration) {
-	step := r.stage.step
-	if p.timing.SpreadFactor <= 1 || step.DataRack == "" {
+// learnRunTime records how long a task of the stage took on w if it belongs near its data.
+func (p *Pool) learnRunTime(s *stage, w *worker, took time.Duration) {
+	if p.timing.SpreadFactor <= 1 || s.step.DataRack == "" {
 		return
 	}
 	factor := p.timing.SpreadFactor
-	if r.worker.info.HasLabel(step.DataRack) {
+	if w.info.HasLabel(s.step.DataRack) {
 		factor = 1
 	}
-	p.placeWaits.runTimes.Add(r.stage.job.sub.Queue, took, factor)
+	p.placeWaits.runTimes.Add(s.job.sub.Queue, took, factor)
 }
 
 // PlaceWaits returns the figures of waits for places for the metrics. Like Counts, it can be
--- a/internal/scheduler/pool_poll.go
+++ b/internal/scheduler/pool_poll.go
@@ -171,11 +171,11 @@
 	if s.step.LongRunning {
 		return
 	}
-	if r != nil && !r.answeredAt.IsZero() {
+	if r != nil && r.task == t && !r.answeredAt.IsZero() { // a run that t does not need was not ordered by this owner
 		took := now.Sub(r.orderedAt)
 		p.giveWork(s.job, s.step, took-p.durations.expectedTask(s.job.sub.Queue, s.step.Estimate), now)
 		p.durations.addTask(s.job.sub.Queue, took)
-		p.learnRunTime(r, took)
+		p.learnRunTime(s, w, took)
 		s.longestTask = max(s.longestTask, took)
 	}
 	if !s.step.Gang {
