A worker is used once the list shows the incarnation that answers

Cause: the list describes an incarnation, a poll's reply shows the one that answers, and the pool compared the two only when the list changed. After the reply of a later incarnation, starts went there by the labels and the capacity of the entry before it.

Why this works: a worker is usable only while the listed incarnation is the one that answered last, as far as both are known. Everything else (polls, leases, stops) goes on.

Tests: ten specs ended with a start on an incarnation that had answered and was not listed, or replied as another incarnation than the listed one by mistake. They list it first, or reply as it, and check what they did.

--- a/internal/scheduler/bound_order_test.go
+++ b/internal/scheduler/bound_order_test.go
@@ -33,6 +33,7 @@
 		s.advance(time.Millisecond)
 		Expect(s.plan().Starts).To(BeEmpty(), "the present incarnation has not answered")
 		Expect(answer(present, 5).Incarnation).To(BeEquivalentTo(former))
+		s.restartedAs("a", present)
 		again := only(s.plan().Starts)
 		Expect(again.Incarnation).To(BeEquivalentTo(present))
 		Expect(again.Deadline).To(BeNumerically("<=", 5+timing.RunLease.Milliseconds()))
--- a/internal/scheduler/claim_empty_test.go
+++ b/internal/scheduler/claim_empty_test.go
@@ -23,12 +23,12 @@
 		next := worker("a2")
 		next.Machine, next.Incarnation = "m-a", 2
 		s.setWorkers(next)
-		s.poll("a2", nil)
+		s.pollAs("a2", 2)
 		Expect(s.startAll()).To(BeEmpty())
 		s.pool.SetMachinesToEmpty(nil, nil)
 		next.ID, next.Address, next.Incarnation = "a3", "a3:1", 3
 		s.setWorkers(next)
-		s.poll("a3", nil)
+		s.pollAs("a3", 3)
 		Expect(only(s.startAll()).Worker).To(Equal("a3"))
 	})
 
--- a/internal/scheduler/incarnation_test.go
+++ b/internal/scheduler/incarnation_test.go
@@ -100,6 +100,7 @@
 		started := only(s.startAll())
 		s.advance(time.Second)
 		s.pool.ApplyPoll(scheduler.PollReply{Worker: "a", SentAt: s.now, ReceivedAt: s.now, Incarnation: 2, Clock: 45})
+		s.restartedAs("a", 2)
 		Expect(only(s.startAll()).Attempt).To(Equal(started.Attempt + 1))
 	})
 })
--- a/internal/scheduler/open_start_test.go
+++ b/internal/scheduler/open_start_test.go
@@ -81,6 +81,7 @@
 		answerAsNext()
 		s.advance(time.Millisecond)
 		answerAsNext()
+		s.restartedAs("a", present)
 		again := s.startAll()
 		Expect(startTexts(again)).To(Equal([]string{"j/0@a#1"}), "a worker runs an attempt once")
 		Expect(again[0].Incarnation).To(BeEquivalentTo(present))
--- a/internal/scheduler/run_events_test.go
+++ b/internal/scheduler/run_events_test.go
@@ -99,6 +99,7 @@
 		s.poll("a", []scheduler.RunReport{runReport(o)})
 		s.advance(time.Second)
 		s.pool.ApplyPoll(scheduler.PollReply{Worker: "a", SentAt: s.now, ReceivedAt: s.now, Incarnation: 2, Clock: 45})
+		s.restartedAs("a", 2)
 		Expect(s.startAll()).To(HaveLen(1))
 		events := s.pool.TakeEvents()
 		Expect(events).To(HaveLen(3))
--- a/internal/scheduler/scene_test.go
+++ b/internal/scheduler/scene_test.go
@@ -112,6 +112,21 @@
 	s.applyReply(id, running, ends, req)
 }
 
+// restartedAs lists a worker again, as the given incarnation, which has answered.
+func (s *scene) restartedAs(id string, incarnation int64) {
+	w := worker(id)
+	w.Incarnation = incarnation
+	s.setWorkers(w)
+}
+
+// pollAs applies a reply of a worker's given incarnation that lists neither runs nor ends.
+func (s *scene) pollAs(id string, incarnation int64) {
+	req, _ := s.pool.NextPoll(id, s.now)
+	sent := s.now
+	s.advance(time.Millisecond)
+	s.pool.ApplyPoll(scheduler.PollReply{Worker: id, SentAt: sent, ReceivedAt: s.now, AckedEnds: req.AckedEnds, Token: req.Token, Incarnation: incarnation, Clock: s.clock})
+}
+
 // silent has as many polls of the worker fail at once as show that it is gone.
 func (s *scene) silent(id string) {
 	for range pollsUntilGone {
--- a/internal/scheduler/unhealthy_worker_test.go
+++ b/internal/scheduler/unhealthy_worker_test.go
@@ -86,6 +86,9 @@
 		starts, _ := play(500*time.Millisecond, refuse)
 		Expect(starts["w1"]).To(Equal(2))
 		s.pool.ApplyPoll(scheduler.PollReply{Worker: "w1", SentAt: s.now, ReceivedAt: s.now, Incarnation: 2, Clock: s.clock})
+		present := worker("w1")
+		present.Incarnation = 2
+		s.setWorkers(present, worker("w2"))
 		s.advance(time.Second)
 		starts, _ = play(500*time.Millisecond, refuse)
 		Expect(starts["w1"]).To(Equal(2), "a pause of 0.3 s after the first")
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -90,10 +90,16 @@
 
 // usable reports whether new tasks may start there at now.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && !w.info.Draining && !w.vacating() && !w.lost && w.fenced && w.reachable && w.rostered && w.unknownRuns == 0 &&
+	return w.listed && w.describesPresent() && !w.info.Draining && !w.vacating() && !w.lost && w.fenced && w.reachable && w.rostered && w.unknownRuns == 0 &&
 		!now.Before(w.blockedUntil) && !now.Before(w.suspendedUntil)
 }
 
+// describesPresent reports whether the platform's entry is of the incarnation that answered
+// last, as far as both are known. Another one may have other labels and another capacity.
+func (w *worker) describesPresent() bool {
+	return w.info.Incarnation == 0 || w.incarnation == 0 || w.info.Incarnation == w.incarnation
+}
+
 // isDown reports whether the worker does not answer, as far as polls show that waited long
 // enough.
 func (w *worker) isDown() bool { return !w.reachable && (w.hasty == 0 || w.unanswered > 0) }
--- a/internal/scheduler/worker_test.go
+++ b/internal/scheduler/worker_test.go
@@ -15,6 +15,7 @@
 		s.add(batchJob("j", 1))
 		s.startAll()
 		s.pool.ApplyPoll(scheduler.PollReply{Worker: "a", SentAt: s.now, ReceivedAt: s.now, Incarnation: 2, Clock: 1})
+		s.restartedAs("a", 2)
 		Expect(only(s.startAll()).Attempt).To(Equal(2))
 	})
 
@@ -31,6 +32,9 @@
 		Expect(due).To(BeTrue())
 		Expect(req.Token).To(BeNumerically(">", first.Token))
 		s.pool.ApplyPoll(scheduler.PollReply{Worker: "a", SentAt: s.now, ReceivedAt: s.now, Token: req.Token, Incarnation: 2, Clock: 2})
+		present := worker("a")
+		present.Incarnation = 2
+		s.setWorkers(present, worker("b"))
 		again := only(s.startAll())
 		Expect(startTexts([]scheduler.StartOrder{again})).To(Equal([]string{"j/0@a#1"}), "an attempt that was not run")
 		Expect(again.Incarnation).To(BeEquivalentTo(2))
@@ -46,8 +50,8 @@
 		nextA, nextB := worker("a2"), worker("b2")
 		nextA.Machine, nextA.Incarnation, nextB.Machine, nextB.Incarnation = "m-a", 2, "m-b", 2
 		s.setWorkers(nextA, nextB)
-		s.poll("a2", nil)
-		s.poll("b2", nil)
+		s.pollAs("a2", 2)
+		s.pollAs("b2", 2)
 		s.add(batchJob("j", 1))
 		Expect(s.startAll()).To(BeEmpty())
 		s.pool.WithdrawOffer("m-b")
@@ -81,7 +85,7 @@
 		next := worker("b")
 		next.Machine, next.Incarnation = "m-a", 2
 		s.setWorkers(worker("a"), next)
-		s.poll("b", nil)
+		s.pollAs("b", 2)
 		Expect(only(s.startAll()).Worker).To(Equal("b"))
 	})
 
