An open start ends once its machine runs no worker after the copy's time

Cause: the owner waits for the time in which a later incarnation may carry out the copy (12.25 s), and then for the longest lease, as that incarnation may be cut off. The list of machines ended the wait only if it showed another worker.

Why this works: a list that was requested after the copy's time and shows no worker on the machine proves that nothing that began there goes on. Before that time it proves nothing, as the next incarnation may still begin.

--- a/internal/scheduler/pool_machine_workers.go
+++ b/internal/scheduler/pool_machine_workers.go
@@ -33,7 +33,13 @@
 			delete(p.awaited, id)
 		}
 	}
-	p.closeOpenStartsOn(requestedAt, func(s *openStart) bool { return workers[s.machine] != "" && workers[s.machine] != s.worker })
+	p.closeOpenStartsOn(requestedAt, func(s *openStart) bool {
+		current, listed := workers[s.machine]
+		if current == "" { // its next incarnation may still begin and carry the start out
+			return listed && s.until.Before(requestedAt)
+		}
+		return current != s.worker
+	})
 	for id, w := range p.workers {
 		if current, listed := workers[w.info.Machine]; listed && current != id && w.silent && !w.lost && w.listedAt.Before(requestedAt) && w.clock.readAt.Before(requestedAt) {
 			p.addEvent(Event{Kind: MachineReassigned, Worker: id}, now)
