--- a/internal/scheduler/late_acknowledgement_test.go
+++ b/internal/scheduler/late_acknowledgement_test.go
@@ -18,7 +18,9 @@
 		startLate = 2 * time.Second // longer than the task takes
 		pollLate  = 4 * time.Second
 	)
-	DescribeTable("leave no end unread in the worker's next incarnation", func(startAfter, pollAfter, firstPollAfter time.Duration) {
+	// acknowledging returns a scene in which a poll of worker a has been sent that acknowledges
+	// its end.
+	acknowledging := func() (*scene, scheduler.PollRequest) {
 		s := newScene(worker("a"))
 		s.add(batchJob("k", 1))
 		s.poll("a", nil, endReport(only(s.startAll()), scheduler.EndDone))
@@ -26,6 +28,10 @@
 		acks, due := s.pool.NextPoll("a", s.now)
 		Expect(due).To(BeTrue())
 		Expect(acks.AckedEnds).To(BeEquivalentTo(1))
+		return s, acks
+	}
+	DescribeTable("leave no end unread in the worker's next incarnation", func(startAfter, pollAfter, firstPollAfter time.Duration) {
+		s, acks := acknowledging()
 		s.advance(9 * time.Millisecond)
 		s.add(batchJob("j", 1))
 		start := only(s.plan().Starts)
@@ -97,11 +103,7 @@
 	// A poll that is still on its way when a start with a higher token overtakes it is refused.
 	// Its ends are to be acknowledged by the next one at once.
 	It("has a poll sent again at once that the start has overtaken", func() {
-		s := newScene(worker("a"))
-		s.add(batchJob("k", 1))
-		s.poll("a", nil, endReport(only(s.startAll()), scheduler.EndDone))
-		s.save(300)
-		acks, _ := s.pool.NextPoll("a", s.now)
+		s, acks := acknowledging()
 		s.add(batchJob("j", 1))
 		start := only(s.plan().Starts)
 		s.pool.StartAnswered(start, scheduler.Accepted, s.clock, s.now)
@@ -113,13 +115,9 @@
 		Expect(again.Token).To(BeNumerically(">=", start.Token))
 	})
 
-	// The token has a bounded number of steps, and worker's calls in flight are refused when it rises.
+	// The token has a bounded number of steps, and calls in flight are refused when it rises.
 	It("raise the token no further once a reply shows that the acknowledgement has arrived", func() {
-		s := newScene(worker("a"))
-		s.add(batchJob("k", 1))
-		s.poll("a", nil, endReport(only(s.startAll()), scheduler.EndDone))
-		s.save(300)
-		acks, _ := s.pool.NextPoll("a", s.now)
+		s, acks := acknowledging()
 		s.applyReply("a", nil, nil, acks)
 		s.add(batchJob("j", 1))
 		Expect(only(s.plan().Starts).Token).To(Equal(acks.Token))
@@ -128,12 +126,7 @@
 	// The platform lists the worker no longer, and then again: the pool knows it anew, and a copy
 	// of the acknowledgement may still be carried out.
 	It("have a start with a higher token also after the worker was removed meanwhile", func() {
-		s := newScene(worker("a"))
-		s.add(batchJob("k", 1))
-		s.poll("a", nil, endReport(only(s.startAll()), scheduler.EndDone))
-		s.save(300)
-		acks, _ := s.pool.NextPoll("a", s.now)
-		Expect(acks.AckedEnds).To(BeEquivalentTo(1))
+		s, acks := acknowledging()
 		s.pool.PollFailed("a", scheduler.OtherIncarnation, s.now)
 		s.setWorkers()
 		s.advance(timing.MaxRunLease + time.Second)
