--- a/internal/scheduler/advice_rounds_test.go
+++ b/internal/scheduler/advice_rounds_test.go
@@ -56,17 +56,17 @@
 	pass := func(d time.Duration) {
 		for end := s.now.Add(d); s.now.Before(end); s.advance(tick) {
 			service.tick()
-			runs, ends := map[string][]scheduler.RunReport{}, map[string][]scheduler.EndReport{}
+			busy, runs, ends := map[string]bool{}, map[string][]scheduler.RunReport{}, map[string][]scheduler.EndReport{}
 			for task, o := range running {
+				busy[o.Worker] = true
 				if s.now.Before(endsAt[task]) {
 					runs[o.Worker] = append(runs[o.Worker], runReport(o))
 				} else {
-					runs[o.Worker] = append(runs[o.Worker], []scheduler.RunReport{}...)
 					ends[o.Worker] = append(ends[o.Worker], endReport(o, scheduler.EndDone))
 					delete(running, task)
 				}
 			}
-			for w := range runs {
+			for w := range busy {
 				s.poll(w, runs[w], ends[w]...)
 			}
 			plan := s.plan()
